--- /dev/null
+++ b/client/include/client/client.h
@@ -0,0 +1,45 @@
+/// The operators' client: checks, compares and publishes service files, and shows what runs.
+#pragma once
+
+#include <coordination/coordination.h>
+
+namespace comfreypier::client {
+
+/// Exit codes of `comfreypier`.
+enum ExitCode {
+    exitOk = 0,
+    exitFaults = 1, ///< `check` found faults, or `diff` found differences.
+    exitUsage = 2,
+    exitUnreachable = 3, ///< No node or no log service answers.
+    exitConflict = 4, ///< Another change was accepted first.
+    exitInvalid = 5, ///< The change was rejected as not valid.
+    exitNotInForce = 6, ///< Accepted, but not in force everywhere in time.
+    exitDoesNotFit = 7, ///< The declared set is larger than the workers' memory.
+};
+
+/// A command and its arguments.
+struct Invocation {
+    std::string command;
+    std::vector<std::string> arguments;
+    std::vector<transport::Endpoint> nodes; ///< Entry VMs to ask; the first that answers is used.
+    std::string author;
+    std::vector<std::string> bases; ///< `service=offset` that replaces the version seen now.
+    bool json = false;
+    bool dryRun = false;
+    bool remove = false;
+    std::chrono::milliseconds wait { 10000 }; ///< Longest time `publish` waits.
+};
+
+/// Runs one command on a fiber and returns its exit code.
+int runCommand(const Invocation& invocation, transport::HttpClient& client);
+
+/// One line of a text comparison.
+struct DiffLine {
+    char mark = ' '; ///< ' ' in both, '-' only in the old text, '+' only in the new.
+    std::string text;
+};
+
+/// Compares two texts line by line.
+std::vector<DiffLine> diffLines(std::string_view before, std::string_view after);
+
+} // namespace comfreypier::client
--- /dev/null
+++ b/client/src/main.cpp
@@ -0,0 +1,140 @@
+/// comfreypier: the operators' client.
+#include <algorithm>
+#include <boost/program_options.hpp>
+#include <client/client.h>
+#include <iostream>
+#include <thread>
+
+namespace {
+
+namespace options = boost::program_options;
+using namespace comfreypier;
+
+struct CommandHelp {
+    const char* name;
+    const char* arguments;
+    const char* text;
+    size_t leastArguments;
+    size_t mostArguments;
+};
+
+constexpr size_t anyNumber = 1000;
+constexpr std::array commands {
+    CommandHelp { "check", "DIR", "checks every service file in DIR and names each fault with file and line", 1, 1 },
+    CommandHelp { "diff", "DIR", "shows what publishing DIR would change", 1, 1 },
+    CommandHelp { "publish", "DIR", "publishes the files in DIR that differ, and waits until they are in force on every live node", 1, anyNumber },
+    CommandHelp { "status", "", "shows nodes and sessions", 0, 0 },
+    CommandHelp { "models", "", "lists declared models and adapters and how many copies answer", 0, 0 },
+    CommandHelp { "placement", "", "shows what is on which worker", 0, 0 },
+    CommandHelp { "history", "", "lists published changes and their verdicts", 0, 0 },
+    CommandHelp { "explain", "MODEL", "shows the last placement decisions about a model or adapter", 1, 1 },
+};
+
+constexpr const char* exitHelp = "exit codes: 0 good, 1 faults or differences found, 2 wrong arguments, 3 no answer, 4 conflict with another change,\n"
+                                 "            5 change rejected as not valid, 6 accepted but not in force everywhere in time, 7 does not fit the workers\n";
+
+options::options_description makeOptions()
+{
+    options::options_description description("options");
+    description.add_options()("node", options::value<std::vector<std::string>>()->composing(), "entry VM to ask, IP:port; may stand several times");
+    description.add_options()("json", "print JSON")("author", options::value<std::string>()->default_value("operator"), "name kept in the history");
+    description.add_options()("base", options::value<std::vector<std::string>>()->composing(), "publish: SERVICE=OFFSET that the change was made against");
+    description.add_options()("remove", "publish: the arguments are services to remove")("dry-run", "publish: only check");
+    description.add_options()("wait-ms", options::value<int64_t>()->default_value(10000), "publish: longest time to wait");
+    description.add_options()("version", "print the version")("help", "print this help");
+    return description;
+}
+
+void printHelp(const options::options_description& description)
+{
+    std::cout << "usage: comfreypier COMMAND [ARGUMENTS] [options]\n\ncommands:\n";
+    for (const auto& command : commands)
+        std::cout << "  " << command.name << " " << command.arguments << "\n      " << command.text << "\n";
+    std::cout << "\n"
+              << description << exitHelp;
+}
+
+int usageError(const std::string& text)
+{
+    std::cerr << "comfreypier: " << text << "\nusage: comfreypier COMMAND [ARGUMENTS] [options], see --help\n";
+    return client::exitUsage;
+}
+
+/// Fills the invocation. Returns an error text, or an empty one.
+std::string fillInvocation(const options::variables_map& values, client::Invocation& invocation)
+{
+    auto words = values["words"].as<std::vector<std::string>>();
+    invocation.command = words[0];
+    invocation.arguments.assign(words.begin() + 1, words.end());
+    invocation.json = values.count("json") > 0;
+    invocation.remove = values.count("remove") > 0;
+    invocation.dryRun = values.count("dry-run") > 0;
+    invocation.author = values["author"].as<std::string>();
+    invocation.wait = std::chrono::milliseconds { values["wait-ms"].as<int64_t>() };
+    if (values.count("base") > 0)
+        invocation.bases = values["base"].as<std::vector<std::string>>();
+    auto command = std::find_if(commands.begin(), commands.end(), [&](const CommandHelp& help) { return invocation.command == help.name; });
+    if (command == commands.end())
+        return "unknown command '" + invocation.command + "'";
+    auto count = invocation.arguments.size();
+    if (count < command->leastArguments || count > command->mostArguments)
+        return "'" + invocation.command + "' takes " + (command->mostArguments == 0 ? "no argument" : command->arguments);
+    if (values.count("node") > 0) {
+        for (const auto& text : values["node"].as<std::vector<std::string>>()) {
+            auto node = transport::parseEndpoint(text);
+            if (!node)
+                return "--node is '" + text + "', expected IP:port";
+            invocation.nodes.push_back(node.value());
+        }
+    }
+    if (invocation.nodes.empty() && invocation.command != "check")
+        return "--node is missing";
+    return {};
+}
+
+int run(const client::Invocation& invocation)
+{
+    transport::Runtime runtime(1);
+    transport::HttpClient httpClient;
+    std::atomic<bool> done { false };
+    int code = client::exitOk;
+    runtime.spawn([&] {
+        code = client::runCommand(invocation, httpClient);
+        done = true;
+    });
+    while (!done)
+        std::this_thread::sleep_for(std::chrono::milliseconds { 1 });
+    std::cout.flush();
+    std::_Exit(code);
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    auto visible = makeOptions();
+    options::options_description all;
+    all.add(visible).add_options()("words", options::value<std::vector<std::string>>());
+    options::positional_options_description positional;
+    positional.add("words", -1);
+    options::variables_map values;
+    try {
+        options::store(options::command_line_parser(argc, argv).options(all).positional(positional).run(), values);
+        options::notify(values);
+    } catch (const options::error& error) {
+        return usageError(error.what());
+    }
+    if (values.count("version") > 0) {
+        std::cout << "comfreypier " << COMFREYPIER_VERSION << "\n";
+        return client::exitOk;
+    }
+    if (values.count("help") > 0 || values.count("words") == 0) {
+        printHelp(visible);
+        return values.count("help") > 0 ? client::exitOk : client::exitUsage;
+    }
+    client::Invocation invocation;
+    auto error = fillInvocation(values, invocation);
+    if (!error.empty())
+        return usageError(error);
+    return run(invocation);
+}
--- /dev/null
+++ b/client/src/node_api.cpp
@@ -0,0 +1,61 @@
+/// Questions to the entry VMs.
+#include "client_p.h"
+
+namespace comfreypier::client {
+
+namespace {
+
+    constexpr std::chrono::milliseconds askTimeout { 2000 };
+
+} // namespace
+
+std::optional<std::string> askNode(const transport::Endpoint& node, transport::HttpClient& client, const std::string& target)
+{
+    transport::CallLimits limits;
+    limits.response = askTimeout;
+    auto response = client.call(node, { "GET", target, {}, {} }, limits);
+    if (!response || response.value().status != 200)
+        return std::nullopt;
+    return response.value().body;
+}
+
+std::optional<std::string> askNodes(const Invocation& invocation, transport::HttpClient& client, const std::string& target)
+{
+    for (const auto& node : invocation.nodes) {
+        if (auto answer = askNode(node, client, target))
+            return answer;
+    }
+    return std::nullopt;
+}
+
+std::optional<json::object> parseObject(const std::string& text)
+{
+    json::error_code error;
+    auto value = json::parse(text, error);
+    if (error || !value.is_object())
+        return std::nullopt;
+    return std::move(value.get_object());
+}
+
+std::optional<RemoteConfig> parseConfig(const std::string& text)
+{
+    auto object = parseObject(text);
+    if (!object || !object->contains("services"))
+        return std::nullopt;
+    RemoteConfig config;
+    config.next = object->at("next").to_number<uint64_t>();
+    for (const auto& element : object->at("services").as_array()) {
+        const auto& service = element.as_object();
+        auto name = std::string(service.at("service").as_string());
+        config.services[name] = { service.at("offset").to_number<uint64_t>(), std::string(service.at("text").as_string()) };
+    }
+    return config;
+}
+
+std::optional<RemoteConfig> fetchConfig(const Invocation& invocation, transport::HttpClient& client)
+{
+    auto answer = askNodes(invocation, client, "/admin/config");
+    return answer ? parseConfig(*answer) : std::nullopt;
+}
+
+} // namespace comfreypier::client
--- /dev/null
+++ b/coordination/src/action.cpp
@@ -0,0 +1,65 @@
+/// Requests that may not be repeated: at most one run for each key, decided by the log's order.
+#include <coordination/coordination.h>
+
+namespace comfreypier::coordination {
+
+namespace {
+
+    constexpr uint64_t highSeed = 0x636f6d66;
+    constexpr uint64_t lowSeed = 0x70696572;
+
+} // namespace
+
+Verdict applyActionBegin(Actions& actions, const protocol::ActionBegin& begin, SessionId writer, Offset offset, const RecordId& id)
+{
+    auto [entry, added] = actions.try_emplace(begin.key);
+    if (!added)
+        return Verdict::KeyTaken;
+    entry->second = { begin.requestHash, writer, offset, id, std::nullopt };
+    return Verdict::Applied;
+}
+
+Verdict applyActionEnd(Actions& actions, const protocol::ActionEnd& end, SessionId writer)
+{
+    auto entry = actions.find(end.key);
+    if (entry == actions.end() || entry->second.begin != end.begin || entry->second.end || entry->second.session != writer)
+        return Verdict::Void;
+    entry->second.end = end;
+    return Verdict::Applied;
+}
+
+Verdict applyActionVoid(Actions& actions, const protocol::ActionVoid& taken)
+{
+    auto entry = actions.find(taken.key);
+    if (entry == actions.end() || entry->second.beginId != taken.begin || entry->second.end)
+        return Verdict::Void;
+    actions.erase(entry);
+    return Verdict::Applied;
+}
+
+Verdict applyActionsForget(Actions& actions, const protocol::ActionsForget& forget)
+{
+    std::erase_if(actions, [&](const auto& entry) { return entry.second.begin < forget.before; });
+    return Verdict::Applied;
+}
+
+RepeatAnswer answerRepeat(const Actions& actions, const std::map<SessionId, Session>& sessions, const ActionKey& key, uint64_t requestHash)
+{
+    auto entry = actions.find(key);
+    if (entry == actions.end())
+        return RepeatAnswer::Run;
+    const auto& action = entry->second;
+    if (action.requestHash != requestHash)
+        return RepeatAnswer::KeyReused;
+    if (action.end)
+        return RepeatAnswer::Recorded;
+    return sessions.contains(action.session) ? RepeatAnswer::Wait : RepeatAnswer::Unknown;
+}
+
+ActionKey makeActionKey(std::string_view service, std::string_view headerValue)
+{
+    auto text = std::string(service) + '\0' + std::string(headerValue);
+    return { protocol::contentHash(text, highSeed), protocol::contentHash(text, lowSeed) };
+}
+
+} // namespace comfreypier::coordination
--- /dev/null
+++ b/coordination/src/ledger.cpp
@@ -0,0 +1,120 @@
+/// Ledger of workers' memory. Model: `intentBeforeOrder`, `keepUnanswered`.
+#include <coordination/coordination.h>
+
+namespace comfreypier::coordination {
+
+namespace {
+
+    /// Returns the worker if `writer` owns it.
+    Worker* ownedWorker(Workers& workers, const std::string& name, SessionId writer)
+    {
+        auto entry = workers.find(name);
+        if (entry == workers.end() || entry->second.owner != writer)
+            return nullptr;
+        return &entry->second;
+    }
+
+    Reservation* findReservation(Worker& worker, const std::string& item)
+    {
+        auto entry = worker.reservations.find(item);
+        return entry == worker.reservations.end() ? nullptr : &entry->second;
+    }
+
+} // namespace
+
+uint64_t reservedBytes(const Worker& worker)
+{
+    uint64_t total = 0;
+    for (const auto& [item, reservation] : worker.reservations)
+        total += reservation.bytes;
+    return total;
+}
+
+size_t residentCopies(const Workers& workers, std::string_view item, std::string_view except)
+{
+    size_t copies = 0;
+    std::string key(item);
+    for (const auto& [name, worker] : workers) {
+        auto entry = worker.reservations.find(key);
+        if (name != except && entry != worker.reservations.end() && entry->second.loaded && !entry->second.unloading)
+            copies++;
+    }
+    return copies;
+}
+
+Verdict applyLoadIntent(Workers& workers, const protocol::LoadIntent& intent, SessionId writer)
+{
+    auto* worker = ownedWorker(workers, intent.worker, writer);
+    if (!worker)
+        return Verdict::NotOwner;
+    auto* existing = findReservation(*worker, intent.item);
+    if (existing) {
+        if (existing->unloading || existing->bytes != intent.bytes || existing->openCopies.size() >= openCopyLimit)
+            return Verdict::Void;
+        existing->openCopies.insert(intent.copy);
+        return Verdict::Applied;
+    }
+    if (reservedBytes(*worker) + intent.bytes > worker->declared.capacity)
+        return Verdict::OverCapacity;
+    auto& reservation = worker->reservations[intent.item];
+    reservation.bytes = intent.bytes;
+    reservation.openCopies.insert(intent.copy);
+    return Verdict::Applied;
+}
+
+Verdict applyLoadResolved(Workers& workers, const protocol::LoadResolved& resolved, SessionId writer)
+{
+    auto* worker = ownedWorker(workers, resolved.worker, writer);
+    if (!worker)
+        return Verdict::NotOwner;
+    auto* reservation = findReservation(*worker, resolved.item);
+    if (!reservation)
+        return Verdict::Void;
+    reservation->openCopies.erase(resolved.copy);
+    if (resolved.arrived)
+        reservation->lastCopy = resolved.copy;
+    if (!reservation->unloading)
+        reservation->loaded = resolved.loaded;
+    return Verdict::Applied;
+}
+
+Verdict applyUnloadIntent(Workers& workers, const protocol::UnloadIntent& intent, SessionId writer)
+{
+    auto* worker = ownedWorker(workers, intent.worker, writer);
+    if (!worker)
+        return Verdict::NotOwner;
+    auto* reservation = findReservation(*worker, intent.item);
+    if (!reservation || reservation->unloading)
+        return Verdict::Void;
+    bool servesAlone = reservation->loaded && residentCopies(workers, intent.item, intent.worker) == 0;
+    if (servesAlone && !intent.lastCopyAllowed)
+        return Verdict::LastCopy;
+    reservation->unloading = true;
+    return Verdict::Applied;
+}
+
+Verdict applyUnloadResolved(Workers& workers, const protocol::UnloadResolved& resolved, SessionId writer)
+{
+    auto* worker = ownedWorker(workers, resolved.worker, writer);
+    if (!worker)
+        return Verdict::NotOwner;
+    auto* reservation = findReservation(*worker, resolved.item);
+    if (!reservation || !reservation->unloading || !reservation->openCopies.empty())
+        return Verdict::Void;
+    worker->reservations.erase(resolved.item);
+    return Verdict::Applied;
+}
+
+Verdict applyWorkerRestarted(Workers& workers, const protocol::WorkerRestarted& restarted, SessionId writer)
+{
+    auto* worker = ownedWorker(workers, restarted.worker, writer);
+    if (!worker)
+        return Verdict::NotOwner;
+    if (worker->declared.incarnation == restarted.incarnation)
+        return Verdict::Void;
+    worker->declared.incarnation = restarted.incarnation;
+    worker->reservations.clear();
+    return Verdict::Applied;
+}
+
+} // namespace comfreypier::coordination
--- /dev/null
+++ b/coordination/src/planner.cpp
@@ -0,0 +1,283 @@
+/// Placement: which worker is to hold which item. Reachability first, then demand, with few moves.
+#include <algorithm>
+#include <cmath>
+#include <coordination/coordination.h>
+
+namespace comfreypier::coordination {
+
+namespace {
+
+    using protocol::ItemSpec;
+    using protocol::PlanChange;
+    using protocol::PlanMove;
+
+    /// Weight of one answered request by urgency.
+    constexpr std::array<double, static_cast<size_t>(protocol::Urgency::Count)> urgencyWeights { 4.0, 2.0, 1.0 };
+
+    /// One planning round over a working copy of the plan.
+    class PlanRound {
+    public:
+        explicit PlanRound(const PlanInputs& inputs)
+            : inputs(inputs)
+            , plan(*inputs.plan)
+        {
+            for (const auto& [name, item] : inputs.deployment->items)
+                this->specs[protocol::itemKey(item)] = &item;
+        }
+
+        PlanChange run()
+        {
+            this->dropObsolete();
+            auto order = this->itemsByImportance();
+            for (const auto* item : order)
+                this->reach(*item, 1);
+            for (const auto* item : order)
+                this->reach(*item, preferredDataCentres);
+            this->followDemand(order);
+            return this->difference();
+        }
+
+    private:
+        /// Models before adapters, urgent before others, large before small.
+        std::vector<const ItemSpec*> itemsByImportance() const
+        {
+            std::vector<const ItemSpec*> order;
+            for (const auto& [name, item] : this->inputs.deployment->items)
+                order.push_back(&item);
+            std::stable_sort(order.begin(), order.end(), [](const ItemSpec* a, const ItemSpec* b) {
+                return std::tuple(!a->base.empty(), a->urgency, b->bytes) < std::tuple(!b->base.empty(), b->urgency, a->bytes);
+            });
+            return order;
+        }
+
+        /// Drops what is no longer declared, once a newer version of it is resident, and what stands on removed workers.
+        void dropObsolete()
+        {
+            std::erase_if(this->plan, [&](const PlanMove& move) {
+                if (!this->inputs.workers->contains(move.worker))
+                    return true;
+                if (this->specs.contains(move.item))
+                    return this->isAvoided(move.worker) && this->copiesElsewhere(move) > 0;
+                auto name = move.item.substr(0, move.item.rfind('@'));
+                auto current = this->inputs.deployment->items.find(name);
+                bool replaced = current != this->inputs.deployment->items.end();
+                return !replaced || residentCopies(*this->inputs.workers, protocol::itemKey(current->second)) > 0;
+            });
+        }
+
+        bool isAvoided(const std::string& worker) const { return this->inputs.avoid.contains(worker); }
+
+        size_t copiesElsewhere(const PlanMove& move) const
+        {
+            size_t copies = 0;
+            for (const auto& [name, worker] : *this->inputs.workers) {
+                auto entry = worker.reservations.find(move.item);
+                bool resident = entry != worker.reservations.end() && entry->second.loaded && !entry->second.unloading;
+                copies += name != move.worker && !this->isAvoided(name) && resident;
+            }
+            return copies;
+        }
+
+        std::vector<std::string> holders(const std::string& key) const
+        {
+            std::vector<std::string> names;
+            for (const auto& [name, worker] : *this->inputs.workers) {
+                if (!this->isAvoided(name) && this->plan.contains({ name, key }))
+                    names.push_back(name);
+            }
+            return names;
+        }
+
+        std::set<std::string> dataCentres(const std::vector<std::string>& names) const
+        {
+            std::set<std::string> result;
+            for (const auto& name : names)
+                result.insert(this->inputs.workers->at(name).declared.dataCentre);
+            return result;
+        }
+
+        /// Bytes that the plan and the ledger together claim on a worker.
+        uint64_t claimedBytes(const std::string& name) const
+        {
+            const auto& worker = this->inputs.workers->at(name);
+            uint64_t total = reservedBytes(worker);
+            for (auto entry = this->plan.lower_bound({ name, "" }); entry != this->plan.end() && entry->worker == name; ++entry) {
+                auto spec = this->specs.find(entry->item);
+                if (spec != this->specs.end() && !worker.reservations.contains(entry->item))
+                    total += spec->second->bytes;
+            }
+            return total;
+        }
+
+        uint64_t freeBytes(const std::string& name) const
+        {
+            auto capacity = this->inputs.workers->at(name).declared.capacity;
+            auto claimed = this->claimedBytes(name);
+            return capacity > claimed ? capacity - claimed : 0;
+        }
+
+        const ItemSpec* baseOf(const ItemSpec& item) const
+        {
+            return item.base.empty() ? nullptr : &this->inputs.deployment->items.at(item.base);
+        }
+
+        /// Bytes that placing `item` on `worker` adds, its base model included.
+        uint64_t addedBytes(const ItemSpec& item, const std::string& worker) const
+        {
+            const auto* base = this->baseOf(item);
+            bool needsBase = base && !this->plan.contains({ worker, protocol::itemKey(*base) });
+            return item.bytes + (needsBase ? base->bytes : 0);
+        }
+
+        /// Picks the worker where `item` costs least and leaves most room, or none.
+        std::optional<std::string> bestWorker(const ItemSpec& item, const std::set<std::string>& excludedCentres) const
+        {
+            std::optional<std::string> best;
+            uint64_t bestCost = 0;
+            uint64_t bestFree = 0;
+            auto key = protocol::itemKey(item);
+            for (const auto& [name, worker] : *this->inputs.workers) {
+                if (this->isAvoided(name) || this->plan.contains({ name, key }) || excludedCentres.contains(worker.declared.dataCentre))
+                    continue;
+                auto cost = this->addedBytes(item, name);
+                auto free = this->freeBytes(name);
+                if (cost > free)
+                    continue;
+                bool better = !best || cost < bestCost || (cost == bestCost && free > bestFree);
+                if (better) {
+                    best = name;
+                    bestCost = cost;
+                    bestFree = free;
+                }
+            }
+            return best;
+        }
+
+        void place(const ItemSpec& item, const std::string& worker)
+        {
+            if (const auto* base = this->baseOf(item))
+                this->plan.insert({ worker, protocol::itemKey(*base) });
+            this->plan.insert({ worker, protocol::itemKey(item) });
+        }
+
+        /// Adds copies until `item` stands in `wantedCentres` data centres, as far as memory allows.
+        void reach(const ItemSpec& item, size_t wantedCentres)
+        {
+            auto names = this->holders(protocol::itemKey(item));
+            auto centres = this->dataCentres(names);
+            while (centres.size() < wantedCentres) {
+                auto worker = this->bestWorker(item, centres);
+                if (!worker && names.empty())
+                    worker = this->makeRoom(item);
+                if (!worker)
+                    return;
+                this->place(item, *worker);
+                names.push_back(*worker);
+                centres = this->dataCentres(names);
+            }
+        }
+
+        /// Drops surplus copies from the worker that needs the fewest drops. Returns that worker.
+        std::optional<std::string> makeRoom(const ItemSpec& item)
+        {
+            std::optional<std::string> best;
+            std::vector<PlanMove> bestDrops;
+            for (const auto& [name, worker] : *this->inputs.workers) {
+                if (this->isAvoided(name))
+                    continue;
+                auto drops = this->dropsFor(item, name);
+                if (drops && (!best || drops->size() < bestDrops.size())) {
+                    best = name;
+                    bestDrops = *drops;
+                }
+            }
+            for (const auto& drop : bestDrops)
+                this->plan.erase(drop);
+            return best;
+        }
+
+        /// Surplus copies whose removal from `worker` makes room for `item`, or nothing if that is not enough.
+        std::optional<std::vector<PlanMove>> dropsFor(const ItemSpec& item, const std::string& worker) const
+        {
+            uint64_t free = this->freeBytes(worker);
+            auto needed = this->addedBytes(item, worker);
+            std::vector<PlanMove> drops;
+            for (auto entry = this->plan.lower_bound({ worker, "" }); entry != this->plan.end() && entry->worker == worker && free < needed; ++entry) {
+                auto spec = this->specs.find(entry->item);
+                bool isBase = spec != this->specs.end() && this->hasAdapterOn(*spec->second, worker);
+                if (spec == this->specs.end() || isBase || this->copiesElsewhere(*entry) == 0)
+                    continue;
+                free += spec->second->bytes;
+                drops.push_back(*entry);
+            }
+            if (free < needed)
+                return std::nullopt;
+            return drops;
+        }
+
+        bool hasAdapterOn(const ItemSpec& model, const std::string& worker) const
+        {
+            for (const auto& [name, item] : this->inputs.deployment->items) {
+                if (item.base == model.name && this->plan.contains({ worker, protocol::itemKey(item) }))
+                    return true;
+            }
+            return false;
+        }
+
+        double demandOf(const ItemSpec& item) const
+        {
+            auto entry = this->inputs.demand.find(item.name);
+            return entry == this->inputs.demand.end() ? 0 : entry->second;
+        }
+
+        /// Value of one more copy for each byte.
+        double gain(const ItemSpec& item) const
+        {
+            auto copies = static_cast<double>(this->holders(protocol::itemKey(item)).size());
+            auto missing = this->demandOf(item) - copies * this->inputs.requestsPerCopy;
+            if (missing <= 0)
+                return 0;
+            auto answered = std::min(missing, this->inputs.requestsPerCopy);
+            return answered * urgencyWeights[static_cast<size_t>(item.urgency)] / static_cast<double>(item.bytes);
+        }
+
+        void followDemand(const std::vector<const ItemSpec*>& items)
+        {
+            for (size_t move = 0; move < this->inputs.movesAllowed; move++) {
+                const ItemSpec* best = nullptr;
+                double bestGain = 0;
+                for (const auto* item : items) {
+                    auto value = this->gain(*item);
+                    if (value > bestGain && this->bestWorker(*item, {})) {
+                        best = item;
+                        bestGain = value;
+                    }
+                }
+                if (!best)
+                    return;
+                this->place(*best, *this->bestWorker(*best, {}));
+            }
+        }
+
+        PlanChange difference() const
+        {
+            PlanChange change;
+            const auto& before = *this->inputs.plan;
+            std::set_difference(this->plan.begin(), this->plan.end(), before.begin(), before.end(), std::back_inserter(change.adds));
+            std::set_difference(before.begin(), before.end(), this->plan.begin(), this->plan.end(), std::back_inserter(change.drops));
+            return change;
+        }
+
+        const PlanInputs& inputs;
+        std::set<PlanMove> plan;
+        std::map<std::string, const ItemSpec*> specs;
+    };
+
+} // namespace
+
+PlanChange planRound(const PlanInputs& inputs)
+{
+    return PlanRound(inputs).run();
+}
+
+} // namespace comfreypier::coordination
--- /dev/null
+++ b/coordination/src/region_snapshot.cpp
@@ -0,0 +1,119 @@
+/// Snapshots of replayed streams: making, cutting, collecting and restoring.
+#include <algorithm>
+#include <coordination/coordination.h>
+
+namespace comfreypier::coordination {
+
+namespace {
+
+    /// Bytes of one snapshot part.
+    constexpr size_t snapshotPartSize = 64 * 1024;
+    /// Most parts of one snapshot.
+    constexpr uint32_t snapshotPartLimit = 4096;
+
+    std::vector<protocol::ReservationSnapshot> saveReservations(const Worker& worker)
+    {
+        std::vector<protocol::ReservationSnapshot> saved;
+        for (const auto& [item, reservation] : worker.reservations)
+            saved.push_back({ item, reservation.bytes, { reservation.openCopies.begin(), reservation.openCopies.end() }, reservation.loaded, reservation.unloading, reservation.lastCopy });
+        return saved;
+    }
+
+    Worker restoreWorker(const protocol::WorkerSnapshot& saved)
+    {
+        Worker worker { saved.declared, {}, saved.owner, saved.ownerSince };
+        for (const auto& reservation : saved.reservations)
+            worker.reservations[reservation.item] = { reservation.bytes, { reservation.openCopies.begin(), reservation.openCopies.end() }, reservation.lastCopy, reservation.loaded, reservation.unloading };
+        return worker;
+    }
+
+    /// Saves the writers, least recently seen first.
+    std::vector<RecordId> saveWriters(const WriterTable& table)
+    {
+        std::vector<std::pair<uint64_t, RecordId>> ordered;
+        for (const auto& [writer, state] : table.writers)
+            ordered.push_back({ state.touched, { writer, state.lastNumber } });
+        std::sort(ordered.begin(), ordered.end());
+        std::vector<RecordId> ids;
+        for (const auto& [touched, id] : ordered)
+            ids.push_back(id);
+        return ids;
+    }
+
+    WriterTable restoreWriters(const std::vector<RecordId>& ids)
+    {
+        WriterTable table;
+        for (const auto& id : ids)
+            acceptRecord(table, id);
+        return table;
+    }
+
+} // namespace
+
+protocol::Snapshot makeSnapshot(const RegionState& state)
+{
+    protocol::Snapshot snapshot;
+    snapshot.upTo = state.next;
+    snapshot.viewOffset = state.viewOffset;
+    snapshot.seenIds = saveWriters(state.writers);
+    for (const auto& [id, session] : state.sessions)
+        snapshot.sessions.push_back({ id, session.lastSeen, session.open });
+    for (const auto& [name, worker] : state.workers)
+        snapshot.workers.push_back({ worker.declared, saveReservations(worker), worker.owner, worker.ownerSince });
+    snapshot.plan.assign(state.plan.begin(), state.plan.end());
+    for (const auto& [key, action] : state.actions)
+        snapshot.actions.push_back({ key, action.requestHash, action.session, action.begin, action.end.has_value(), action.end.value_or(protocol::ActionEnd {}), action.beginId });
+    return snapshot;
+}
+
+RegionState restoreRegion(const protocol::Snapshot& snapshot)
+{
+    RegionState state;
+    state.next = snapshot.upTo;
+    state.viewOffset = snapshot.viewOffset;
+    state.writers = restoreWriters(snapshot.seenIds);
+    for (const auto& saved : snapshot.sessions)
+        state.sessions[saved.session] = { saved.session, saved.lastSeen, saved.open };
+    for (const auto& saved : snapshot.workers)
+        state.workers[saved.declared.worker] = restoreWorker(saved);
+    state.plan.insert(snapshot.plan.begin(), snapshot.plan.end());
+    for (const auto& saved : snapshot.actions) {
+        auto& action = state.actions[saved.key];
+        action = { saved.requestHash, saved.session, saved.begin, saved.beginId, std::nullopt };
+        if (saved.ended)
+            action.end = saved.end;
+    }
+    return state;
+}
+
+void collectSnapshot(SnapshotCollector& collector, const Envelope& envelope)
+{
+    for (const auto& entry : envelope.entries) {
+        const auto* part = std::get_if<protocol::SnapshotPart>(&entry);
+        if (!part || part->parts == 0 || part->parts > snapshotPartLimit || part->part >= part->parts)
+            continue;
+        auto& parts = collector.parts[part->upTo];
+        parts[part->part] = part->data;
+        if (parts.size() != part->parts)
+            continue;
+        std::string whole;
+        for (const auto& [number, data] : parts)
+            whole += data;
+        auto snapshot = protocol::decodeSnapshot(whole);
+        collector.parts.erase(part->upTo);
+        if (snapshot && (!collector.newest || snapshot.value().upTo > collector.newest->upTo))
+            collector.newest = std::move(snapshot.value());
+    }
+}
+
+std::vector<protocol::SnapshotPart> cutSnapshot(const protocol::Snapshot& snapshot)
+{
+    auto whole = protocol::encodeSnapshot(snapshot);
+    auto count = static_cast<uint32_t>((whole.size() + snapshotPartSize - 1) / snapshotPartSize);
+    std::vector<protocol::SnapshotPart> parts;
+    for (uint32_t i = 0; i < count; i++)
+        parts.push_back({ snapshot.upTo, i, count, whole.substr(i * snapshotPartSize, snapshotPartSize) });
+    return parts;
+}
+
+} // namespace comfreypier::coordination
--- /dev/null
+++ b/coordination/src/retry_budget.cpp
@@ -0,0 +1,20 @@
+/// Retry budget as a share of first tries.
+#include <algorithm>
+#include <coordination/coordination.h>
+
+namespace comfreypier::coordination {
+
+void noteFirstTry(RetryBudget& budget)
+{
+    budget.tokens = std::min(budget.burst, budget.tokens + budget.share);
+}
+
+bool takeRetry(RetryBudget& budget)
+{
+    if (budget.tokens < 1)
+        return false;
+    budget.tokens -= 1;
+    return true;
+}
+
+} // namespace comfreypier::coordination
--- /dev/null
+++ b/coordination/src/session.cpp
@@ -0,0 +1,72 @@
+/// Sessions: leases of their holders, and expiry by those who watch them.
+#include <algorithm>
+#include <coordination/coordination.h>
+
+namespace comfreypier::coordination {
+
+namespace {
+
+    void forgetOldestWriter(WriterTable& table)
+    {
+        auto oldest = std::min_element(table.writers.begin(), table.writers.end(), [](const auto& a, const auto& b) { return a.second.touched < b.second.touched; });
+        table.writers.erase(oldest);
+    }
+
+} // namespace
+
+bool acceptRecord(WriterTable& table, const RecordId& id)
+{
+    table.clock++;
+    auto [entry, added] = table.writers.try_emplace(id.high);
+    if (!added && id.low <= entry->second.lastNumber)
+        return false;
+    entry->second.lastNumber = id.low;
+    entry->second.touched = table.clock;
+    if (table.writers.size() > writerTableLimit)
+        forgetOldestWriter(table);
+    return true;
+}
+
+Time leaseDeadline(const Lease& lease)
+{
+    return lease.confirmedStart + lease.ttl - lease.margin;
+}
+
+bool mayAct(const Lease& lease, Time now)
+{
+    return lease.session != protocol::invalidOffset && now < leaseDeadline(lease);
+}
+
+std::vector<protocol::SessionExpire> tickWatch(ViewWatch& watch, const std::map<SessionId, Session>& sessions, Time now, bool readable)
+{
+    std::vector<protocol::SessionExpire> expired;
+    auto elapsed = now - watch.lastTick;
+    watch.lastTick = now;
+    if (!readable)
+        watch.sessions.clear();
+    std::erase_if(watch.sessions, [&](const auto& entry) { return !sessions.contains(entry.first); });
+    for (const auto& [id, session] : sessions) {
+        auto [entry, added] = watch.sessions.try_emplace(id);
+        auto& seen = entry->second;
+        if (added || seen.lastSeen != session.lastSeen) {
+            seen.lastSeen = session.lastSeen;
+            seen.silentFor = Time { 0 };
+            continue;
+        }
+        seen.silentFor += elapsed;
+        if (seen.silentFor < session.open.ttl)
+            continue;
+        expired.push_back({ id, seen.lastSeen });
+    }
+    return expired;
+}
+
+const char* name(Verdict verdict)
+{
+    constexpr std::array<const char*, static_cast<size_t>(Verdict::Count)> names {
+        "applied", "repeated", "session_ended", "void", "not_owner", "over_capacity", "last_copy", "key_taken", "conflict", "invalid_file"
+    };
+    return names[static_cast<size_t>(verdict)];
+}
+
+} // namespace comfreypier::coordination
--- /dev/null
+++ b/daemon/src/admin.h
@@ -0,0 +1,36 @@
+/// What operators and callers can ask of a node: addresses, models, status, metrics.
+#pragma once
+
+#include "gossip_duty.h"
+#include "router.h"
+
+namespace comfreypier::daemon {
+
+/// Serves the read-only interfaces.
+class Admin {
+public:
+    Admin(Node& node, const Router& router, const GossipDuty& gossip, const SessionKeeper& session);
+    /// @return false if the path is none of its own.
+    bool serve(const transport::HttpRequest& request, transport::ResponseWriter& writer) const;
+    /// Sets the source of the server's own counters.
+    void setServer(const transport::HttpServer& newServer) { this->server = &newServer; }
+
+private:
+    std::string addresses() const;
+    std::string models() const;
+    std::string status() const;
+    std::string placement() const;
+    std::string config() const;
+    std::string history() const;
+    std::string explain(const std::string& model) const;
+    std::string metrics() const;
+    bool isReady() const;
+
+    Node& node;
+    const Router& router;
+    const GossipDuty& gossip;
+    const SessionKeeper& session;
+    const transport::HttpServer* server = nullptr;
+};
+
+} // namespace comfreypier::daemon
--- /dev/null
+++ b/daemon/src/completions.cpp
@@ -0,0 +1,368 @@
+#include "completions.h"
+
+#include "refuse.h"
+
+#include <algorithm>
+
+namespace comfreypier::daemon {
+
+using protocol::RefusalReason;
+using protocol::RetryReason;
+using protocol::RunState;
+
+namespace {
+
+    constexpr int attemptLimit = 5;
+    constexpr std::chrono::milliseconds retryPause { 10 };
+    constexpr std::chrono::milliseconds overloadRetryAfter { 1000 };
+    /// First-token targets that a stream may wait for its head.
+    constexpr int headWaitTargets = 4;
+    /// Answers of other requests that are dropped before the connection is given up.
+    constexpr int crossedLimit = 3;
+    constexpr std::chrono::milliseconds idleWorkerWait { 1000 };
+    constexpr std::chrono::milliseconds idleWorkerPoll { 25 };
+
+    /// How one attempt ended.
+    enum class AttemptEnd {
+        Done,
+        CallerGone,
+        NotSent, ///< No byte reached the engine.
+        Refused, ///< The engine did not take the request.
+        Cut, ///< The connection closed early.
+        Silent, ///< Nothing came for too long.
+        Crossed, ///< The answers were those of another request.
+        Count
+    };
+
+    RetryReason retryReason(AttemptEnd end)
+    {
+        switch (end) {
+        case AttemptEnd::NotSent:
+            return RetryReason::ConnectFailed;
+        case AttemptEnd::Cut:
+            return RetryReason::StreamCut;
+        case AttemptEnd::Silent:
+            return RetryReason::StreamSilent;
+        case AttemptEnd::Crossed:
+            return RetryReason::CrossedAnswer;
+        default:
+            return RetryReason::EngineRefused;
+        }
+    }
+
+    AttemptEnd toAttemptEnd(transport::IoError error)
+    {
+        if (transport::isBeforeSend(error))
+            return AttemptEnd::NotSent;
+        return error == transport::IoError::Timeout ? AttemptEnd::Silent : AttemptEnd::Cut;
+    }
+
+    std::string makeRequestId()
+    {
+        auto id = protocol::makeRecordId();
+        char text[40];
+        std::snprintf(text, sizeof text, "cmpl-%016llx", static_cast<unsigned long long>(id.low));
+        return text;
+    }
+
+    bool belongsTo(std::string_view data, const std::string& requestId)
+    {
+        auto member = data.find("\"id\":\"");
+        if (member == std::string_view::npos)
+            return false;
+        return data.substr(member + 6).starts_with(requestId + "\"");
+    }
+
+} // namespace
+
+/// One completion request on its way, over as many attempts as it takes.
+class CompletionRelay {
+public:
+    CompletionRelay(CompletionFront& front, const transport::HttpRequest& request, const protocol::CompletionRequest& parsed, const Route& route, transport::ResponseWriter& writer)
+        : front(front)
+        , node(front.node)
+        , request(request)
+        , parsed(parsed)
+        , route(route)
+        , writer(writer)
+        , requestId(makeRequestId())
+        , start(monotonicNow())
+    {
+    }
+
+    void run()
+    {
+        this->noteFirstTry();
+        for (int attempt = 0; attempt < attemptLimit; attempt++) {
+            auto holder = this->pickHolder();
+            if (!holder) {
+                this->fail(RefusalReason::NoLiveCopy, "no worker with a copy answers");
+                return;
+            }
+            auto begin = monotonicNow();
+            this->front.router.noteStart(holder->worker);
+            auto end = this->parsed.stream ? this->relayStream(*holder) : this->relayWhole(*holder);
+            this->front.router.noteEnd(holder->worker, monotonicNow() - begin);
+            if (end == AttemptEnd::Done || end == AttemptEnd::CallerGone) {
+                this->front.gossip.noteAnswered(this->parsed.contentHash);
+                return;
+            }
+            this->everSent = this->everSent || end != AttemptEnd::NotSent;
+            if (!this->prepareRetry(*holder, end))
+                return;
+        }
+        this->fail(RefusalReason::EndpointFailed, "every attempt failed");
+    }
+
+private:
+    void noteFirstTry()
+    {
+        std::lock_guard lock(this->front.budgetMutex);
+        auto& budget = this->front.budgets[this->route.spec.name];
+        budget.share = this->node.settings.retryShare;
+        coordination::noteFirstTry(budget);
+    }
+
+    bool takeRetryToken()
+    {
+        std::lock_guard lock(this->front.budgetMutex);
+        return coordination::takeRetry(this->front.budgets[this->route.spec.name]);
+    }
+
+    /// Suspected contents wait a while for a worker on which nothing else runs.
+    std::optional<Holder> pickHolder()
+    {
+        if (this->repeatOn)
+            return std::exchange(this->repeatOn, std::nullopt);
+        bool suspected = this->front.gossip.crashesOf(this->parsed.contentHash) > 0;
+        auto deadline = monotonicNow() + idleWorkerWait;
+        auto table = this->front.router.table();
+        auto entry = table->routes.find(this->route.spec.name);
+        const auto& current = entry == table->routes.end() ? this->route : entry->second;
+        auto holder = this->front.router.pick(current, this->parsed.prefixHash, this->excluded, suspected);
+        while (suspected && holder && monotonicNow() < deadline && this->node.loads.get(holder->worker).inFlight > 0) {
+            sleepFor(idleWorkerPoll);
+            holder = this->front.router.pick(current, this->parsed.prefixHash, this->excluded, suspected);
+        }
+        return holder;
+    }
+
+    /// Decides whether another attempt is made.
+    bool prepareRetry(const Holder& holder, AttemptEnd end)
+    {
+        if (end == AttemptEnd::Cut && !this->noteCrash())
+            return false;
+        bool firstSilence = end == AttemptEnd::Silent && !this->silentWorkers.contains(holder.worker);
+        if (firstSilence) {
+            this->silentWorkers.insert(holder.worker);
+            this->repeatOn = holder;
+            this->freshConnection = true;
+        } else {
+            this->excluded.insert(holder.worker);
+            if (end != AttemptEnd::Refused)
+                this->front.router.noteFailure(holder.worker);
+        }
+        bool resumes = this->delivered > 0;
+        if (!resumes && end != AttemptEnd::NotSent && !this->takeRetryToken()) {
+            this->fail(RefusalReason::RetryBudget, "the retry budget is spent");
+            return false;
+        }
+        add(this->node.counters, retryReason(end));
+        if (resumes)
+            add(this->node.counters, state::Counter::StreamsResumed);
+        sleepFor(retryPause + std::chrono::milliseconds { protocol::makeRecordId().low % static_cast<uint64_t>(retryPause.count()) });
+        return true;
+    }
+
+    /// Notes that an endpoint crashed under this content. Returns false if it is not to run again.
+    bool noteCrash()
+    {
+        this->front.gossip.noteCrash(this->parsed.contentHash);
+        if (this->front.gossip.crashesOf(this->parsed.contentHash) < coordination::suspectCrashLimit)
+            return true;
+        this->fail(RefusalReason::Suspect, "endpoints crashed while they ran this request");
+        return false;
+    }
+
+    void fail(RefusalReason reason, const std::string& detail)
+    {
+        if (this->headSent) {
+            add(this->node.counters, reason);
+            this->writer.abort();
+            return;
+        }
+        auto ran = this->everSent ? RunState::Unknown : RunState::NotRun;
+        refuse(this->node, this->writer, { reason, ran, overloadRetryAfter, detail });
+    }
+
+    transport::HttpRequest engineRequest(const Holder& holder) const
+    {
+        transport::HttpRequest out { "POST", std::string(transport::targetPath(this->request.target)), {}, this->request.body };
+        auto priority = static_cast<int>(protocol::Urgency::Count) - static_cast<int>(this->route.spec.urgency);
+        out.headers = { { "Content-Type", "application/json" }, { "X-Request-Id", this->requestId }, { "X-Item", holder.item }, { "X-Priority", std::to_string(priority) } };
+        if (this->delivered > 0)
+            out.headers.push_back({ "Last-Event-ID", std::to_string(this->delivered) });
+        return out;
+    }
+
+    transport::CallLimits headLimits() const
+    {
+        transport::CallLimits limits;
+        auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(this->route.spec.firstTokenTarget * headWaitTargets);
+        limits.response = std::max(this->node.settings.silenceLimit, wait);
+        limits.bodyLimit = UINT64_MAX;
+        return limits;
+    }
+
+    AttemptEnd relayWhole(const Holder& holder)
+    {
+        auto response = this->node.client.call(holder.endpoint, this->engineRequest(holder), this->headLimits());
+        if (!response)
+            return toAttemptEnd(response.error());
+        if (response.value().status != 200)
+            return AttemptEnd::Refused;
+        if (!belongsTo(response.value().body, this->requestId)) {
+            add(this->node.counters, state::Counter::CrossedAnswersDropped);
+            return AttemptEnd::Crossed;
+        }
+        auto sent = this->writer.send({ 200, { { "Content-Type", "application/json" }, { "X-Request-Id", this->requestId } }, response.value().body });
+        return sent ? AttemptEnd::Done : AttemptEnd::CallerGone;
+    }
+
+    AttemptEnd relayStream(const Holder& holder)
+    {
+        auto opened = this->node.client.open(holder.endpoint, this->engineRequest(holder), this->headLimits(), std::exchange(this->freshConnection, false));
+        if (!opened)
+            return toAttemptEnd(opened.error());
+        auto& stream = *opened.value();
+        if (stream.status() != 200)
+            return AttemptEnd::Refused;
+        protocol::SseParser parser;
+        this->crossed = 0;
+        while (true) {
+            auto piece = stream.read(this->node.settings.silenceLimit);
+            if (!piece)
+                return toAttemptEnd(piece.error());
+            if (piece.value().empty() || !protocol::feedSse(parser, piece.value()))
+                return AttemptEnd::Cut;
+            if (auto end = this->relayEvents(parser))
+                return *end;
+        }
+    }
+
+    /// Passes on the whole events in the parser, in one write.
+    std::optional<AttemptEnd> relayEvents(protocol::SseParser& parser)
+    {
+        protocol::SseEvent event;
+        this->batch.clear();
+        std::optional<AttemptEnd> end;
+        while (!end && protocol::nextSse(parser, event))
+            end = this->takeEvent(event);
+        if (!this->batch.empty() && !this->sendBatch())
+            return AttemptEnd::CallerGone;
+        if (end == AttemptEnd::Done && !this->finish())
+            return AttemptEnd::CallerGone;
+        return end;
+    }
+
+    std::optional<AttemptEnd> takeEvent(const protocol::SseEvent& event)
+    {
+        if (event.data == "[DONE]") {
+            this->batch.append(event.raw);
+            return AttemptEnd::Done;
+        }
+        if (!belongsTo(event.data, this->requestId)) {
+            add(this->node.counters, state::Counter::CrossedAnswersDropped);
+            return ++this->crossed >= crossedLimit ? std::optional(AttemptEnd::Crossed) : std::nullopt;
+        }
+        if (!event.id)
+            return std::nullopt;
+        if (*event.id <= this->delivered) {
+            add(this->node.counters, state::Counter::RepeatedTokensDropped);
+            return std::nullopt;
+        }
+        if (*event.id != this->delivered + 1)
+            return AttemptEnd::Cut;
+        this->delivered++;
+        this->batch.append(event.raw);
+        return std::nullopt;
+    }
+
+    bool sendBatch()
+    {
+        if (!this->headSent) {
+            this->headSent = true;
+            this->node.firstTokenTimes.record(monotonicNow() - this->start);
+            if (!this->writer.startStream(200, { { "Content-Type", "text/event-stream" }, { "Cache-Control", "no-store" }, { "X-Request-Id", this->requestId } }))
+                return false;
+        }
+        return this->writer.writeChunk(this->batch);
+    }
+
+    bool finish()
+    {
+        add(this->node.counters, state::Counter::TokensRelayed, this->delivered);
+        return this->writer.finishStream();
+    }
+
+    CompletionFront& front;
+    Node& node;
+    const transport::HttpRequest& request;
+    const protocol::CompletionRequest& parsed;
+    const Route& route;
+    transport::ResponseWriter& writer;
+    std::string requestId;
+    Time start;
+    std::string batch;
+    uint64_t delivered = 0; ///< Tokens passed on to the caller.
+    int crossed = 0;
+    bool headSent = false;
+    bool everSent = false;
+    bool freshConnection = false;
+    std::set<std::string> excluded;
+    std::set<std::string> silentWorkers;
+    std::optional<Holder> repeatOn;
+};
+
+CompletionFront::CompletionFront(Node& node, const Router& router, GossipDuty& gossip)
+    : node(node)
+    , router(router)
+    , gossip(gossip)
+{
+}
+
+void CompletionFront::serve(const transport::HttpRequest& request, transport::ResponseWriter& writer)
+{
+    add(this->node.counters, state::Counter::RequestsCompletion);
+    auto parsed = protocol::parseCompletion(request.body);
+    if (!parsed) {
+        refuse(this->node, writer, notRun(RefusalReason::BadJson, parsed.error() == protocol::CompletionError::NoModel ? "the body has no 'model'" : "the body is not a JSON object"));
+        return;
+    }
+    auto table = this->router.table();
+    auto route = table->routes.find(parsed.value().model);
+    if (route == table->routes.end()) {
+        refuse(this->node, writer, notRun(RefusalReason::UnknownModel, "no service declares '" + parsed.value().model + "'"));
+        return;
+    }
+    this->node.demand.note(parsed.value().model);
+    if (auto refusal = this->admit(parsed.value(), route->second)) {
+        refuse(this->node, writer, *refusal);
+        return;
+    }
+    CompletionRelay(*this, request, parsed.value(), route->second, writer).run();
+}
+
+std::optional<protocol::Refusal> CompletionFront::admit(const protocol::CompletionRequest& parsed, const Route& route) const
+{
+    if (this->gossip.crashesOf(parsed.contentHash) >= coordination::suspectCrashLimit)
+        return notRun(RefusalReason::Suspect, "endpoints crashed while they ran this request");
+    if (route.holders.empty())
+        return notRun(RefusalReason::NoLiveCopy, "'" + route.spec.name + "' is being loaded", overloadRetryAfter);
+    bool mayRefuse = route.spec.urgency != protocol::Urgency::Urgent;
+    if (mayRefuse && this->router.bestEstimate(route) > route.spec.firstTokenTarget)
+        return notRun(RefusalReason::Late, "the target can't be met now", overloadRetryAfter);
+    return std::nullopt;
+}
+
+} // namespace comfreypier::daemon
--- /dev/null
+++ b/daemon/src/plain_calls.cpp
@@ -0,0 +1,275 @@
+#include "plain_calls.h"
+
+#include "refuse.h"
+
+#include <algorithm>
+
+namespace comfreypier::daemon {
+
+using coordination::RepeatAnswer;
+using coordination::Verdict;
+using protocol::RefusalReason;
+using protocol::RunState;
+
+namespace {
+
+    constexpr std::string_view pathPrefix = "/services/";
+    constexpr size_t keyLengthLimit = 256;
+    constexpr std::chrono::milliseconds beginLimit { 1500 };
+    constexpr std::chrono::milliseconds endLimit { 1000 };
+    constexpr std::chrono::milliseconds repeatPoll { 10 };
+    constexpr std::chrono::milliseconds logRetryAfter { 2000 };
+    /// Targets that a call may take before it counts as silent.
+    constexpr int silenceTargets = 3;
+
+    bool isPassedOn(std::string_view headerName)
+    {
+        constexpr std::array<std::string_view, 4> names { "content-type", "accept", "authorization", "idempotency-key" };
+        std::string lower(headerName);
+        std::transform(lower.begin(), lower.end(), lower.begin(), [](unsigned char c) { return std::tolower(c); });
+        return std::find(names.begin(), names.end(), lower) != names.end();
+    }
+
+    bool matches(const protocol::CallRule& rule, const transport::HttpRequest& request)
+    {
+        return rule.method == request.method && std::string_view(request.target).starts_with(rule.pathPrefix);
+    }
+
+    std::chrono::milliseconds callLimit(const protocol::PlainSpec& spec)
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(spec.target * silenceTargets);
+    }
+
+} // namespace
+
+PlainFront::PlainFront(Node& node, LogWriter& writer, const SessionKeeper& session)
+    : node(node)
+    , writer(writer)
+    , session(session)
+{
+}
+
+void PlainFront::serve(const transport::HttpRequest& request, transport::ResponseWriter& response)
+{
+    add(this->node.counters, state::Counter::RequestsPlain);
+    auto call = this->parseCall(request, response);
+    if (!call)
+        return;
+    if (call->mayRepeat)
+        this->callRepeatable(*call, response);
+    else if (call->key.empty())
+        this->callOnce(*call, response);
+    else
+        this->callWithKey(*call, response);
+}
+
+std::optional<PlainFront::Call> PlainFront::parseCall(const transport::HttpRequest& request, transport::ResponseWriter& response)
+{
+    auto rest = std::string_view(request.target).substr(pathPrefix.size());
+    auto slash = rest.find('/');
+    auto name = std::string(rest.substr(0, slash));
+    auto spec = this->node.config.read([&](const auto& state) {
+        auto entry = state.deployment.plains.find(name);
+        return entry == state.deployment.plains.end() ? std::nullopt : std::optional(entry->second);
+    });
+    if (!spec) {
+        refuse(this->node, response, notRun(RefusalReason::UnknownService, "no service file declares '" + name + "'"));
+        return std::nullopt;
+    }
+    Call call;
+    call.spec = std::move(*spec);
+    call.request.method = request.method;
+    call.request.target = slash == std::string_view::npos ? "/" : std::string(rest.substr(slash));
+    call.request.body = request.body;
+    for (const auto& header : request.headers) {
+        if (isPassedOn(header.name))
+            call.request.headers.push_back(header);
+    }
+    call.key = std::string(transport::findHeader(request.headers, "Idempotency-Key"));
+    if (call.key.size() > keyLengthLimit) {
+        refuse(this->node, response, notRun(RefusalReason::HeaderTooLarge, "Idempotency-Key is longer than 256 bytes"));
+        return std::nullopt;
+    }
+    const auto& rules = call.spec.notRepeatable;
+    call.mayRepeat = std::none_of(rules.begin(), rules.end(), [&](const protocol::CallRule& rule) { return matches(rule, call.request); });
+    return call;
+}
+
+/// Calls one endpoint after another. A call that may not be repeated goes on only while no byte was sent.
+Result<transport::HttpResponse, transport::IoError> PlainFront::callAny(const Call& call, bool repeatable)
+{
+    transport::CallLimits limits;
+    limits.response = callLimit(call.spec);
+    auto first = protocol::makeRecordId().low % call.spec.endpoints.size();
+    transport::IoError error = transport::IoError::Refused;
+    bool sent = false;
+    for (size_t i = 0; i < call.spec.endpoints.size(); i++) {
+        const auto& endpoint = call.spec.endpoints[(first + i) % call.spec.endpoints.size()];
+        auto response = this->node.client.call(endpoint, call.request, limits);
+        if (response)
+            return response;
+        if (!sent)
+            error = response.error();
+        sent = sent || !transport::isBeforeSend(response.error());
+        if (sent && !repeatable)
+            return error;
+        add(this->node.counters, sent ? protocol::RetryReason::StreamCut : protocol::RetryReason::ConnectFailed);
+    }
+    return error;
+}
+
+void PlainFront::callRepeatable(const Call& call, transport::ResponseWriter& response)
+{
+    auto answer = this->callAny(call, true);
+    if (answer) {
+        response.send(answer.value());
+        return;
+    }
+    bool silent = answer.error() == transport::IoError::Timeout;
+    auto ran = transport::isBeforeSend(answer.error()) ? RunState::NotRun : RunState::Unknown;
+    refuse(this->node, response, { silent ? RefusalReason::EndpointSilent : RefusalReason::EndpointFailed, ran, {}, transport::name(answer.error()) });
+}
+
+/// Without a key the request is sent at most once, and nothing is remembered.
+void PlainFront::callOnce(const Call& call, transport::ResponseWriter& response)
+{
+    auto answer = this->callAny(call, false);
+    if (answer) {
+        add(this->node.counters, state::Counter::ActionsRun);
+        response.send(answer.value());
+    } else if (transport::isBeforeSend(answer.error()))
+        refuse(this->node, response, notRun(RefusalReason::EndpointFailed, transport::name(answer.error())));
+    else
+        refuse(this->node, response, { RefusalReason::OutcomeUnknown, RunState::Unknown, {}, transport::name(answer.error()) });
+}
+
+/// Model: `firstBeginWins`, `beginBeforeSend`.
+void PlainFront::callWithKey(const Call& call, transport::ResponseWriter& response)
+{
+    auto key = coordination::makeActionKey(call.spec.name, call.key);
+    auto hash = protocol::contentHash(call.request.method + call.request.target + call.request.body);
+    auto known = this->node.region.read([&](const auto& state) { return coordination::answerRepeat(state.actions, state.sessions, key, hash); });
+    if (known != RepeatAnswer::Run) {
+        this->answerRepeat(key, hash, response);
+        return;
+    }
+    Offset offset = 0;
+    if (this->begin(call, key, hash, offset, response))
+        this->runAction(call, key, offset, response);
+}
+
+bool PlainFront::begin(const Call&, const coordination::ActionKey& key, uint64_t hash, Offset& offset, transport::ResponseWriter& response)
+{
+    if (!this->writer.isAvailable()) {
+        refuse(this->node, response, notRun(RefusalReason::LogUnavailable, "the log service does not answer", logRetryAfter));
+        return false;
+    }
+    if (this->session.current() == protocol::invalidOffset) {
+        refuse(this->node, response, notRun(RefusalReason::SessionLapsed, "this node has no session", logRetryAfter));
+        return false;
+    }
+    state::PendingPtr pending;
+    bool stillOpen = false;
+    auto outcome = this->writer.appendAndWait(protocol::ActionBegin { key, hash }, beginLimit, pending, stillOpen);
+    if (!outcome) {
+        if (stillOpen)
+            this->voidBegin(key, pending);
+        refuse(this->node, response, notRun(RefusalReason::LogUnavailable, "the log service does not answer", logRetryAfter));
+        return false;
+    }
+    if (outcome->verdict == Verdict::KeyTaken) {
+        this->answerRepeat(key, hash, response);
+        return false;
+    }
+    if (outcome->verdict != Verdict::Applied) {
+        refuse(this->node, response, notRun(RefusalReason::SessionLapsed, "this node's session has ended", logRetryAfter));
+        return false;
+    }
+    offset = outcome->offset;
+    return true;
+}
+
+/// Takes back a begin whose request was refused before any byte was sent. Model: `voidRefused`.
+void PlainFront::voidBegin(const coordination::ActionKey& key, const state::PendingPtr& pending)
+{
+    this->writer.append(protocol::ActionVoid { key, pending->record });
+}
+
+void PlainFront::runAction(const Call& call, const coordination::ActionKey& key, Offset begin, transport::ResponseWriter& response)
+{
+    auto answer = this->callAny(call, false);
+    protocol::ActionEnd end { key, begin, 0, {}, {}, false };
+    if (!answer && transport::isBeforeSend(answer.error())) {
+        auto id = this->node.region.read([&](const auto& state) { return state.actions.at(key).beginId; });
+        this->writer.append(protocol::ActionVoid { key, id });
+        refuse(this->node, response, notRun(RefusalReason::EndpointFailed, transport::name(answer.error())));
+        return;
+    }
+    if (!answer) {
+        this->recordEnd(end);
+        refuse(this->node, response, { RefusalReason::OutcomeUnknown, RunState::Unknown, {}, transport::name(answer.error()) });
+        return;
+    }
+    add(this->node.counters, state::Counter::ActionsRun);
+    end.status = static_cast<uint16_t>(answer.value().status);
+    end.contentType = std::string(transport::findHeader(answer.value().headers, "Content-Type"));
+    end.bodyKept = answer.value().body.size() <= protocol::keptAnswerLimit;
+    if (end.bodyKept)
+        end.body = answer.value().body;
+    this->recordEnd(end);
+    response.send({ answer.value().status, { { "Content-Type", end.contentType } }, answer.value().body });
+}
+
+/// Waits a while for the record; the caller gets its answer even if the log stays away.
+void PlainFront::recordEnd(protocol::ActionEnd end)
+{
+    transport::Event recorded;
+    auto shared = std::make_shared<transport::Event>();
+    this->writer.append(std::move(end), [shared](const state::AppendOutcome&) { shared->signal(); });
+    shared->waitFor(endLimit);
+}
+
+void PlainFront::answerRepeat(const coordination::ActionKey& key, uint64_t hash, transport::ResponseWriter& response)
+{
+    add(this->node.counters, state::Counter::ActionsRepeated);
+    while (true) {
+        auto [known, end] = this->node.region.read([&](const auto& state) {
+            auto entry = state.actions.find(key);
+            auto recorded = entry == state.actions.end() ? std::nullopt : entry->second.end;
+            return std::pair(coordination::answerRepeat(state.actions, state.sessions, key, hash), recorded);
+        });
+        if (known == RepeatAnswer::Recorded) {
+            this->sendRecorded(*end, response);
+            return;
+        }
+        if (known == RepeatAnswer::KeyReused) {
+            refuse(this->node, response, notRun(RefusalReason::KeyReused, "the key was used with another request"));
+            return;
+        }
+        if (known == RepeatAnswer::Unknown) {
+            refuse(this->node, response, { RefusalReason::OutcomeUnknown, RunState::Unknown, {}, "the node that ran it has ended" });
+            return;
+        }
+        if (known == RepeatAnswer::Run) {
+            refuse(this->node, response, notRun(RefusalReason::EndpointFailed, "the first request with this key was not run", logRetryAfter));
+            return;
+        }
+        if (response.callerGone())
+            return;
+        sleepFor(repeatPoll);
+    }
+}
+
+void PlainFront::sendRecorded(const protocol::ActionEnd& end, transport::ResponseWriter& response)
+{
+    if (end.status == 0) {
+        refuse(this->node, response, { RefusalReason::OutcomeUnknown, RunState::Unknown, {}, "the endpoint gave no answer" });
+        return;
+    }
+    std::vector<transport::Header> headers { { "Content-Type", end.contentType }, { "Idempotent-Replayed", "true" } };
+    if (!end.bodyKept)
+        headers.push_back({ "X-Body-Dropped", "true" });
+    response.send({ end.status, headers, end.body });
+}
+
+} // namespace comfreypier::daemon
--- /dev/null
+++ b/daemon/src/session_keeper.cpp
@@ -0,0 +1,134 @@
+#include "session_keeper.h"
+
+namespace comfreypier::daemon {
+
+namespace {
+
+    /// Share of the TTL between two looks at the sessions.
+    constexpr int ticksPerTtl = 10;
+    /// Share of the TTL after which a renewal is due.
+    constexpr int renewalsPerTtl = 3;
+
+} // namespace
+
+SessionKeeper::SessionKeeper(Node& node, LogWriter& writer, const LogFollower& follower)
+    : node(node)
+    , writer(writer)
+    , follower(follower)
+{
+}
+
+void SessionKeeper::run()
+{
+    while (!this->node.phase.stopping) {
+        if (this->node.phase.caughtUp && !this->releasing) {
+            this->checkOwnSession();
+            this->renewIfDue();
+            this->expireOthers();
+        }
+        sleepFor(this->node.settings.sessionTtl / ticksPerTtl);
+    }
+}
+
+SessionId SessionKeeper::current() const
+{
+    std::lock_guard lock(this->mutex);
+    return this->lease.session;
+}
+
+bool SessionKeeper::mayAct() const
+{
+    std::lock_guard lock(this->mutex);
+    return coordination::mayAct(this->lease, monotonicNow());
+}
+
+void SessionKeeper::onApplied(const coordination::RegionState& state, const protocol::Envelope& envelope)
+{
+    if (envelope.id.high != this->node.writerNumber)
+        return;
+    auto start = this->writer.startOf(envelope.id);
+    std::lock_guard lock(this->mutex);
+    if (start && envelope.session == this->lease.session && state.sessions.contains(envelope.session))
+        this->lease.confirmedStart = std::max(this->lease.confirmedStart, *start);
+}
+
+void SessionKeeper::open()
+{
+    if (this->opening.exchange(true))
+        return;
+    const auto& settings = this->node.settings;
+    protocol::SessionOpen entry { settings.node, toString(settings.http), toString(settings.rpc), settings.dataCentre, settings.sessionTtl };
+    this->writer.append(entry, [this](const state::AppendOutcome& outcome) {
+        auto start = this->writer.startOf(outcome.record);
+        {
+            std::lock_guard lock(this->mutex);
+            this->lease = { outcome.offset, start.value_or(Time { 0 }), this->node.settings.sessionTtl, this->node.settings.sessionMargin };
+        }
+        this->writer.setSession(outcome.offset);
+        this->opening = false;
+        add(this->node.counters, state::Counter::SessionsOpened);
+        this->log.info("opened session " + std::to_string(outcome.offset));
+    });
+}
+
+void SessionKeeper::checkOwnSession()
+{
+    auto session = this->current();
+    bool live = this->node.region.read([&](const auto& state) { return state.sessions.contains(session); });
+    if (live)
+        return;
+    if (session != protocol::invalidOffset && !this->opening) {
+        add(this->node.counters, state::Counter::SessionsLapsed);
+        this->log.warn("session " + std::to_string(session) + " has ended, opening another");
+    }
+    this->open();
+}
+
+void SessionKeeper::renewIfDue()
+{
+    auto now = monotonicNow();
+    auto period = this->node.settings.sessionTtl / renewalsPerTtl;
+    Time confirmed { 0 };
+    {
+        std::lock_guard lock(this->mutex);
+        if (this->lease.session == protocol::invalidOffset)
+            return;
+        confirmed = this->lease.confirmedStart;
+    }
+    if (now - confirmed < period || now - this->renewalAsked < period)
+        return;
+    this->renewalAsked = now;
+    if (this->node.queue.waiting() == 0)
+        this->writer.append(protocol::SessionRenew {});
+}
+
+void SessionKeeper::expireOthers()
+{
+    auto failures = this->follower.failures() + this->writer.failures();
+    bool readable = failures == this->failuresSeen && this->writer.isAvailable();
+    this->failuresSeen = failures;
+    auto sessions = this->node.region.read([](const auto& state) { return state.sessions; });
+    auto own = this->current();
+    auto expired = coordination::tickWatch(this->watch, sessions, this->follower.caughtUpAt(), readable);
+    for (const auto& expire : expired) {
+        if (expire.session == own)
+            continue;
+        this->log.warn("session " + std::to_string(expire.session) + " of " + sessions[expire.session].open.node + " is silent, expiring it");
+        add(this->node.counters, state::Counter::SessionsExpired);
+        this->writer.append(expire);
+        this->watch.sessions.erase(expire.session);
+    }
+}
+
+void SessionKeeper::release(std::chrono::milliseconds limit)
+{
+    this->releasing = true;
+    state::PendingPtr pending;
+    bool stillOpen = false;
+    if (this->writer.appendAndWait(protocol::SessionRelease {}, limit, pending, stillOpen))
+        this->log.info("released the session");
+    else
+        this->log.warn("the session could not be released, it will expire");
+}
+
+} // namespace comfreypier::daemon
--- /dev/null
+++ b/protocol/src/completion_json.cpp
@@ -0,0 +1,64 @@
+/// The parts of an OpenAI-style completion request that routing needs.
+#include "protocol_p.h"
+
+#include <boost/json.hpp>
+#include <xxhash.h>
+
+namespace comfreypier::protocol {
+
+namespace json = boost::json;
+
+namespace {
+
+    /// Bytes of the prompt that identify its cached prefix.
+    constexpr size_t prefixBytes = 1024;
+    /// Deepest nesting of an accepted request.
+    constexpr size_t jsonDepthLimit = 64;
+
+    std::string promptText(const json::object& object)
+    {
+        if (const auto* prompt = object.if_contains("prompt"))
+            return prompt->is_string() ? std::string(prompt->get_string()) : json::serialize(*prompt);
+        if (const auto* messages = object.if_contains("messages"))
+            return json::serialize(*messages);
+        return {};
+    }
+
+} // namespace
+
+Result<CompletionRequest, CompletionError> parseCompletion(std::string_view body)
+{
+    json::parse_options options;
+    options.max_depth = jsonDepthLimit;
+    json::error_code error;
+    auto value = json::parse({ body.data(), body.size() }, error, {}, options);
+    if (error || !value.is_object())
+        return CompletionError::BadJson;
+    const auto& object = value.get_object();
+    const auto* model = object.if_contains("model");
+    if (!model || !model->is_string())
+        return CompletionError::NoModel;
+    CompletionRequest request;
+    request.model = std::string(model->get_string());
+    if (const auto* stream = object.if_contains("stream"))
+        request.stream = stream->is_bool() && stream->get_bool();
+    if (const auto* tokens = object.if_contains("max_tokens"))
+        request.maxTokens = tokens->is_int64() && tokens->get_int64() > 0 ? static_cast<uint32_t>(tokens->get_int64()) : 0;
+    auto prompt = promptText(object);
+    request.promptBytes = static_cast<uint32_t>(prompt.size());
+    request.prefixHash = contentHash(std::string_view(prompt).substr(0, prefixBytes));
+    request.contentHash = contentHash(body);
+    return request;
+}
+
+std::string jsonQuote(std::string_view text)
+{
+    return json::serialize(json::string(text.data(), text.size()));
+}
+
+uint64_t contentHash(std::string_view bytes, uint64_t seed)
+{
+    return XXH64(bytes.data(), bytes.size(), seed);
+}
+
+} // namespace comfreypier::protocol
--- /dev/null
+++ b/protocol/src/ini_values.cpp
@@ -0,0 +1,128 @@
+/// Values of INI files: numbers, sizes, times and names.
+#include "protocol_p.h"
+
+#include <charconv>
+#include <cmath>
+
+namespace comfreypier::protocol {
+
+namespace {
+
+    struct Unit {
+        std::string_view suffix;
+        double factor;
+    };
+
+    /// Splits a number from its unit and scales it.
+    template <size_t count>
+    std::optional<double> parseWithUnit(std::string_view text, const std::array<Unit, count>& units)
+    {
+        auto end = text.find_first_not_of("0123456789.");
+        if (end == std::string_view::npos)
+            return std::nullopt;
+        auto number = parseDecimal(text.substr(0, end));
+        auto suffix = trim(text.substr(end));
+        for (const auto& unit : units) {
+            if (number && suffix == unit.suffix)
+                return *number * unit.factor;
+        }
+        return std::nullopt;
+    }
+
+    constexpr std::array<Unit, 4> byteUnits { { { "B", 1 }, { "KB", 1e3 }, { "MB", 1e6 }, { "GB", 1e9 } } };
+    constexpr std::array<Unit, 5> timeUnits { { { "us", 1 }, { "ms", 1e3 }, { "s", 1e6 }, { "m", 6e7 }, { "h", 3.6e9 } } };
+    /// Largest size or time in base units; keeps every value exact in a double.
+    constexpr double valueLimit = 9e15;
+
+} // namespace
+
+std::optional<int64_t> parseInteger(std::string_view text)
+{
+    int64_t value = 0;
+    auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc {} || end != text.data() + text.size())
+        return std::nullopt;
+    return value;
+}
+
+std::optional<double> parseDecimal(std::string_view text)
+{
+    double value = 0;
+    auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc {} || end != text.data() + text.size() || !std::isfinite(value) || value < 0)
+        return std::nullopt;
+    return value;
+}
+
+std::optional<uint64_t> parseBytes(std::string_view text)
+{
+    auto value = parseWithUnit(text, byteUnits);
+    if (!value || *value > valueLimit)
+        return std::nullopt;
+    return static_cast<uint64_t>(*value);
+}
+
+std::optional<std::chrono::microseconds> parseDuration(std::string_view text)
+{
+    auto value = parseWithUnit(text, timeUnits);
+    if (!value || *value > valueLimit)
+        return std::nullopt;
+    return std::chrono::microseconds { static_cast<int64_t>(*value) };
+}
+
+std::optional<bool> parseFlag(std::string_view text)
+{
+    if (text == "yes")
+        return true;
+    if (text == "no")
+        return false;
+    return std::nullopt;
+}
+
+bool isName(std::string_view text)
+{
+    if (text.empty() || text.size() > nameLengthLimit)
+        return false;
+    constexpr std::string_view allowed = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.";
+    return text.find_first_not_of(allowed) == std::string_view::npos;
+}
+
+std::vector<std::string> splitList(std::string_view text)
+{
+    std::vector<std::string> parts;
+    while (true) {
+        auto comma = text.find(',');
+        auto part = trim(text.substr(0, comma));
+        if (!part.empty())
+            parts.emplace_back(part);
+        if (comma == std::string_view::npos)
+            return parts;
+        text.remove_prefix(comma + 1);
+    }
+}
+
+std::string formatBytes(uint64_t bytes)
+{
+    for (auto unit = byteUnits.rbegin(); unit != byteUnits.rend(); ++unit) {
+        auto factor = static_cast<uint64_t>(unit->factor);
+        if (bytes >= factor && bytes % (factor > 1000 ? factor / 1000 : 1) == 0) {
+            auto text = std::to_string(static_cast<double>(bytes) / unit->factor);
+            text.erase(text.find_last_not_of('0') + 1);
+            if (text.back() == '.')
+                text.pop_back();
+            return text + std::string(unit->suffix);
+        }
+    }
+    return std::to_string(bytes) + "B";
+}
+
+std::string formatDuration(std::chrono::microseconds duration)
+{
+    if (duration.count() % 1000000 == 0)
+        return std::to_string(duration.count() / 1000000) + "s";
+    if (duration.count() % 1000 == 0)
+        return std::to_string(duration.count() / 1000) + "ms";
+    return std::to_string(duration.count()) + "us";
+}
+
+} // namespace comfreypier::protocol
--- /dev/null
+++ b/protocol/src/node_settings.cpp
@@ -0,0 +1,228 @@
+/// Settings file of `comfreypierd`.
+#include "protocol_p.h"
+
+#include <functional>
+
+namespace comfreypier::protocol {
+
+namespace {
+
+    using std::chrono::duration_cast;
+    using std::chrono::milliseconds;
+
+    const std::vector<IniSectionRule>& settingsRules()
+    {
+        static const std::vector<std::string_view> levels { "debug", "info", "warn", "error" };
+        static const std::vector<IniSectionRule> rules {
+            { "node", false, true, false, IniType::Text,
+                { { "name", IniType::Name, true, {} },
+                    { "region", IniType::Name, true, {} },
+                    { "data_centre", IniType::Name, true, {} },
+                    { "http", IniType::Address, true, {} },
+                    { "rpc", IniType::Address, true, {} },
+                    { "threads", IniType::Integer, false, {} } } },
+            { "platform", false, true, false, IniType::Text,
+                { { "log", IniType::Address, true, {} },
+                    { "vm_list", IniType::Address, true, {} } } },
+            { "session", false, false, false, IniType::Text,
+                { { "ttl", IniType::Duration, false, {} },
+                    { "margin", IniType::Duration, false, {} },
+                    { "append_interval", IniType::Duration, false, {} },
+                    { "snapshot_every", IniType::Integer, false, {} },
+                    { "snapshot_interval", IniType::Duration, false, {} },
+                    { "key_retention", IniType::Duration, false, {} } } },
+            { "limits", false, false, false, IniType::Text,
+                { { "header", IniType::Bytes, false, {} },
+                    { "body", IniType::Bytes, false, {} },
+                    { "read_timeout", IniType::Duration, false, {} },
+                    { "idle_timeout", IniType::Duration, false, {} },
+                    { "write_timeout", IniType::Duration, false, {} },
+                    { "connections", IniType::Integer, false, {} },
+                    { "queue", IniType::Integer, false, {} },
+                    { "retry_share", IniType::Decimal, false, {} },
+                    { "silence", IniType::Duration, false, {} } } },
+            { "drain", false, false, false, IniType::Text,
+                { { "limit", IniType::Duration, false, {} },
+                    { "leaving_notice", IniType::Duration, false, {} },
+                    { "address_hold", IniType::Duration, false, {} } } },
+            { "log", false, false, true, IniType::Text, { { "level", IniType::Choice, false, levels } } },
+        };
+        return rules;
+    }
+
+    /// Reads typed values of one section and notes those out of range.
+    class SectionReader {
+    public:
+        SectionReader(const IniDocument& document, std::string_view kind, std::vector<FileFault>& faults)
+            : document(document)
+            , faults(faults)
+        {
+            for (const auto& section : document.sections) {
+                if (section.kind == kind)
+                    this->section = &section;
+            }
+        }
+
+        void text(std::string_view key, std::string& target) const
+        {
+            if (const auto* entry = this->find(key))
+                target = entry->value;
+        }
+
+        void address(std::string_view key, transport::Endpoint& target) const
+        {
+            if (const auto* entry = this->find(key))
+                target = transport::parseEndpoint(entry->value).value();
+        }
+
+        template <class T>
+        void integer(std::string_view key, T& target, int64_t least, int64_t most) const
+        {
+            const auto* entry = this->find(key);
+            if (!entry)
+                return;
+            auto value = *parseInteger(entry->value);
+            if (value < least || value > most)
+                this->fault(*entry, std::to_string(least) + " to " + std::to_string(most));
+            target = static_cast<T>(value);
+        }
+
+        template <class T>
+        void bytes(std::string_view key, T& target, uint64_t least, uint64_t most) const
+        {
+            const auto* entry = this->find(key);
+            if (!entry)
+                return;
+            auto value = *parseBytes(entry->value);
+            if (value < least || value > most)
+                this->fault(*entry, formatBytes(least) + " to " + formatBytes(most));
+            target = static_cast<T>(value);
+        }
+
+        void decimal(std::string_view key, double& target, double most) const
+        {
+            const auto* entry = this->find(key);
+            if (!entry)
+                return;
+            target = *parseDecimal(entry->value);
+            if (target > most)
+                this->fault(*entry, "0 to " + std::to_string(most));
+        }
+
+        void duration(std::string_view key, milliseconds& target, milliseconds least, milliseconds most) const
+        {
+            const auto* entry = this->find(key);
+            if (!entry)
+                return;
+            target = duration_cast<milliseconds>(*parseDuration(entry->value));
+            if (target < least || target > most)
+                this->fault(*entry, formatDuration(least) + " to " + formatDuration(most));
+        }
+
+        uint32_t line() const { return this->section ? this->section->line : 0; }
+
+    private:
+        const IniEntry* find(std::string_view key) const
+        {
+            if (!this->section)
+                return nullptr;
+            for (const auto& entry : this->section->entries) {
+                if (entry.key == key)
+                    return &entry;
+            }
+            return nullptr;
+        }
+
+        void fault(const IniEntry& entry, const std::string& allowed) const
+        {
+            this->faults.push_back({ this->document.file, entry.line, "'" + entry.key + "' is " + entry.value + ", allowed: " + allowed });
+        }
+
+        const IniDocument& document;
+        std::vector<FileFault>& faults;
+        const IniSection* section = nullptr;
+    };
+
+    constexpr milliseconds dayLong { 24 * 3600 * 1000 };
+    constexpr milliseconds hourLong { 3600 * 1000 };
+
+    void readNode(const SectionReader& node, const SectionReader& platform, NodeSettings& settings)
+    {
+        node.text("name", settings.node);
+        node.text("region", settings.region);
+        node.text("data_centre", settings.dataCentre);
+        node.address("http", settings.http);
+        node.address("rpc", settings.rpc);
+        node.integer("threads", settings.threads, 1, 64);
+        platform.address("log", settings.log);
+        platform.address("vm_list", settings.vmList);
+    }
+
+    void readSession(const SectionReader& session, NodeSettings& settings)
+    {
+        session.duration("ttl", settings.sessionTtl, milliseconds { 200 }, hourLong);
+        settings.sessionMargin = settings.sessionTtl / 4;
+        session.duration("margin", settings.sessionMargin, milliseconds { 10 }, hourLong);
+        session.duration("append_interval", settings.appendInterval, milliseconds { 0 }, milliseconds { 10000 });
+        session.integer("snapshot_every", settings.snapshotEvery, 10, 1000000);
+        session.duration("snapshot_interval", settings.snapshotInterval, milliseconds { 1000 }, dayLong);
+        session.duration("key_retention", settings.keyRetention, milliseconds { 1000 }, 30 * dayLong);
+    }
+
+    void readLimits(const SectionReader& limits, NodeSettings& settings)
+    {
+        limits.bytes("header", settings.server.headerLimit, 256, 1024 * 1024);
+        limits.bytes("body", settings.server.bodyLimit, 1024, 1024 * 1024 * 1024);
+        limits.duration("read_timeout", settings.server.readTimeout, milliseconds { 10 }, hourLong);
+        limits.duration("idle_timeout", settings.server.idleTimeout, milliseconds { 10 }, hourLong);
+        limits.duration("write_timeout", settings.server.writeTimeout, milliseconds { 10 }, hourLong);
+        limits.integer("connections", settings.server.connectionLimit, 1, 1000000);
+        limits.integer("queue", settings.queueLimit, 1, 1000000);
+        limits.decimal("retry_share", settings.retryShare, 1.0);
+        limits.duration("silence", settings.silenceLimit, milliseconds { 10 }, hourLong);
+    }
+
+    void readLogLevels(const IniDocument& document, NodeSettings& settings, std::vector<FileFault>& faults)
+    {
+        for (const auto& section : document.sections) {
+            if (section.kind != "log")
+                continue;
+            for (const auto& entry : section.entries) {
+                auto level = transport::LogLevel::Info;
+                if (!transport::parseLogLevel(entry.value, level))
+                    faults.push_back({ document.file, entry.line, "'" + entry.key + "' is '" + entry.value + "', allowed: debug, info, warn, error" });
+                else if (entry.key == "level")
+                    settings.logLevel = level;
+                else
+                    settings.partLevels.push_back({ entry.key, level });
+            }
+        }
+    }
+
+} // namespace
+
+Result<NodeSettings, std::vector<FileFault>> parseNodeSettings(std::string_view file, std::string_view text)
+{
+    auto document = parseIni(file, text);
+    checkIni(document, settingsRules());
+    if (!document.faults.empty())
+        return document.faults;
+    NodeSettings settings;
+    std::vector<FileFault> faults;
+    SectionReader session(document, "session", faults);
+    SectionReader drain(document, "drain", faults);
+    readNode({ document, "node", faults }, { document, "platform", faults }, settings);
+    readSession(session, settings);
+    readLimits({ document, "limits", faults }, settings);
+    drain.duration("limit", settings.drainLimit, milliseconds { 100 }, dayLong);
+    drain.duration("leaving_notice", settings.leavingNotice, milliseconds { 0 }, milliseconds { 5000 });
+    drain.duration("address_hold", settings.addressHold, milliseconds { 100 }, hourLong);
+    readLogLevels(document, settings, faults);
+    if (settings.sessionMargin * 2 > settings.sessionTtl)
+        faults.push_back({ std::string(file), session.line(), "'margin' must be at most half of 'ttl'" });
+    if (!faults.empty())
+        return faults;
+    return settings;
+}
+
+} // namespace comfreypier::protocol
--- /dev/null
+++ b/protocol/src/peer.capnp
@@ -0,0 +1,37 @@
+@0xd2f0a7c35b9e4417;
+# Calls between the entry VMs' daemons.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("comfreypier::protocol::wire");
+
+struct News {
+  kind @0 :UInt8;
+  name @1 :Text;
+  session @2 :UInt64;
+  counter @3 :UInt64;
+  http @4 :Text;
+  dataCentre @5 :Text;
+  draining @6 :Bool;
+  configOffset @7 :UInt64;
+  running @8 :UInt32;
+  waiting @9 :UInt32;
+  slots @10 :UInt32;
+  firstTokenUs @11 :UInt32;
+  tokenGapUs @12 :UInt32;
+  count @13 :UInt32;
+}
+
+struct Gossip {
+  from @0 :Text;
+  news @1 :List(News);
+}
+
+struct State {
+  config @0 :Data;
+  region @1 :Data;
+}
+
+interface Peer {
+  gossip @0 (message :Gossip) -> (reply :Gossip);
+  fetchState @1 () -> (state :State);
+}
--- /dev/null
+++ b/protocol/src/peer_rpc_capnp.cpp
@@ -0,0 +1,226 @@
+/// Cap'n Proto RPC between nodes. KJ's event loop has a thread of its own; fibers cross to it and back.
+#include "peer.capnp.h"
+#include "record_codec_p.h"
+
+#include <boost/fiber/future.hpp>
+#include <capnp/ez-rpc.h>
+#include <condition_variable>
+#include <kj/async-io.h>
+#include <kj/timer.h>
+#include <thread>
+
+namespace comfreypier::protocol {
+
+namespace {
+
+    void writeNews(wire::News::Builder to, const News& news)
+    {
+        to.setKind(static_cast<uint8_t>(news.key.kind));
+        to.setName(news.key.name);
+        to.setSession(news.version.session);
+        to.setCounter(news.version.counter);
+        to.setHttp(news.http);
+        to.setDataCentre(news.dataCentre);
+        to.setDraining(news.draining);
+        to.setConfigOffset(news.configOffset);
+        to.setRunning(news.running);
+        to.setWaiting(news.waiting);
+        to.setSlots(news.slots);
+        to.setFirstTokenUs(static_cast<uint32_t>(news.firstTokenTime.count()));
+        to.setTokenGapUs(static_cast<uint32_t>(news.tokenGap.count()));
+        to.setCount(news.count);
+    }
+
+    News readNews(wire::News::Reader in)
+    {
+        News news;
+        news.key = { static_cast<NewsKind>(in.getKind()), text(in.getName()) };
+        news.version = { in.getSession(), in.getCounter() };
+        news.http = text(in.getHttp());
+        news.dataCentre = text(in.getDataCentre());
+        news.draining = in.getDraining();
+        news.configOffset = in.getConfigOffset();
+        news.running = in.getRunning();
+        news.waiting = in.getWaiting();
+        news.slots = in.getSlots();
+        news.firstTokenTime = std::chrono::microseconds { in.getFirstTokenUs() };
+        news.tokenGap = std::chrono::microseconds { in.getTokenGapUs() };
+        news.count = in.getCount();
+        return news;
+    }
+
+    void writeGossip(wire::Gossip::Builder to, const GossipMessage& message)
+    {
+        to.setFrom(message.from);
+        auto list = to.initNews(static_cast<uint32_t>(message.news.size()));
+        for (uint32_t i = 0; i < message.news.size(); i++)
+            writeNews(list[i], message.news[i]);
+    }
+
+    GossipMessage readGossip(wire::Gossip::Reader in)
+    {
+        GossipMessage message;
+        message.from = text(in.getFrom());
+        for (auto news : in.getNews()) {
+            if (news.getKind() < static_cast<uint8_t>(NewsKind::Count))
+                message.news.push_back(readNews(news));
+        }
+        return message;
+    }
+
+    class PeerServer final : public wire::Peer::Server {
+    public:
+        explicit PeerServer(PeerHandlers handlers)
+            : handlers(std::move(handlers))
+        {
+        }
+
+        kj::Promise<void> gossip(GossipContext context) override
+        {
+            auto reply = this->handlers.gossip(readGossip(context.getParams().getMessage()));
+            writeGossip(context.getResults().initReply(), reply);
+            return kj::READY_NOW;
+        }
+
+        kj::Promise<void> fetchState(FetchStateContext context) override
+        {
+            auto state = this->handlers.state();
+            auto out = context.getResults().initState();
+            out.setConfig(toData(state.config));
+            out.setRegion(toData(state.region));
+            return kj::READY_NOW;
+        }
+
+    private:
+        PeerHandlers handlers;
+    };
+
+    template <class T>
+    using Promise = boost::fibers::promise<Result<T, transport::IoError>>;
+
+} // namespace
+
+struct PeerRpc::Impl : kj::TaskSet::ErrorHandler {
+    transport::Endpoint listen;
+    PeerHandlers handlers;
+    std::thread thread;
+    std::mutex mutex;
+    std::condition_variable condition;
+    bool started = false;
+    bool listening = false;
+    kj::Maybe<const kj::Executor&> executor;
+    kj::PromiseFulfiller<void>* stopper = nullptr;
+    kj::Timer* timer = nullptr;
+    kj::TaskSet* tasks = nullptr;
+    std::map<transport::Endpoint, kj::Own<capnp::EzRpcClient>> clients; ///< Used on the RPC thread only.
+
+    void taskFailed(kj::Exception&&) override { }
+
+    void signalStart(bool isListening)
+    {
+        std::lock_guard lock(this->mutex);
+        this->started = true;
+        this->listening = isListening;
+        this->condition.notify_all();
+    }
+
+    void run()
+    {
+        auto exception = kj::runCatchingExceptions([this] {
+            capnp::EzRpcServer server(kj::heap<PeerServer>(this->handlers), this->listen.address, this->listen.port);
+            auto& scope = server.getWaitScope();
+            server.getPort().wait(scope);
+            kj::TaskSet taskSet(*this);
+            auto stop = kj::newPromiseAndFulfiller<void>();
+            this->executor = kj::getCurrentThreadExecutor();
+            this->stopper = stop.fulfiller.get();
+            this->timer = &server.getIoProvider().getTimer();
+            this->tasks = &taskSet;
+            this->signalStart(true);
+            stop.promise.wait(scope);
+            this->clients.clear();
+        });
+        if (exception != nullptr)
+            this->signalStart(false);
+    }
+
+    wire::Peer::Client connect(const transport::Endpoint& peer)
+    {
+        auto& client = this->clients[peer];
+        if (client.get() == nullptr)
+            client = kj::heap<capnp::EzRpcClient>(peer.address, peer.port);
+        return client->getMain<wire::Peer>();
+    }
+
+    /// Runs `call` on the RPC thread and waits on the calling fiber for its result.
+    template <class T>
+    Result<T, transport::IoError> cross(const transport::Endpoint& peer, std::chrono::milliseconds timeout, std::function<kj::Promise<T>(wire::Peer::Client)> call)
+    {
+        auto promise = std::make_shared<Promise<T>>();
+        auto future = promise->get_future();
+        KJ_IF_MAYBE (rpcThread, this->executor) {
+            rpcThread->executeSync([&] { this->start<T>(peer, timeout, std::move(call), promise); });
+        } else {
+            return transport::IoError::Refused;
+        }
+        return future.get();
+    }
+
+    template <class T>
+    void start(const transport::Endpoint& peer, std::chrono::milliseconds timeout, std::function<kj::Promise<T>(wire::Peer::Client)> call, std::shared_ptr<Promise<T>> promise)
+    {
+        auto client = this->connect(peer);
+        auto limited = this->timer->timeoutAfter(timeout.count() * kj::MILLISECONDS, call(client));
+        auto task = limited.then([promise](T&& value) { promise->set_value(std::move(value)); },
+            [this, promise, peer](kj::Exception&& exception) {
+                this->clients.erase(peer);
+                bool overloaded = exception.getType() == kj::Exception::Type::OVERLOADED;
+                promise->set_value(overloaded ? transport::IoError::Timeout : transport::IoError::Closed);
+            });
+        this->tasks->add(task.attach(kj::mv(client)));
+    }
+};
+
+PeerRpc::PeerRpc(transport::Endpoint listen, PeerHandlers handlers)
+    : impl(std::make_unique<Impl>())
+{
+    this->impl->listen = std::move(listen);
+    this->impl->handlers = std::move(handlers);
+    this->impl->thread = std::thread([impl = this->impl.get()] { impl->run(); });
+    std::unique_lock lock(this->impl->mutex);
+    this->impl->condition.wait(lock, [this] { return this->impl->started; });
+}
+
+PeerRpc::~PeerRpc()
+{
+    KJ_IF_MAYBE (rpcThread, this->impl->executor) {
+        rpcThread->executeSync([this] { this->impl->stopper->fulfill(); });
+    }
+    this->impl->thread.join();
+}
+
+bool PeerRpc::isListening() const
+{
+    return this->impl->listening;
+}
+
+Result<GossipMessage, transport::IoError> PeerRpc::gossip(const transport::Endpoint& peer, const GossipMessage& message, std::chrono::milliseconds timeout)
+{
+    return this->impl->cross<GossipMessage>(peer, timeout, [&message](wire::Peer::Client client) {
+        auto request = client.gossipRequest();
+        writeGossip(request.initMessage(), message);
+        return request.send().then([](auto&& response) { return readGossip(response.getReply()); });
+    });
+}
+
+Result<PeerState, transport::IoError> PeerRpc::fetchState(const transport::Endpoint& peer, std::chrono::milliseconds timeout)
+{
+    return this->impl->cross<PeerState>(peer, timeout, [](wire::Peer::Client client) {
+        return client.fetchStateRequest().send().then([](auto&& response) {
+            auto state = response.getState();
+            return PeerState { bytes(state.getConfig()), bytes(state.getRegion()) };
+        });
+    });
+}
+
+} // namespace comfreypier::protocol
--- /dev/null
+++ b/protocol/src/sse.cpp
@@ -0,0 +1,63 @@
+/// Server-sent events.
+#include "protocol_p.h"
+
+#include <charconv>
+
+namespace comfreypier::protocol {
+
+namespace {
+
+    std::string_view fieldValue(std::string_view line, size_t nameLength)
+    {
+        line.remove_prefix(nameLength);
+        if (!line.empty() && line.front() == ' ')
+            line.remove_prefix(1);
+        return line;
+    }
+
+    void readLine(std::string_view line, SseEvent& event)
+    {
+        if (line.starts_with("data:")) {
+            event.data = fieldValue(line, 5);
+        } else if (line.starts_with("id:")) {
+            auto text = fieldValue(line, 3);
+            uint64_t id = 0;
+            auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), id);
+            if (error == std::errc {} && end == text.data() + text.size())
+                event.id = id;
+        }
+    }
+
+} // namespace
+
+Result<bool, SseError> feedSse(SseParser& parser, std::string_view bytes)
+{
+    parser.buffer.erase(0, parser.taken);
+    parser.taken = 0;
+    if (parser.buffer.size() + bytes.size() > sseLineLimit)
+        return SseError::TooLong;
+    parser.buffer.append(bytes);
+    return true;
+}
+
+bool nextSse(SseParser& parser, SseEvent& event)
+{
+    auto rest = std::string_view(parser.buffer).substr(parser.taken);
+    auto end = rest.find("\n\n");
+    if (end == std::string_view::npos)
+        return false;
+    event = {};
+    event.raw = rest.substr(0, end + 2);
+    parser.taken += event.raw.size();
+    auto lines = rest.substr(0, end);
+    while (!lines.empty()) {
+        auto newline = lines.find('\n');
+        readLine(lines.substr(0, newline), event);
+        if (newline == std::string_view::npos)
+            break;
+        lines.remove_prefix(newline + 1);
+    }
+    return true;
+}
+
+} // namespace comfreypier::protocol
--- /dev/null
+++ b/state/src/append_queue.cpp
@@ -0,0 +1,114 @@
+/// Group commit: entries that share records, and the verdicts that come back.
+#include <state/state.h>
+
+namespace comfreypier::state {
+
+namespace {
+
+    /// Rough encoded size of an entry, in bytes.
+    size_t entrySize(const protocol::Entry& entry)
+    {
+        constexpr size_t smallEntry = 64;
+        if (const auto* end = std::get_if<protocol::ActionEnd>(&entry))
+            return smallEntry + end->body.size();
+        if (const auto* part = std::get_if<protocol::SnapshotPart>(&entry))
+            return smallEntry + part->data.size();
+        return smallEntry;
+    }
+
+} // namespace
+
+AppendQueue::AppendQueue(uint64_t writer)
+    : writer(writer)
+{
+}
+
+PendingPtr AppendQueue::add(protocol::Entry entry, std::function<void(const AppendOutcome&)> done)
+{
+    auto pending = std::make_shared<PendingEntry>();
+    pending->entry = std::move(entry);
+    pending->done = std::move(done);
+    std::lock_guard lock(this->mutex);
+    this->queue.push_back(pending);
+    return pending;
+}
+
+bool AppendQueue::cancel(const PendingPtr& entry)
+{
+    std::lock_guard lock(this->mutex);
+    entry->cancelled = true;
+    return !entry->taken;
+}
+
+std::optional<Envelope> AppendQueue::takeRecord(protocol::SessionId session)
+{
+    std::lock_guard lock(this->mutex);
+    Envelope envelope;
+    std::vector<PendingPtr> taken;
+    size_t size = 0;
+    RecordId id { this->writer, this->nextNumber };
+    while (!this->queue.empty() && taken.size() < entriesPerRecord && size < recordFillLimit) {
+        auto entry = this->queue.front();
+        this->queue.pop_front();
+        if (entry->cancelled)
+            continue;
+        entry->taken = true;
+        entry->record = id;
+        size += entrySize(entry->entry);
+        envelope.entries.push_back(entry->entry);
+        taken.push_back(std::move(entry));
+    }
+    if (taken.empty())
+        return std::nullopt;
+    this->nextNumber++;
+    envelope.id = id;
+    envelope.session = session;
+    this->inFlight[id] = std::move(taken);
+    return envelope;
+}
+
+void AppendQueue::putBack(const RecordId& id)
+{
+    std::lock_guard lock(this->mutex);
+    auto record = this->inFlight.find(id);
+    if (record == this->inFlight.end())
+        return;
+    for (auto entry = record->second.rbegin(); entry != record->second.rend(); ++entry) {
+        (*entry)->taken = false;
+        this->queue.push_front(*entry);
+    }
+    this->inFlight.erase(record);
+}
+
+void AppendQueue::confirm(Offset offset, const Envelope& envelope, const std::vector<Verdict>& verdicts)
+{
+    if (envelope.id.high != this->writer)
+        return;
+    std::vector<PendingPtr> entries;
+    {
+        std::lock_guard lock(this->mutex);
+        auto record = this->inFlight.find(envelope.id);
+        if (record == this->inFlight.end())
+            return;
+        entries = std::move(record->second);
+        this->inFlight.erase(record);
+    }
+    for (size_t i = 0; i < entries.size() && i < verdicts.size(); i++) {
+        if (entries[i]->done)
+            entries[i]->done({ verdicts[i], offset, envelope.id });
+    }
+}
+
+bool AppendQueue::isConfirmed(const RecordId& id) const
+{
+    std::lock_guard lock(this->mutex);
+    return !this->inFlight.contains(id);
+}
+
+size_t AppendQueue::waiting() const
+{
+    std::lock_guard lock(this->mutex);
+    return this->queue.size();
+}
+
+} // namespace comfreypier::state
--- /dev/null
+++ b/state/src/gossip_table.cpp
@@ -0,0 +1,59 @@
+/// News between nodes: the newest version wins, and each is passed on a few times.
+#include <bit>
+#include <state/state.h>
+
+namespace comfreypier::state {
+
+namespace {
+
+    /// Sends on top of the logarithm of the number of nodes.
+    constexpr size_t extraSends = 2;
+
+    size_t sendsFor(size_t nodes)
+    {
+        return std::bit_width(nodes) + extraSends;
+    }
+
+} // namespace
+
+bool GossipTable::merge(const protocol::News& news, size_t nodes)
+{
+    std::lock_guard lock(this->mutex);
+    auto [entry, added] = this->entries.try_emplace(news.key);
+    if (!added && news.version <= entry->second.news.version)
+        return false;
+    entry->second = { news, sendsFor(nodes) };
+    this->toSend.insert(news.key);
+    return true;
+}
+
+std::vector<protocol::News> GossipTable::takeForSending()
+{
+    std::lock_guard lock(this->mutex);
+    std::vector<protocol::News> news;
+    for (auto key = this->toSend.begin(); key != this->toSend.end() && news.size() < newsPerMessage;) {
+        auto& known = this->entries[*key];
+        news.push_back(known.news);
+        known.sendsLeft--;
+        key = known.sendsLeft == 0 ? this->toSend.erase(key) : std::next(key);
+    }
+    return news;
+}
+
+std::vector<protocol::News> GossipTable::list(protocol::NewsKind kind) const
+{
+    std::lock_guard lock(this->mutex);
+    std::vector<protocol::News> result;
+    for (auto entry = this->entries.lower_bound({ kind, "" }); entry != this->entries.end() && entry->first.kind == kind; ++entry)
+        result.push_back(entry->second.news);
+    return result;
+}
+
+void GossipTable::erase(const protocol::NewsKey& key)
+{
+    std::lock_guard lock(this->mutex);
+    this->entries.erase(key);
+    this->toSend.erase(key);
+}
+
+} // namespace comfreypier::state
--- /dev/null
+++ b/state/src/live_tables.cpp
@@ -0,0 +1,66 @@
+/// Loads of workers and counts of demand, in shards.
+#include <state/state.h>
+
+namespace comfreypier::state {
+
+namespace {
+
+    size_t shardIndex(const std::string& key)
+    {
+        return std::hash<std::string> {}(key) % tableShards;
+    }
+
+} // namespace
+
+LoadTable::Shard& LoadTable::shardOf(const std::string& worker)
+{
+    return this->shards[shardIndex(worker)];
+}
+
+const LoadTable::Shard& LoadTable::shardOf(const std::string& worker) const
+{
+    return this->shards[shardIndex(worker)];
+}
+
+void LoadTable::update(const std::string& worker, const std::function<void(WorkerStatus&)>& change)
+{
+    auto& shard = this->shardOf(worker);
+    std::lock_guard lock(shard.mutex);
+    change(shard.workers[worker]);
+}
+
+WorkerStatus LoadTable::get(const std::string& worker) const
+{
+    const auto& shard = this->shardOf(worker);
+    std::lock_guard lock(shard.mutex);
+    auto entry = shard.workers.find(worker);
+    return entry == shard.workers.end() ? WorkerStatus {} : entry->second;
+}
+
+void LoadTable::erase(const std::string& worker)
+{
+    auto& shard = this->shardOf(worker);
+    std::lock_guard lock(shard.mutex);
+    shard.workers.erase(worker);
+}
+
+void DemandTable::note(const std::string& item)
+{
+    auto& shard = this->shards[shardIndex(item)];
+    std::lock_guard lock(shard.mutex);
+    shard.counts[item]++;
+}
+
+std::map<std::string, uint32_t> DemandTable::take()
+{
+    std::map<std::string, uint32_t> total;
+    for (auto& shard : this->shards) {
+        std::lock_guard lock(shard.mutex);
+        for (const auto& [item, count] : shard.counts)
+            total[item] += count;
+        shard.counts.clear();
+    }
+    return total;
+}
+
+} // namespace comfreypier::state
--- /dev/null
+++ b/tests/standins/engine_standin.cpp
@@ -0,0 +1,191 @@
+/// Model engine: orders, reports and the life of the process. Streams are in engine_streams.cpp.
+#include "standins.h"
+
+#include <algorithm>
+
+namespace comfreypier::standins {
+
+namespace {
+
+    constexpr std::chrono::milliseconds unloadPoll { 5 };
+
+    std::chrono::milliseconds toMilliseconds(double value)
+    {
+        return std::chrono::milliseconds { static_cast<int64_t>(value) };
+    }
+
+} // namespace
+
+EngineStandin::EngineStandin(EngineConfig config, WeightStore& store)
+    : config(std::move(config))
+    , store(store)
+{
+}
+
+void EngineStandin::serve(const HttpRequest& request, ResponseWriter& writer)
+{
+    if (this->faults.serve(request, writer)) {
+        if (this->faults.on("crash"))
+            this->crash();
+        if (!transport::queryValue(request.target, "silence").empty())
+            this->silentBefore = transport::monotonicNow();
+        return;
+    }
+    if (this->isDown()) {
+        writer.abort();
+        return;
+    }
+    auto path = transport::targetPath(request.target);
+    if (path == "/orders")
+        this->serveOrder(request, writer);
+    else if (path == "/report")
+        this->serveReport(writer);
+    else if (path == "/v1/completions" || path == "/v1/chat/completions")
+        this->serveCompletion(request, writer);
+    else if (path == "/stats")
+        sendBody(writer, 200, "overcommits=" + std::to_string(this->overcommits) + "\nstale_orders=" + std::to_string(this->staleOrders) + "\ncrashes=" + std::to_string(this->crashes) + "\ncompletions=" + std::to_string(this->completions) + "\n");
+    else
+        sendBody(writer, 404, "{}");
+}
+
+bool EngineStandin::isDown()
+{
+    std::unique_lock lock(this->mutex);
+    return transport::monotonicNow() < this->downUntil;
+}
+
+void EngineStandin::crash()
+{
+    std::unique_lock lock(this->mutex);
+    this->crashes++;
+    this->incarnation++;
+    this->items.clear();
+    this->arrivedCopies.clear();
+    this->reports.clear();
+    this->newestFence = 0;
+    this->running = 0;
+    this->waiting.clear();
+    this->downUntil = transport::monotonicNow() + toMilliseconds(this->faults.get("restart_ms"));
+    lock.unlock();
+    this->slotFreed.notify_all();
+}
+
+void EngineStandin::serveOrder(const HttpRequest& request, ResponseWriter& writer)
+{
+    auto order = protocol::parseEngineOrder(request.body);
+    if (!order) {
+        sendBody(writer, 400, "{}");
+        return;
+    }
+    if (this->faults.strikes("lose_orders")) {
+        writer.abort();
+        return;
+    }
+    auto delay = toMilliseconds(this->faults.get("order_delay_ms"));
+    if (delay.count() > 0) {
+        writer.abort();
+        transport::spawnHere([this, order = *order, delay] {
+            transport::sleepFor(delay);
+            this->applyOrder(order);
+        });
+        return;
+    }
+    std::unique_lock lock(this->mutex);
+    bool stale = this->config.fencing && this->faults.on("fencing") && order->fence < this->newestFence;
+    this->staleOrders += stale;
+    if (!stale)
+        this->newestFence = std::max(this->newestFence, order->fence);
+    lock.unlock();
+    if (stale) {
+        sendBody(writer, 409, R"({"error":"stale_fence"})");
+        return;
+    }
+    this->applyOrder(*order);
+    if (this->faults.strikes("lose_order_answers"))
+        writer.abort();
+    else
+        sendBody(writer, 200, "{}");
+}
+
+void EngineStandin::applyOrder(const protocol::EngineOrder& order)
+{
+    std::unique_lock lock(this->mutex);
+    auto then = this->incarnation;
+    if (order.kind == protocol::EngineOrderKind::Unload) {
+        lock.unlock();
+        transport::spawnHere([this, item = order.item, then] { this->unload(item, then); });
+        return;
+    }
+    this->arrivedCopies.push_back(order.copy);
+    if (this->items.contains(order.item))
+        return;
+    uint64_t used = order.bytes;
+    for (const auto& [name, item] : this->items)
+        used += item.bytes;
+    if (used > this->config.capacity) {
+        this->overcommits++;
+        return;
+    }
+    this->items[order.item] = { order.bytes, false, 0 };
+    lock.unlock();
+    transport::spawnHere([this, order, then] { this->load(order, then); });
+}
+
+void EngineStandin::load(const protocol::EngineOrder& order, uint64_t incarnationThen)
+{
+    this->store.load(order.bytes);
+    std::unique_lock lock(this->mutex);
+    auto item = this->items.find(order.item);
+    if (this->incarnation == incarnationThen && item != this->items.end())
+        item->second.loaded = true;
+}
+
+void EngineStandin::unload(const std::string& name, uint64_t incarnationThen)
+{
+    while (true) {
+        {
+            std::unique_lock lock(this->mutex);
+            auto item = this->items.find(name);
+            if (this->incarnation != incarnationThen || item == this->items.end())
+                return;
+            if (item->second.running == 0 && item->second.loaded) {
+                this->items.erase(item);
+                return;
+            }
+        }
+        transport::sleepFor(unloadPoll);
+    }
+}
+
+std::string EngineStandin::makeReport()
+{
+    uint64_t used = 0;
+    std::string list;
+    for (const auto& [name, item] : this->items) {
+        used += item.bytes;
+        list += list.empty() ? "" : ",";
+        list += R"({"item":")" + name + R"(","loaded":)" + (item.loaded ? "true" : "false") + "}";
+    }
+    std::string copies;
+    for (auto copy : this->arrivedCopies)
+        copies += (copies.empty() ? "" : ",") + std::to_string(copy);
+    return R"({"incarnation":)" + std::to_string(this->incarnation) + R"(,"capacity":)" + std::to_string(this->config.capacity)
+        + R"(,"used":)" + std::to_string(used) + R"(,"running":)" + std::to_string(this->running) + R"(,"waiting":)" + std::to_string(this->waiting.size())
+        + R"(,"slots":)" + std::to_string(this->config.slots) + R"(,"first_token_us":)" + std::to_string(this->config.prefill.count())
+        + R"(,"token_gap_us":)" + std::to_string(this->config.tokenGap.count()) + R"(,"items":[)" + list + R"(],"arrived_copies":[)" + copies + "]}";
+}
+
+void EngineStandin::serveReport(ResponseWriter& writer)
+{
+    std::unique_lock lock(this->mutex);
+    auto now = transport::monotonicNow();
+    auto lag = toMilliseconds(this->faults.get("report_lag_ms"));
+    this->reports.push_back({ now, this->makeReport() });
+    while (this->reports.size() > 1 && this->reports[1].first + lag <= now)
+        this->reports.pop_front();
+    auto report = this->reports.front().second;
+    lock.unlock();
+    sendBody(writer, 200, report);
+}
+
+} // namespace comfreypier::standins
--- /dev/null
+++ b/tests/standins/log_standin.cpp
@@ -0,0 +1,110 @@
+/// Append-only log service with offsets, limited retention and a limit on appends.
+#include "standins.h"
+
+#include <charconv>
+
+namespace comfreypier::standins {
+
+namespace {
+
+    constexpr std::chrono::seconds hangTime { 30 };
+    constexpr size_t recordsPerPage = 2000;
+
+    uint64_t numberIn(const std::string& target, const char* key)
+    {
+        auto text = transport::queryValue(target, key);
+        uint64_t value = 0;
+        std::from_chars(text.data(), text.data() + text.size(), value);
+        return value;
+    }
+
+} // namespace
+
+void LogStandin::serve(const HttpRequest& request, ResponseWriter& writer)
+{
+    if (this->faults.serve(request, writer))
+        return;
+    auto path = std::string(transport::targetPath(request.target));
+    if (path == "/stats") {
+        sendBody(writer, 200, "appends=" + std::to_string(this->appendCount) + "\n");
+        return;
+    }
+    if (!path.starts_with("/streams/")) {
+        sendBody(writer, 404, "{}");
+        return;
+    }
+    if (this->faults.on("hang")) {
+        transport::sleepFor(hangTime);
+        writer.abort();
+        return;
+    }
+    transport::sleepFor(std::chrono::milliseconds { static_cast<int>(this->faults.get("slow_ms")) });
+    if (this->faults.on("outage")) {
+        sendBody(writer, 503, "{}");
+        return;
+    }
+    auto stream = path.substr(9);
+    if (request.method == "POST")
+        this->append(stream, request, writer);
+    else
+        this->read(stream, request, writer);
+}
+
+bool LogStandin::takeAppend()
+{
+    auto now = transport::monotonicNow();
+    if (now - this->windowStart > std::chrono::seconds { 1 }) {
+        this->windowStart = now;
+        this->windowAppends = 0;
+    }
+    return ++this->windowAppends <= static_cast<uint64_t>(this->faults.get("appends_per_second"));
+}
+
+void LogStandin::append(const std::string& name, const HttpRequest& request, ResponseWriter& writer)
+{
+    uint64_t offset = 0;
+    {
+        std::unique_lock lock(this->mutex);
+        if (!this->takeAppend()) {
+            lock.unlock();
+            sendBody(writer, 429, "{}");
+            return;
+        }
+        auto& stream = this->streams[name];
+        offset = stream.end();
+        stream.records.push_back(request.body);
+        this->appendCount++;
+        auto retention = static_cast<size_t>(this->faults.get("retention"));
+        while (retention > 0 && stream.records.size() > retention) {
+            stream.records.pop_front();
+            stream.first++;
+        }
+    }
+    this->changed.notify_all();
+    if (this->faults.strikes("lose_answers"))
+        writer.abort();
+    else
+        sendBody(writer, 200, std::to_string(offset));
+}
+
+void LogStandin::read(const std::string& name, const HttpRequest& request, ResponseWriter& writer)
+{
+    auto from = numberIn(request.target, "from");
+    auto wait = std::chrono::milliseconds { numberIn(request.target, "wait_ms") };
+    protocol::LogPage page;
+    {
+        std::unique_lock lock(this->mutex);
+        auto& stream = this->streams[name];
+        this->changed.wait_for(lock, wait, [&] { return stream.end() > from || this->faults.on("outage"); });
+        page.first = stream.first;
+        page.end = stream.end();
+        for (auto offset = std::max(from, stream.first); offset < stream.end() && page.records.size() < recordsPerPage; offset++)
+            page.records.push_back({ offset, stream.records[offset - stream.first] });
+    }
+    if (this->faults.on("outage"))
+        sendBody(writer, 503, "{}");
+    else
+        sendBody(writer, 200, protocol::encodeLogPage(page));
+}
+
+} // namespace comfreypier::standins
--- /dev/null
+++ b/tests/standins/main.cpp
@@ -0,0 +1,141 @@
+/// Runs the stand-ins that a file describes, each on its own port.
+#include "standins.h"
+
+#include <boost/program_options.hpp>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+using namespace comfreypier;
+using namespace comfreypier::standins;
+
+namespace {
+
+const std::vector<protocol::IniSectionRule>& rules()
+{
+    using protocol::IniType;
+    static const std::vector<protocol::IniSectionRule> value {
+        { "platform", false, true, false, IniType::Text,
+            { { "log", IniType::Address, true, {} }, { "vm_list", IniType::Address, true, {} }, { "load_time", IniType::Duration, false, {} },
+                { "loads_at_once", IniType::Integer, false, {} }, { "adapters_at_once", IniType::Integer, false, {} }, { "threads", IniType::Integer, false, {} } } },
+        { "entry", true, false, false, IniType::Text, { { "endpoint", IniType::Address, true, {} }, { "data_centre", IniType::Name, true, {} } } },
+        { "engine", true, false, false, IniType::Text,
+            { { "endpoint", IniType::Address, true, {} }, { "data_centre", IniType::Name, true, {} }, { "capacity", IniType::Bytes, true, {} },
+                { "slots", IniType::Integer, false, {} }, { "fencing", IniType::Flag, false, {} }, { "prefill", IniType::Duration, false, {} }, { "token_gap", IniType::Duration, false, {} } } },
+        { "plain", true, false, false, IniType::Text, { { "endpoint", IniType::Address, true, {} } } },
+    };
+    return value;
+}
+
+std::string valueOf(const protocol::IniSection& section, std::string_view key, const char* fallback)
+{
+    for (const auto& entry : section.entries) {
+        if (entry.key == key)
+            return entry.value;
+    }
+    return fallback;
+}
+
+Endpoint endpointOf(const protocol::IniSection& section, std::string_view key)
+{
+    return transport::parseEndpoint(valueOf(section, key, "")).value();
+}
+
+EngineConfig engineConfig(const protocol::IniSection& section)
+{
+    EngineConfig config;
+    config.name = section.name;
+    config.endpoint = endpointOf(section, "endpoint");
+    config.dataCentre = valueOf(section, "data_centre", "");
+    config.capacity = *protocol::parseBytes(valueOf(section, "capacity", "0B"));
+    config.slots = static_cast<uint32_t>(*protocol::parseInteger(valueOf(section, "slots", "8")));
+    config.fencing = *protocol::parseFlag(valueOf(section, "fencing", "yes"));
+    config.prefill = *protocol::parseDuration(valueOf(section, "prefill", "20ms"));
+    config.tokenGap = *protocol::parseDuration(valueOf(section, "token_gap", "5ms"));
+    return config;
+}
+
+/// All stand-ins of one process.
+struct World {
+    World(const protocol::IniSection& platform)
+        : runtime(static_cast<unsigned>(*protocol::parseInteger(valueOf(platform, "threads", "1"))))
+        , store(std::chrono::duration_cast<std::chrono::milliseconds>(*protocol::parseDuration(valueOf(platform, "load_time", "1s"))),
+              static_cast<unsigned>(*protocol::parseInteger(valueOf(platform, "loads_at_once", "4"))),
+              static_cast<unsigned>(*protocol::parseInteger(valueOf(platform, "adapters_at_once", "30"))))
+    {
+    }
+
+    bool listen(const Endpoint& endpoint, transport::HttpHandler handler)
+    {
+        transport::ServerLimits limits;
+        limits.bodyLimit = 64ULL * 1024 * 1024;
+        auto refuse = [](unsigned status, std::string_view reason) { return HttpResponse { status, {}, std::string(reason) }; };
+        this->servers.push_back(std::make_unique<transport::HttpServer>(this->runtime, endpoint, limits, std::move(handler), refuse));
+        if (this->servers.back()->start())
+            return true;
+        std::cerr << "standins: cannot listen on " << transport::toString(endpoint) << "\n";
+        return false;
+    }
+
+    template <class Standin>
+    bool serve(const Endpoint& endpoint, Standin& standin)
+    {
+        return this->listen(endpoint, [&standin](const HttpRequest& request, ResponseWriter& writer) { standin.serve(request, writer); });
+    }
+
+    transport::Runtime runtime;
+    WeightStore store;
+    LogStandin log;
+    VmListStandin vmList;
+    std::vector<std::unique_ptr<EngineStandin>> engines;
+    std::vector<std::unique_ptr<PlainStandin>> plains;
+    std::vector<std::unique_ptr<transport::HttpServer>> servers;
+};
+
+bool startSection(World& world, const protocol::IniSection& section)
+{
+    if (section.kind == "platform")
+        return world.serve(endpointOf(section, "log"), world.log) && world.serve(endpointOf(section, "vm_list"), world.vmList);
+    auto endpoint = endpointOf(section, "endpoint");
+    if (section.kind == "entry") {
+        world.vmList.add(section.name, "entry", endpoint, valueOf(section, "data_centre", ""), 0);
+        return true;
+    }
+    if (section.kind == "engine") {
+        world.engines.push_back(std::make_unique<EngineStandin>(engineConfig(section), world.store));
+        const auto& config = world.engines.back()->settings();
+        world.vmList.add(config.name, "worker", config.endpoint, config.dataCentre, config.capacity);
+        return world.serve(endpoint, *world.engines.back());
+    }
+    world.plains.push_back(std::make_unique<PlainStandin>());
+    return world.serve(endpoint, *world.plains.back());
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    if (argc != 2) {
+        std::cerr << "usage: comfreypier-standins FILE\n";
+        return 2;
+    }
+    std::ifstream file(argv[1]);
+    std::stringstream text;
+    text << file.rdbuf();
+    auto document = protocol::parseIni(argv[1], text.str());
+    protocol::checkIni(document, rules());
+    for (const auto& fault : document.faults)
+        std::cerr << protocol::toString(fault) << "\n";
+    if (!document.faults.empty())
+        return 2;
+    transport::blockTerminationSignals();
+    auto platform = std::find_if(document.sections.begin(), document.sections.end(), [](const auto& section) { return section.kind == "platform"; });
+    World world(*platform);
+    for (const auto& section : document.sections) {
+        if (!startSection(world, section))
+            return 1;
+    }
+    transport::waitForTermination();
+    std::cout.flush();
+    std::_Exit(0);
+}
--- /dev/null
+++ b/transport/include/transport/transport.h
@@ -0,0 +1,350 @@
+/// Transport layer: fibers on I/O threads, HTTP/1.1 server and client, logging and metrics.
+///
+/// Knows nothing of models or workers. Errors are values of `IoError`.
+#pragma once
+
+#include <array>
+#include <atomic>
+#include <boost/outcome/basic_result.hpp>
+#include <boost/outcome/policy/terminate.hpp>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace comfreypier {
+
+/// Result value: holds `T` or the typed error `E`. Reading the wrong side stops the process.
+template <class T, class E>
+using Result = boost::outcome_v2::basic_result<T, E, boost::outcome_v2::policy::terminate>;
+
+} // namespace comfreypier
+
+namespace comfreypier::transport {
+
+// ---------------------------------------------------------------- limits and defaults
+
+/// Largest accepted message head, in bytes.
+constexpr uint32_t defaultHeaderLimit = 16 * 1024;
+/// Largest accepted message body, in bytes.
+constexpr uint64_t defaultBodyLimit = 4 * 1024 * 1024;
+/// Longest time for a peer to send one whole request.
+constexpr std::chrono::milliseconds defaultReadTimeout { 10000 };
+/// Longest time a keep-alive connection stays idle at the server.
+constexpr std::chrono::milliseconds defaultIdleTimeout { 60000 };
+/// Most connections that one server serves at a time.
+constexpr uint32_t defaultConnectionLimit = 8192;
+/// Longest time one write to a slow peer may take.
+constexpr std::chrono::milliseconds defaultWriteTimeout { 20000 };
+/// Most idle connections that the client keeps per thread and endpoint.
+constexpr uint32_t idleConnectionsPerEndpoint = 64;
+/// Longest time the client keeps a connection idle.
+constexpr std::chrono::milliseconds clientIdleTimeout { 20000 };
+/// Time limit for opening a TCP connection.
+constexpr std::chrono::milliseconds defaultConnectTimeout { 1000 };
+
+// ---------------------------------------------------------------- errors
+
+/// Why an I/O operation failed.
+enum class IoError {
+    Refused, ///< The connection could not be opened: no byte was sent.
+    ConnectTimeout, ///< The connection was not open in time: no byte was sent.
+    Timeout, ///< The peer did not answer in time.
+    Closed, ///< The peer closed the connection.
+    Malformed, ///< The peer's bytes are not valid HTTP.
+    TooLarge, ///< Head or body is larger than the limit.
+    Count
+};
+
+/// Returns the stable lower-case name of `error`.
+const char* name(IoError error);
+
+/// Tells whether `error` proves that no byte of the request reached the peer.
+bool isBeforeSend(IoError error);
+
+// ---------------------------------------------------------------- runtime
+
+/// IP number and TCP port of one listener.
+struct Endpoint {
+    std::string address; ///< IPv4 or IPv6 number.
+    uint16_t port = 0; ///< TCP port, 1 to 65535.
+    auto operator<=>(const Endpoint&) const = default;
+};
+
+/// Formats `endpoint` as `address:port`.
+std::string toString(const Endpoint& endpoint);
+
+/// Parses `address:port`.
+/// @return the endpoint, or false as second value of the pair when `text` has another form.
+Result<Endpoint, IoError> parseEndpoint(std::string_view text);
+
+/// Threads that each run one io_context and one fiber scheduler.
+class Runtime {
+public:
+    /// Starts `threads` I/O threads.
+    /// @param threads number of threads, 1 to 64.
+    explicit Runtime(unsigned threads);
+    ~Runtime();
+    Runtime(const Runtime&) = delete;
+    Runtime& operator=(const Runtime&) = delete;
+
+    /// Runs `task` on a new fiber of the next thread, round robin.
+    void spawn(std::function<void()> task);
+    /// Runs `task` on a new fiber of every thread.
+    void spawnOnEach(const std::function<void()>& task);
+    /// Number of I/O threads.
+    unsigned threadCount() const;
+    /// Fibers started through this runtime that have not ended.
+    uint64_t liveFibers() const;
+    /// Ends the threads once their fibers have ended, or after `limit`.
+    /// @return true if all fibers ended in time.
+    bool stop(std::chrono::milliseconds limit);
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> impl;
+};
+
+/// Runs `task` on a new fiber of the calling I/O thread.
+void spawnHere(std::function<void()> task);
+
+/// Wakes fibers of any thread.
+class Event {
+public:
+    Event();
+    ~Event();
+    /// Wakes all waiting fibers, or the next one to wait.
+    void signal();
+    /// Suspends the calling fiber until a signal came since the last wait, or `limit` has passed.
+    /// @return true if signalled.
+    bool waitFor(std::chrono::nanoseconds limit);
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> impl;
+};
+
+/// Suspends the calling fiber for `duration`.
+void sleepFor(std::chrono::nanoseconds duration);
+
+/// Returns the monotonic time since an arbitrary start.
+std::chrono::nanoseconds monotonicNow();
+
+/// Returns the wall-clock time since the Unix epoch.
+std::chrono::milliseconds wallNow();
+
+/// Blocks the calling (non-fiber) thread until SIGTERM or SIGINT, then returns.
+/// Signals must have been blocked by `blockTerminationSignals` before any thread started.
+void waitForTermination();
+/// Blocks SIGTERM and SIGINT in this and all later threads and ignores SIGPIPE.
+void blockTerminationSignals();
+
+// ---------------------------------------------------------------- HTTP
+
+/// One HTTP header field.
+struct Header {
+    std::string name;
+    std::string value;
+};
+
+/// One whole HTTP request.
+struct HttpRequest {
+    std::string method = "GET";
+    std::string target = "/";
+    std::vector<Header> headers;
+    std::string body;
+};
+
+/// One whole HTTP response.
+struct HttpResponse {
+    unsigned status = 200;
+    std::vector<Header> headers;
+    std::string body;
+};
+
+/// Returns the value of the first field called `name` (any case), or an empty view.
+std::string_view findHeader(const std::vector<Header>& headers, std::string_view name);
+
+/// Returns the part of `target` before `?`.
+std::string_view targetPath(std::string_view target);
+
+/// Returns the value of query parameter `key` in `target`, or an empty string.
+std::string queryValue(std::string_view target, std::string_view key);
+
+/// Answers one request. All functions return false once the caller has gone.
+class ResponseWriter {
+public:
+    virtual ~ResponseWriter() = default;
+    /// Sends a whole response.
+    virtual bool send(const HttpResponse& response) = 0;
+    /// Sends a head and starts a chunked body.
+    virtual bool startStream(unsigned status, const std::vector<Header>& headers) = 0;
+    /// Sends one chunk of the body.
+    virtual bool writeChunk(std::string_view bytes) = 0;
+    /// Ends the chunked body.
+    virtual bool finishStream() = 0;
+    /// Closes the connection without ending the body, so that the caller sees the cut.
+    virtual void abort() = 0;
+    /// Tells whether the caller has closed its side.
+    virtual bool callerGone() = 0;
+};
+
+/// Handles one request on its own fiber.
+using HttpHandler = std::function<void(const HttpRequest&, ResponseWriter&)>;
+
+/// Makes the body of the answer to a request that the server itself refuses.
+using ErrorBody = std::function<HttpResponse(unsigned status, std::string_view reason)>;
+
+/// Limits of one HTTP server.
+struct ServerLimits {
+    uint32_t headerLimit = defaultHeaderLimit; ///< Bytes.
+    uint64_t bodyLimit = defaultBodyLimit; ///< Bytes.
+    std::chrono::milliseconds readTimeout = defaultReadTimeout;
+    std::chrono::milliseconds idleTimeout = defaultIdleTimeout;
+    std::chrono::milliseconds writeTimeout = defaultWriteTimeout;
+    uint32_t connectionLimit = defaultConnectionLimit;
+};
+
+/// Counters of one HTTP server.
+struct ServerStats {
+    uint64_t connections = 0; ///< Open now.
+    uint64_t activeRequests = 0; ///< In a handler now.
+    uint64_t requests = 0; ///< Handled since the start.
+    uint64_t malformed = 0; ///< Refused before a handler saw them.
+    uint64_t overLimit = 0; ///< Connections closed because of `connectionLimit`.
+};
+
+/// HTTP/1.1 server with one listener per I/O thread.
+class HttpServer {
+public:
+    HttpServer(Runtime& runtime, Endpoint listen, ServerLimits limits, HttpHandler handler, ErrorBody errorBody);
+    ~HttpServer();
+    HttpServer(const HttpServer&) = delete;
+    HttpServer& operator=(const HttpServer&) = delete;
+
+    /// Opens the listeners.
+    /// @return false if the address can't be bound.
+    bool start();
+    /// Closes the listeners; open requests go on, idle connections close.
+    void stopAccepting();
+    /// Closes every connection at once.
+    void closeAll();
+    /// Current counters.
+    ServerStats stats() const;
+
+private:
+    struct Impl;
+    std::shared_ptr<Impl> impl;
+};
+
+/// Time limits of one client call.
+struct CallLimits {
+    std::chrono::milliseconds connect = defaultConnectTimeout;
+    std::chrono::milliseconds response { 10000 }; ///< Until the head of the answer.
+    uint64_t bodyLimit = defaultBodyLimit; ///< Bytes.
+};
+
+/// Body of a response that arrives piece by piece.
+class ResponseStream {
+public:
+    virtual ~ResponseStream() = default;
+    virtual unsigned status() const = 0;
+    virtual const std::vector<Header>& headers() const = 0;
+    /// Waits for the next bytes. An empty view is the end of the body.
+    /// @param timeout longest time to wait.
+    virtual Result<std::string_view, IoError> read(std::chrono::milliseconds timeout) = 0;
+};
+
+/// HTTP/1.1 client with a pool of idle connections for each thread.
+class HttpClient {
+public:
+    HttpClient();
+    ~HttpClient();
+    HttpClient(const HttpClient&) = delete;
+    HttpClient& operator=(const HttpClient&) = delete;
+
+    /// Sends `request` and reads the whole answer. Must run on a fiber of a `Runtime`.
+    Result<HttpResponse, IoError> call(const Endpoint& endpoint, const HttpRequest& request, const CallLimits& limits);
+    /// Sends `request` and returns once the head of the answer is there. Destroying the stream cancels it.
+    /// @param freshConnection opens a new connection in place of a pooled one.
+    Result<std::unique_ptr<ResponseStream>, IoError> open(const Endpoint& endpoint, const HttpRequest& request, const CallLimits& limits, bool freshConnection = false);
+
+private:
+    struct Impl;
+    std::shared_ptr<Impl> impl;
+};
+
+// ---------------------------------------------------------------- logging
+
+/// Severity of a log line.
+enum class LogLevel { Debug,
+    Info,
+    Warn,
+    Error,
+    Count };
+
+/// Sets up logging to stderr.
+/// @param level lowest level that is printed, for parts without their own level.
+/// @param parts lowest level for each named part.
+struct PartLevel {
+    std::string part;
+    LogLevel level = LogLevel::Info;
+};
+void setUpLogging(LogLevel level, const std::vector<PartLevel>& parts);
+
+/// Parses `debug`, `info`, `warn` or `error`.
+bool parseLogLevel(std::string_view text, LogLevel& level);
+
+/// Writes log lines with the fixed prefix of one part.
+class Log {
+public:
+    explicit Log(const char* part);
+    void debug(const std::string& text) const;
+    void info(const std::string& text) const;
+    void warn(const std::string& text) const;
+    void error(const std::string& text) const;
+
+private:
+    std::string part;
+};
+
+// ---------------------------------------------------------------- metrics
+
+/// Number of independently locked shards of one distribution.
+constexpr unsigned distributionShards = 8;
+
+/// Quantiles and mean of recorded durations.
+struct DistributionStats {
+    uint64_t count = 0;
+    std::chrono::nanoseconds mean { 0 };
+    std::chrono::nanoseconds p50 { 0 };
+    std::chrono::nanoseconds p99 { 0 };
+    std::chrono::nanoseconds max { 0 };
+};
+
+/// Streaming distribution of durations, safe to use from several threads.
+class Distribution {
+public:
+    Distribution();
+    ~Distribution();
+    /// Adds one duration.
+    void record(std::chrono::nanoseconds value);
+    /// Merged figures; the quantiles are the count-weighted mean over shards.
+    DistributionStats stats() const;
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> impl;
+};
+
+/// Processor time that this process has used.
+std::chrono::nanoseconds processCpuTime();
+
+/// Resident memory of this process, in bytes.
+uint64_t residentBytes();
+
+} // namespace comfreypier::transport
--- /dev/null
+++ b/transport/src/fiber_scheduler.cpp
@@ -0,0 +1,76 @@
+/// Fiber scheduler that runs the thread's io_context whenever no fiber is ready.
+#include "transport_p.h"
+
+namespace comfreypier::transport {
+
+namespace {
+
+    /// Ready fibers that may run in a row before pending I/O is polled.
+    constexpr unsigned fibersPerPoll = 64;
+
+    thread_local asio::io_context* threadContext = nullptr;
+
+    class IoScheduler : public boost::fibers::algo::algorithm {
+    public:
+        explicit IoScheduler(asio::io_context& context)
+            : context(context)
+        {
+        }
+
+        void awakened(boost::fibers::context* fiber) noexcept override
+        {
+            fiber->ready_link(this->ready);
+        }
+
+        boost::fibers::context* pick_next() noexcept override
+        {
+            if (++this->picked >= fibersPerPoll) {
+                this->picked = 0;
+                this->context.poll();
+            }
+            if (this->ready.empty())
+                return nullptr;
+            auto* fiber = &this->ready.front();
+            this->ready.pop_front();
+            return fiber;
+        }
+
+        bool has_ready_fibers() const noexcept override
+        {
+            return !this->ready.empty();
+        }
+
+        void suspend_until(const std::chrono::steady_clock::time_point& until) noexcept override
+        {
+            if (until == std::chrono::steady_clock::time_point::max())
+                this->context.run_one();
+            else
+                this->context.run_one_until(until);
+            this->context.poll();
+        }
+
+        void notify() noexcept override
+        {
+            asio::post(this->context, [] {});
+        }
+
+    private:
+        asio::io_context& context;
+        boost::fibers::scheduler::ready_queue_type ready;
+        unsigned picked = 0;
+    };
+
+} // namespace
+
+asio::io_context* currentContext()
+{
+    return threadContext;
+}
+
+void installFiberScheduler(asio::io_context& context)
+{
+    threadContext = &context;
+    boost::fibers::use_scheduling_algorithm<IoScheduler>(context);
+}
+
+} // namespace comfreypier::transport
--- /dev/null
+++ b/transport/src/http_client_beast.cpp
@@ -0,0 +1,308 @@
+/// HTTP/1.1 client over Boost.Beast with a pool of idle connections for each thread.
+#include "transport_p.h"
+
+#include <charconv>
+#include <deque>
+#include <map>
+
+namespace comfreypier::transport {
+
+namespace {
+
+    using Stream = beast::basic_stream<Tcp, asio::io_context::executor_type>;
+
+    /// Bytes read from a response body at a time.
+    constexpr size_t readChunkSize = 8 * 1024;
+
+    struct ClientConnection {
+        explicit ClientConnection(asio::io_context& context)
+            : stream(Stream::executor_type { context.get_executor() })
+        {
+        }
+        Stream stream;
+        beast::flat_buffer buffer;
+        std::chrono::nanoseconds idleSince { 0 };
+    };
+    using ConnectionPtr = std::unique_ptr<ClientConnection>;
+
+    /// Idle connections of one thread.
+    struct Pool {
+        std::map<Endpoint, std::deque<ConnectionPtr>> idle;
+    };
+
+    thread_local std::map<const void*, Pool> threadPools;
+
+    http::request<http::string_body> toMessage(const Endpoint& endpoint, const HttpRequest& request)
+    {
+        http::request<http::string_body> message;
+        message.version(11);
+        message.method_string(request.method);
+        message.target(request.target);
+        message.set(http::field::host, toString(endpoint));
+        for (const auto& header : request.headers)
+            message.insert(header.name, header.value);
+        message.body() = request.body;
+        message.prepare_payload();
+        return message;
+    }
+
+    std::vector<Header> toHeaders(const http::fields& fields)
+    {
+        std::vector<Header> headers;
+        for (const auto& field : fields)
+            headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+        return headers;
+    }
+
+} // namespace
+
+struct HttpClient::Impl : std::enable_shared_from_this<HttpClient::Impl> {
+    ConnectionPtr takeIdle(const Endpoint& endpoint) const
+    {
+        auto& idle = threadPools[this].idle[endpoint];
+        while (!idle.empty()) {
+            auto connection = std::move(idle.back());
+            idle.pop_back();
+            if (monotonicNow() - connection->idleSince < clientIdleTimeout && this->isUsable(*connection))
+                return connection;
+        }
+        return nullptr;
+    }
+
+    /// A pooled connection is unusable once the peer has closed it or sent bytes nobody asked for.
+    static bool isUsable(ClientConnection& connection)
+    {
+        char byte = 0;
+        auto count = ::recv(connection.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    }
+
+    /// Drops the pooled connections of an endpoint after one of them went silent.
+    void renewPool(const Endpoint& endpoint) const
+    {
+        threadPools[this].idle[endpoint].clear();
+    }
+
+    void giveBack(const Endpoint& endpoint, ConnectionPtr connection) const
+    {
+        auto& idle = threadPools[this].idle[endpoint];
+        connection->idleSince = monotonicNow();
+        connection->stream.expires_never();
+        if (idle.size() < idleConnectionsPerEndpoint)
+            idle.push_back(std::move(connection));
+    }
+
+    static Result<ConnectionPtr, IoError> connect(const Endpoint& endpoint, std::chrono::milliseconds timeout)
+    {
+        ErrorCode error;
+        auto address = asio::ip::make_address(endpoint.address, error);
+        if (error)
+            return IoError::Refused;
+        auto connection = std::make_unique<ClientConnection>(*currentContext());
+        connection->stream.expires_after(timeout);
+        Tcp::endpoint peer(address, endpoint.port);
+        auto outcome = awaitIo([&](auto handler) { connection->stream.async_connect(peer, std::move(handler)); });
+        if (outcome.error == beast::error::timeout)
+            return IoError::ConnectTimeout;
+        if (outcome.error)
+            return IoError::Refused;
+        connection->stream.socket().set_option(Tcp::no_delay(true), error);
+        return connection;
+    }
+};
+
+namespace {
+
+    /// Sends the request on one connection and reads the body of the answer piece by piece.
+    class BeastResponseStream : public ResponseStream {
+    public:
+        using GiveBack = std::function<void(ConnectionPtr)>;
+
+        BeastResponseStream(ConnectionPtr connection, GiveBack giveBack)
+            : connection(std::move(connection))
+            , giveBack(std::move(giveBack))
+        {
+        }
+
+        ~BeastResponseStream() override
+        {
+            if (this->parser.is_done() && this->parser.get().keep_alive())
+                this->giveBack(std::move(this->connection));
+        }
+
+        /// Sends the request and waits for the head of the answer.
+        AwaitedIo exchange(http::request<http::string_body>& message, const CallLimits& limits)
+        {
+            auto& stream = this->connection->stream;
+            this->parser.body_limit(limits.bodyLimit);
+            stream.expires_after(limits.response);
+            auto sent = awaitIo([&](auto handler) { http::async_write(stream, message, std::move(handler)); });
+            if (sent.error)
+                return sent;
+            return awaitIo([&](auto handler) { http::async_read_header(stream, this->connection->buffer, this->parser, std::move(handler)); });
+        }
+
+        void headRead() { this->fields = toHeaders(this->parser.get()); }
+        unsigned status() const override { return this->parser.get().result_int(); }
+        const std::vector<Header>& headers() const override { return this->fields; }
+
+        Result<std::string_view, IoError> read(std::chrono::milliseconds timeout) override
+        {
+            while (!this->parser.is_done()) {
+                auto& body = this->parser.get().body();
+                this->chunk.resize(readChunkSize);
+                body.data = this->chunk.data();
+                body.size = this->chunk.size();
+                this->connection->stream.expires_after(timeout);
+                auto outcome = awaitIo([&](auto handler) { http::async_read_some(this->connection->stream, this->connection->buffer, this->parser, std::move(handler)); });
+                if (outcome.error && outcome.error != http::error::need_buffer)
+                    return toIoError(outcome.error);
+                auto length = readChunkSize - body.size;
+                if (length > 0)
+                    return std::string_view(this->chunk.data(), length);
+            }
+            return std::string_view {};
+        }
+
+    private:
+        ConnectionPtr connection;
+        GiveBack giveBack;
+        http::response_parser<http::buffer_body> parser;
+        std::vector<Header> fields;
+        std::vector<char> chunk;
+    };
+
+} // namespace
+
+HttpClient::HttpClient()
+    : impl(std::make_shared<Impl>())
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+Result<std::unique_ptr<ResponseStream>, IoError> HttpClient::open(const Endpoint& endpoint, const HttpRequest& request, const CallLimits& limits, bool freshConnection)
+{
+    auto connection = freshConnection ? nullptr : this->impl->takeIdle(endpoint);
+    if (!connection) {
+        auto connected = Impl::connect(endpoint, limits.connect);
+        if (!connected)
+            return connected.error();
+        connection = std::move(connected.value());
+    }
+    auto giveBack = [impl = this->impl, endpoint](ConnectionPtr idle) { impl->giveBack(endpoint, std::move(idle)); };
+    auto stream = std::make_unique<BeastResponseStream>(std::move(connection), giveBack);
+    auto message = toMessage(endpoint, request);
+    auto outcome = stream->exchange(message, limits);
+    if (outcome.error == beast::error::timeout)
+        this->impl->renewPool(endpoint);
+    if (outcome.error)
+        return toIoError(outcome.error);
+    stream->headRead();
+    return std::unique_ptr<ResponseStream>(std::move(stream));
+}
+
+Result<HttpResponse, IoError> HttpClient::call(const Endpoint& endpoint, const HttpRequest& request, const CallLimits& limits)
+{
+    auto opened = this->open(endpoint, request, limits);
+    if (!opened)
+        return opened.error();
+    auto stream = std::move(opened.value());
+    HttpResponse response;
+    response.status = stream->status();
+    response.headers = stream->headers();
+    while (true) {
+        auto piece = stream->read(limits.response);
+        if (!piece)
+            return piece.error();
+        if (piece.value().empty())
+            return response;
+        response.body.append(piece.value());
+    }
+}
+
+// ---------------------------------------------------------------- helpers of the public header
+
+const char* name(IoError error)
+{
+    constexpr std::array<const char*, static_cast<size_t>(IoError::Count)> names {
+        "refused", "connect_timeout", "timeout", "closed", "malformed", "too_large"
+    };
+    return names[static_cast<size_t>(error)];
+}
+
+bool isBeforeSend(IoError error)
+{
+    return error == IoError::Refused || error == IoError::ConnectTimeout;
+}
+
+IoError toIoError(const ErrorCode& error)
+{
+    if (error == beast::error::timeout)
+        return IoError::Timeout;
+    if (error == http::error::header_limit || error == http::error::body_limit || error == http::error::buffer_overflow)
+        return IoError::TooLarge;
+    if (error == http::error::end_of_stream || error == http::error::partial_message)
+        return IoError::Closed;
+    if (error.category() == http::make_error_code(http::error::end_of_stream).category())
+        return IoError::Malformed;
+    return IoError::Closed;
+}
+
+std::string toString(const Endpoint& endpoint)
+{
+    return endpoint.address + ":" + std::to_string(endpoint.port);
+}
+
+Result<Endpoint, IoError> parseEndpoint(std::string_view text)
+{
+    auto colon = text.rfind(':');
+    if (colon == std::string_view::npos)
+        return IoError::Malformed;
+    Endpoint endpoint;
+    endpoint.address = std::string(text.substr(0, colon));
+    auto port = text.substr(colon + 1);
+    auto [end, error] = std::from_chars(port.data(), port.data() + port.size(), endpoint.port);
+    if (error != std::errc {} || end != port.data() + port.size() || endpoint.port == 0)
+        return IoError::Malformed;
+    ErrorCode addressError;
+    asio::ip::make_address(endpoint.address, addressError);
+    if (addressError)
+        return IoError::Malformed;
+    return endpoint;
+}
+
+std::string_view findHeader(const std::vector<Header>& headers, std::string_view name)
+{
+    for (const auto& header : headers) {
+        if (beast::iequals(header.name, name))
+            return header.value;
+    }
+    return {};
+}
+
+std::string_view targetPath(std::string_view target)
+{
+    return target.substr(0, target.find('?'));
+}
+
+std::string queryValue(std::string_view target, std::string_view key)
+{
+    auto start = target.find('?');
+    if (start == std::string_view::npos)
+        return {};
+    auto query = target.substr(start + 1);
+    while (!query.empty()) {
+        auto end = query.find('&');
+        auto pair = query.substr(0, end);
+        auto equals = pair.find('=');
+        if (pair.substr(0, equals) == key)
+            return equals == std::string_view::npos ? std::string {} : std::string(pair.substr(equals + 1));
+        if (end == std::string_view::npos)
+            break;
+        query.remove_prefix(end + 1);
+    }
+    return {};
+}
+
+} // namespace comfreypier::transport
--- /dev/null
+++ b/transport/src/http_server_beast.cpp
@@ -0,0 +1,369 @@
+/// HTTP/1.1 server over Boost.Beast: one listener per I/O thread, one fiber per connection.
+#include "transport_p.h"
+
+#include <set>
+#include <sys/socket.h>
+
+namespace comfreypier::transport {
+
+namespace {
+
+    using Stream = beast::basic_stream<Tcp, asio::io_context::executor_type>;
+    using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+
+    /// Pause after a failed accept, for example while file descriptors are short.
+    constexpr std::chrono::milliseconds acceptRetryPause { 20 };
+
+    struct Connection {
+        explicit Connection(asio::io_context& context)
+            : stream(Stream::executor_type { context.get_executor() })
+        {
+        }
+        Stream stream;
+        beast::flat_buffer buffer;
+        bool idle = true;
+    };
+
+    struct ServerThread {
+        explicit ServerThread(asio::io_context& context)
+            : context(context)
+            , acceptor(context)
+        {
+        }
+        asio::io_context& context;
+        Tcp::acceptor acceptor;
+        std::set<Connection*> connections;
+    };
+
+    HttpRequest toRequest(http::request<http::string_body>&& message)
+    {
+        HttpRequest request;
+        request.method = std::string(message.method_string());
+        request.target = std::string(message.target());
+        for (const auto& field : message)
+            request.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+        request.body = std::move(message.body());
+        return request;
+    }
+
+    bool mayHoldBody(unsigned status)
+    {
+        return status != 204 && status != 304;
+    }
+
+    class BeastWriter : public ResponseWriter {
+    public:
+        BeastWriter(Connection& connection, std::chrono::milliseconds writeTimeout, bool keepAlive)
+            : connection(connection)
+            , writeTimeout(writeTimeout)
+            , keepAlive(keepAlive)
+        {
+        }
+
+        bool send(const HttpResponse& response) override
+        {
+            auto head = this->makeHead(response.status, response.headers);
+            if (mayHoldBody(response.status))
+                head += "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
+            head += "\r\n";
+            this->answered = true;
+            return this->write(head + response.body);
+        }
+
+        bool startStream(unsigned status, const std::vector<Header>& headers) override
+        {
+            this->answered = true;
+            return this->write(this->makeHead(status, headers) + "Transfer-Encoding: chunked\r\n\r\n");
+        }
+
+        bool writeChunk(std::string_view bytes) override
+        {
+            if (bytes.empty())
+                return !this->failed;
+            char size[20];
+            auto length = std::snprintf(size, sizeof size, "%zx\r\n", bytes.size());
+            this->scratch.assign(size, static_cast<size_t>(length));
+            this->scratch.append(bytes);
+            this->scratch.append("\r\n");
+            return this->write(this->scratch);
+        }
+
+        bool finishStream() override
+        {
+            return this->write("0\r\n\r\n");
+        }
+
+        void abort() override
+        {
+            this->failed = true;
+            this->keepAlive = false;
+        }
+
+        bool callerGone() override
+        {
+            if (this->failed)
+                return true;
+            char byte = 0;
+            auto count = ::recv(this->connection.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+            return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+        }
+
+        bool hasAnswered() const { return this->answered; }
+        bool mayContinue() const { return this->keepAlive && !this->failed && this->answered; }
+
+    private:
+        std::string makeHead(unsigned status, const std::vector<Header>& headers) const
+        {
+            std::string head = "HTTP/1.1 " + std::to_string(status) + " ";
+            head += http::obsolete_reason(static_cast<http::status>(status));
+            head += "\r\n";
+            for (const auto& header : headers)
+                head += header.name + ": " + header.value + "\r\n";
+            if (!this->keepAlive)
+                head += "Connection: close\r\n";
+            return head;
+        }
+
+        bool write(std::string_view bytes)
+        {
+            if (this->failed)
+                return false;
+            auto& socket = this->connection.stream.socket();
+            ErrorCode error;
+            auto sent = socket.write_some(asio::buffer(bytes.data(), bytes.size()), error);
+            if (!error && sent == bytes.size())
+                return true;
+            if (error && error != asio::error::would_block)
+                return !(this->failed = true);
+            this->connection.stream.expires_after(this->writeTimeout);
+            auto rest = bytes.substr(error ? 0 : sent);
+            auto outcome = awaitIo([&](auto handler) {
+                asio::async_write(this->connection.stream, asio::buffer(rest.data(), rest.size()), std::move(handler));
+            });
+            this->connection.stream.expires_never();
+            this->failed = static_cast<bool>(outcome.error);
+            return !this->failed;
+        }
+
+        Connection& connection;
+        std::chrono::milliseconds writeTimeout;
+        bool keepAlive;
+        bool answered = false;
+        bool failed = false;
+        std::string scratch;
+    };
+
+} // namespace
+
+struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl> {
+    Impl(Runtime& runtime, Endpoint listen, ServerLimits limits, HttpHandler handler, ErrorBody errorBody)
+        : runtime(runtime)
+        , listen(std::move(listen))
+        , limits(limits)
+        , handler(std::move(handler))
+        , errorBody(std::move(errorBody))
+    {
+    }
+
+    Runtime& runtime;
+    Endpoint listen;
+    ServerLimits limits;
+    HttpHandler handler;
+    ErrorBody errorBody;
+    std::atomic<bool> accepting { true };
+    std::atomic<uint64_t> connectionCount { 0 };
+    std::atomic<uint64_t> active { 0 };
+    std::atomic<uint64_t> requests { 0 };
+    std::atomic<uint64_t> malformed { 0 };
+    std::atomic<uint64_t> overLimit { 0 };
+    std::mutex mutex;
+    std::vector<std::shared_ptr<ServerThread>> threads;
+
+    ErrorCode openAcceptor(ServerThread& thread) const
+    {
+        ErrorCode error;
+        auto address = asio::ip::make_address(this->listen.address, error);
+        if (error)
+            return error;
+        Tcp::endpoint endpoint(address, this->listen.port);
+        thread.acceptor.open(endpoint.protocol(), error);
+        if (!error)
+            thread.acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
+        if (!error)
+            thread.acceptor.set_option(ReusePort(true), error);
+        if (!error)
+            thread.acceptor.bind(endpoint, error);
+        if (!error)
+            thread.acceptor.listen(asio::socket_base::max_listen_connections, error);
+        return error;
+    }
+
+    void acceptLoop(const std::shared_ptr<ServerThread>& thread)
+    {
+        while (this->accepting) {
+            auto connection = std::make_shared<Connection>(thread->context);
+            auto accepted = awaitIo([&](auto handler) { thread->acceptor.async_accept(connection->stream.socket(), std::move(handler)); });
+            if (!this->accepting)
+                return;
+            if (accepted.error) {
+                sleepFor(acceptRetryPause);
+                continue;
+            }
+            if (this->connectionCount >= this->limits.connectionLimit) {
+                this->overLimit++;
+                continue;
+            }
+            this->startConnection(thread, connection);
+        }
+    }
+
+    void startConnection(const std::shared_ptr<ServerThread>& thread, const std::shared_ptr<Connection>& connection)
+    {
+        this->connectionCount++;
+        ErrorCode ignored;
+        connection->stream.socket().set_option(Tcp::no_delay(true), ignored);
+        connection->stream.socket().non_blocking(true, ignored);
+        spawnHere([self = this->shared_from_this(), thread, connection] {
+            thread->connections.insert(connection.get());
+            while (self->serveOne(*connection)) { }
+            thread->connections.erase(connection.get());
+            ErrorCode ignored;
+            connection->stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+            connection->stream.close();
+            self->connectionCount--;
+        });
+    }
+
+    /// Serves one request. Returns true if the connection may carry another.
+    bool serveOne(Connection& connection)
+    {
+        if (!this->waitForRequest(connection))
+            return false;
+        connection.idle = false;
+        http::request_parser<http::string_body> parser;
+        parser.header_limit(this->limits.headerLimit);
+        parser.body_limit(this->limits.bodyLimit);
+        connection.stream.expires_after(this->limits.readTimeout);
+        auto read = awaitIo([&](auto handler) { http::async_read(connection.stream, connection.buffer, parser, std::move(handler)); });
+        connection.stream.expires_never();
+        if (read.error) {
+            this->refuse(connection, read.error);
+            return false;
+        }
+        bool keepAlive = parser.get().keep_alive() && this->accepting;
+        BeastWriter writer(connection, this->limits.writeTimeout, keepAlive);
+        this->active++;
+        this->requests++;
+        auto request = toRequest(parser.release());
+        this->handler(request, writer);
+        this->active--;
+        connection.idle = true;
+        return writer.mayContinue() && this->accepting;
+    }
+
+    /// Waits for the first byte of the next request.
+    bool waitForRequest(Connection& connection) const
+    {
+        if (connection.buffer.size() > 0)
+            return true;
+        connection.stream.expires_after(this->limits.idleTimeout);
+        auto space = connection.buffer.prepare(2048);
+        auto first = awaitIo([&](auto handler) { connection.stream.async_read_some(space, std::move(handler)); });
+        connection.stream.expires_never();
+        connection.buffer.commit(first.bytes);
+        return !first.error;
+    }
+
+    void refuse(Connection& connection, const ErrorCode& error)
+    {
+        unsigned status = 400;
+        std::string_view reason = "malformed_http";
+        if (error == http::error::header_limit) {
+            status = 431;
+            reason = "header_too_large";
+        } else if (error == http::error::body_limit) {
+            status = 413;
+            reason = "body_too_large";
+        } else if (error == beast::error::timeout) {
+            status = 408;
+            reason = "request_too_slow";
+        } else if (error == http::error::end_of_stream || toIoError(error) == IoError::Closed) {
+            return;
+        }
+        this->malformed++;
+        BeastWriter writer(connection, this->limits.writeTimeout, false);
+        writer.send(this->errorBody(status, reason));
+    }
+};
+
+HttpServer::HttpServer(Runtime& runtime, Endpoint listen, ServerLimits limits, HttpHandler handler, ErrorBody errorBody)
+    : impl(std::make_shared<Impl>(runtime, std::move(listen), limits, std::move(handler), std::move(errorBody)))
+{
+}
+
+HttpServer::~HttpServer()
+{
+    this->closeAll();
+}
+
+bool HttpServer::start()
+{
+    std::atomic<unsigned> ready { 0 };
+    std::atomic<bool> failed { false };
+    this->impl->runtime.spawnOnEach([impl = this->impl, &ready, &failed] {
+        auto thread = std::make_shared<ServerThread>(*currentContext());
+        bool opened = !impl->openAcceptor(*thread);
+        if (opened) {
+            std::lock_guard lock(impl->mutex);
+            impl->threads.push_back(thread);
+        } else
+            failed = true;
+        ready++;
+        if (opened)
+            impl->acceptLoop(thread);
+    });
+    while (ready < this->impl->runtime.threadCount())
+        std::this_thread::sleep_for(std::chrono::milliseconds { 1 });
+    return !failed;
+}
+
+void HttpServer::stopAccepting()
+{
+    this->impl->accepting = false;
+    std::lock_guard lock(this->impl->mutex);
+    for (auto& thread : this->impl->threads) {
+        asio::post(thread->context, [thread] {
+            ErrorCode ignored;
+            thread->acceptor.close(ignored);
+            for (auto* connection : thread->connections) {
+                if (connection->idle)
+                    connection->stream.cancel();
+            }
+        });
+    }
+}
+
+void HttpServer::closeAll()
+{
+    this->stopAccepting();
+    std::lock_guard lock(this->impl->mutex);
+    for (auto& thread : this->impl->threads) {
+        asio::post(thread->context, [thread] {
+            for (auto* connection : thread->connections)
+                connection->stream.cancel();
+        });
+    }
+}
+
+ServerStats HttpServer::stats() const
+{
+    ServerStats stats;
+    stats.connections = this->impl->connectionCount;
+    stats.activeRequests = this->impl->active;
+    stats.requests = this->impl->requests;
+    stats.malformed = this->impl->malformed;
+    stats.overLimit = this->impl->overLimit;
+    return stats;
+}
+
+} // namespace comfreypier::transport
--- /dev/null
+++ b/transport/src/metrics_accumulators.cpp
@@ -0,0 +1,77 @@
+/// Distributions of durations over Boost.Accumulators, in shards that each have a lock.
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics.hpp>
+#include <thread>
+#include <transport/transport.h>
+
+namespace comfreypier::transport {
+
+namespace acc = boost::accumulators;
+
+namespace {
+
+    constexpr std::array<double, 2> recordedQuantiles { 0.5, 0.99 };
+    using Accumulator = acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::mean, acc::tag::max, acc::tag::extended_p_square>>;
+
+    struct Shard {
+        std::mutex mutex;
+        Accumulator values { acc::extended_p_square_probabilities = recordedQuantiles };
+    };
+
+    std::chrono::nanoseconds toNanoseconds(double value)
+    {
+        return std::chrono::nanoseconds { static_cast<int64_t>(value) };
+    }
+
+} // namespace
+
+struct Distribution::Impl {
+    std::array<Shard, distributionShards> shards;
+};
+
+Distribution::Distribution()
+    : impl(std::make_unique<Impl>())
+{
+}
+
+Distribution::~Distribution() = default;
+
+void Distribution::record(std::chrono::nanoseconds value)
+{
+    auto index = std::hash<std::thread::id> {}(std::this_thread::get_id()) % distributionShards;
+    auto& shard = this->impl->shards[index];
+    std::lock_guard lock(shard.mutex);
+    shard.values(static_cast<double>(value.count()));
+}
+
+DistributionStats Distribution::stats() const
+{
+    DistributionStats merged;
+    double sum = 0;
+    double p50 = 0;
+    double p99 = 0;
+    double max = 0;
+    for (auto& shard : this->impl->shards) {
+        std::lock_guard lock(shard.mutex);
+        auto count = acc::count(shard.values);
+        if (count == 0)
+            continue;
+        auto weight = static_cast<double>(count);
+        auto quantiles = acc::extended_p_square(shard.values);
+        merged.count += count;
+        sum += acc::mean(shard.values) * weight;
+        p50 += quantiles[0] * weight;
+        p99 += quantiles[1] * weight;
+        max = std::max(max, acc::max(shard.values));
+    }
+    if (merged.count == 0)
+        return merged;
+    auto total = static_cast<double>(merged.count);
+    merged.mean = toNanoseconds(sum / total);
+    merged.p50 = toNanoseconds(p50 / total);
+    merged.p99 = toNanoseconds(p99 / total);
+    merged.max = toNanoseconds(max);
+    return merged;
+}
+
+} // namespace comfreypier::transport
--- /dev/null
+++ b/transport/src/runtime_asio.cpp
@@ -0,0 +1,209 @@
+/// I/O threads, clocks, signals and process figures.
+#include "transport_p.h"
+
+#include <csignal>
+#include <fstream>
+#include <future>
+#include <sys/resource.h>
+#include <thread>
+#include <unistd.h>
+
+namespace comfreypier::transport {
+
+namespace {
+
+    using WorkGuard = asio::executor_work_guard<asio::io_context::executor_type>;
+
+    struct IoThread {
+        asio::io_context context { 1 };
+        WorkGuard guard { context.get_executor() };
+        boost::fibers::fiber* rootFiber = nullptr;
+        std::thread thread;
+        boost::fibers::mutex stopMutex;
+        boost::fibers::condition_variable stopCondition;
+        bool stopping = false;
+    };
+
+} // namespace
+
+struct Runtime::Impl {
+    std::vector<std::unique_ptr<IoThread>> threads;
+    std::atomic<uint64_t> nextThread { 0 };
+    std::atomic<uint64_t> live { 0 };
+
+    void spawnOn(IoThread& thread, std::function<void()> task)
+    {
+        this->live++;
+        asio::post(thread.context, [this, task = std::move(task)]() mutable {
+            boost::fibers::fiber([this, task = std::move(task)] {
+                task();
+                this->live--;
+            }).detach();
+        });
+    }
+};
+
+namespace {
+
+    void runThread(IoThread& thread)
+    {
+        installFiberScheduler(thread.context);
+        std::unique_lock lock(thread.stopMutex);
+        thread.stopCondition.wait(lock, [&thread] { return thread.stopping; });
+    }
+
+} // namespace
+
+Runtime::Runtime(unsigned threads)
+    : impl(std::make_unique<Impl>())
+{
+    for (unsigned i = 0; i < threads; i++) {
+        auto thread = std::make_unique<IoThread>();
+        thread->thread = std::thread([&ioThread = *thread] { runThread(ioThread); });
+        this->impl->threads.push_back(std::move(thread));
+    }
+}
+
+Runtime::~Runtime()
+{
+    this->stop(std::chrono::milliseconds { 0 });
+}
+
+void Runtime::spawn(std::function<void()> task)
+{
+    auto index = this->impl->nextThread++ % this->impl->threads.size();
+    this->impl->spawnOn(*this->impl->threads[index], std::move(task));
+}
+
+void Runtime::spawnOnEach(const std::function<void()>& task)
+{
+    for (auto& thread : this->impl->threads)
+        this->impl->spawnOn(*thread, task);
+}
+
+unsigned Runtime::threadCount() const
+{
+    return static_cast<unsigned>(this->impl->threads.size());
+}
+
+uint64_t Runtime::liveFibers() const
+{
+    return this->impl->live;
+}
+
+bool Runtime::stop(std::chrono::milliseconds limit)
+{
+    auto deadline = std::chrono::steady_clock::now() + limit;
+    while (this->impl->live > 0 && std::chrono::steady_clock::now() < deadline)
+        std::this_thread::sleep_for(std::chrono::milliseconds { 2 });
+    bool ended = this->impl->live == 0;
+    if (!ended)
+        return false;
+    for (auto& thread : this->impl->threads) {
+        asio::post(thread->context, [&ioThread = *thread] {
+            ioThread.stopping = true;
+            ioThread.stopCondition.notify_all();
+        });
+        if (thread->thread.joinable())
+            thread->thread.join();
+    }
+    this->impl->threads.clear();
+    return true;
+}
+
+void spawnHere(std::function<void()> task)
+{
+    boost::fibers::fiber(std::move(task)).detach();
+}
+
+/// A thread mutex on purpose: `signal` never suspends, so that it may be called with other locks held.
+struct Event::Impl {
+    std::mutex mutex;
+    boost::fibers::condition_variable_any condition;
+    bool signalled = false;
+};
+
+Event::Event()
+    : impl(std::make_unique<Impl>())
+{
+}
+
+Event::~Event() = default;
+
+void Event::signal()
+{
+    {
+        std::unique_lock lock(this->impl->mutex);
+        this->impl->signalled = true;
+    }
+    this->impl->condition.notify_all();
+}
+
+bool Event::waitFor(std::chrono::nanoseconds limit)
+{
+    std::unique_lock lock(this->impl->mutex);
+    bool signalled = this->impl->condition.wait_for(lock, limit, [this] { return this->impl->signalled; });
+    this->impl->signalled = false;
+    return signalled;
+}
+
+void sleepFor(std::chrono::nanoseconds duration)
+{
+    boost::this_fiber::sleep_for(duration);
+}
+
+std::chrono::nanoseconds monotonicNow()
+{
+    return std::chrono::steady_clock::now().time_since_epoch();
+}
+
+std::chrono::milliseconds wallNow()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch());
+}
+
+namespace {
+
+    sigset_t terminationSignals()
+    {
+        sigset_t signals;
+        sigemptyset(&signals);
+        sigaddset(&signals, SIGTERM);
+        sigaddset(&signals, SIGINT);
+        return signals;
+    }
+
+} // namespace
+
+void blockTerminationSignals()
+{
+    auto signals = terminationSignals();
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    signal(SIGPIPE, SIG_IGN); // NOLINT(bugprone-signal-handler)
+}
+
+void waitForTermination()
+{
+    auto signals = terminationSignals();
+    int received = 0;
+    sigwait(&signals, &received);
+}
+
+std::chrono::nanoseconds processCpuTime()
+{
+    rusage usage {};
+    getrusage(RUSAGE_SELF, &usage);
+    auto seconds = std::chrono::seconds { usage.ru_utime.tv_sec + usage.ru_stime.tv_sec };
+    return seconds + std::chrono::microseconds { usage.ru_utime.tv_usec + usage.ru_stime.tv_usec };
+}
+
+uint64_t residentBytes()
+{
+    std::ifstream statm("/proc/self/statm");
+    uint64_t total = 0;
+    uint64_t resident = 0;
+    statm >> total >> resident;
+    return resident * static_cast<uint64_t>(sysconf(_SC_PAGESIZE));
+}
+
+} // namespace comfreypier::transport
