--- a/client/include/client/client.h
+++ b/client/include/client/client.h
@@ -7,14 +7,14 @@
 
 /// Exit codes of `comfreypier`.
 enum ExitCode {
-    exitOk = 0,
-    exitFaults = 1, ///< `check` found faults, or `diff` found differences.
-    exitUsage = 2,
-    exitUnreachable = 3, ///< No node or no log service answers.
-    exitConflict = 4, ///< Another change was accepted first.
-    exitInvalid = 5, ///< The change was rejected as not valid.
-    exitNotInForce = 6, ///< Accepted, but not in force everywhere in time.
-    exitDoesNotFit = 7, ///< The declared set is larger than the workers' memory.
+    ExitOk = 0,
+    ExitFaults = 1, ///< `check` found faults, or `diff` found differences.
+    ExitUsage = 2,
+    ExitUnreachable = 3, ///< No node or no log service answers.
+    ExitConflict = 4, ///< Another change was accepted first.
+    ExitInvalid = 5, ///< The change was rejected as not valid.
+    ExitNotInForce = 6, ///< Accepted, but not in force everywhere in time.
+    ExitDoesNotFit = 7, ///< The declared set is larger than the workers' memory.
 };
 
 /// A command and its arguments.
--- a/client/src/main.cpp
+++ b/client/src/main.cpp
@@ -57,7 +57,7 @@
 int usageError(const std::string& text)
 {
     std::cerr << "comfreypier: " << text << "\nusage: comfreypier COMMAND [ARGUMENTS] [options], see --help\n";
-    return client::exitUsage;
+    return client::ExitUsage;
 }
 
 /// Fills the invocation. Returns an error text, or an empty one.
@@ -97,7 +97,7 @@
     transport::Runtime runtime(1);
     transport::HttpClient httpClient;
     std::atomic<bool> done { false };
-    int code = client::exitOk;
+    int code = client::ExitOk;
     runtime.spawn([&] {
         code = client::runCommand(invocation, httpClient);
         done = true;
@@ -126,11 +126,11 @@
     }
     if (values.count("version") > 0) {
         std::cout << "comfreypier " << COMFREYPIER_VERSION << "\n";
-        return client::exitOk;
+        return client::ExitOk;
     }
     if (values.count("help") > 0 || values.count("words") == 0) {
         printHelp(visible);
-        return values.count("help") > 0 ? client::exitOk : client::exitUsage;
+        return values.count("help") > 0 ? client::ExitOk : client::ExitUsage;
     }
     client::Invocation invocation;
     auto error = fillInvocation(values, invocation);
--- a/client/src/publish.cpp
+++ b/client/src/publish.cpp
@@ -39,17 +39,17 @@
                 return this->unreachable("no node answers");
             this->before = *remote;
             auto code = this->invocation.remove ? this->collectRemovals() : this->collectChanges();
-            if (code != exitOk)
+            if (code != ExitOk)
                 return code;
             if (this->envelope.entries.empty()) {
                 std::cout << (this->invocation.json ? "{\"verdict\":\"unchanged\"}\n" : "nothing to publish\n");
-                return exitOk;
+                return ExitOk;
             }
             if (!this->fits())
-                return exitDoesNotFit;
+                return ExitDoesNotFit;
             if (this->invocation.dryRun) {
                 std::cout << this->envelope.entries.size() << " service files would be published\n";
-                return exitOk;
+                return ExitOk;
             }
             this->start = monotonicNow();
             if (!this->append())
@@ -61,7 +61,7 @@
         int unreachable(const std::string& text) const
         {
             std::cerr << "comfreypier: " << text << "\n";
-            return exitUnreachable;
+            return ExitUnreachable;
         }
 
         std::optional<Offset> baseOf(const std::string& service) const
@@ -82,7 +82,7 @@
             auto local = readServiceDir(this->invocation.arguments[0]);
             if (!local.faults.empty()) {
                 printFaults(local.faults, this->invocation.json);
-                return exitFaults;
+                return ExitFaults;
             }
             for (const auto& file : local.files) {
                 auto accepted = this->before.services.find(file.spec.name);
@@ -90,7 +90,7 @@
                     continue;
                 this->envelope.entries.push_back(ConfigPublish { file.spec.name, this->baseOf(file.spec.name), file.text, this->invocation.author, false });
             }
-            return exitOk;
+            return ExitOk;
         }
 
         int collectRemovals()
@@ -98,11 +98,11 @@
             for (const auto& service : this->invocation.arguments) {
                 if (!this->before.services.contains(service)) {
                     std::cerr << "comfreypier: service '" << service << "' is not published\n";
-                    return exitFaults;
+                    return ExitFaults;
                 }
                 this->envelope.entries.push_back(ConfigPublish { service, this->baseOf(service), {}, this->invocation.author, true });
             }
-            return exitOk;
+            return ExitOk;
         }
 
         /// Bytes of all items that would be declared.
@@ -203,9 +203,9 @@
             else
                 std::cerr << "comfreypier: " << verdict.verdict << ": " << verdict.detail << "\n";
             if (verdict.verdict != "conflict")
-                return exitInvalid;
+                return ExitInvalid;
             this->showWinner();
-            return exitConflict;
+            return ExitConflict;
         }
 
         /// Shows what the accepted change did to the files that this one was made against.
@@ -262,7 +262,7 @@
             for (const auto& name : lagging)
                 std::cerr << " " << name;
             std::cerr << "\n";
-            return exitNotInForce;
+            return ExitNotInForce;
         }
 
         int reportInForce(const KnownVerdict& verdict) const
@@ -272,7 +272,7 @@
                 std::cout << json::serialize(json::object { { "verdict", "applied" }, { "offset", verdict.offset }, { "in_force_ms", took.count() } }) << "\n";
             else
                 std::cout << "accepted at offset " << verdict.offset << ", in force on every live node after " << took.count() << " ms\n";
-            return exitOk;
+            return ExitOk;
         }
 
         const Invocation& invocation;
--- a/client/src/service_dir.cpp
+++ b/client/src/service_dir.cpp
@@ -62,7 +62,7 @@
         printFaults(local.faults, invocation.json);
     else
         std::cout << local.files.size() << " service files are good\n";
-    return local.faults.empty() ? exitOk : exitFaults;
+    return local.faults.empty() ? ExitOk : ExitFaults;
 }
 
 void printDiff(const std::string& name, std::string_view before, std::string_view after)
@@ -79,12 +79,12 @@
     auto local = readServiceDir(invocation.arguments[0]);
     if (!local.faults.empty()) {
         printFaults(local.faults, invocation.json);
-        return exitFaults;
+        return ExitFaults;
     }
     auto remote = fetchConfig(invocation, client);
     if (!remote) {
         std::cerr << "comfreypier: no node answers\n";
-        return exitUnreachable;
+        return ExitUnreachable;
     }
     json::array changes;
     for (const auto& file : local.files) {
@@ -102,7 +102,7 @@
         std::cout << json::serialize(json::object { { "changes", std::move(changes) } }) << "\n";
     else if (same)
         std::cout << "no differences\n";
-    return same ? exitOk : exitFaults;
+    return same ? ExitOk : ExitFaults;
 }
 
 } // namespace comfreypier::client
--- a/client/src/show.cpp
+++ b/client/src/show.cpp
@@ -35,6 +35,7 @@
         std::vector<std::vector<std::string>> rows { columns };
         for (const auto& element : list) {
             std::vector<std::string> row;
+            row.reserve(columns.size());
             for (const auto& column : columns)
                 row.push_back(textOf(element.as_object(), column));
             rows.push_back(std::move(row));
@@ -109,13 +110,13 @@
     auto object = answer ? parseObject(*answer) : std::nullopt;
     if (!object) {
         std::cerr << "comfreypier: no node answers\n";
-        return exitUnreachable;
+        return ExitUnreachable;
     }
     if (invocation.json)
         std::cout << *answer;
     else
         print(invocation.command, *object);
-    return exitOk;
+    return ExitOk;
 }
 
 int runCommand(const Invocation& invocation, transport::HttpClient& client)
--- a/coordination/include/coordination/coordination.h
+++ b/coordination/include/coordination/coordination.h
@@ -152,15 +152,15 @@
     uint64_t requestHash = 0;
     SessionId session = protocol::invalidOffset; ///< Session of the node that runs or ran it.
     Offset begin = protocol::invalidOffset;
-    RecordId beginId;
+    uint64_t token = 0; ///< Token of the begin.
     std::optional<protocol::ActionEnd> end;
 };
 
 using Actions = std::map<ActionKey, Action>;
 
 /// The first begin of a key wins. Model: `firstBeginWins`, `noRerunAfterOpenBegin`.
-Verdict applyActionBegin(Actions& actions, const protocol::ActionBegin& begin, SessionId writer, Offset offset, const RecordId& id);
-Verdict applyActionEnd(Actions& actions, const protocol::ActionEnd& end, SessionId writer);
+Verdict applyActionBegin(Actions& actions, const protocol::ActionBegin& begin, SessionId writer, Offset offset);
+Verdict applyActionEnd(Actions& actions, const protocol::ActionEnd& end);
 Verdict applyActionVoid(Actions& actions, const protocol::ActionVoid& taken);
 Verdict applyActionsForget(Actions& actions, const protocol::ActionsForget& forget);
 
--- a/coordination/src/action.cpp
+++ b/coordination/src/action.cpp
@@ -10,19 +10,19 @@
 
 } // namespace
 
-Verdict applyActionBegin(Actions& actions, const protocol::ActionBegin& begin, SessionId writer, Offset offset, const RecordId& id)
+Verdict applyActionBegin(Actions& actions, const protocol::ActionBegin& begin, SessionId writer, Offset offset)
 {
     auto [entry, added] = actions.try_emplace(begin.key);
     if (!added)
         return Verdict::KeyTaken;
-    entry->second = { begin.requestHash, writer, offset, id, std::nullopt };
+    entry->second = { begin.requestHash, writer, offset, begin.token, std::nullopt };
     return Verdict::Applied;
 }
 
-Verdict applyActionEnd(Actions& actions, const protocol::ActionEnd& end, SessionId writer)
+Verdict applyActionEnd(Actions& actions, const protocol::ActionEnd& end)
 {
     auto entry = actions.find(end.key);
-    if (entry == actions.end() || entry->second.begin != end.begin || entry->second.end || entry->second.session != writer)
+    if (entry == actions.end() || entry->second.token != end.token || entry->second.end)
         return Verdict::Void;
     entry->second.end = end;
     return Verdict::Applied;
@@ -31,7 +31,7 @@
 Verdict applyActionVoid(Actions& actions, const protocol::ActionVoid& taken)
 {
     auto entry = actions.find(taken.key);
-    if (entry == actions.end() || entry->second.beginId != taken.begin || entry->second.end)
+    if (entry == actions.end() || entry->second.token != taken.token || entry->second.end)
         return Verdict::Void;
     actions.erase(entry);
     return Verdict::Applied;
--- a/coordination/src/orders.cpp
+++ b/coordination/src/orders.cpp
@@ -19,10 +19,10 @@
         return std::find(report.arrivedCopies.begin(), report.arrivedCopies.end(), copy) != report.arrivedCopies.end();
     }
 
-    /// Tells whether the report was made after the newest resolved copy had arrived.
+    /// Tells whether the report was made after every copy of the load order had arrived.
     bool isNewerThanLoad(const protocol::EngineReport& report, const Reservation& reservation)
     {
-        return reservation.loaded || reservation.lastCopy == 0 || hasArrived(report, reservation.lastCopy);
+        return reservation.lastCopy == 0 || hasArrived(report, reservation.lastCopy);
     }
 
     /// One round for one worker.
@@ -88,8 +88,7 @@
             }
             if (resolved || !report || reservation.unloading || loaded == reservation.loaded)
                 return;
-            bool fresh = reservation.lastCopy == 0 || hasArrived(*report, reservation.lastCopy);
-            if (loaded || fresh)
+            if (loaded || isNewerThanLoad(*report, reservation))
                 this->resolve(item, 0, false, loaded);
         }
 
--- a/coordination/src/region_snapshot.cpp
+++ b/coordination/src/region_snapshot.cpp
@@ -31,10 +31,12 @@
     std::vector<RecordId> saveWriters(const WriterTable& table)
     {
         std::vector<std::pair<uint64_t, RecordId>> ordered;
+        ordered.reserve(table.writers.size());
         for (const auto& [writer, state] : table.writers)
             ordered.push_back({ state.touched, { writer, state.lastNumber } });
         std::sort(ordered.begin(), ordered.end());
         std::vector<RecordId> ids;
+        ids.reserve(ordered.size());
         for (const auto& [touched, id] : ordered)
             ids.push_back(id);
         return ids;
@@ -62,7 +64,7 @@
         snapshot.workers.push_back({ worker.declared, saveReservations(worker), worker.owner, worker.ownerSince });
     snapshot.plan.assign(state.plan.begin(), state.plan.end());
     for (const auto& [key, action] : state.actions)
-        snapshot.actions.push_back({ key, action.requestHash, action.session, action.begin, action.end.has_value(), action.end.value_or(protocol::ActionEnd {}), action.beginId });
+        snapshot.actions.push_back({ key, action.requestHash, action.session, action.begin, action.end.has_value(), action.end.value_or(protocol::ActionEnd {}), action.token });
     return snapshot;
 }
 
@@ -79,7 +81,7 @@
     state.plan.insert(snapshot.plan.begin(), snapshot.plan.end());
     for (const auto& saved : snapshot.actions) {
         auto& action = state.actions[saved.key];
-        action = { saved.requestHash, saved.session, saved.begin, saved.beginId, std::nullopt };
+        action = { saved.requestHash, saved.session, saved.begin, saved.token, std::nullopt };
         if (saved.ended)
             action.end = saved.end;
     }
--- a/daemon/src/admin.cpp
+++ b/daemon/src/admin.cpp
@@ -151,8 +151,9 @@
     auto live = this->gossip.liveNodes();
     json::array nodes;
     this->node.region.read([&](const coordination::RegionState& state) {
-        for (const auto& [id, entry] : state.sessions) {
-            bool heard = std::any_of(live.begin(), live.end(), [&](const KnownNode& known) { return known.news.key.name == entry.open.node; });
+        for (const auto& [id, session] : state.sessions) {
+            const auto& entry = session;
+            bool heard = std::any_of(live.begin(), live.end(), [&entry](const KnownNode& known) { return known.news.key.name == entry.open.node; });
             nodes.push_back({ { "node", entry.open.node }, { "session", id }, { "http", entry.open.http }, { "data_centre", entry.open.dataCentre }, { "heard", heard } });
         }
         object["workers"] = state.workers.size();
--- a/daemon/src/main.cpp
+++ b/daemon/src/main.cpp
@@ -12,10 +12,10 @@
 
 /// Exit codes.
 enum ExitCode {
-    exitOk = 0,
-    exitCutOff = 1, ///< Requests were still open when the drain limit passed.
-    exitUsage = 2, ///< Wrong arguments or settings.
-    exitAddress = 3, ///< A listener could not be opened.
+    ExitOk = 0,
+    ExitCutOff = 1, ///< Requests were still open when the drain limit passed.
+    ExitUsage = 2, ///< Wrong arguments or settings.
+    ExitAddress = 3, ///< A listener could not be opened.
 };
 
 constexpr const char* usage = "usage: comfreypierd --config FILE [--check]\n";
@@ -60,10 +60,10 @@
     daemon::Daemon daemon(settings);
     if (!daemon.start()) {
         std::cerr << "comfreypierd: an address can't be bound\n";
-        std::_Exit(exitAddress);
+        std::_Exit(ExitAddress);
     }
     transport::waitForTermination();
-    auto code = daemon.drain() ? exitOk : exitCutOff;
+    auto code = daemon.drain() ? ExitOk : ExitCutOff;
     std::cerr.flush();
     std::_Exit(code);
 }
@@ -76,25 +76,25 @@
     description.add_options()("config", options::value<std::string>(), "settings file")("check", "check the settings and exit")("version", "print the version")("help", "print this help");
     auto values = parseArguments(argc, argv, description);
     if (!values)
-        return exitUsage;
+        return ExitUsage;
     if (values->count("help") > 0) {
         std::cout << usage << description << exitHelp;
-        return exitOk;
+        return ExitOk;
     }
     if (values->count("version") > 0) {
         std::cout << "comfreypierd " << COMFREYPIER_VERSION << "\n";
-        return exitOk;
+        return ExitOk;
     }
     if (values->count("config") == 0) {
         std::cerr << usage;
-        return exitUsage;
+        return ExitUsage;
     }
     auto settings = readSettings((*values)["config"].as<std::string>());
     if (!settings)
-        return exitUsage;
+        return ExitUsage;
     if (values->count("check") > 0) {
         std::cout << "settings are good\n";
-        return exitOk;
+        return ExitOk;
     }
     return runDaemon(*settings);
 }
--- a/daemon/src/plain_calls.cpp
+++ b/daemon/src/plain_calls.cpp
@@ -143,7 +143,7 @@
         refuse(this->node, response, { RefusalReason::OutcomeUnknown, RunState::Unknown, {}, transport::name(answer.error()) });
 }
 
-/// Model: `firstBeginWins`, `beginBeforeSend`.
+/// A begin whose request is refused before any byte was sent is taken back. Model: `firstBeginWins`, `beginBeforeSend`, `voidRefused`.
 void PlainFront::callWithKey(const Call& call, transport::ResponseWriter& response)
 {
     auto key = coordination::makeActionKey(call.spec.name, call.key);
@@ -153,12 +153,12 @@
         this->answerRepeat(key, hash, response);
         return;
     }
-    Offset offset = 0;
-    if (this->begin(call, key, hash, offset, response))
-        this->runAction(call, key, offset, response);
+    auto token = protocol::makeRecordId().low;
+    if (this->begin(key, hash, token, response))
+        this->runAction(call, key, token, response);
 }
 
-bool PlainFront::begin(const Call&, const coordination::ActionKey& key, uint64_t hash, Offset& offset, transport::ResponseWriter& response)
+bool PlainFront::begin(const coordination::ActionKey& key, uint64_t hash, uint64_t token, transport::ResponseWriter& response)
 {
     if (!this->writer.isAvailable()) {
         refuse(this->node, response, notRun(RefusalReason::LogUnavailable, "the log service does not answer", logRetryAfter));
@@ -170,10 +170,10 @@
     }
     state::PendingPtr pending;
     bool stillOpen = false;
-    auto outcome = this->writer.appendAndWait(protocol::ActionBegin { key, hash }, beginLimit, pending, stillOpen);
+    auto outcome = this->writer.appendAndWait(protocol::ActionBegin { key, hash, token }, beginLimit, pending, stillOpen);
     if (!outcome) {
         if (stillOpen)
-            this->voidBegin(key, pending);
+            this->writer.append(protocol::ActionVoid { key, token });
         refuse(this->node, response, notRun(RefusalReason::LogUnavailable, "the log service does not answer", logRetryAfter));
         return false;
     }
@@ -185,23 +185,15 @@
         refuse(this->node, response, notRun(RefusalReason::SessionLapsed, "this node's session has ended", logRetryAfter));
         return false;
     }
-    offset = outcome->offset;
     return true;
 }
 
-/// Takes back a begin whose request was refused before any byte was sent. Model: `voidRefused`.
-void PlainFront::voidBegin(const coordination::ActionKey& key, const state::PendingPtr& pending)
-{
-    this->writer.append(protocol::ActionVoid { key, pending->record });
-}
-
-void PlainFront::runAction(const Call& call, const coordination::ActionKey& key, Offset begin, transport::ResponseWriter& response)
+void PlainFront::runAction(const Call& call, const coordination::ActionKey& key, uint64_t token, transport::ResponseWriter& response)
 {
     auto answer = this->callAny(call, false);
-    protocol::ActionEnd end { key, begin, 0, {}, {}, false };
+    protocol::ActionEnd end { key, token, 0, {}, {}, false };
     if (!answer && transport::isBeforeSend(answer.error())) {
-        auto id = this->node.region.read([&](const auto& state) { return state.actions.at(key).beginId; });
-        this->writer.append(protocol::ActionVoid { key, id });
+        this->writer.append(protocol::ActionVoid { key, token });
         refuse(this->node, response, notRun(RefusalReason::EndpointFailed, transport::name(answer.error())));
         return;
     }
--- a/daemon/src/plain_calls.h
+++ b/daemon/src/plain_calls.h
@@ -24,13 +24,12 @@
     void callRepeatable(const Call& call, transport::ResponseWriter& writer);
     void callOnce(const Call& call, transport::ResponseWriter& writer);
     void callWithKey(const Call& call, transport::ResponseWriter& writer);
-    bool begin(const Call& call, const coordination::ActionKey& key, uint64_t hash, Offset& offset, transport::ResponseWriter& writer);
-    void runAction(const Call& call, const coordination::ActionKey& key, Offset begin, transport::ResponseWriter& writer);
+    bool begin(const coordination::ActionKey& key, uint64_t hash, uint64_t token, transport::ResponseWriter& writer);
+    void runAction(const Call& call, const coordination::ActionKey& key, uint64_t token, transport::ResponseWriter& writer);
     void answerRepeat(const coordination::ActionKey& key, uint64_t hash, transport::ResponseWriter& writer);
     void sendRecorded(const protocol::ActionEnd& end, transport::ResponseWriter& writer);
     Result<transport::HttpResponse, transport::IoError> callAny(const Call& call, bool repeatable);
     void recordEnd(protocol::ActionEnd end);
-    void voidBegin(const coordination::ActionKey& key, const state::PendingPtr& pending);
 
     Node& node;
     LogWriter& writer;
--- a/protocol/include/protocol/protocol.h
+++ b/protocol/include/protocol/protocol.h
@@ -319,21 +319,22 @@
 struct ActionBegin {
     ActionKey key;
     uint64_t requestHash = 0;
+    uint64_t token = 0; ///< Random number of this try; only its node knows it.
     bool operator==(const ActionBegin&) const = default;
 };
 struct ActionEnd {
     ActionKey key;
-    Offset begin = invalidOffset;
+    uint64_t token = 0; ///< Token of the begin that it ends.
     uint16_t status = 0;
     std::string contentType;
     std::string body;
     bool bodyKept = false;
     bool operator==(const ActionEnd&) const = default;
 };
-/// Takes back the `ActionBegin` of record `begin`, whose request was refused before any byte was sent.
+/// Takes back the `ActionBegin` with this token, whose request was refused before any byte was sent.
 struct ActionVoid {
     ActionKey key;
-    RecordId begin;
+    uint64_t token = 0;
     bool operator==(const ActionVoid&) const = default;
 };
 /// Drops ended keys that began before this offset.
@@ -412,7 +413,7 @@
     Offset begin = invalidOffset;
     bool ended = false;
     ActionEnd end;
-    RecordId beginId;
+    uint64_t token = 0;
     bool operator==(const ActionSnapshot&) const = default;
 };
 struct ServiceSnapshot {
@@ -580,7 +581,7 @@
 };
 
 /// Log service over HTTP.
-LogService makeHttpLog(transport::HttpClient& client, transport::Endpoint endpoint);
+LogService makeHttpLog(transport::HttpClient& client, const transport::Endpoint& endpoint);
 
 /// Encodes a page as the HTTP log service sends it.
 std::string encodeLogPage(const LogPage& page);
@@ -608,7 +609,7 @@
     std::function<Result<std::vector<Vm>, transport::IoError>()> list;
 };
 
-VmListService makeHttpVmList(transport::HttpClient& client, transport::Endpoint endpoint);
+VmListService makeHttpVmList(transport::HttpClient& client, const transport::Endpoint& endpoint);
 
 /// Parses the list's JSON form.
 std::optional<std::vector<Vm>> parseVmList(std::string_view json);
--- a/protocol/src/ini_values.cpp
+++ b/protocol/src/ini_values.cpp
@@ -59,7 +59,7 @@
     auto value = parseWithUnit(text, byteUnits);
     if (!value || *value > valueLimit)
         return std::nullopt;
-    return static_cast<uint64_t>(*value);
+    return static_cast<uint64_t>(std::llround(*value));
 }
 
 std::optional<std::chrono::microseconds> parseDuration(std::string_view text)
@@ -67,7 +67,7 @@
     auto value = parseWithUnit(text, timeUnits);
     if (!value || *value > valueLimit)
         return std::nullopt;
-    return std::chrono::microseconds { static_cast<int64_t>(*value) };
+    return std::chrono::microseconds { std::llround(*value) };
 }
 
 std::optional<bool> parseFlag(std::string_view text)
--- a/protocol/src/log_http.cpp
+++ b/protocol/src/log_http.cpp
@@ -110,7 +110,7 @@
     return page;
 }
 
-LogService makeHttpLog(transport::HttpClient& client, transport::Endpoint endpoint)
+LogService makeHttpLog(transport::HttpClient& client, const transport::Endpoint& endpoint)
 {
     LogService service;
     service.append = [&client, endpoint](std::string_view stream, std::string_view bytes) { return append(client, endpoint, stream, bytes); };
--- a/protocol/src/record.capnp
+++ b/protocol/src/record.capnp
@@ -102,12 +102,13 @@
   keyHigh @0 :UInt64;
   keyLow @1 :UInt64;
   requestHash @2 :UInt64;
+  token @3 :UInt64;
 }
 
 struct ActionEnd {
   keyHigh @0 :UInt64;
   keyLow @1 :UInt64;
-  begin @2 :UInt64;
+  token @2 :UInt64;
   status @3 :UInt16;
   contentType @4 :Text;
   body @5 :Data;
@@ -117,8 +118,7 @@
 struct ActionVoid {
   keyHigh @0 :UInt64;
   keyLow @1 :UInt64;
-  idHigh @2 :UInt64;
-  idLow @3 :UInt64;
+  token @2 :UInt64;
 }
 
 struct ConfigPublish {
@@ -178,8 +178,7 @@
   begin @4 :UInt64;
   ended @5 :Bool;
   end @6 :ActionEnd;
-  beginIdHigh @7 :UInt64;
-  beginIdLow @8 :UInt64;
+  token @7 :UInt64;
 }
 
 struct ServiceState {
--- a/protocol/src/record.capnp.h
+++ b/protocol/src/record.capnp.h
@@ -255,7 +255,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(beca9827905ced7c, 3, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(beca9827905ced7c, 4, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -285,7 +285,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ea2dd5430765ae07, 4, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(ea2dd5430765ae07, 3, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -390,7 +390,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e3a16a19e51c250d, 8, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(e3a16a19e51c250d, 7, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1792,6 +1792,8 @@
 
   inline  ::uint64_t getRequestHash() const;
 
+  inline  ::uint64_t getToken() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1829,6 +1831,9 @@
   inline  ::uint64_t getRequestHash();
   inline void setRequestHash( ::uint64_t value);
 
+  inline  ::uint64_t getToken();
+  inline void setToken( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1876,7 +1881,7 @@
 
   inline  ::uint64_t getKeyLow() const;
 
-  inline  ::uint64_t getBegin() const;
+  inline  ::uint64_t getToken() const;
 
   inline  ::uint16_t getStatus() const;
 
@@ -1922,8 +1927,8 @@
   inline  ::uint64_t getKeyLow();
   inline void setKeyLow( ::uint64_t value);
 
-  inline  ::uint64_t getBegin();
-  inline void setBegin( ::uint64_t value);
+  inline  ::uint64_t getToken();
+  inline void setToken( ::uint64_t value);
 
   inline  ::uint16_t getStatus();
   inline void setStatus( ::uint16_t value);
@@ -1992,9 +1997,7 @@
 
   inline  ::uint64_t getKeyLow() const;
 
-  inline  ::uint64_t getIdHigh() const;
-
-  inline  ::uint64_t getIdLow() const;
+  inline  ::uint64_t getToken() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2030,11 +2033,8 @@
   inline  ::uint64_t getKeyLow();
   inline void setKeyLow( ::uint64_t value);
 
-  inline  ::uint64_t getIdHigh();
-  inline void setIdHigh( ::uint64_t value);
-
-  inline  ::uint64_t getIdLow();
-  inline void setIdLow( ::uint64_t value);
+  inline  ::uint64_t getToken();
+  inline void setToken( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2754,9 +2754,7 @@
   inline bool hasEnd() const;
   inline  ::comfreypier::protocol::wire::ActionEnd::Reader getEnd() const;
 
-  inline  ::uint64_t getBeginIdHigh() const;
-
-  inline  ::uint64_t getBeginIdLow() const;
+  inline  ::uint64_t getToken() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2811,11 +2809,8 @@
   inline void adoptEnd(::capnp::Orphan< ::comfreypier::protocol::wire::ActionEnd>&& value);
   inline ::capnp::Orphan< ::comfreypier::protocol::wire::ActionEnd> disownEnd();
 
-  inline  ::uint64_t getBeginIdHigh();
-  inline void setBeginIdHigh( ::uint64_t value);
-
-  inline  ::uint64_t getBeginIdLow();
-  inline void setBeginIdLow( ::uint64_t value);
+  inline  ::uint64_t getToken();
+  inline void setToken( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4844,6 +4839,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t ActionBegin::Reader::getToken() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ActionBegin::Builder::getToken() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void ActionBegin::Builder::setToken( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t ActionEnd::Reader::getKeyHigh() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4872,16 +4881,16 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t ActionEnd::Reader::getBegin() const {
+inline  ::uint64_t ActionEnd::Reader::getToken() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t ActionEnd::Builder::getBegin() {
+inline  ::uint64_t ActionEnd::Builder::getToken() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void ActionEnd::Builder::setBegin( ::uint64_t value) {
+inline void ActionEnd::Builder::setToken( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
@@ -5010,34 +5019,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t ActionVoid::Reader::getIdHigh() const {
+inline  ::uint64_t ActionVoid::Reader::getToken() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t ActionVoid::Builder::getIdHigh() {
+inline  ::uint64_t ActionVoid::Builder::getToken() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void ActionVoid::Builder::setIdHigh( ::uint64_t value) {
+inline void ActionVoid::Builder::setToken( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t ActionVoid::Reader::getIdLow() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t ActionVoid::Builder::getIdLow() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void ActionVoid::Builder::setIdLow( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
-
 inline bool ConfigPublish::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -5913,34 +5908,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t ActionState::Reader::getBeginIdHigh() const {
+inline  ::uint64_t ActionState::Reader::getToken() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t ActionState::Builder::getBeginIdHigh() {
+inline  ::uint64_t ActionState::Builder::getToken() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
-inline void ActionState::Builder::setBeginIdHigh( ::uint64_t value) {
+inline void ActionState::Builder::setToken( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t ActionState::Reader::getBeginIdLow() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t ActionState::Builder::getBeginIdLow() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
-}
-inline void ActionState::Builder::setBeginIdLow( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
-}
-
 inline bool ServiceState::Reader::hasPublish() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/protocol/src/record_capnp.cpp
+++ b/protocol/src/record_capnp.cpp
@@ -82,14 +82,14 @@
                            out.setKeyHigh(begin.key.high);
                            out.setKeyLow(begin.key.low);
                            out.setRequestHash(begin.requestHash);
+                           out.setToken(begin.token);
                        },
                        [&](const ActionEnd& end) { writeActionEnd(to.initActionEnd(), end); },
                        [&](const ActionVoid& taken) {
                            auto out = to.initActionVoid();
                            out.setKeyHigh(taken.key.high);
                            out.setKeyLow(taken.key.low);
-                           out.setIdHigh(taken.begin.high);
-                           out.setIdLow(taken.begin.low);
+                           out.setToken(taken.token);
                        },
                        [&](const ActionsForget& forget) { to.setActionsForget(forget.before); },
                        [&](const ConfigPublish& publish) { writePublish(to.initConfigPublish(), publish); },
@@ -158,13 +158,13 @@
         }
         case wire::Entry::ACTION_BEGIN: {
             auto begin = in.getActionBegin();
-            return ActionBegin { { begin.getKeyHigh(), begin.getKeyLow() }, begin.getRequestHash() };
+            return ActionBegin { { begin.getKeyHigh(), begin.getKeyLow() }, begin.getRequestHash(), begin.getToken() };
         }
         case wire::Entry::ACTION_END:
             return readActionEnd(in.getActionEnd());
         case wire::Entry::ACTION_VOID: {
             auto taken = in.getActionVoid();
-            return ActionVoid { { taken.getKeyHigh(), taken.getKeyLow() }, { taken.getIdHigh(), taken.getIdLow() } };
+            return ActionVoid { { taken.getKeyHigh(), taken.getKeyLow() }, taken.getToken() };
         }
         case wire::Entry::ACTIONS_FORGET:
             return ActionsForget { in.getActionsForget() };
@@ -253,7 +253,7 @@
 {
     to.setKeyHigh(end.key.high);
     to.setKeyLow(end.key.low);
-    to.setBegin(end.begin);
+    to.setToken(end.token);
     to.setStatus(end.status);
     to.setContentType(end.contentType);
     to.setBody(toData(end.body));
@@ -262,7 +262,7 @@
 
 ActionEnd readActionEnd(wire::ActionEnd::Reader in)
 {
-    return { { in.getKeyHigh(), in.getKeyLow() }, in.getBegin(), in.getStatus(), text(in.getContentType()), bytes(in.getBody()), in.getBodyKept() };
+    return { { in.getKeyHigh(), in.getKeyLow() }, in.getToken(), in.getStatus(), text(in.getContentType()), bytes(in.getBody()), in.getBodyKept() };
 }
 
 void writePublish(wire::ConfigPublish::Builder to, const ConfigPublish& publish)
--- a/protocol/src/snapshot_capnp.cpp
+++ b/protocol/src/snapshot_capnp.cpp
@@ -44,8 +44,7 @@
             list[i].setSession(action.session);
             list[i].setBegin(action.begin);
             list[i].setEnded(action.ended);
-            list[i].setBeginIdHigh(action.beginId.high);
-            list[i].setBeginIdLow(action.beginId.low);
+            list[i].setToken(action.token);
             if (action.ended)
                 writeActionEnd(list[i].initEnd(), action.end);
         }
@@ -55,7 +54,7 @@
     {
         std::vector<ActionSnapshot> actions;
         for (auto in : list) {
-            ActionSnapshot action { { in.getKeyHigh(), in.getKeyLow() }, in.getRequestHash(), in.getSession(), in.getBegin(), in.getEnded(), {}, { in.getBeginIdHigh(), in.getBeginIdLow() } };
+            ActionSnapshot action { { in.getKeyHigh(), in.getKeyLow() }, in.getRequestHash(), in.getSession(), in.getBegin(), in.getEnded(), {}, in.getToken() };
             if (action.ended)
                 action.end = readActionEnd(in.getEnd());
             actions.push_back(std::move(action));
--- a/protocol/src/vmlist_http.cpp
+++ b/protocol/src/vmlist_http.cpp
@@ -64,7 +64,7 @@
     return vms;
 }
 
-VmListService makeHttpVmList(transport::HttpClient& client, transport::Endpoint endpoint)
+VmListService makeHttpVmList(transport::HttpClient& client, const transport::Endpoint& endpoint)
 {
     return { [&client, endpoint]() -> Result<std::vector<Vm>, transport::IoError> {
         transport::CallLimits limits;
--- a/tests/standins/engine_streams.cpp
+++ b/tests/standins/engine_streams.cpp
@@ -20,6 +20,18 @@
         return value;
     }
 
+    std::string tokenEvent(bool chat, const std::string& requestId, uint64_t index, const std::string& text)
+    {
+        std::string event = "id: ";
+        event += std::to_string(index);
+        event += "\ndata: {\"id\":\"";
+        event += requestId;
+        event += chat ? R"(","choices":[{"index":0,"delta":{"content":")" : R"(","choices":[{"index":0,"text":")";
+        event += text;
+        event += chat ? "\"}}]}\n\n" : "\"}]}\n\n";
+        return event;
+    }
+
 } // namespace
 
 std::string tokenText(uint64_t contentHash, uint64_t index)
@@ -129,10 +141,8 @@
         }
         auto text = tokenText(stream.contentHash, index);
         whole += text;
-        if (!stream.streamed)
-            continue;
-        auto choice = stream.chat ? R"("delta":{"content":")" + text + "\"}" : R"("text":")" + text + "\"";
-        writer.writeChunk("id: " + std::to_string(index) + "\ndata: {\"id\":\"" + requestId + R"(","choices":[{"index":0,)" + choice + "}]}\n\n");
+        if (stream.streamed)
+            writer.writeChunk(tokenEvent(stream.chat, requestId, index, text));
     }
     if (!stream.streamed) {
         sendBody(writer, 200, R"({"id":")" + requestId + R"(","choices":[{"index":0,"text":")" + whole + "\"}]}");
--- /dev/null
+++ b/tests/unit/coordination_test.cpp
@@ -0,0 +1,330 @@
+/// The rules of sessions, ledger, actions and configuration, one by one.
+#include "generators.h"
+
+#include <coordination/coordination.h>
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+using namespace comfreypier;
+using namespace comfreypier::coordination;
+using namespace comfreypier::protocol;
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr uint64_t gigabyte = 1'000'000'000;
+
+/// A stream that tests append to.
+struct TestStream {
+    RegionState state;
+    Offset next = 0;
+    uint64_t number = 1;
+
+    Offset append(SessionId session, std::vector<Entry> entries, uint64_t writer = 1)
+    {
+        this->verdicts = applyRegionRecord(this->state, this->next, { { writer, this->number++ }, session, std::move(entries) });
+        return this->next++;
+    }
+
+    SessionId open(const std::string& node, uint64_t writer = 1)
+    {
+        return this->append(invalidOffset, { SessionOpen { node, "127.0.0.1:1", "127.0.0.1:2", "dc", seconds { 5 } } }, writer);
+    }
+
+    std::vector<Verdict> verdicts;
+};
+
+/// A stream with one session that owns worker `w` of 10 GB.
+struct OneWorker : TestStream {
+    OneWorker()
+    {
+        this->session = this->open("n");
+        this->append(this->session, { WorkerDeclared { "w", "127.0.0.1:9", "dc", 10 * gigabyte, 1 } });
+    }
+
+    Verdict load(uint64_t bytes, uint64_t copy, const std::string& item = "m@1")
+    {
+        this->append(this->session, { LoadIntent { "w", item, bytes, copy } });
+        return this->verdicts[0];
+    }
+
+    SessionId session = invalidOffset;
+};
+
+DeploymentSpec deploymentOf(const std::string& text)
+{
+    return mergeServices({ parseServiceFile("s", "[service]\nname = s\n" + text).value() }).value();
+}
+
+} // namespace
+
+Test(sessions, holder_stops_before_others_may_expire_it)
+{
+    Lease lease { 3, seconds { 10 }, seconds { 4 }, seconds { 1 } };
+    cr_assert(mayAct(lease, seconds { 12 }));
+    cr_assert(!mayAct(lease, seconds { 13 }));
+    cr_assert(!mayAct({}, seconds { 0 }));
+}
+
+Test(sessions, expiry_is_void_after_a_later_renewal)
+{
+    TestStream stream;
+    auto a = stream.open("a", 1);
+    auto b = stream.open("b", 2);
+    stream.append(a, { SessionRenew {} });
+    stream.append(b, { SessionExpire { a, a } }, 2);
+    cr_assert_eq(stream.verdicts[0], Verdict::Void);
+    stream.append(b, { SessionExpire { a, a + 2 } }, 2);
+    cr_assert_eq(stream.verdicts[0], Verdict::Applied);
+    stream.append(a, { SessionRenew {} });
+    cr_assert_eq(stream.verdicts[0], Verdict::SessionEnded);
+}
+
+Test(sessions, repeated_and_late_records_take_no_effect)
+{
+    RegionState state;
+    Envelope open { { 7, 1 }, invalidOffset, { SessionOpen { "n", "a", "b", "c", seconds { 1 } } } };
+    applyRegionRecord(state, 0, open);
+    auto again = applyRegionRecord(state, 1, open);
+    cr_assert_eq(again[0], Verdict::Repeated);
+    applyRegionRecord(state, 2, { { 7, 3 }, 0, { SessionRenew {} } });
+    auto late = applyRegionRecord(state, 3, { { 7, 2 }, 0, { SessionRelease {} } });
+    cr_assert_eq(late[0], Verdict::Repeated);
+    cr_assert_eq(state.sessions.size(), 1U);
+}
+
+Test(sessions, silence_counts_only_while_the_log_is_readable)
+{
+    std::map<SessionId, Session> sessions { { 1, { 1, 1, { "n", "", "", "", seconds { 5 } } } } };
+    ViewWatch watch;
+    tickWatch(watch, sessions, seconds { 0 }, true);
+    cr_assert(tickWatch(watch, sessions, seconds { 4 }, true).empty());
+    cr_assert(tickWatch(watch, sessions, seconds { 100 }, false).empty());
+    cr_assert(tickWatch(watch, sessions, seconds { 104 }, true).empty());
+    auto expired = tickWatch(watch, sessions, seconds { 106 }, true);
+    cr_assert_eq(expired.size(), 1U);
+    cr_assert_eq(expired[0].lastSeen, 1U);
+}
+
+Test(ownership, a_view_change_moves_only_what_it_must)
+{
+    cr_assert(rc::check("rendezvous", [] {
+        std::map<SessionId, Session> sessions;
+        auto count = *rc::gen::inRange<size_t>(1, 12);
+        for (size_t i = 0; i < count; i++)
+            sessions[i] = { i, i, { "node-" + std::to_string(i), "", "", "", seconds { 1 } } };
+        auto key = *comfreypier::testing::genName();
+        auto owner = rendezvousOwner(sessions, key);
+        auto removed = *rc::gen::inRange<size_t>(0, count);
+        auto fewer = sessions;
+        fewer.erase(removed);
+        if (removed != owner)
+            RC_ASSERT(rendezvousOwner(fewer, key) == owner);
+    }));
+}
+
+Test(ledger, counts_from_the_intent_and_never_over_capacity)
+{
+    OneWorker stream;
+    cr_assert_eq(stream.load(6 * gigabyte, 1), Verdict::Applied);
+    cr_assert_eq(stream.load(5 * gigabyte, 2, "n@1"), Verdict::OverCapacity);
+    cr_assert_eq(stream.load(4 * gigabyte, 3, "n@1"), Verdict::Applied);
+}
+
+Test(ledger, an_unanswered_load_stays_reserved_through_its_unload)
+{
+    OneWorker stream;
+    stream.load(6 * gigabyte, 1);
+    stream.append(stream.session, { UnloadIntent { "w", "m@1", true } });
+    stream.append(stream.session, { UnloadResolved { "w", "m@1" } });
+    cr_assert_eq(stream.verdicts[0], Verdict::Void);
+    cr_assert_eq(stream.load(6 * gigabyte, 2, "n@1"), Verdict::OverCapacity);
+    stream.append(stream.session, { LoadResolved { "w", "m@1", 1, true, false }, UnloadResolved { "w", "m@1" } });
+    cr_assert_eq(stream.verdicts[1], Verdict::Applied);
+    cr_assert_eq(stream.load(6 * gigabyte, 2, "n@1"), Verdict::Applied);
+}
+
+Test(ledger, the_last_resident_copy_stays)
+{
+    OneWorker stream;
+    stream.append(stream.session, { WorkerDeclared { "v", "127.0.0.1:8", "dc", 10 * gigabyte, 1 } });
+    for (const auto* worker : { "v", "w" })
+        stream.append(stream.session, { LoadIntent { worker, "m@1", gigabyte, 1 }, LoadResolved { worker, "m@1", 1, true, true } });
+    stream.append(stream.session, { UnloadIntent { "v", "m@1", false }, UnloadIntent { "w", "m@1", false } });
+    cr_assert_eq(stream.verdicts[0], Verdict::Applied);
+    cr_assert_eq(stream.verdicts[1], Verdict::LastCopy);
+}
+
+Test(ledger, others_than_the_owner_change_nothing)
+{
+    OneWorker stream;
+    stream.append(stream.session, { LoadIntent { "w", "m@1", gigabyte, 1 } });
+    RegionState before = stream.state;
+    auto other = stream.open("other", 2);
+    auto owner = stream.state.workers["w"].owner;
+    auto stranger = owner == other ? stream.session : other;
+    stream.append(stranger, { LoadIntent { "w", "n@1", gigabyte, 2 }, UnloadIntent { "w", "m@1", true } }, stranger == other ? 2 : 1);
+    cr_assert_eq(stream.verdicts[0], Verdict::NotOwner);
+    cr_assert_eq(stream.verdicts[1], Verdict::NotOwner);
+}
+
+Test(actions, the_first_begin_wins_and_is_not_run_again)
+{
+    TestStream stream;
+    auto a = stream.open("a", 1);
+    auto b = stream.open("b", 2);
+    ActionKey key { 1, 2 };
+    stream.append(a, { ActionBegin { key, 9, 77 } }, 1);
+    stream.append(b, { ActionBegin { key, 9, 77 } }, 2);
+    cr_assert_eq(stream.verdicts[0], Verdict::KeyTaken);
+    auto answer = [&](uint64_t hash) { return answerRepeat(stream.state.actions, stream.state.sessions, key, hash); };
+    cr_assert_eq(answer(9), RepeatAnswer::Wait);
+    cr_assert_eq(answer(8), RepeatAnswer::KeyReused);
+    stream.append(a, { SessionRelease {} }, 1);
+    cr_assert_eq(answer(9), RepeatAnswer::Unknown);
+    auto again = stream.open("a", 1);
+    stream.append(again, { ActionEnd { key, 77, 200, "t", "done", true } }, 1);
+    cr_assert_eq(answer(9), RepeatAnswer::Recorded);
+}
+
+Test(actions, a_refused_begin_is_taken_back)
+{
+    TestStream stream;
+    auto a = stream.open("a", 1);
+    ActionKey key { 1, 2 };
+    stream.append(a, { ActionBegin { key, 9, 77 } }, 1);
+    stream.append(a, { ActionVoid { key, 78 } }, 1);
+    cr_assert_eq(stream.verdicts[0], Verdict::Void);
+    stream.append(a, { ActionVoid { key, 77 } }, 1);
+    cr_assert_eq(answerRepeat(stream.state.actions, stream.state.sessions, key, 9), RepeatAnswer::Run);
+}
+
+Test(config, exactly_one_of_two_racing_changes_wins)
+{
+    ConfigState state;
+    auto publish = [&](Offset offset, uint64_t writer, std::optional<Offset> base, const std::string& memory) {
+        return applyConfigRecord(state, offset, { { writer, 1 }, invalidOffset, { ConfigPublish { "s", base, "[service]\nname = s\n[model m]\nmemory = " + memory + "\n", "me", false } } })[0];
+    };
+    cr_assert_eq(publish(0, 1, std::nullopt, "1GB"), Verdict::Applied);
+    cr_assert_eq(publish(1, 2, 0, "2GB"), Verdict::Applied);
+    cr_assert_eq(publish(2, 3, 0, "3GB"), Verdict::Conflict);
+    cr_assert_eq(publish(3, 4, 1, "no size"), Verdict::InvalidFile);
+    cr_assert_eq(state.deployment.items.at("m").bytes, 2 * gigabyte);
+    cr_assert_eq(state.history.size(), 4U);
+}
+
+Test(config, several_files_of_one_record_stand_or_fall_together)
+{
+    ConfigState state;
+    ConfigPublish good { "a", std::nullopt, "[service]\nname = a\n[model m]\nmemory = 1GB\n", "me", false };
+    ConfigPublish bad { "b", std::nullopt, "[service]\nname = b\n[adapter x]\nmodel = none\nmemory = 1MB\n", "me", false };
+    auto verdicts = applyConfigRecord(state, 0, { { 1, 1 }, invalidOffset, { good, bad } });
+    cr_assert_eq(verdicts[0], Verdict::InvalidFile);
+    cr_assert(state.services.empty());
+}
+
+Test(config, a_snapshot_restores_the_same_state)
+{
+    ConfigState state;
+    applyConfigRecord(state, 4, { { 1, 1 }, invalidOffset, { ConfigPublish { "a", std::nullopt, "[service]\nname = a\n[model m]\nmemory = 1GB\n", "me", false } } });
+    SnapshotCollector collector;
+    for (auto& part : cutSnapshot(makeSnapshot(state)))
+        collectSnapshot(collector, { { 2, 1 }, invalidOffset, { part } });
+    cr_assert(collector.newest.has_value());
+    auto restored = restoreConfig(*collector.newest);
+    cr_assert_eq(restored.next, 5U);
+    cr_assert_eq(restored.services.at("a").offset, 4U);
+    cr_assert_eq(restored.deployment.items.size(), 1U);
+}
+
+Test(retries, never_exceed_the_share)
+{
+    cr_assert(rc::check("budget", [] {
+        RetryBudget budget;
+        int firstTries = 0;
+        int retries = 0;
+        for (bool isRetry : *rc::gen::container<std::vector<bool>>(rc::gen::arbitrary<bool>())) {
+            if (isRetry)
+                retries += takeRetry(budget);
+            else {
+                firstTries++;
+                noteFirstTry(budget);
+            }
+            RC_ASSERT(retries <= firstTries * budget.share + 1e-9);
+        }
+    }));
+}
+
+Test(routing, prefers_the_earlier_answer_and_avoids_leaving_workers)
+{
+    WorkerLoad idle { 0, 0, 8, 0, milliseconds { 20 }, milliseconds { 100 } };
+    WorkerLoad full { 8, 4, 8, 0, milliseconds { 20 }, milliseconds { 100 } };
+    cr_assert_eq(chooseWorker(std::vector { full, idle }), 1);
+    idle.suspectedDown = true;
+    cr_assert_eq(chooseWorker(std::vector { full, idle }), 0);
+    idle.leaving = true;
+    full.leaving = true;
+    cr_assert_eq(chooseWorker(std::vector { full, idle }), -1);
+    cr_assert_gt(estimateFirstToken(full).count(), estimateFirstToken(idle).count());
+}
+
+Test(planner, places_every_item_and_then_rests)
+{
+    cr_assert(rc::check("plan", [] {
+        std::string text;
+        auto models = *rc::gen::inRange(1, 8);
+        for (int i = 0; i < models; i++) {
+            text += "[model m" + std::to_string(i) + "]\nmemory = " + std::to_string(*rc::gen::inRange(1, 10)) + "GB\n";
+            if (*rc::gen::arbitrary<bool>())
+                text += "[adapter a" + std::to_string(i) + "]\nmodel = m" + std::to_string(i) + "\nmemory = 100MB\n";
+        }
+        auto deployment = deploymentOf(text);
+        Workers workers;
+        auto workerCount = *rc::gen::inRange(models, 2 * models + 2);
+        for (int i = 0; i < workerCount; i++) {
+            auto name = "w" + std::to_string(i);
+            workers[name].declared = { name, "127.0.0.1:1", "dc" + std::to_string(i % 3), 11 * gigabyte, 1 };
+        }
+        std::set<PlanMove> plan;
+        PlanInputs inputs { &deployment, &workers, &plan, {}, {}, 1, 2 };
+        auto change = planRound(inputs);
+        plan.insert(change.adds.begin(), change.adds.end());
+        RC_ASSERT(change.drops.empty());
+        for (const auto& [name, item] : deployment.items) {
+            auto key = itemKey(item);
+            RC_ASSERT(std::any_of(plan.begin(), plan.end(), [&](const PlanMove& move) { return move.item == key; }));
+        }
+        for (const auto& [name, worker] : workers) {
+            uint64_t used = 0;
+            for (const auto& [itemName, item] : deployment.items) {
+                bool here = plan.contains({ name, itemKey(item) });
+                used += here ? item.bytes : 0;
+                if (here && !item.base.empty())
+                    RC_ASSERT(plan.contains({ name, itemKey(deployment.items.at(item.base)) }));
+            }
+            RC_ASSERT(used <= worker.declared.capacity);
+        }
+        auto second = planRound(inputs);
+        RC_ASSERT(second.adds.empty() && second.drops.empty());
+    }));
+}
+
+Test(planner, a_new_version_is_resident_before_the_old_one_goes)
+{
+    auto deployment = deploymentOf("[model m]\nmemory = 4GB\nversion = 2\n");
+    Workers workers;
+    workers["w"].declared = { "w", "127.0.0.1:1", "dc", 10 * gigabyte, 1 };
+    workers["w"].reservations["m@1"] = { 4 * gigabyte, {}, 1, true, false };
+    std::set<PlanMove> plan { { "w", "m@1" } };
+    PlanInputs inputs { &deployment, &workers, &plan, {}, {}, 1, 2 };
+    auto first = planRound(inputs);
+    cr_assert(first.drops.empty());
+    cr_assert_eq(first.adds.size(), 1U);
+    plan.insert(first.adds.begin(), first.adds.end());
+    workers["w"].reservations["m@2"] = { 4 * gigabyte, {}, 2, true, false };
+    auto second = planRound(inputs);
+    cr_assert_eq(second.drops.size(), 1U);
+    cr_assert_eq(second.drops[0].item, "m@1");
+}
--- /dev/null
+++ b/tests/unit/protocol_test.cpp
@@ -0,0 +1,196 @@
+/// File formats, records, problem documents and event streams.
+#include "generators.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+using namespace comfreypier;
+using namespace comfreypier::protocol;
+using namespace comfreypier::testing;
+
+namespace {
+
+const std::string validService = "[service]\nname = desk\n[model chat]\nmemory = 14GB\nurgency = urgent\n[plain kiln]\nendpoints = 127.0.0.1:1\nnot_repeatable = POST /orders\n";
+const std::string validSettings = "[node]\nname = n\nregion = r\ndata_centre = d\nhttp = 127.0.0.1:1\nrpc = 127.0.0.1:2\n[platform]\nlog = 127.0.0.1:3\nvm_list = 127.0.0.1:4\n";
+
+std::vector<FileFault> serviceFaults(const std::string& text)
+{
+    auto parsed = parseServiceFile("f.ini", text);
+    return parsed ? std::vector<FileFault> {} : parsed.error();
+}
+
+} // namespace
+
+Test(service_file, reads_models_adapters_and_plain_services)
+{
+    auto parsed = parseServiceFile("f.ini", validService + "[adapter chat-city]\nmodel = chat\nmemory = 150MB\nversion = 3\n");
+    cr_assert(bool(parsed));
+    const auto& service = parsed.value();
+    cr_assert_eq(service.name, "desk");
+    cr_assert_eq(service.items.size(), 2U);
+    cr_assert_eq(service.items[0].bytes, 14'000'000'000U);
+    cr_assert_eq(service.items[0].urgency, Urgency::Urgent);
+    cr_assert_eq(itemKey(service.items[1]), "chat-city@3");
+    cr_assert_eq(service.plains[0].notRepeatable[0].method, "POST");
+    cr_assert_eq(service.plains[0].notRepeatable[0].pathPrefix, "/orders");
+}
+
+Test(service_file, names_every_fault_with_its_line)
+{
+    auto faults = serviceFaults("[service]\nname = desk\n[model chat]\nmemory = lots\nurgency = soon\ncolour = red\n[adapter a]\nmemory = 1MB\n");
+    cr_assert_eq(faults.size(), 4U);
+    cr_assert_eq(toString(faults[0]), "f.ini:4: 'memory' is 'lots', expected a size such as 24GB, 180MB or 4096B");
+    cr_assert_eq(toString(faults[1]), "f.ini:5: 'urgency' is 'soon', allowed: urgent, normal, background");
+    cr_assert_eq(faults[2].line, 6U);
+    cr_assert_eq(toString(faults[3]), "f.ini:7: [adapter a] lacks 'model'");
+}
+
+Test(service_file, refuses_zero_memory_and_bad_call_rules)
+{
+    cr_assert_eq(serviceFaults("[service]\nname = a\n[model m]\nmemory = 0B\n").size(), 1U);
+    cr_assert_eq(serviceFaults("[service]\nname = a\n[plain p]\nendpoints = 127.0.0.1:1\nnot_repeatable = orders\n").size(), 1U);
+    cr_assert_eq(serviceFaults("[service]\nname = a\n[model m]\nmemory = 1GB\nversion = 0\n").size(), 1U);
+}
+
+Test(service_file, merging_finds_double_names_and_missing_bases)
+{
+    auto a = parseServiceFile("a", "[service]\nname = a\n[model m]\nmemory = 1GB\n").value();
+    auto b = parseServiceFile("b", "[service]\nname = b\n[model m]\nmemory = 1GB\n[adapter x]\nmodel = nowhere\nmemory = 1MB\n").value();
+    cr_assert(bool(mergeServices({ a })));
+    auto merged = mergeServices({ a, b });
+    cr_assert(!merged);
+    cr_assert_eq(merged.error().size(), 2U);
+}
+
+Test(settings, reports_all_faults_at_once)
+{
+    cr_assert(bool(parseNodeSettings("s", validSettings)));
+    auto parsed = parseNodeSettings("s", "[node]\nname = n\nregion = r\ndata_centre = d\nhttp = here\nthreads = many\n[sesion]\nttl = 1s\n");
+    cr_assert(!parsed);
+    cr_assert_eq(parsed.error().size(), 5U);
+    auto range = parseNodeSettings("s", validSettings + "[session]\nttl = 1ms\n[limits]\nqueue = 0\n");
+    cr_assert(!range);
+    cr_assert_geq(range.error().size(), 2U);
+}
+
+Test(values, sizes_and_times_survive_formatting)
+{
+    cr_assert(rc::check("duration", [] {
+        auto time = std::chrono::microseconds { *rc::gen::inRange<int64_t>(0, 1'000'000'000'000) };
+        RC_ASSERT(parseDuration(formatDuration(time)) == time);
+    }));
+    cr_assert(rc::check("bytes", [] {
+        auto bytes = *rc::gen::inRange<uint64_t>(0, 1'000'000'000'000);
+        RC_ASSERT(parseBytes(formatBytes(bytes)) == bytes);
+    }));
+}
+
+Test(records, survive_encoding)
+{
+    cr_assert(rc::check("envelope round trip", [] {
+        auto envelope = *genEnvelope();
+        auto decoded = decodeEnvelope(encodeEnvelope(envelope));
+        RC_ASSERT(bool(decoded));
+        RC_ASSERT(decoded.value() == envelope);
+    }));
+}
+
+Test(records, damaged_bytes_give_an_error_or_a_record)
+{
+    cr_assert(rc::check("damaged record", [] {
+        auto valid = encodeEnvelope(*genEnvelope());
+        auto decoded = decodeEnvelope(*genDamaged(valid));
+        RC_ASSERT(decoded || decoded.error() < RecordError::Count);
+    }));
+}
+
+Test(snapshots, survive_encoding)
+{
+    cr_assert(rc::check("snapshot round trip", [] {
+        Snapshot snapshot;
+        snapshot.upTo = *rc::gen::arbitrary<uint64_t>();
+        snapshot.seenIds = { { 1, 2 }, { 3, 4 } };
+        snapshot.sessions.push_back({ 5, 6, { *genName(), "a", "b", "c", std::chrono::milliseconds { 7 } } });
+        snapshot.workers.push_back({ { *genName(), "e", "d", 100, 2 }, { { "m@1", 10, { 1, 2 }, true, false, 9 } }, 5, 6 });
+        snapshot.plan.push_back({ "w", "m@1" });
+        snapshot.actions.push_back({ { 1, 2 }, 3, 4, 5, true, { { 1, 2 }, 5, 200, "t", *genBytes(), true }, 8 });
+        snapshot.services.push_back({ { "s", 4, "text", "me", false }, 12 });
+        auto decoded = decodeSnapshot(encodeSnapshot(snapshot));
+        RC_ASSERT(bool(decoded));
+        RC_ASSERT(decoded.value() == snapshot);
+    }));
+}
+
+Test(log_pages, survive_encoding_and_refuse_cut_ones)
+{
+    LogPage page { 3, 9, { { 3, "abc" }, { 4, std::string("\0x", 2) } } };
+    auto bytes = encodeLogPage(page);
+    auto decoded = decodeLogPage(bytes);
+    cr_assert(decoded.has_value());
+    cr_assert_eq(decoded->records[1].bytes, page.records[1].bytes);
+    cr_assert(!decodeLogPage(std::string_view(bytes).substr(0, bytes.size() - 1)));
+    cr_assert(rc::check("random page", [bytes] { decodeLogPage(*genDamaged(bytes)); }));
+}
+
+Test(parsers, take_any_bytes)
+{
+    const std::string report = R"({"incarnation":1,"items":[{"item":"m@1","loaded":true}],"arrived_copies":[1,2]})";
+    const std::string completion = R"({"model":"m","stream":true,"messages":[{"role":"user","content":"x"}]})";
+    cr_assert(rc::check("no crash", [&] {
+        (void)parseServiceFile("f", *genDamaged(validService));
+        (void)parseNodeSettings("s", *genDamaged(validSettings));
+        (void)parseCompletion(*genDamaged(completion));
+        parseEngineReport(*genDamaged(report));
+        parseEngineOrder(*genDamaged(R"({"kind":"load","item":"m@1","copy":3})"));
+        parseVmList(*genDamaged(R"([{"name":"w","role":"worker","endpoint":"127.0.0.1:1","capacity":5}])"));
+    }));
+}
+
+Test(parsers, deep_json_is_refused)
+{
+    std::string deep = R"({"model":"m","x":)" + std::string(100000, '[') + std::string(100000, ']') + "}";
+    cr_assert_eq(parseCompletion(deep).error(), CompletionError::BadJson);
+}
+
+Test(sse, any_cut_gives_the_same_events)
+{
+    cr_assert(rc::check("cut stream", [] {
+        auto count = *rc::gen::inRange<uint64_t>(1, 20);
+        std::string stream;
+        for (uint64_t i = 1; i <= count; i++)
+            stream += "id: " + std::to_string(i) + "\ndata: {\"t\":" + std::to_string(i) + "}\n\n";
+        SseParser parser;
+        uint64_t seen = 0;
+        while (!stream.empty()) {
+            auto size = *rc::gen::inRange<size_t>(1, stream.size() + 1);
+            RC_ASSERT(bool(feedSse(parser, std::string_view(stream).substr(0, size))));
+            stream.erase(0, size);
+            SseEvent event;
+            while (nextSse(parser, event)) {
+                RC_ASSERT(event.id == ++seen);
+                RC_ASSERT(event.data == "{\"t\":" + std::to_string(seen) + "}");
+            }
+        }
+        RC_ASSERT(seen == count);
+    }));
+}
+
+Test(sse, an_endless_line_is_refused)
+{
+    SseParser parser;
+    std::string piece(64 * 1024, 'x');
+    bool refused = false;
+    for (int i = 0; i < 100 && !refused; i++)
+        refused = !feedSse(parser, piece);
+    cr_assert(refused);
+    cr_assert_leq(parser.buffer.size(), sseLineLimit);
+}
+
+Test(problems, tell_whether_the_request_ran)
+{
+    auto response = toResponse({ RefusalReason::Late, RunState::NotRun, std::chrono::milliseconds { 1500 }, "a \"quoted\" detail" });
+    cr_assert_eq(response.status, 503U);
+    cr_assert_eq(transport::findHeader(response.headers, "retry-after"), "2");
+    cr_assert_neq(response.body.find("\"run\":\"not_run\""), std::string::npos);
+    cr_assert_neq(response.body.find("a \\\"quoted\\\" detail"), std::string::npos);
+}
