--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -3,21 +3,33 @@
 
 root="$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)"
 run="${run:-$root/run}"
+# First port of this cluster; the stand-ins and daemons listen above it.
+base="${base:-17000}"
+# Settings that tests change.
+load_time="${load_time:-300ms}"
+fencing="${fencing:-yes}"
+session_extra="${session_extra:-}"
+
+log_port=$((base + 1))
+vm_port=$((base + 2))
+plain_port=$((base + 301))
+engine_port() { echo $((base + 100 + $1)); }
+node() { echo "127.0.0.1:$((base + 400 + $1))"; }
 
 # write_platform: settings of the stand-ins: $1 = entry count
 write_platform() {
   mkdir -p "$run"
   {
-    printf '[platform]\nlog = 127.0.0.1:17001\nvm_list = 127.0.0.1:17002\nload_time = 300ms\nloads_at_once = 4\nadapters_at_once = 30\n'
+    printf '[platform]\nlog = 127.0.0.1:%d\nvm_list = 127.0.0.1:%d\nload_time = %s\nloads_at_once = 4\nadapters_at_once = 30\n' "$log_port" "$vm_port" "$load_time"
     local centres=(ulaanbaatar-a ulaanbaatar-b darkhan zuunmod)
     for i in $(seq 1 "$1"); do
-      printf '[entry entry-%d]\nendpoint = 127.0.0.1:%d\ndata_centre = %s\n' "$i" $((17400 + i)) "${centres[$(((i - 1) % 4))]}"
+      printf '[entry entry-%d]\nendpoint = %s\ndata_centre = %s\n' "$i" "$(node "$i")" "${centres[$(((i - 1) % 4))]}"
     done
     for i in 1 2 3 4; do
-      printf '[engine worker-%d]\nendpoint = 127.0.0.1:%d\ndata_centre = %s\ncapacity = 48GB\nslots = 8\nprefill = 15ms\ntoken_gap = 5ms\n' \
-        "$i" $((17100 + i)) "${centres[$((i - 1))]}"
+      printf '[engine worker-%d]\nendpoint = 127.0.0.1:%d\ndata_centre = %s\ncapacity = 48GB\nslots = 8\nprefill = 15ms\ntoken_gap = 5ms\nfencing = %s\n' \
+        "$i" "$(engine_port "$i")" "${centres[$((i - 1))]}" "$fencing"
     done
-    printf '[plain kiln]\nendpoint = 127.0.0.1:17301\n'
+    printf '[plain kiln]\nendpoint = 127.0.0.1:%d\n' "$plain_port"
   } > "$run/platform.ini"
 }
 
@@ -29,15 +41,16 @@
 name = entry-$1
 region = mn-central
 data_centre = ${centres[$((($1 - 1) % 4))]}
-http = 127.0.0.1:$((17400 + $1))
-rpc = 127.0.0.1:$((17500 + $1))
+http = $(node "$1")
+rpc = 127.0.0.1:$((base + 500 + $1))
 threads = 2
 [platform]
-log = 127.0.0.1:17001
-vm_list = 127.0.0.1:17002
+log = 127.0.0.1:$log_port
+vm_list = 127.0.0.1:$vm_port
 [session]
 ttl = 3s
 margin = 750ms
+$session_extra
 [drain]
 leaving_notice = 500ms
 address_hold = 1s
@@ -94,3 +107,61 @@
   echo "timed out waiting for '$text' from: $*" >&2
   return 1
 }
+
+start_standins() {
+  write_platform "$1"
+  start standins "$root/build/tests/comfreypier-standins" "$run/platform.ini"
+  wait_for '' 10 curl -sf "http://127.0.0.1:$vm_port/vms"
+}
+
+start_node() {
+  write_node "$1"
+  start "entry-$1" "$root/build/daemon/comfreypierd" --config "$run/entry-$1.ini"
+}
+
+wait_ready() {
+  local i
+  for i in "$@"; do wait_for '^ready' 20 curl -s "http://$(node "$i")/readyz"; done
+}
+
+client() { "$root/build/client/comfreypier" --node "$(node 1)" --node "$(node 2)" --node "$(node 3)" "$@"; }
+
+# wait_copies NODE ITEM COUNT
+wait_copies() { wait_for "\"copies\":[$3-9],*[^}]*\"id\":\"$2\"\|\"id\":\"$2\"[^}]*\"copies\":[$3-9]" 30 curl -s "http://$(node "$1")/v1/models"; }
+
+# fault PORT NAME=VALUE: switches a fault of a stand-in
+fault() { curl -s -X POST "http://127.0.0.1:$1/fault?$2" > /dev/null; }
+
+# counter NODE NAME: value of a counter of one daemon
+counter() { curl -s "http://$(node "$1")/metrics" | awk -v name="comfreypier_$2" '$1 == name { print $2 }'; }
+
+# stream NODE MODEL PROMPT TOKENS
+stream() {
+  curl -sN --max-time 60 "http://$(node "$1")/v1/completions" -H 'Content-Type: application/json' \
+    -d "{\"model\":\"$2\",\"prompt\":\"$3\",\"stream\":true,\"max_tokens\":$4}"
+}
+
+# order NODE KEY BODY: prints the body and, on a line of its own, the status
+order() { curl -s --max-time 30 -w '\n%{http_code}\n' "http://$(node "$1")/services/kiln/orders" -H "Idempotency-Key: $2" -d "$3"; }
+
+# runs BODY: how often the plain service ran an order
+runs() { curl -s "http://127.0.0.1:$plain_port/counts" | awk -F= -v order="$1" '$1 == order { print $2 }'; }
+
+# engine_total NAME: sum of a figure over all engines
+engine_total() {
+  local i
+  for i in 1 2 3 4; do curl -s "http://127.0.0.1:$(engine_port "$i")/stats"; done | awk -F= -v name="$1" '$1 == name { sum += $2 } END { print sum + 0 }'
+}
+
+fail() {
+  echo "FAILED: $*" >&2
+  exit 1
+}
+
+# expect_whole FILE TOKENS: tokens 1..N stand there once each, in order, and the end is there
+expect_whole() {
+  local seen
+  seen=$(grep -o '^id: [0-9]*' "$1" | awk '{ if ($2 != NR) exit 1 } END { print NR }') || fail "tokens out of order in $1"
+  [ "$seen" = "$2" ] || fail "$1 holds $seen tokens in place of $2"
+  grep -q '^data: \[DONE\]' "$1" || fail "no end in $1"
+}
--- /dev/null
+++ b/tests/failure/common.sh
@@ -0,0 +1,35 @@
+# Start of every failure test. $1 of the test is the first port of its own cluster.
+set -euo pipefail
+base="$1"
+source "$(dirname "${BASH_SOURCE[0]}")/../../scripts/cluster.sh"
+run="$root/run/$(basename "$0" .sh)"
+rm -rf "$run"
+mkdir -p "$run/services"
+# A failed test shows the daemons' logs, and leaves no process behind.
+finish() {
+  local code=$?
+  [ $code = 0 ] || tail -n 25 "$run"/*.log >&2
+  stop_matching '^entry-' 2> /dev/null || true
+  stop_all
+  exit $code
+}
+trap finish EXIT
+
+# publish_examples: the Tengerleg example with this cluster's plain service
+publish_examples() {
+  cp "$root"/examples/tengerleg/*.ini "$run/services"
+  sed -i "s/127.0.0.1:17301/127.0.0.1:$plain_port/" "$run/services/kiln.ini"
+  client publish "$run/services"
+  wait_copies 1 desk-chat 2
+  wait_copies 2 draft-large 1
+  wait_copies 3 draft-small 1
+}
+
+start_cluster() {
+  start_standins 4
+  for i in 1 2 3; do start_node "$i"; done
+  wait_ready 1 2 3
+}
+
+# run_state TEXT: the 'run' member of a problem document
+run_state() { grep -o '"run":"[a-z_]*"' <<< "$1" | cut -d'"' -f4; }
--- /dev/null
+++ b/tests/failure/endpoint_faults.sh
@@ -0,0 +1,46 @@
+#!/usr/bin/env bash
+# Engines crash, go silent, cross answers, and crash on one marked request; every caller gets its own whole answer.
+source "$(dirname "$0")/common.sh"
+start_cluster
+publish_examples
+holders() { curl -s "http://$(node 1)/admin/placement" | tr '{' '\n' | awk -v item="$1@1" -F'"' '/"worker":/ { worker = $4 } index($0, "\"item\":\"" item "\"") { print worker }' | sed 's/worker-//'; }
+
+# reference FILE-PREFIX: the answer of an undisturbed run; a disturbed one must be the same to the byte, ids apart
+words() { grep -o '"text":"[^"]*"' "$1"; }
+stream 1 desk-chat "same prompt" 300 > "$run/reference.txt"
+expect_whole "$run/reference.txt" 300
+
+disturbed() { # NAME PORT-FAULT: runs the stream and causes the fault on every holder but one in the middle
+  stream 1 desk-chat "same prompt" 300 > "$run/$1.txt" &
+  local reader=$!
+  sleep 0.5
+  for i in $(holders desk-chat | head -n 1); do fault "$(engine_port "$i")" "$2"; done
+  wait "$reader" || fail "$1: the stream was cut off"
+  expect_whole "$run/$1.txt" 300
+  cmp <(words "$run/reference.txt") <(words "$run/$1.txt") || fail "$1: the answer differs"
+  for i in 1 2 3 4; do fault "$(engine_port "$i")" 'crash=0'; done
+  wait_copies 1 desk-chat 2
+}
+disturbed crash_a crash=1
+disturbed crash_b crash=1
+disturbed silence silence=1
+[ "$(counter 1 streams_resumed_total)" -gt 0 ] || fail "no stream was resumed, the test proves nothing"
+
+for i in $(holders desk-chat | head -n 1); do fault "$(engine_port "$i")" cross=1; done
+for n in $(seq 1 6); do
+  stream 1 desk-chat "crossed $n" 20 > "$run/cross-$n.txt"
+  expect_whole "$run/cross-$n.txt" 20
+done
+for i in 1 2 3 4; do fault "$(engine_port "$i")" cross=0; done
+[ "$(counter 1 crossed_answers_dropped_total)" -gt 0 ] || fail "no answer was crossed, the test proves nothing"
+
+before=$(engine_total crashes)
+for n in $(seq 1 20); do
+  stream $((n % 3 + 1)) draft-small "CRASH-ENGINE please" 10 > "$run/poison-$n.txt" || true
+  grep -q '\[DONE\]' "$run/poison-$n.txt" && fail "a crashing request was answered"
+done
+crashed=$(($(engine_total crashes) - before))
+[ "$crashed" -ge 1 ] && [ "$crashed" -le 2 ] || fail "one request crashed $crashed endpoints"
+wait_copies 1 draft-small 1
+stream 2 draft-small "an innocent" 20 > "$run/innocent.txt"
+expect_whole "$run/innocent.txt" 20
--- /dev/null
+++ b/tests/failure/rolling_replacement.sh
@@ -0,0 +1,36 @@
+#!/usr/bin/env bash
+# All nodes are replaced one by one with streams open, a publish in between and little kept in the log.
+session_extra='snapshot_every = 20'
+source "$(dirname "$0")/common.sh"
+start_cluster
+publish_examples
+fault "$log_port" retention=150
+readers=()
+for i in 1 2 3; do
+  stream $i desk-chat "long answer $i" 700 > "$run/stream-$i.txt" &
+  readers[i]=$!
+done
+sleep 0.5
+for i in 1 2 3; do
+  old=$(pid_of "entry-$i")
+  kill -TERM "$old"
+  kill -TERM "$old"
+  wait "${readers[i]}" || fail "the stream of node $i was cut off"
+  expect_whole "$run/stream-$i.txt" 700
+  code=0; wait "$old" || code=$?
+  [ "$code" = 0 ] || fail "node $i ended with $code"
+  if [ $i = 2 ]; then
+    sed -i 's/first_token_target = 570ms/first_token_target = 444ms/' "$run/services/front-desk.ini"
+    "$root/build/client/comfreypier" --node "$(node 3)" publish "$run/services"
+  fi
+  start_node "$i"
+  wait_ready "$i"
+done
+for i in 1 2 3; do
+  curl -s "http://$(node $i)/admin/config" | grep -q 'first_token_target = 444ms' || fail "node $i has an older configuration"
+done
+first=$(curl -s "http://127.0.0.1:$log_port/streams/region.mn-central?from=0&wait_ms=0" | head -c 1 | od -An -tu1 | tr -d ' ')
+[ "$first" != 0 ] || fail "retention never passed, the test proves nothing"
+stream 2 draft-small "after the replacement" 20 > "$run/after.txt"
+expect_whole "$run/after.txt" 20
+[ "$(engine_total overcommits)" = 0 ] || fail "memory was overcommitted"
