--- /dev/null
+++ b/bench/common.sh
@@ -0,0 +1,17 @@
+# Start of every benchmark that runs daemons: a cluster of its own, stopped at the end.
+set -euo pipefail
+base="${base:-34000}"
+run="$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)/run/bench"
+source "$(dirname "${BASH_SOURCE[0]}")/../scripts/cluster.sh"
+rm -rf "$run"
+mkdir -p "$run/services"
+trap stop_all EXIT
+load() { "$root/build/bench/comfreypier-load" "$@"; }
+# value FILE NAME: a printed value
+value() { awk -F'[= ]' -v name="$2" '$1 == name { print $2 }' "$1"; }
+calc() { awk "BEGIN { printf \"%.4f\", $* }"; }
+publish_one() {
+  printf '[service]\nname = bench\n[model m]\nmemory = 10GB\nfirst_token_target = 2s\n[plain kiln]\nendpoints = 127.0.0.1:%d\nnot_repeatable = POST /orders\n' "$plain_port" > "$run/services/bench.ini"
+  client publish "$run/services" > /dev/null
+  wait_copies 1 m 2
+}
--- /dev/null
+++ b/bench/micro.cpp
@@ -0,0 +1,154 @@
+/// Costs of the decision functions alone: record sizes, replay, routing, planning, ownership.
+#include <iostream>
+#include <state/state.h>
+
+using namespace comfreypier;
+using namespace comfreypier::protocol;
+using transport::monotonicNow;
+
+namespace {
+
+constexpr uint64_t gigabyte = 1'000'000'000;
+constexpr size_t targetModels = 400;
+
+void print(const std::string& name, double value, const char* unit)
+{
+    std::cout << name << "=" << value << " " << unit << "\n";
+}
+
+double microseconds(std::chrono::nanoseconds time)
+{
+    return std::chrono::duration<double, std::micro>(time).count();
+}
+
+template <class Work>
+double timeOf(int repeats, Work&& work)
+{
+    auto start = monotonicNow();
+    for (int i = 0; i < repeats; i++)
+        work(i);
+    return microseconds(monotonicNow() - start) / repeats;
+}
+
+void measureSizes()
+{
+    auto size = [](Entry entry) { return static_cast<double>(encodeEnvelope({ makeRecordId(), 123456, { std::move(entry) } }).size()); };
+    ActionKey key { makeRecordId().low, makeRecordId().low };
+    print("bytes_renew", size(SessionRenew {}), "B");
+    print("bytes_begin", size(ActionBegin { key, makeRecordId().low, makeRecordId().low }), "B");
+    print("bytes_end", size(ActionEnd { key, makeRecordId().low, 200, "application/json", std::string(60, 'x'), true }), "B");
+    print("bytes_load_intent", size(LoadIntent { "worker-1234", "draft-large@1", 30 * gigabyte, makeRecordId().low >> 12 }), "B");
+    print("bytes_plan_move", size(PlanChange { { { "worker-1234", "draft-large@1" } }, {}, "" }), "B");
+    print("bytes_publish", size(ConfigPublish { "front-desk", 5, std::string(500, 'x'), "operator", false }), "B");
+}
+
+coordination::RegionState makeRegion(size_t nodes, size_t workers, size_t models)
+{
+    coordination::RegionState state;
+    Offset offset = 0;
+    for (size_t i = 0; i < nodes; i++)
+        coordination::applyRegionRecord(state, offset++, { { i + 1, 1 }, invalidOffset, { SessionOpen { "entry-" + std::to_string(i), "127.0.0.1:1", "127.0.0.1:2", "dc", std::chrono::seconds { 5 } } } });
+    for (size_t i = 0; i < workers; i++) {
+        auto name = "worker-" + std::to_string(i);
+        Envelope envelope { { 1, 2 + i }, 0, { WorkerDeclared { name, "127.0.0.1:9", "dc-" + std::to_string(i % 15), 160 * gigabyte, 1 } } };
+        coordination::applyRegionRecord(state, offset++, envelope);
+        auto& worker = state.workers[name];
+        for (size_t j = 0; j < 3; j++)
+            worker.reservations["model-" + std::to_string((i + j * 7) % models) + "@1"] = { 20 * gigabyte, {}, 1, true, false };
+    }
+    return state;
+}
+
+DeploymentSpec makeDeployment(size_t models)
+{
+    DeploymentSpec deployment;
+    for (size_t i = 0; i < models; i++) {
+        ItemSpec item;
+        item.name = "model-" + std::to_string(i);
+        item.bytes = (10 + i % 20) * gigabyte;
+        deployment.items[item.name] = item;
+    }
+    return deployment;
+}
+
+void measureReplay(size_t records)
+{
+    std::vector<std::string> log;
+    for (size_t i = 0; i < records; i++) {
+        ActionKey key { i, i * 7919 };
+        log.push_back(encodeEnvelope({ { 1, i + 1 }, i == 0 ? invalidOffset : 0, { i == 0 ? Entry(SessionOpen { "n", "a", "b", "c", std::chrono::seconds { 5 } }) : Entry(ActionBegin { key, i, i }) } }));
+    }
+    auto before = transport::residentBytes();
+    coordination::RegionState state;
+    auto start = monotonicNow();
+    for (size_t i = 0; i < records; i++)
+        coordination::applyRegionRecord(state, i, decodeEnvelope(log[i]).value());
+    auto took = monotonicNow() - start;
+    auto name = "replay_" + std::to_string(records) + "_";
+    print(name + "time", microseconds(took) / 1000, "ms");
+    print(name + "per_record", microseconds(took) / static_cast<double>(records), "us");
+    print(name + "memory", static_cast<double>(transport::residentBytes() - before) / 1e6, "MB");
+    print(name + "snapshot", static_cast<double>(encodeSnapshot(coordination::makeSnapshot(state)).size()) / static_cast<double>(records), "B_per_key");
+}
+
+void measureView(size_t nodes, size_t workers)
+{
+    auto state = makeRegion(nodes, workers, targetModels);
+    auto name = "view_change_" + std::to_string(nodes) + "x" + std::to_string(workers);
+    Offset offset = state.next;
+    uint64_t number = 1000000;
+    print(name, timeOf(20, [&](int) {
+        Envelope envelope { { 999, number++ }, invalidOffset, { SessionOpen { "joiner", "127.0.0.1:1", "127.0.0.1:2", "dc", std::chrono::seconds { 5 } } } };
+        coordination::applyRegionRecord(state, offset++, envelope);
+    }),
+        "us");
+}
+
+void measureRouting(size_t workers)
+{
+    std::vector<coordination::WorkerLoad> loads(workers);
+    for (size_t i = 0; i < workers; i++)
+        loads[i] = { static_cast<uint32_t>(i % 9), 0, 8, 0, std::chrono::microseconds { 20000 }, std::chrono::microseconds { 200000 } };
+    size_t sink = 0;
+    auto time = timeOf(200000, [&](int i) {
+        std::array<coordination::WorkerLoad, coordination::routingCandidates + 1> candidates;
+        for (size_t j = 0; j < candidates.size(); j++)
+            candidates[j] = loads[(static_cast<size_t>(i) * 7919 + j * 104729) % workers];
+        sink += static_cast<size_t>(coordination::chooseWorker(candidates));
+    });
+    print("route_" + std::to_string(workers), time * 1000 + (sink == 1 ? 1 : 0), "ns");
+}
+
+void measurePlanning(size_t workers, size_t models)
+{
+    auto state = makeRegion(8, workers, models);
+    auto deployment = makeDeployment(models);
+    coordination::PlanInputs inputs;
+    inputs.deployment = &deployment;
+    inputs.workers = &state.workers;
+    inputs.plan = &state.plan;
+    auto name = "plan_" + std::to_string(workers) + "x" + std::to_string(models);
+    PlanChange change;
+    print(name + "_first", timeOf(1, [&](int) { change = coordination::planRound(inputs); }) / 1000, "ms");
+    state.plan.insert(change.adds.begin(), change.adds.end());
+    print(name + "_steady", timeOf(1, [&](int) { change = coordination::planRound(inputs); }) / 1000, "ms");
+    print(name + "_steady_moves", static_cast<double>(change.adds.size() + change.drops.size()), "moves");
+}
+
+} // namespace
+
+int main()
+{
+    measureSizes();
+    for (size_t records : { 1000, 10000, 100000 })
+        measureReplay(records);
+    measureView(8, 14);
+    measureView(70, 520);
+    measureView(350, 2600);
+    for (size_t workers : { 10, 260, 2600 })
+        measureRouting(workers);
+    measurePlanning(14, 13);
+    measurePlanning(130, 100);
+    measurePlanning(520, 400);
+    return 0;
+}
--- /dev/null
+++ b/bench/micro.sh
@@ -0,0 +1,1 @@
+exec "$(dirname "$0")/../build/bench/comfreypier-micro"
--- a/daemon/src/admin.cpp
+++ b/daemon/src/admin.cpp
@@ -226,6 +226,7 @@
     text += "comfreypier_http_over_limit_total " + std::to_string(server.overLimit) + "\n";
     text += "comfreypier_cpu_seconds_total " + std::to_string(std::chrono::duration<double>(transport::processCpuTime()).count()) + "\n";
     text += "comfreypier_resident_bytes " + std::to_string(transport::residentBytes()) + "\n";
+    text += "comfreypier_gossip_bytes_sent_total " + std::to_string(this->rpc->newsBytesSent()) + "\n";
     text += "comfreypier_config_offset " + std::to_string(this->node.config.next()) + "\n";
     text += "comfreypier_region_offset " + std::to_string(this->node.region.next()) + "\n";
     return text;
--- a/daemon/src/admin.h
+++ b/daemon/src/admin.h
@@ -14,6 +14,8 @@
     bool serve(const transport::HttpRequest& request, transport::ResponseWriter& writer) const;
     /// Sets the source of the server's own counters.
     void setServer(const transport::HttpServer& newServer) { this->server = &newServer; }
+    /// Sets the source of the RPC's own counters.
+    void setRpc(const protocol::PeerRpc& newRpc) { this->rpc = &newRpc; }
 
 private:
     std::string addresses() const;
@@ -31,6 +33,7 @@
     const GossipDuty& gossip;
     const SessionKeeper& session;
     const transport::HttpServer* server = nullptr;
+    const protocol::PeerRpc* rpc = nullptr;
 };
 
 } // namespace comfreypier::daemon
--- a/daemon/src/daemon.cpp
+++ b/daemon/src/daemon.cpp
@@ -57,6 +57,7 @@
         , rpc(this->settings.rpc, { [this](const auto& message) { return this->gossip.answer(message); }, [this] { return this->stateForPeers(); } })
     {
         this->admin.setServer(this->server);
+        this->admin.setRpc(this->rpc);
         this->gossip.setRpc(this->rpc);
         this->node.region.setListener([this](const auto& state, Offset offset, const auto& envelope, const auto& verdicts) {
             this->session.onApplied(state, envelope);
--- a/protocol/include/protocol/protocol.h
+++ b/protocol/include/protocol/protocol.h
@@ -741,6 +741,8 @@
     Result<PeerState, transport::IoError> fetchState(const transport::Endpoint& peer, std::chrono::milliseconds timeout);
     /// False if the address could not be bound.
     bool isListening() const;
+    /// Bytes of news sent so far, without framing.
+    uint64_t newsBytesSent() const;
 
 private:
     struct Impl;
--- a/protocol/src/peer_rpc_capnp.cpp
+++ b/protocol/src/peer_rpc_capnp.cpp
@@ -114,6 +114,7 @@
     std::condition_variable condition;
     bool started = false;
     bool listening = false;
+    std::atomic<uint64_t> newsBytes { 0 };
     kj::Maybe<const kj::Executor&> executor;
     kj::PromiseFulfiller<void>* stopper = nullptr;
     kj::Timer* timer = nullptr;
@@ -209,6 +210,11 @@
     this->impl->thread.join();
 }
 
+uint64_t PeerRpc::newsBytesSent() const
+{
+    return this->impl->newsBytes;
+}
+
 bool PeerRpc::isListening() const
 {
     return this->impl->listening;
@@ -216,9 +222,10 @@
 
 Result<GossipMessage, transport::IoError> PeerRpc::gossip(const transport::Endpoint& peer, const GossipMessage& message, std::chrono::milliseconds timeout)
 {
-    return this->impl->cross<GossipMessage>(peer, timeout, [&message](wire::Peer::Client client) {
+    return this->impl->cross<GossipMessage>(peer, timeout, [this, &message](wire::Peer::Client client) {
         auto request = client.gossipRequest();
         writeGossip(request.initMessage(), message);
+        this->impl->newsBytes += request.asReader().totalSize().wordCount * sizeof(capnp::word);
         return request.send().then([](auto&& response) { return readGossip(response.getReply()); });
     });
 }
--- a/state/include/state/state.h
+++ b/state/include/state/state.h
@@ -173,7 +173,6 @@
     SnapshotsAppended,
     GossipSent,
     GossipFailed,
-    GossipBytesSent,
     RecordsUnreadable,
     HandedOver,
     Count
--- a/state/src/counters.cpp
+++ b/state/src/counters.cpp
@@ -10,7 +10,7 @@
         "repeated_tokens_dropped", "actions_run", "actions_repeated", "log_appends", "log_append_failures", "log_reads",
         "log_read_failures", "log_bytes_read", "log_bytes_appended", "sessions_opened", "sessions_lapsed",
         "sessions_expired", "orders_sent", "orders_withheld", "orders_stale", "orders_unanswered", "plan_changes",
-        "snapshots_appended", "gossip_sent", "gossip_failed", "gossip_bytes_sent", "records_unreadable", "handed_over"
+        "snapshots_appended", "gossip_sent", "gossip_failed", "records_unreadable", "handed_over"
     };
 
     void formatLine(std::string& text, const std::string& metric, uint64_t value)
