--- a/bench/common.sh
+++ b/bench/common.sh
@@ -1,6 +1,6 @@
 # Start of every benchmark that runs daemons: a cluster of its own, stopped at the end.
 set -euo pipefail
-base="${base:-34000}"
+base="${base:-27000}"
 run="$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)/run/bench"
 source "$(dirname "${BASH_SOURCE[0]}")/../scripts/cluster.sh"
 rm -rf "$run"
--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -174,5 +174,6 @@
     for (const auto& target : targets)
         options.targets.push_back(transport::parseEndpoint(target).value());
     transport::blockTerminationSignals();
+    transport::raiseDescriptorLimit();
     return run(options);
 }
--- a/coordination/src/planner.cpp
+++ b/coordination/src/planner.cpp
@@ -28,6 +28,7 @@
         PlanChange run()
         {
             this->dropObsolete();
+            this->indexPlan();
             auto order = this->itemsByImportance();
             for (const auto* item : order)
                 this->reach(*item, 1);
@@ -78,14 +79,21 @@
             return copies;
         }
 
-        std::vector<std::string> holders(const std::string& key) const
+        /// Collects the holders of each item and the claimed bytes of each worker, kept up to date by `place`.
+        void indexPlan()
         {
-            std::vector<std::string> names;
-            for (const auto& [name, worker] : *this->inputs.workers) {
-                if (!this->isAvoided(name) && this->plan.contains({ name, key }))
-                    names.push_back(name);
+            for (const auto& move : this->plan) {
+                if (!this->isAvoided(move.worker))
+                    this->holdersByItem[move.item].push_back(move.worker);
             }
-            return names;
+            for (const auto& [name, worker] : *this->inputs.workers)
+                this->claimed[name] = this->claimedBytes(name);
+        }
+
+        std::vector<std::string> holders(const std::string& key) const
+        {
+            auto entry = this->holdersByItem.find(key);
+            return entry == this->holdersByItem.end() ? std::vector<std::string> {} : entry->second;
         }
 
         std::set<std::string> dataCentres(const std::vector<std::string>& names) const
@@ -112,8 +120,8 @@
         uint64_t freeBytes(const std::string& name) const
         {
             auto capacity = this->inputs.workers->at(name).declared.capacity;
-            auto claimed = this->claimedBytes(name);
-            return capacity > claimed ? capacity - claimed : 0;
+            auto used = this->claimed.at(name);
+            return capacity > used ? capacity - used : 0;
         }
 
         const ItemSpec* baseOf(const ItemSpec& item) const
@@ -156,8 +164,24 @@
         void place(const ItemSpec& item, const std::string& worker)
         {
             if (const auto* base = this->baseOf(item))
-                this->plan.insert({ worker, protocol::itemKey(*base) });
-            this->plan.insert({ worker, protocol::itemKey(item) });
+                this->insert(*base, worker);
+            this->insert(item, worker);
+        }
+
+        void insert(const ItemSpec& item, const std::string& worker)
+        {
+            auto key = protocol::itemKey(item);
+            if (!this->plan.insert({ worker, key }).second)
+                return;
+            this->holdersByItem[key].push_back(worker);
+            if (!this->inputs.workers->at(worker).reservations.contains(key))
+                this->claimed[worker] += item.bytes;
+        }
+
+        void erase(const PlanMove& move)
+        {
+            this->plan.erase(move);
+            std::erase(this->holdersByItem[move.item], move.worker);
         }
 
         /// Adds copies until `item` stands in `wantedCentres` data centres, as far as memory allows.
@@ -192,7 +216,7 @@
                 }
             }
             for (const auto& drop : bestDrops)
-                this->plan.erase(drop);
+                this->erase(drop);
             return best;
         }
 
@@ -271,6 +295,8 @@
         const PlanInputs& inputs;
         std::set<PlanMove> plan;
         std::map<std::string, const ItemSpec*> specs;
+        std::map<std::string, std::vector<std::string>> holdersByItem;
+        std::map<std::string, uint64_t> claimed;
     };
 
 } // namespace
--- a/daemon/src/daemon.cpp
+++ b/daemon/src/daemon.cpp
@@ -5,6 +5,7 @@
 #include "snapshot_duty.h"
 #include "worker_duty.h"
 
+#include <algorithm>
 #include <thread>
 
 namespace comfreypier::daemon {
@@ -30,6 +31,16 @@
         return stream;
     }
 
+    /// Tells whether a record may change who holds what.
+    bool changesRoutes(const protocol::Envelope& envelope)
+    {
+        return std::any_of(envelope.entries.begin(), envelope.entries.end(), [](const protocol::Entry& entry) {
+            bool ofWorker = std::holds_alternative<protocol::WorkerDeclared>(entry) || std::holds_alternative<protocol::WorkerGone>(entry) || std::holds_alternative<protocol::WorkerRestarted>(entry);
+            bool ofItem = std::holds_alternative<protocol::LoadResolved>(entry) || std::holds_alternative<protocol::UnloadIntent>(entry) || std::holds_alternative<protocol::UnloadResolved>(entry);
+            return ofWorker || ofItem;
+        });
+    }
+
 } // namespace
 
 struct Daemon::Impl {
@@ -62,7 +73,8 @@
         this->node.region.setListener([this](const auto& state, Offset offset, const auto& envelope, const auto& verdicts) {
             this->session.onApplied(state, envelope);
             this->node.queue.confirm(offset, envelope, verdicts);
-            this->router.markChanged();
+            if (changesRoutes(envelope))
+                this->router.markChanged();
         });
         this->node.config.setListener([this](const auto&, Offset, const auto&, const auto&) { this->router.markChanged(); });
     }
--- a/daemon/src/main.cpp
+++ b/daemon/src/main.cpp
@@ -56,6 +56,7 @@
 int runDaemon(const protocol::NodeSettings& settings)
 {
     transport::blockTerminationSignals();
+    transport::raiseDescriptorLimit();
     transport::setUpLogging(settings.logLevel, settings.partLevels);
     daemon::Daemon daemon(settings);
     if (!daemon.start()) {
--- a/daemon/src/planner_duty.cpp
+++ b/daemon/src/planner_duty.cpp
@@ -11,6 +11,8 @@
     constexpr std::chrono::seconds goneAfter { 10 };
     constexpr double requestsPerCopy = 8;
     constexpr size_t movesPerRound = 2;
+    /// Time between two rounds as a multiple of the last round's time: planning takes at most 1% of a core.
+    constexpr int restPerWork = 100;
 
 } // namespace
 
@@ -27,8 +29,8 @@
     while (!this->node.phase.stopping) {
         if (this->node.phase.caughtUp) {
             this->followVmList();
-            if (this->isPlanner() && *this->openEntries == 0)
-                this->plan();
+            if (this->isPlanner() && *this->openEntries == 0 && monotonicNow() >= this->nextPlan)
+                this->planInBudget();
         }
         sleepFor(roundInterval);
     }
@@ -101,6 +103,15 @@
     this->writer.append(declared, [open = this->openEntries](const state::AppendOutcome&) { --*open; });
 }
 
+/// Rests long enough after each round that planning stays within its share of a core.
+void PlannerDuty::planInBudget()
+{
+    auto start = monotonicNow();
+    this->plan();
+    auto took = monotonicNow() - start;
+    this->nextPlan = start + took * restPerWork;
+}
+
 void PlannerDuty::plan()
 {
     auto deployment = this->node.config.read([](const auto& state) { return state.deployment; });
--- a/daemon/src/planner_duty.h
+++ b/daemon/src/planner_duty.h
@@ -15,6 +15,7 @@
 private:
     bool isPlanner() const;
     void followVmList();
+    void planInBudget();
     void plan();
     void declare(const protocol::Vm& vm);
     void noteLeaving(const std::vector<protocol::Vm>& vms);
@@ -26,6 +27,7 @@
     transport::Log log { "planner" };
     std::set<std::string> leaving;
     std::map<std::string, Time> missingSince;
+    Time nextPlan { 0 };
     std::shared_ptr<std::atomic<int>> openEntries = std::make_shared<std::atomic<int>>(0);
 };
 
--- a/daemon/src/router.cpp
+++ b/daemon/src/router.cpp
@@ -6,6 +6,7 @@
 
 namespace {
 
+    /// Longest sleep before the daemon's end is noticed.
     constexpr std::chrono::milliseconds rebuildWait { 200 };
     constexpr std::chrono::milliseconds failurePenalty { 1200 };
     /// One-way time between data centres.
@@ -74,8 +75,8 @@
 void Router::run()
 {
     while (!this->node.phase.stopping) {
-        this->changed.waitFor(rebuildWait);
-        this->rebuild();
+        if (this->changed.waitFor(rebuildWait))
+            this->rebuild();
     }
 }
 
@@ -164,6 +165,8 @@
     auto sample = std::chrono::duration_cast<std::chrono::microseconds>(held);
     this->node.loads.update(worker, [sample](state::WorkerStatus& status) {
         status.inFlight--;
+        if (status.load.dispatched > 0)
+            status.load.dispatched--;
         auto& smoothed = status.load.requestTime;
         smoothed = smoothed.count() == 0 ? sample : smoothed + (sample - smoothed) / smoothing;
     });
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -3,7 +3,7 @@
 
 root="$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)"
 run="${run:-$root/run}"
-# First port of this cluster; the stand-ins and daemons listen above it.
+# First port of this cluster; the stand-ins and daemons listen above it. Stay below 32768, where the system picks its own.
 base="${base:-17000}"
 # Settings that tests change.
 load_time="${load_time:-300ms}"
--- a/tests/failure/endpoint_faults.sh
+++ b/tests/failure/endpoint_faults.sh
@@ -3,6 +3,10 @@
 source "$(dirname "$0")/common.sh"
 start_cluster
 publish_examples
+# Many short requests between two reports: none is refused because of those that have ended.
+"$root/build/bench/comfreypier-load" --target "$(node 1)" --model draft-small --rate 100 --count 600 --tokens 1 > "$run/short.txt"
+grep -q '^whole=600 ' "$run/short.txt" || fail "short requests were refused: $(cat "$run/short.txt")"
+
 holders() { curl -s "http://$(node 1)/admin/placement" | tr '{' '\n' | awk -v item="$1@1" -F'"' '/"worker":/ { worker = $4 } index($0, "\"item\":\"" item "\"") { print worker }' | sed 's/worker-//'; }
 
 # reference FILE-PREFIX: the answer of an undisturbed run; a disturbed one must be the same to the byte, ids apart
--- a/tests/standins/main.cpp
+++ b/tests/standins/main.cpp
@@ -129,6 +129,7 @@
     if (!document.faults.empty())
         return 2;
     transport::blockTerminationSignals();
+    transport::raiseDescriptorLimit();
     auto platform = std::find_if(document.sections.begin(), document.sections.end(), [](const auto& section) { return section.kind == "platform"; });
     World world(*platform);
     for (const auto& section : document.sections) {
--- a/transport/include/transport/transport.h
+++ b/transport/include/transport/transport.h
@@ -140,6 +140,8 @@
 /// Blocks the calling (non-fiber) thread until SIGTERM or SIGINT, then returns.
 /// Signals must have been blocked by `blockTerminationSignals` before any thread started.
 void waitForTermination();
+/// Raises this process's limit of open descriptors to the most that the system allows.
+void raiseDescriptorLimit();
 /// Blocks SIGTERM and SIGINT in this and all later threads and ignores SIGPIPE.
 void blockTerminationSignals();
 
--- a/transport/src/http_client_beast.cpp
+++ b/transport/src/http_client_beast.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <deque>
 #include <map>
+#include <set>
 
 namespace comfreypier::transport {
 
@@ -32,6 +33,47 @@
 
     thread_local std::map<const void*, Pool> threadPools;
 
+    /// Time between two looks at the deadlines of reads.
+    constexpr std::chrono::milliseconds sweepInterval { 50 };
+
+    /// One read that must end in time.
+    struct ReadDeadline {
+        std::chrono::nanoseconds until { 0 };
+        Stream::socket_type* socket = nullptr;
+        bool passed = false;
+    };
+
+    /// Deadlines of one thread's reads. A sweep costs less than a timer for each token.
+    struct DeadlineTable {
+        std::set<ReadDeadline*> open;
+        bool sweeping = false;
+    };
+
+    thread_local DeadlineTable threadDeadlines;
+
+    void sweepDeadlines()
+    {
+        while (!threadDeadlines.open.empty()) {
+            sleepFor(sweepInterval);
+            auto now = monotonicNow();
+            for (auto* deadline : threadDeadlines.open) {
+                if (now < deadline->until)
+                    continue;
+                deadline->passed = true;
+                ErrorCode ignored;
+                deadline->socket->cancel(ignored);
+            }
+        }
+        threadDeadlines.sweeping = false;
+    }
+
+    void openDeadline(ReadDeadline& deadline)
+    {
+        threadDeadlines.open.insert(&deadline);
+        if (!std::exchange(threadDeadlines.sweeping, true))
+            spawnHere(sweepDeadlines);
+    }
+
     http::request<http::string_body> toMessage(const Endpoint& endpoint, const HttpRequest& request)
     {
         http::request<http::string_body> message;
@@ -153,8 +195,13 @@
                 this->chunk.resize(readChunkSize);
                 body.data = this->chunk.data();
                 body.size = this->chunk.size();
-                this->connection->stream.expires_after(timeout);
-                auto outcome = awaitIo([&](auto handler) { http::async_read_some(this->connection->stream, this->connection->buffer, this->parser, std::move(handler)); });
+                auto& socket = this->connection->stream.socket();
+                ReadDeadline deadline { monotonicNow() + timeout, &socket };
+                openDeadline(deadline);
+                auto outcome = awaitIo([&](auto handler) { http::async_read_some(socket, this->connection->buffer, this->parser, std::move(handler)); });
+                threadDeadlines.open.erase(&deadline);
+                if (deadline.passed)
+                    return IoError::Timeout;
                 if (outcome.error && outcome.error != http::error::need_buffer)
                     return toIoError(outcome.error);
                 auto length = readChunkSize - body.size;
--- a/transport/src/runtime_asio.cpp
+++ b/transport/src/runtime_asio.cpp
@@ -182,6 +182,14 @@
     signal(SIGPIPE, SIG_IGN); // NOLINT(bugprone-signal-handler)
 }
 
+void raiseDescriptorLimit()
+{
+    rlimit limit {};
+    getrlimit(RLIMIT_NOFILE, &limit);
+    limit.rlim_cur = limit.rlim_max;
+    setrlimit(RLIMIT_NOFILE, &limit);
+}
+
 void waitForTermination()
 {
     auto signals = terminationSignals();
