--- a/bench/capacity.sh
+++ b/bench/capacity.sh
@@ -23,5 +23,5 @@
   # Idle clusters may end at once: nothing of theirs is kept.
   while read -r pid name; do kill -KILL "$pid"; done < "$run/pids"
   rm -f "$run/pids"
-  wait
+  wait 2> /dev/null || true
 done
--- a/daemon/src/admin.cpp
+++ b/daemon/src/admin.cpp
@@ -115,7 +115,7 @@
 {
     json::array list;
     for (const auto& known : this->gossip.liveNodes())
-        list.push_back({ { "address", known.news.http }, { "data_centre", known.news.dataCentre }, { "local", known.news.dataCentre == this->node.settings.dataCentre } });
+        list.push_back({ { "address", known.open.http }, { "data_centre", known.open.dataCentre }, { "local", known.open.dataCentre == this->node.settings.dataCentre } });
     json::object object;
     object["addresses"] = std::move(list);
     object["keep_seconds"] = std::chrono::duration<double>(this->node.settings.addressHold).count();
--- a/daemon/src/gossip_duty.cpp
+++ b/daemon/src/gossip_duty.cpp
@@ -8,9 +8,9 @@
 namespace {
 
     constexpr std::chrono::milliseconds roundInterval { 250 };
-    constexpr std::chrono::milliseconds nodeNewsInterval { 1000 };
+    constexpr std::chrono::milliseconds nodeNewsInterval { 2000 };
     constexpr std::chrono::milliseconds demandInterval { 2000 };
-    constexpr std::chrono::milliseconds nodeSilenceLimit { 3500 };
+    constexpr std::chrono::milliseconds nodeSilenceLimit { 4800 };
     constexpr std::chrono::milliseconds callTimeout { 800 };
     /// Share of the old rate that is kept when demand falls.
     constexpr double demandDecay = 0.8;
@@ -53,15 +53,15 @@
 void GossipDuty::publishOwnState()
 {
     auto now = monotonicNow();
-    if (now < this->nextNodeNews || this->session.current() == protocol::invalidOffset)
+    bool leaves = this->node.phase.draining && !this->wasDraining;
+    if ((now < this->nextNodeNews && !leaves) || this->session.current() == protocol::invalidOffset)
         return;
     this->nextNodeNews = now + nodeNewsInterval;
     protocol::News news;
     news.key = { protocol::NewsKind::Node, this->node.settings.node };
-    news.http = toString(this->node.settings.http);
-    news.dataCentre = this->node.settings.dataCentre;
     news.draining = this->node.phase.draining;
     news.configOffset = this->node.config.next();
+    this->wasDraining = news.draining;
     this->publish(std::move(news));
 }
 
@@ -169,10 +169,10 @@
 
 std::vector<KnownNode> GossipDuty::liveNodes() const
 {
-    auto names = this->node.region.read([](const coordination::RegionState& state) {
-        std::set<std::string> live;
+    auto sessions = this->node.region.read([](const coordination::RegionState& state) {
+        std::map<std::string, protocol::SessionOpen> live;
         for (const auto& [id, session] : state.sessions)
-            live.insert(session.open.node);
+            live[session.open.node] = session.open;
         return live;
     });
     auto now = monotonicNow();
@@ -181,8 +181,9 @@
     for (const auto& news : this->node.gossip.list(protocol::NewsKind::Node)) {
         auto heard = this->heardAt.find(news.key.name);
         bool recent = heard != this->heardAt.end() && now - heard->second < nodeSilenceLimit;
-        if (recent && !news.draining && names.contains(news.key.name))
-            nodes.push_back({ news, heard->second });
+        auto session = sessions.find(news.key.name);
+        if (recent && !news.draining && session != sessions.end())
+            nodes.push_back({ news, session->second });
     }
     return nodes;
 }
--- a/daemon/src/gossip_duty.h
+++ b/daemon/src/gossip_duty.h
@@ -8,7 +8,7 @@
 /// What this node knows of another.
 struct KnownNode {
     protocol::News news;
-    Time heardAt { 0 };
+    protocol::SessionOpen open;
 };
 
 /// Spreads news to a few peers at a time.
@@ -55,6 +55,7 @@
     std::map<std::string, double> ownDemand;
     std::map<uint64_t, uint32_t> crashes;
     Time nextNodeNews { 0 };
+    bool wasDraining = false;
     Time nextDemandNews { 0 };
 };
 
--- a/daemon/src/hand_over.cpp
+++ b/daemon/src/hand_over.cpp
@@ -37,7 +37,7 @@
     limits.response = streamLimit;
     limits.bodyLimit = UINT64_MAX;
     for (const auto& peer : this->gossip.liveNodes()) {
-        auto endpoint = transport::parseEndpoint(peer.news.http);
+        auto endpoint = transport::parseEndpoint(peer.open.http);
         if (peer.news.key.name == this->node.settings.node || !endpoint)
             continue;
         auto opened = this->node.client.open(endpoint.value(), out, limits);
--- a/protocol/include/protocol/protocol.h
+++ b/protocol/include/protocol/protocol.h
@@ -696,8 +696,6 @@
 struct News {
     NewsKey key;
     NewsVersion version;
-    std::string http; ///< Node: callers' address.
-    std::string dataCentre; ///< Node.
     bool draining = false; ///< Node, worker: leaves.
     uint64_t configOffset = 0; ///< Node: configuration in force.
     uint32_t running = 0; ///< Node, worker: requests now.
--- a/protocol/src/peer.capnp
+++ b/protocol/src/peer.capnp
@@ -9,16 +9,14 @@
   name @1 :Text;
   session @2 :UInt64;
   counter @3 :UInt64;
-  http @4 :Text;
-  dataCentre @5 :Text;
-  draining @6 :Bool;
-  configOffset @7 :UInt64;
-  running @8 :UInt32;
-  waiting @9 :UInt32;
-  slots @10 :UInt32;
-  firstTokenUs @11 :UInt32;
-  tokenGapUs @12 :UInt32;
-  count @13 :UInt32;
+  draining @4 :Bool;
+  configOffset @5 :UInt64;
+  running @6 :UInt16;
+  waiting @7 :UInt16;
+  slots @8 :UInt16;
+  firstTokenUs @9 :UInt32;
+  tokenGapUs @10 :UInt32;
+  count @11 :UInt32;
 }
 
 struct Gossip {
--- a/protocol/src/peer.capnp.h
+++ b/protocol/src/peer.capnp.h
@@ -43,7 +43,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e1d265ce8c75ffe9, 7, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(e1d265ce8c75ffe9, 6, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -189,21 +189,15 @@
 
   inline  ::uint64_t getCounter() const;
 
-  inline bool hasHttp() const;
-  inline  ::capnp::Text::Reader getHttp() const;
-
-  inline bool hasDataCentre() const;
-  inline  ::capnp::Text::Reader getDataCentre() const;
-
   inline bool getDraining() const;
 
   inline  ::uint64_t getConfigOffset() const;
 
-  inline  ::uint32_t getRunning() const;
+  inline  ::uint16_t getRunning() const;
 
-  inline  ::uint32_t getWaiting() const;
+  inline  ::uint16_t getWaiting() const;
 
-  inline  ::uint32_t getSlots() const;
+  inline  ::uint16_t getSlots() const;
 
   inline  ::uint32_t getFirstTokenUs() const;
 
@@ -255,34 +249,20 @@
   inline  ::uint64_t getCounter();
   inline void setCounter( ::uint64_t value);
 
-  inline bool hasHttp();
-  inline  ::capnp::Text::Builder getHttp();
-  inline void setHttp( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initHttp(unsigned int size);
-  inline void adoptHttp(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownHttp();
-
-  inline bool hasDataCentre();
-  inline  ::capnp::Text::Builder getDataCentre();
-  inline void setDataCentre( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initDataCentre(unsigned int size);
-  inline void adoptDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownDataCentre();
-
   inline bool getDraining();
   inline void setDraining(bool value);
 
   inline  ::uint64_t getConfigOffset();
   inline void setConfigOffset( ::uint64_t value);
 
-  inline  ::uint32_t getRunning();
-  inline void setRunning( ::uint32_t value);
+  inline  ::uint16_t getRunning();
+  inline void setRunning( ::uint16_t value);
 
-  inline  ::uint32_t getWaiting();
-  inline void setWaiting( ::uint32_t value);
+  inline  ::uint16_t getWaiting();
+  inline void setWaiting( ::uint16_t value);
 
-  inline  ::uint32_t getSlots();
-  inline void setSlots( ::uint32_t value);
+  inline  ::uint16_t getSlots();
+  inline void setSlots( ::uint16_t value);
 
   inline  ::uint32_t getFirstTokenUs();
   inline void setFirstTokenUs( ::uint32_t value);
@@ -955,74 +935,6 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool News::Reader::hasHttp() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool News::Builder::hasHttp() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader News::Reader::getHttp() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder News::Builder::getHttp() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void News::Builder::setHttp( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder News::Builder::initHttp(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void News::Builder::adoptHttp(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> News::Builder::disownHttp() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline bool News::Reader::hasDataCentre() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool News::Builder::hasDataCentre() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader News::Reader::getDataCentre() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder News::Builder::getDataCentre() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void News::Builder::setDataCentre( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder News::Builder::initDataCentre(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
-}
-inline void News::Builder::adoptDataCentre(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> News::Builder::disownDataCentre() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-
 inline bool News::Reader::getDraining() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<8>() * ::capnp::ELEMENTS);
@@ -1051,88 +963,88 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t News::Reader::getRunning() const {
-  return _reader.getDataField< ::uint32_t>(
+inline  ::uint16_t News::Reader::getRunning() const {
+  return _reader.getDataField< ::uint16_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t News::Builder::getRunning() {
-  return _builder.getDataField< ::uint32_t>(
+inline  ::uint16_t News::Builder::getRunning() {
+  return _builder.getDataField< ::uint16_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void News::Builder::setRunning( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void News::Builder::setRunning( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t News::Reader::getWaiting() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline  ::uint16_t News::Reader::getWaiting() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t News::Builder::getWaiting() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline  ::uint16_t News::Builder::getWaiting() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void News::Builder::setWaiting( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline void News::Builder::setWaiting( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t News::Reader::getSlots() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+inline  ::uint16_t News::Reader::getSlots() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t News::Builder::getSlots() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+inline  ::uint16_t News::Builder::getSlots() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void News::Builder::setSlots( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+inline void News::Builder::setSlots( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::uint32_t News::Reader::getFirstTokenUs() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
 
 inline  ::uint32_t News::Builder::getFirstTokenUs() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
 inline void News::Builder::setFirstTokenUs( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::uint32_t News::Reader::getTokenGapUs() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
 }
 
 inline  ::uint32_t News::Builder::getTokenGapUs() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
 }
 inline void News::Builder::setTokenGapUs( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<11>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::uint32_t News::Reader::getCount() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
 }
 
 inline  ::uint32_t News::Builder::getCount() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
 }
 inline void News::Builder::setCount( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Gossip::Reader::hasFrom() const {
--- a/protocol/src/peer_rpc_capnp.cpp
+++ b/protocol/src/peer_rpc_capnp.cpp
@@ -13,19 +13,22 @@
 
 namespace {
 
+    uint16_t clamp(uint32_t value)
+    {
+        return static_cast<uint16_t>(std::min<uint32_t>(value, UINT16_MAX));
+    }
+
     void writeNews(wire::News::Builder to, const News& news)
     {
         to.setKind(static_cast<uint8_t>(news.key.kind));
         to.setName(news.key.name);
         to.setSession(news.version.session);
         to.setCounter(news.version.counter);
-        to.setHttp(news.http);
-        to.setDataCentre(news.dataCentre);
         to.setDraining(news.draining);
         to.setConfigOffset(news.configOffset);
-        to.setRunning(news.running);
-        to.setWaiting(news.waiting);
-        to.setSlots(news.slots);
+        to.setRunning(clamp(news.running));
+        to.setWaiting(clamp(news.waiting));
+        to.setSlots(clamp(news.slots));
         to.setFirstTokenUs(static_cast<uint32_t>(news.firstTokenTime.count()));
         to.setTokenGapUs(static_cast<uint32_t>(news.tokenGap.count()));
         to.setCount(news.count);
@@ -36,8 +39,6 @@
         News news;
         news.key = { static_cast<NewsKind>(in.getKind()), text(in.getName()) };
         news.version = { in.getSession(), in.getCounter() };
-        news.http = text(in.getHttp());
-        news.dataCentre = text(in.getDataCentre());
         news.draining = in.getDraining();
         news.configOffset = in.getConfigOffset();
         news.running = in.getRunning();
--- a/state/src/gossip_table.cpp
+++ b/state/src/gossip_table.cpp
@@ -9,9 +9,10 @@
     /// Sends on top of the logarithm of the number of nodes.
     constexpr size_t extraSends = 2;
 
-    size_t sendsFor(size_t nodes)
+    /// Rounds in which an entry is passed on; each round reaches `gossipFanout` peers.
+    size_t roundsFor(size_t nodes)
     {
-        return std::bit_width(nodes) + extraSends;
+        return (std::bit_width(nodes) + extraSends + gossipFanout - 1) / gossipFanout;
     }
 
 } // namespace
@@ -22,7 +23,7 @@
     auto [entry, added] = this->entries.try_emplace(news.key);
     if (!added && news.version <= entry->second.news.version)
         return false;
-    entry->second = { news, sendsFor(nodes) };
+    entry->second = { news, roundsFor(nodes) };
     this->toSend.insert(news.key);
     return true;
 }
