Let the runtime end before its HTTP server

Cause: the new test crashed at its end; the backtrace shows the server's destructor posting to I/O contexts that the runtime had freed. Ruled out: fibers left behind (the runtime had reported that all had ended). Change: closing forgets the threads, so that a second close does nothing.

--- a/tests/unit/transport_test.cpp
+++ b/tests/unit/transport_test.cpp
@@ -43,11 +43,10 @@
 Test(http_server, random_and_cut_off_bytes_get_an_answer_or_an_end)
 {
     signal(SIGPIPE, SIG_IGN);
-    // Both live until the process ends, as in the daemon.
-    auto& runtime = *new Runtime(1);
+    Runtime runtime(1);
     auto echo = [](const HttpRequest& request, ResponseWriter& writer) { writer.send({ 200, {}, request.body }); };
     auto refuse = [](unsigned status, std::string_view reason) { return HttpResponse { status, {}, std::string(reason) }; };
-    auto& server = *new HttpServer(runtime, { "127.0.0.1", port }, {}, echo, refuse);
+    HttpServer server(runtime, { "127.0.0.1", port }, {}, echo, refuse);
     cr_assert(server.start());
     cr_assert(rc::check("bad bytes", [] {
         auto answer = exchange(*genDamaged(goodRequest));
@@ -60,4 +59,6 @@
     for (int i = 0; i < 200 && server.stats().connections > 0; i++)
         std::this_thread::sleep_for(std::chrono::milliseconds { 10 });
     cr_assert_eq(server.stats().connections, 0U);
+    server.closeAll();
+    cr_assert(runtime.stop(std::chrono::seconds { 5 }));
 }
--- a/transport/include/transport/transport.h
+++ b/transport/include/transport/transport.h
@@ -233,7 +233,7 @@
     bool start();
     /// Closes the listeners; open requests go on, idle connections close.
     void stopAccepting();
-    /// Closes every connection at once.
+    /// Closes every connection at once; does nothing a second time, so that the runtime may end before the server.
     void closeAll();
     /// Current counters.
     ServerStats stats() const;
--- a/transport/src/http_server_beast.cpp
+++ b/transport/src/http_server_beast.cpp
@@ -369,6 +369,7 @@
                 connection->stream.cancel();
         });
     }
+    this->impl->threads.clear();
 }
 
 ServerStats HttpServer::stats() const
