Wait for the workers before refusing a publish that does not fit

Ruled out: expiry and capacity (both logs are clean). Change: the client looks again for up to 5 s before it refuses.

--- a/client/src/publish.cpp
+++ b/client/src/publish.cpp
@@ -14,6 +14,9 @@
 
     constexpr std::chrono::milliseconds pollInterval { 20 };
     constexpr std::chrono::milliseconds appendRetryPause { 200 };
+    /// Time for which the workers may still be being declared.
+    constexpr std::chrono::seconds fitPatience { 5 };
+    constexpr std::chrono::milliseconds fitPoll { 200 };
     constexpr const char* configStream = "config";
 
     /// Verdict on an own record as a node shows it.
@@ -45,7 +48,7 @@
                 std::cout << (this->invocation.json ? "{\"verdict\":\"unchanged\"}\n" : "nothing to publish\n");
                 return ExitOk;
             }
-            if (!this->fits())
+            if (!this->fitsSoon())
                 return ExitDoesNotFit;
             if (this->invocation.dryRun) {
                 std::cout << this->envelope.entries.size() << " service files would be published\n";
@@ -128,8 +131,23 @@
             return total;
         }
 
+        /// Workers of a region that has just started are declared one after another, so a set that does not fit is looked at again.
+        bool fitsSoon() const
+        {
+            auto patience = std::min(this->deadline, monotonicNow() + fitPatience);
+            std::string complaint;
+            while (!this->fits(complaint)) {
+                if (monotonicNow() >= patience) {
+                    std::cerr << "comfreypier: " << complaint << "\n";
+                    return false;
+                }
+                sleepFor(fitPoll);
+            }
+            return true;
+        }
+
         /// Rejects a set that is larger than the memory of all workers, or an item larger than every worker.
-        bool fits() const
+        bool fits(std::string& complaint) const
         {
             auto answer = askNodes(this->invocation, this->client, "/admin/placement");
             auto placement = answer ? parseObject(*answer) : std::nullopt;
@@ -146,8 +164,8 @@
             auto declared = this->declaredBytes(largestItem);
             if (declared <= capacity && largestItem <= largestWorker)
                 return true;
-            std::cerr << "comfreypier: the set does not fit: declared " << protocol::formatBytes(declared) << " of " << protocol::formatBytes(capacity)
-                      << ", largest item " << protocol::formatBytes(largestItem) << ", largest worker " << protocol::formatBytes(largestWorker) << "\n";
+            complaint = "the set does not fit: declared " + protocol::formatBytes(declared) + " of " + protocol::formatBytes(capacity);
+            complaint += ", largest item " + protocol::formatBytes(largestItem) + ", largest worker " + protocol::formatBytes(largestWorker);
             return false;
         }
 
