Read on after a refusal, so that its answer is not lost

The server closed with unread bytes, the kernel reset the connection, and the reset overtook the answer. Change: after a refusal the server ends its sending side and reads on for at most 1 s.

--- a/transport/src/http_server_beast.cpp
+++ b/transport/src/http_server_beast.cpp
@@ -14,6 +14,9 @@
     /// Pause after a failed accept, for example while file descriptors are short.
     constexpr std::chrono::milliseconds acceptRetryPause { 20 };
 
+    /// Longest time that the rest of a refused request is read.
+    constexpr std::chrono::milliseconds drainTime { 1000 };
+
     struct Connection {
         explicit Connection(asio::io_context& context)
             : stream(Stream::executor_type { context.get_executor() })
@@ -305,6 +308,21 @@
         this->malformed++;
         BeastWriter writer(connection, this->limits.writeTimeout, false);
         writer.send(this->errorBody(status, reason));
+        this->drainInput(connection);
+    }
+
+    /// Reads on for a while after a refusal: closing with unread bytes would reset the connection and lose the answer.
+    static void drainInput(Connection& connection)
+    {
+        ErrorCode ignored;
+        connection.stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+        std::array<char, 16 * 1024> scrap;
+        connection.stream.expires_after(drainTime);
+        bool open = true;
+        while (open) {
+            auto read = awaitIo([&](auto handler) { connection.stream.async_read_some(asio::buffer(scrap), std::move(handler)); });
+            open = !read.error && read.bytes > 0;
+        }
     }
 };
 
