Answer slow requests with 408; share the read deadline

Cause: reading the change again: a request that stopped in the middle got no answer. The stream's own timer closes the socket before the 408 is written (seen with a raw socket). One alias of the stream type.

--- a/coordination/src/planner.cpp
+++ b/coordination/src/planner.cpp
@@ -79,7 +79,7 @@
             return copies;
         }
 
-        /// Collects the holders of each item and the claimed bytes of each worker, kept up to date by `place`.
+        /// Collects the holders of each item and the claimed bytes of each worker, kept up to date by `insert` and `erase`.
         void indexPlan()
         {
             for (const auto& move : this->plan) {
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -9,6 +9,7 @@
 load_time="${load_time:-300ms}"
 fencing="${fencing:-yes}"
 session_extra="${session_extra:-}"
+limits_extra="${limits_extra:-}"
 
 log_port=$((base + 1))
 vm_port=$((base + 2))
@@ -51,6 +52,8 @@
 ttl = 3s
 margin = 750ms
 $session_extra
+[limits]
+$limits_extra
 [drain]
 leaving_notice = 500ms
 address_hold = 1s
--- a/tests/failure/bad_input.sh
+++ b/tests/failure/bad_input.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Malformed, too large and too slow requests, faulty settings and wrong arguments each get a clear answer.
 source "$(dirname "$0")/common.sh"
+limits_extra='read_timeout = 2s'
 start_cluster
 publish_examples
 status() { curl -s -o "$run/body.txt" -w '%{http_code}' --max-time 20 "$@"; }
@@ -26,6 +27,11 @@
 printf 'GARBAGE\r\n\r\n' >&3
 head -n 1 <&3 | grep -q '400' || fail "garbage got no 400"
 exec 3>&-
+exec 3<> "/dev/tcp/${host%:*}/${host#*:}"
+printf 'POST /v1/completions HTTP/1.1\r\nContent-Length: 50\r\n\r\nabc' >&3
+head -n 1 <&3 > "$run/slow.txt"
+grep -q ' 408 ' "$run/slow.txt" || fail "a request that stops in the middle got no 408"
+exec 3>&-
 for _ in $(seq 1 20); do
   { head -c 300 /dev/urandom > "/dev/tcp/${host%:*}/${host#*:}"; } 2> /dev/null || true
 done
--- a/transport/src/http_client_beast.cpp
+++ b/transport/src/http_client_beast.cpp
@@ -4,14 +4,11 @@
 #include <charconv>
 #include <deque>
 #include <map>
-#include <set>
 
 namespace comfreypier::transport {
 
 namespace {
 
-    using Stream = beast::basic_stream<Tcp, asio::io_context::executor_type>;
-
     /// Bytes read from a response body at a time.
     constexpr size_t readChunkSize = 8 * 1024;
 
@@ -33,47 +30,6 @@
 
     thread_local std::map<const void*, Pool> threadPools;
 
-    /// Time between two looks at the deadlines of reads.
-    constexpr std::chrono::milliseconds sweepInterval { 50 };
-
-    /// One read that must end in time.
-    struct ReadDeadline {
-        std::chrono::nanoseconds until { 0 };
-        Stream::socket_type* socket = nullptr;
-        bool passed = false;
-    };
-
-    /// Deadlines of one thread's reads. A sweep costs less than a timer for each token.
-    struct DeadlineTable {
-        std::set<ReadDeadline*> open;
-        bool sweeping = false;
-    };
-
-    thread_local DeadlineTable threadDeadlines;
-
-    void sweepDeadlines()
-    {
-        while (!threadDeadlines.open.empty()) {
-            sleepFor(sweepInterval);
-            auto now = monotonicNow();
-            for (auto* deadline : threadDeadlines.open) {
-                if (now < deadline->until)
-                    continue;
-                deadline->passed = true;
-                ErrorCode ignored;
-                deadline->socket->cancel(ignored);
-            }
-        }
-        threadDeadlines.sweeping = false;
-    }
-
-    void openDeadline(ReadDeadline& deadline)
-    {
-        threadDeadlines.open.insert(&deadline);
-        if (!std::exchange(threadDeadlines.sweeping, true))
-            spawnHere(sweepDeadlines);
-    }
-
     http::request<http::string_body> toMessage(const Endpoint& endpoint, const HttpRequest& request)
     {
         http::request<http::string_body> message;
@@ -196,11 +152,9 @@
                 body.data = this->chunk.data();
                 body.size = this->chunk.size();
                 auto& socket = this->connection->stream.socket();
-                ReadDeadline deadline { monotonicNow() + timeout, &socket };
-                openDeadline(deadline);
+                ReadDeadline deadline(socket, timeout);
                 auto outcome = awaitIo([&](auto handler) { http::async_read_some(socket, this->connection->buffer, this->parser, std::move(handler)); });
-                threadDeadlines.open.erase(&deadline);
-                if (deadline.passed)
+                if (deadline.hasPassed())
                     return IoError::Timeout;
                 if (outcome.error && outcome.error != http::error::need_buffer)
                     return toIoError(outcome.error);
--- a/transport/src/http_server_beast.cpp
+++ b/transport/src/http_server_beast.cpp
@@ -1,6 +1,7 @@
 /// HTTP/1.1 server over Boost.Beast: one listening socket that all I/O threads accept from, one fiber per connection.
 #include "transport_p.h"
 
+#include <optional>
 #include <set>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -9,8 +10,6 @@
 
 namespace {
 
-    using Stream = beast::basic_stream<Tcp, asio::io_context::executor_type>;
-
     /// Pause after a failed accept, for example while file descriptors are short.
     constexpr std::chrono::milliseconds acceptRetryPause { 20 };
 
@@ -258,9 +257,12 @@
         http::request_parser<http::string_body> parser;
         parser.header_limit(this->limits.headerLimit);
         parser.body_limit(this->limits.bodyLimit);
-        connection.stream.expires_after(this->limits.readTimeout);
-        auto read = awaitIo([&](auto handler) { http::async_read(connection.stream, connection.buffer, parser, std::move(handler)); });
-        connection.stream.expires_never();
+        auto& socket = connection.stream.socket();
+        auto deadline = std::make_optional<ReadDeadline>(socket, this->limits.readTimeout);
+        auto read = awaitIo([&](auto handler) { http::async_read(socket, connection.buffer, parser, std::move(handler)); });
+        if (deadline->hasPassed())
+            read.error = beast::error::timeout;
+        deadline.reset();
         if (read.error) {
             this->refuse(connection, read.error);
             return false;
--- a/transport/src/transport_p.h
+++ b/transport/src/transport_p.h
@@ -20,6 +20,7 @@
 namespace http = boost::beast::http;
 using Tcp = asio::ip::tcp;
 using ErrorCode = boost::system::error_code;
+using Stream = beast::basic_stream<Tcp, asio::io_context::executor_type>;
 
 /// The io_context of the calling I/O thread. Null on other threads.
 asio::io_context* currentContext();
@@ -58,6 +59,25 @@
     return outcome;
 }
 
+/// Cancels a socket's reads at a deadline. The socket stays open, so that an answer can still be sent.
+class ReadDeadline {
+public:
+    /// Must be made and destroyed on the socket's I/O thread.
+    ReadDeadline(Stream::socket_type& socket, std::chrono::milliseconds timeout);
+    ~ReadDeadline();
+    ReadDeadline(const ReadDeadline&) = delete;
+    ReadDeadline& operator=(const ReadDeadline&) = delete;
+    /// Tells whether the deadline has cancelled a read.
+    bool hasPassed() const { return this->passed; }
+    /// Cancels the reads if the deadline has come.
+    void cancelIfPassed(std::chrono::nanoseconds now);
+
+private:
+    Stream::socket_type& socket;
+    std::chrono::nanoseconds until;
+    bool passed = false;
+};
+
 /// Maps an Asio or Beast error to `IoError`.
 IoError toIoError(const ErrorCode& error);
 
