--- a/daemon/src/main.cpp
+++ b/daemon/src/main.cpp
@@ -1,6 +1,7 @@
 /// comfreypierd: reads its settings, runs until SIGTERM, drains and ends.
 #include <boost/program_options.hpp>
 #include <daemon/daemon.h>
+#include <edge/edge.h>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -18,15 +19,27 @@
     ExitAddress = 3, ///< A listener could not be opened.
 };
 
-constexpr const char* usage = "usage: comfreypierd --config FILE [--check]\n";
+/// Time between two looks for a signal.
+constexpr std::chrono::milliseconds signalPoll { 1000 };
+
+constexpr const char* usage = "usage: comfreypierd [edge] --config FILE [--check]\n"
+                              "  edge: serve the users' platform; the file then holds the settings of one entry VM there\n";
 constexpr const char* exitHelp = "exit codes: 0 drained or settings are good, 1 requests were cut off at the drain limit,\n"
                                  "            2 wrong arguments or settings, 3 an address can't be bound\n";
 
+int reportGood()
+{
+    std::cout << "settings are good\n";
+    return ExitOk;
+}
+
 std::optional<options::variables_map> parseArguments(int argc, char** argv, const options::options_description& description)
 {
     options::variables_map values;
     try {
-        options::store(options::parse_command_line(argc, argv, description), values);
+        options::positional_options_description positions;
+        positions.add("mode", 1);
+        options::store(options::command_line_parser(argc, argv).options(description).positional(positions).run(), values);
         options::notify(values);
     } catch (const options::error& error) {
         std::cerr << "comfreypierd: " << error.what() << "\n"
@@ -36,7 +49,9 @@
     return values;
 }
 
-std::optional<protocol::NodeSettings> readSettings(const std::string& path)
+/// Reads a settings file with `parse` and prints its faults.
+template <class Settings, class Parse>
+std::optional<Settings> readSettings(const std::string& path, Parse&& parse)
 {
     std::ifstream file(path);
     if (!file) {
@@ -45,7 +60,7 @@
     }
     std::stringstream text;
     text << file.rdbuf();
-    auto settings = protocol::parseNodeSettings(path, text.str());
+    auto settings = parse(path, text.str());
     if (settings)
         return settings.value();
     for (const auto& fault : settings.error())
@@ -53,6 +68,38 @@
     return std::nullopt;
 }
 
+std::string readText(const std::string& path)
+{
+    std::ifstream file(path);
+    std::stringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+int runEdge(const std::string& path, const edge::Settings& settings)
+{
+    transport::blockTerminationSignals();
+    transport::raiseDescriptorLimit();
+    transport::setUpLogging(settings.logLevel, settings.partLevels);
+    edge::Edge daemon(settings);
+    if (!daemon.start()) {
+        std::cerr << "comfreypierd: an address can't be bound\n";
+        std::_Exit(ExitAddress);
+    }
+    auto text = readText(path);
+    while (transport::waitForSignal(signalPoll) != transport::ProcessSignal::Terminate) {
+        // The file may also change without a signal.
+        auto current = readText(path);
+        if (current == text)
+            continue;
+        text = current;
+        if (auto changed = readSettings<edge::Settings>(path, edge::parseSettings))
+            daemon.reload(*changed);
+    }
+    auto code = daemon.drain() ? ExitOk : ExitCutOff;
+    std::_Exit(code);
+}
+
 int runDaemon(const protocol::NodeSettings& settings)
 {
     transport::blockTerminationSignals();
@@ -63,7 +110,7 @@
         std::cerr << "comfreypierd: an address can't be bound\n";
         std::_Exit(ExitAddress);
     }
-    transport::waitForTermination();
+    while (transport::waitForSignal(signalPoll) != transport::ProcessSignal::Terminate) { }
     auto code = daemon.drain() ? ExitOk : ExitCutOff;
     std::cerr.flush();
     std::_Exit(code);
@@ -74,7 +121,7 @@
 int main(int argc, char** argv)
 {
     options::options_description description("options");
-    description.add_options()("config", options::value<std::string>(), "settings file")("check", "check the settings and exit")("version", "print the version")("help", "print this help");
+    description.add_options()("config", options::value<std::string>(), "settings file")("mode", options::value<std::string>()->default_value("node"), "node or edge")("check", "check the settings and exit")("version", "print the version")("help", "print this help");
     auto values = parseArguments(argc, argv, description);
     if (!values)
         return ExitUsage;
@@ -90,12 +137,16 @@
         std::cerr << usage;
         return ExitUsage;
     }
-    auto settings = readSettings((*values)["config"].as<std::string>());
+    auto path = (*values)["config"].as<std::string>();
+    bool check = values->count("check") > 0;
+    if ((*values)["mode"].as<std::string>() == "edge") {
+        auto settings = readSettings<edge::Settings>(path, edge::parseSettings);
+        if (!settings)
+            return ExitUsage;
+        return check ? reportGood() : runEdge(path, *settings);
+    }
+    auto settings = readSettings<protocol::NodeSettings>(path, protocol::parseNodeSettings);
     if (!settings)
         return ExitUsage;
-    if (values->count("check") > 0) {
-        std::cout << "settings are good\n";
-        return ExitOk;
-    }
-    return runDaemon(*settings);
+    return check ? reportGood() : runDaemon(*settings);
 }
--- /dev/null
+++ b/edge/include/edge/edge.h
@@ -0,0 +1,80 @@
+/// The daemon on the users' platform: serves callers on every entry VM and, as holder of the lease, orders loads.
+#pragma once
+
+#include <ownership/ownership.h>
+#include <protocol/protocol.h>
+#include <routing/routing.h>
+
+namespace comfreypier::edge {
+
+using std::chrono::milliseconds;
+
+// ---------------------------------------------------------------- limits and defaults
+
+/// Pause between beats to the other VMs: a peer's load is news for about as long as a prompt takes to read.
+constexpr milliseconds beatInterval { 200 };
+/// A peer not heard for this long is left out of the directory.
+constexpr milliseconds peerSilence { 1100 };
+/// Pause between beats to a peer that has been silent for long.
+constexpr milliseconds silentPeerInterval { 2000 };
+/// A peer silent for this long is dropped from the members by the holder of the lease.
+constexpr std::chrono::seconds memberSilence { 120 };
+/// Longest time a read waits for news of configuration and members: half the time in which a configuration must be in force.
+constexpr milliseconds newsWait { 2500 };
+/// Pause between two reads of the workers' stream. Each worker writes there about every second.
+constexpr milliseconds workerReadInterval { 500 };
+/// Pause after a failed call to the store.
+constexpr milliseconds storeRetryPause { 250 };
+/// Time in which entries that lapsed while the store was away come back after its return, with some slack.
+constexpr milliseconds entryReturnTime { 2600 };
+
+/// Settings of one VM.
+struct Settings {
+    std::string node;
+    std::string region;
+    std::string dataCentre;
+    transport::Endpoint front; ///< For callers.
+    transport::Endpoint directory; ///< For questions where to connect.
+    transport::Endpoint readiness; ///< For the platform's checks.
+    transport::Endpoint inner; ///< UDP, for beats.
+    transport::Endpoint metrics; ///< For counters and histograms.
+    transport::Endpoint store;
+    uint32_t threads = 1;
+    double repeatRatio = 0.2; ///< Repeats that all VMs may send a worker service for each request.
+    uint32_t repeatSlack = 50; ///< Further repeats in a window over all VMs.
+    milliseconds repeatWindow { 10000 };
+    milliseconds grace { 8000 }; ///< From SIGTERM to the end of the process.
+    milliseconds leaseTime { 3000 }; ///< Two VMs must not give orders in turn within this time.
+    bool workersCheckTokens = true; ///< Workers refuse lower fencing tokens.
+    std::chrono::seconds directoryKeep { 2 }; ///< For which callers keep the directory's answer.
+    uint32_t connectionLimit = 3000; ///< Callers' connections at once.
+    transport::LogLevel logLevel = transport::LogLevel::Info;
+    std::vector<transport::PartLevel> partLevels;
+};
+
+/// Parses and checks a settings file.
+Result<Settings, std::vector<protocol::FileFault>> parseSettings(std::string_view file, std::string_view text);
+
+/// The daemon of one entry VM.
+class Edge {
+public:
+    explicit Edge(Settings settings);
+    ~Edge();
+    Edge(const Edge&) = delete;
+    Edge& operator=(const Edge&) = delete;
+
+    /// Opens the listeners and starts all duties.
+    /// @return false if an address can't be bound.
+    bool start();
+    /// Takes over those settings that may change while the daemon runs: the store's address, bounds and log levels.
+    void reload(const Settings& settings);
+    /// Leaves: no new callers, open requests end. Blocks the calling thread.
+    /// @return true if nothing was cut off.
+    bool drain();
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> impl;
+};
+
+} // namespace comfreypier::edge
--- /dev/null
+++ b/edge/src/beat.capnp
@@ -0,0 +1,63 @@
+@0xc41d8a7f2be05963;
+# Datagrams between the entry VMs, and what each VM publishes of itself.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("comfreypier::edge::wire");
+
+struct Member {
+  incarnation @0 :UInt64;
+  inner @1 :Text;
+  front @2 :Text;
+  dataCentre @3 :Text;
+}
+
+struct Load {
+  worker @0 :Text;
+  prefillTokens @1 :UInt32;
+  memoryTokens @2 :UInt32;
+  requests @3 :UInt16;
+}
+
+struct Sent {
+  worker @0 :Text;
+  chain @1 :UInt64;
+  tokens @2 :UInt32;
+}
+
+struct Demand {
+  model @0 :Text;
+  work @1 :Float32;
+}
+
+struct Want {
+  worker @0 :Text;
+  model @1 :Text;
+  adapter @2 :Text;
+}
+
+struct Resident {
+  worker @0 :Text;
+  items @1 :List(Text);
+}
+
+struct Suspect {
+  content @0 :UInt64;
+  crashes @1 :UInt8;
+}
+
+struct Beat {
+  node @0 :Text;
+  incarnation @1 :UInt64;
+  number @2 :UInt64;
+  ready @3 :Bool;
+  leaving @4 :Bool;
+  leaseToken @5 :UInt64;
+  loads @6 :List(Load);
+  sent @7 :List(Sent);
+  demand @8 :List(Demand);
+  wants @9 :List(Want);
+  resident @10 :List(Resident);
+  suspects @11 :List(Suspect);
+  configVersion @12 :UInt64;
+  used @13 :List(Want);
+}
--- /dev/null
+++ b/edge/src/beat_codec.h
@@ -0,0 +1,58 @@
+/// Beats between VMs and the record that a VM publishes of itself.
+#pragma once
+
+#include <edge/edge.h>
+#include <placement/placement.h>
+
+namespace comfreypier::edge {
+
+/// What a VM publishes of itself.
+struct Member {
+    uint64_t incarnation = 0; ///< Drawn anew at each start.
+    transport::Endpoint inner;
+    transport::Endpoint front;
+    std::string dataCentre;
+};
+
+std::string encodeMember(const Member& member);
+std::optional<Member> decodeMember(std::string_view bytes);
+
+/// A prompt part that a VM has just sent to a worker.
+struct SentPart {
+    std::string worker;
+    uint64_t chain = 0;
+    uint32_t tokens = 0;
+};
+
+/// An adapter or, if `worker` is empty, a model that a VM misses.
+struct Want {
+    std::string worker;
+    std::string model;
+    std::string adapter;
+    auto operator<=>(const Want&) const = default;
+};
+
+/// What a VM tells the others.
+struct Beat {
+    std::string node;
+    uint64_t incarnation = 0;
+    uint64_t number = 0; ///< Grows with each beat of an incarnation.
+    bool ready = false;
+    bool leaving = false;
+    uint64_t leaseToken = 0; ///< Fencing token if the VM gives orders now, else 0.
+    uint64_t configVersion = 0;
+    std::map<std::string, routing::WorkerLoad> loads; ///< By worker; others carry none.
+    std::vector<SentPart> sent;
+    std::map<std::string, double> demand; ///< By model, in worker seconds a second.
+    std::vector<Want> wants;
+    std::vector<Want> used; ///< Adapters that requests have just been sent to.
+    /// By worker, from the holder of the lease: `model`, `model/adapter`, or `!model` for a model on its way out.
+    std::map<std::string, std::set<std::string>> resident;
+    std::map<uint64_t, uint32_t> suspects; ///< Crashes by content.
+};
+
+std::string encodeBeat(const Beat& beat);
+/// @return nothing if the bytes are no beat.
+std::optional<Beat> decodeBeat(std::string_view bytes);
+
+} // namespace comfreypier::edge
--- /dev/null
+++ b/edge/src/beat_codec_capnp.cpp
@@ -0,0 +1,182 @@
+/// Beats and member records in Cap'n Proto's flat encoding.
+#include "beat_codec.h"
+
+#include "beat.capnp.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+#include <cstring>
+
+namespace comfreypier::edge {
+
+namespace {
+
+    std::string toBytes(capnp::MessageBuilder& message)
+    {
+        auto words = capnp::messageToFlatArray(message);
+        auto bytes = words.asBytes();
+        return { reinterpret_cast<const char*>(bytes.begin()), bytes.size() };
+    }
+
+    /// Calls `read` with a reader of the bytes. @return false if they are no such message.
+    template <class Root, class Read>
+    bool readBytes(std::string_view bytes, Read&& read)
+    {
+        if (bytes.empty() || bytes.size() % sizeof(capnp::word) != 0)
+            return false;
+        auto words = kj::heapArray<capnp::word>(bytes.size() / sizeof(capnp::word));
+        std::memcpy(words.begin(), bytes.data(), bytes.size());
+        auto fault = kj::runCatchingExceptions([&] {
+            capnp::FlatArrayMessageReader reader(words);
+            read(reader.getRoot<Root>());
+        });
+        return fault == nullptr;
+    }
+
+    std::string text(capnp::Text::Reader reader)
+    {
+        return { reader.cStr(), reader.size() };
+    }
+
+    uint32_t clampTokens(double tokens)
+    {
+        return static_cast<uint32_t>(std::clamp(tokens, 0.0, 4e9));
+    }
+
+    void fillWants(capnp::List<wire::Want>::Builder list, const std::vector<Want>& wants)
+    {
+        for (unsigned i = 0; i < wants.size(); i++) {
+            list[i].setWorker(wants[i].worker);
+            list[i].setModel(wants[i].model);
+            list[i].setAdapter(wants[i].adapter);
+        }
+    }
+
+    void readWants(capnp::List<wire::Want>::Reader list, std::vector<Want>& wants)
+    {
+        for (auto item : list)
+            wants.push_back({ text(item.getWorker()), text(item.getModel()), text(item.getAdapter()) });
+    }
+
+    void fillLists(wire::Beat::Builder root, const Beat& beat)
+    {
+        auto loads = root.initLoads(static_cast<unsigned>(beat.loads.size()));
+        unsigned i = 0;
+        for (const auto& [worker, load] : beat.loads) {
+            auto item = loads[i++];
+            item.setWorker(worker);
+            item.setPrefillTokens(clampTokens(load.prefillTokens));
+            item.setMemoryTokens(clampTokens(load.memoryTokens));
+            item.setRequests(static_cast<uint16_t>(std::min(load.requests, 65535U)));
+        }
+        auto sent = root.initSent(static_cast<unsigned>(beat.sent.size()));
+        for (i = 0; i < beat.sent.size(); i++) {
+            sent[i].setWorker(beat.sent[i].worker);
+            sent[i].setChain(beat.sent[i].chain);
+            sent[i].setTokens(beat.sent[i].tokens);
+        }
+        auto demand = root.initDemand(static_cast<unsigned>(beat.demand.size()));
+        i = 0;
+        for (const auto& [model, work] : beat.demand) {
+            demand[i].setModel(model);
+            demand[i++].setWork(static_cast<float>(work));
+        }
+        fillWants(root.initWants(static_cast<unsigned>(beat.wants.size())), beat.wants);
+        fillWants(root.initUsed(static_cast<unsigned>(beat.used.size())), beat.used);
+        auto resident = root.initResident(static_cast<unsigned>(beat.resident.size()));
+        i = 0;
+        for (const auto& [worker, items] : beat.resident) {
+            auto entry = resident[i++];
+            entry.setWorker(worker);
+            auto list = entry.initItems(static_cast<unsigned>(items.size()));
+            unsigned k = 0;
+            for (const auto& item : items)
+                list.set(k++, item);
+        }
+        auto suspects = root.initSuspects(static_cast<unsigned>(beat.suspects.size()));
+        i = 0;
+        for (const auto& [content, crashes] : beat.suspects) {
+            suspects[i].setContent(content);
+            suspects[i++].setCrashes(static_cast<uint8_t>(std::min(crashes, 255U)));
+        }
+    }
+
+    void readLists(wire::Beat::Reader root, Beat& beat)
+    {
+        for (auto item : root.getLoads())
+            beat.loads[text(item.getWorker())] = { static_cast<double>(item.getPrefillTokens()), static_cast<double>(item.getMemoryTokens()), item.getRequests() };
+        for (auto item : root.getSent())
+            beat.sent.push_back({ text(item.getWorker()), item.getChain(), item.getTokens() });
+        for (auto item : root.getDemand())
+            beat.demand[text(item.getModel())] = item.getWork();
+        readWants(root.getWants(), beat.wants);
+        readWants(root.getUsed(), beat.used);
+        for (auto entry : root.getResident()) {
+            auto& items = beat.resident[text(entry.getWorker())];
+            for (auto item : entry.getItems())
+                items.insert(text(item));
+        }
+        for (auto item : root.getSuspects())
+            beat.suspects[item.getContent()] = item.getCrashes();
+    }
+
+} // namespace
+
+std::string encodeMember(const Member& member)
+{
+    capnp::MallocMessageBuilder message;
+    auto root = message.initRoot<wire::Member>();
+    root.setIncarnation(member.incarnation);
+    root.setInner(transport::toString(member.inner));
+    root.setFront(transport::toString(member.front));
+    root.setDataCentre(member.dataCentre);
+    return toBytes(message);
+}
+
+std::optional<Member> decodeMember(std::string_view bytes)
+{
+    Member member;
+    bool whole = false;
+    bool readable = readBytes<wire::Member>(bytes, [&](wire::Member::Reader root) {
+        auto inner = transport::parseEndpoint(text(root.getInner()));
+        auto front = transport::parseEndpoint(text(root.getFront()));
+        whole = inner.has_value() && front.has_value();
+        if (!whole)
+            return;
+        member = { root.getIncarnation(), inner.value(), front.value(), text(root.getDataCentre()) };
+    });
+    return readable && whole ? std::optional(member) : std::nullopt;
+}
+
+std::string encodeBeat(const Beat& beat)
+{
+    capnp::MallocMessageBuilder message;
+    auto root = message.initRoot<wire::Beat>();
+    root.setNode(beat.node);
+    root.setIncarnation(beat.incarnation);
+    root.setNumber(beat.number);
+    root.setReady(beat.ready);
+    root.setLeaving(beat.leaving);
+    root.setLeaseToken(beat.leaseToken);
+    root.setConfigVersion(beat.configVersion);
+    fillLists(root, beat);
+    return toBytes(message);
+}
+
+std::optional<Beat> decodeBeat(std::string_view bytes)
+{
+    Beat beat;
+    bool readable = readBytes<wire::Beat>(bytes, [&beat](wire::Beat::Reader root) {
+        beat.node = text(root.getNode());
+        beat.incarnation = root.getIncarnation();
+        beat.number = root.getNumber();
+        beat.ready = root.getReady();
+        beat.leaving = root.getLeaving();
+        beat.leaseToken = root.getLeaseToken();
+        beat.configVersion = root.getConfigVersion();
+        readLists(root, beat);
+    });
+    return readable && !beat.node.empty() ? std::optional(std::move(beat)) : std::nullopt;
+}
+
+} // namespace comfreypier::edge
--- /dev/null
+++ b/edge/src/counters.cpp
@@ -0,0 +1,80 @@
+#include "counters.h"
+
+namespace comfreypier::edge {
+
+namespace {
+
+    template <size_t count, class Kind>
+    void print(std::string& out, const char* metric, const char* label, const std::array<std::atomic<uint64_t>, count>& values)
+    {
+        for (size_t i = 0; i < count; i++)
+            out += std::string("comfreypier_") + metric + "{" + label + "=\"" + name(static_cast<Kind>(i)) + "\"} " + std::to_string(values[i]) + "\n";
+    }
+
+    void print(std::string& out, const char* metric, const transport::Distribution& distribution)
+    {
+        auto stats = distribution.stats();
+        auto line = [&out, metric](const char* suffix, double value) { out += std::string("comfreypier_") + metric + suffix + " " + std::to_string(value) + "\n"; };
+        auto seconds = [](std::chrono::nanoseconds time) { return std::chrono::duration<double>(time).count(); };
+        line("_seconds_count", static_cast<double>(stats.count));
+        line("_seconds{quantile=\"0.5\"}", seconds(stats.p50));
+        line("_seconds{quantile=\"0.99\"}", seconds(stats.p99));
+        line("_seconds_max", seconds(stats.max));
+    }
+
+} // namespace
+
+const char* name(Refusal refusal)
+{
+    constexpr std::array<const char*, static_cast<size_t>(Refusal::Count)> names {
+        "no_configuration", "no_route", "no_service", "no_worker", "unreachable", "no_model", "no_adapter", "no_room",
+        "hopeless", "leaving", "crashes_workers", "worker_failed", "timed_out", "caller_gone", "malformed"
+    };
+    return names[static_cast<size_t>(refusal)];
+}
+
+const char* name(Repeat repeat)
+{
+    constexpr std::array<const char*, static_cast<size_t>(Repeat::Count)> names {
+        "not_sent", "not_run", "broken", "silent", "unusable", "failed", "resumed"
+    };
+    return names[static_cast<size_t>(repeat)];
+}
+
+const char* name(Event event)
+{
+    constexpr std::array<const char*, static_cast<size_t>(Event::Count)> names {
+        "requests", "answers", "stream_events", "streams_cut", "store_calls", "store_failures", "beats_sent", "beats_received", "orders", "configurations_applied"
+    };
+    return names[static_cast<size_t>(event)];
+}
+
+void add(EdgeCounters& counters, Refusal refusal)
+{
+    counters.refusals[static_cast<size_t>(refusal)]++;
+}
+
+void add(EdgeCounters& counters, Repeat repeat)
+{
+    counters.repeats[static_cast<size_t>(repeat)]++;
+}
+
+void add(EdgeCounters& counters, Event event, uint64_t amount)
+{
+    counters.events[static_cast<size_t>(event)] += amount;
+}
+
+std::string formatCounters(const EdgeCounters& counters)
+{
+    std::string out;
+    print<static_cast<size_t>(Refusal::Count), Refusal>(out, "refusals_total", "reason", counters.refusals);
+    print<static_cast<size_t>(Repeat::Count), Repeat>(out, "repeats_total", "reason", counters.repeats);
+    print<static_cast<size_t>(Event::Count), Event>(out, "events_total", "event", counters.events);
+    print(out, "first_byte", counters.firstByte);
+    print(out, "whole_answer", counters.whole);
+    out += "comfreypier_log_lines_dropped_total " + std::to_string(transport::droppedLogLines()) + "\n";
+    out += "comfreypier_resident_bytes " + std::to_string(transport::residentBytes()) + "\n";
+    return out;
+}
+
+} // namespace comfreypier::edge
--- /dev/null
+++ b/edge/src/fleet.cpp
@@ -0,0 +1,252 @@
+#include "fleet.h"
+
+namespace comfreypier::edge {
+
+namespace {
+
+    /// Round trip to another data centre that is assumed for the choice of a worker.
+    constexpr milliseconds dataCentreRoundTrip { 3 };
+    /// Most sent parts that wait for the next beat.
+    constexpr size_t sentLimit = 256;
+
+} // namespace
+
+Fleet::Fleet(std::string dataCentre)
+    : dataCentre(std::move(dataCentre))
+{
+}
+
+ConfigurationPtr Fleet::configuration() const
+{
+    std::lock_guard lock(this->mutex);
+    return this->current;
+}
+
+bool Fleet::applyConfiguration(routing::Configuration configuration)
+{
+    std::lock_guard lock(this->mutex);
+    if (this->current && configuration.version <= this->current->version)
+        return false;
+    this->current = std::make_shared<const routing::Configuration>(std::move(configuration));
+    return true;
+}
+
+bool Fleet::applyEntry(const routing::WorkerEntry& entry, Time now)
+{
+    std::lock_guard lock(this->mutex);
+    auto& known = this->workers[entry.id];
+    known.heardAt = now;
+    known.missingSince = Time { 0 };
+    auto& worker = known.worker;
+    if (worker.entry == entry)
+        return false;
+    bool restarted = worker.entry.startedAt != entry.startedAt;
+    if (restarted) {
+        worker.kept.clear();
+        worker.announced.clear();
+        worker.avoidUntil = Time { 0 };
+        worker.connectFailures = 0;
+    }
+    if (entry.leaving && worker.leavingAt == Time { 0 })
+        worker.leavingAt = now;
+    worker.entry = entry;
+    return true;
+}
+
+void Fleet::removeEntry(const std::string& id, Time now, Time grace)
+{
+    std::lock_guard lock(this->mutex);
+    auto found = this->workers.find(id);
+    if (found == this->workers.end() || found->second.missingSince != Time { 0 })
+        return;
+    found->second.missingSince = now;
+    found->second.grace = grace;
+}
+
+void Fleet::retain(const std::set<std::string>& present, Time now, Time grace)
+{
+    std::lock_guard lock(this->mutex);
+    for (auto& [id, known] : this->workers) {
+        if (present.contains(id) || known.missingSince != Time { 0 })
+            continue;
+        known.missingSince = now;
+        known.grace = grace;
+    }
+}
+
+std::vector<std::string> Fleet::dropMissing(Time now)
+{
+    std::lock_guard lock(this->mutex);
+    std::vector<std::string> dropped;
+    for (auto it = this->workers.begin(); it != this->workers.end();) {
+        if (it->second.missingSince != Time { 0 } && now >= it->second.missingSince + it->second.grace) {
+            dropped.push_back(it->first);
+            it = this->workers.erase(it);
+        } else
+            ++it;
+    }
+    return dropped;
+}
+
+Fleet::Picked Fleet::choose(const routing::Service& service, const routing::RequestShape& shape, const std::vector<uint64_t>& chains, const std::set<std::string>& excluded, milliseconds targetLatency, Time now)
+{
+    std::lock_guard lock(this->mutex);
+    std::vector<routing::Worker*> candidates;
+    for (auto& [id, known] : this->workers) {
+        if (known.worker.entry.service == service.name)
+            candidates.push_back(&known.worker);
+    }
+    routing::ChoiceInputs inputs;
+    inputs.service = &service;
+    inputs.shape = &shape;
+    inputs.chains = &chains;
+    inputs.dataCentre = this->dataCentre;
+    inputs.excluded = &excluded;
+    inputs.targetLatency = targetLatency;
+    inputs.distance = dataCentreRoundTrip;
+    inputs.now = now;
+    Picked picked;
+    picked.choice = routing::chooseWorker(candidates, inputs);
+    auto* worker = picked.choice.worker != nullptr ? picked.choice.worker : picked.choice.home;
+    if (worker != nullptr) {
+        picked.id = worker->entry.id;
+        picked.entry = worker->entry;
+        picked.entryAge = now - this->workers[worker->entry.id].heardAt;
+    }
+    picked.choice.worker = nullptr;
+    picked.choice.home = nullptr;
+    return picked;
+}
+
+void Fleet::update(const std::string& id, const std::function<void(routing::Worker&)>& change)
+{
+    std::lock_guard lock(this->mutex);
+    auto found = this->workers.find(id);
+    if (found != this->workers.end())
+        change(found->second.worker);
+}
+
+std::vector<routing::WorkerEntry> Fleet::entries() const
+{
+    std::lock_guard lock(this->mutex);
+    std::vector<routing::WorkerEntry> entries;
+    for (const auto& [id, known] : this->workers)
+        entries.push_back(known.worker.entry);
+    return entries;
+}
+
+void Fleet::applyPeer(const std::string& peer, const Beat& beat)
+{
+    std::lock_guard lock(this->mutex);
+    double capacity = 0;
+    for (auto& [id, known] : this->workers) {
+        auto load = beat.loads.find(id);
+        if (load == beat.loads.end())
+            known.worker.peers.erase(peer);
+        else
+            known.worker.peers[peer] = load->second;
+    }
+    for (const auto& part : beat.sent) {
+        auto found = this->workers.find(part.worker);
+        if (found == this->workers.end() || !this->current)
+            continue;
+        auto service = this->current->services.find(found->second.worker.entry.service);
+        if (service != this->current->services.end() && service->second.engine)
+            capacity = service->second.engine->promptMemoryTokens * routing::keptMemoryShare;
+        found->second.worker.kept.note(part.chain, part.tokens, capacity);
+    }
+}
+
+void Fleet::forgetPeer(const std::string& peer)
+{
+    std::lock_guard lock(this->mutex);
+    for (auto& [id, known] : this->workers)
+        known.worker.peers.erase(peer);
+}
+
+void Fleet::applyResident(const std::map<std::string, std::set<std::string>>& resident)
+{
+    std::lock_guard lock(this->mutex);
+    for (const auto& [id, adapters] : resident) {
+        auto found = this->workers.find(id);
+        if (found != this->workers.end())
+            found->second.worker.announced = adapters;
+    }
+}
+
+std::map<std::string, routing::WorkerLoad> Fleet::ownLoads() const
+{
+    std::lock_guard lock(this->mutex);
+    std::map<std::string, routing::WorkerLoad> loads;
+    for (const auto& [id, known] : this->workers) {
+        if (known.worker.own.requests > 0)
+            loads[id] = known.worker.own;
+    }
+    return loads;
+}
+
+std::vector<SentPart> Fleet::takeSent()
+{
+    std::lock_guard lock(this->mutex);
+    return std::exchange(this->sent, {});
+}
+
+LoadTicket Fleet::reserve(const std::string& id, const routing::RequestShape& shape, const std::vector<uint64_t>& chains, uint32_t kept, double capacity)
+{
+    std::lock_guard lock(this->mutex);
+    double unread = shape.promptTokens - std::min(kept, shape.promptTokens);
+    routing::WorkerLoad load { unread, unread + shape.outputTokens, 1 };
+    auto found = this->workers.find(id);
+    if (found != this->workers.end()) {
+        auto& worker = found->second.worker;
+        worker.own = worker.own + load;
+        for (size_t i = 0; i < chains.size(); i++) {
+            bool known = worker.kept.keeps(chains[i]);
+            worker.kept.note(chains[i], shape.parts[i].tokens, capacity * routing::keptMemoryShare);
+            // The last part is the request's own: other VMs hardly see it again.
+            if (!known && i + 1 < chains.size() && this->sent.size() < sentLimit)
+                this->sent.push_back({ id, chains[i], shape.parts[i].tokens });
+        }
+    }
+    return { *this, id, load };
+}
+
+void Fleet::release(const std::string& id, const routing::WorkerLoad& load)
+{
+    std::lock_guard lock(this->mutex);
+    auto found = this->workers.find(id);
+    if (found == this->workers.end())
+        return;
+    auto& own = found->second.worker.own;
+    own.prefillTokens = std::max(0.0, own.prefillTokens - load.prefillTokens);
+    own.memoryTokens = std::max(0.0, own.memoryTokens - load.memoryTokens);
+    own.requests -= std::min(own.requests, load.requests);
+}
+
+LoadTicket::LoadTicket(Fleet& fleet, std::string worker, routing::WorkerLoad load)
+    : fleet(&fleet)
+    , worker(std::move(worker))
+    , load(load)
+{
+}
+
+LoadTicket::LoadTicket(LoadTicket&& other) noexcept
+    : fleet(std::exchange(other.fleet, nullptr))
+    , worker(std::move(other.worker))
+    , load(other.load)
+{
+}
+
+LoadTicket::~LoadTicket()
+{
+    if (this->fleet != nullptr)
+        this->fleet->release(this->worker, this->load);
+}
+
+void LoadTicket::prefilled()
+{
+    this->fleet->release(this->worker, { this->load.prefillTokens, 0, 0 });
+    this->load.prefillTokens = 0;
+}
+
+} // namespace comfreypier::edge
--- /dev/null
+++ b/edge/src/fleet.h
@@ -0,0 +1,100 @@
+/// What this VM believes of the configuration and the workers, under one lock.
+#pragma once
+
+#include "beat_codec.h"
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+
+namespace comfreypier::edge {
+
+using routing::Time;
+using transport::monotonicNow;
+using transport::sleepFor;
+using ConfigurationPtr = std::shared_ptr<const routing::Configuration>;
+
+/// Load that a request puts on a worker. Ends with the object.
+class LoadTicket;
+
+/// Configuration and workers.
+class Fleet {
+public:
+    explicit Fleet(std::string dataCentre);
+
+    /// The configuration in force, or null while none is known.
+    ConfigurationPtr configuration() const;
+    /// Puts a configuration in force unless a newer one already is. @return true if it was taken.
+    bool applyConfiguration(routing::Configuration configuration);
+
+    /// Takes over a worker's entry. @return true if it says something new.
+    bool applyEntry(const routing::WorkerEntry& entry, Time now);
+    /// Notes that a worker's entry is gone. @param grace time in which it may come back.
+    void removeEntry(const std::string& id, Time now, Time grace);
+    /// Notes all that are not among `present` as gone.
+    void retain(const std::set<std::string>& present, Time now, Time grace);
+    /// Drops workers whose entries did not come back. @return their ids.
+    std::vector<std::string> dropMissing(Time now);
+
+    /// Chooses a worker. The pointers in the result are null; use `id`.
+    struct Picked {
+        std::string id;
+        routing::WorkerEntry entry; ///< Of the worker, or of the one that should load an adapter.
+        routing::Choice choice;
+        Time entryAge { 0 }; ///< Since the worker's last news.
+    };
+    Picked choose(const routing::Service& service, const routing::RequestShape& shape, const std::vector<uint64_t>& chains, const std::set<std::string>& excluded, milliseconds targetLatency, Time now);
+
+    /// Calls `change` with the worker, if it is known, under the lock.
+    void update(const std::string& id, const std::function<void(routing::Worker&)>& change);
+    /// Entries of all workers that are not gone.
+    std::vector<routing::WorkerEntry> entries() const;
+
+    /// Takes over a peer's load and what it sent.
+    void applyPeer(const std::string& peer, const Beat& beat);
+    /// Forgets a silent peer's load.
+    void forgetPeer(const std::string& peer);
+    /// Takes over the adapters that the holder of the lease reports.
+    void applyResident(const std::map<std::string, std::set<std::string>>& resident);
+
+    /// Own load by worker, for beats.
+    std::map<std::string, routing::WorkerLoad> ownLoads() const;
+    /// Parts sent since the last call, for beats.
+    std::vector<SentPart> takeSent();
+    /// Notes a request on its way to a worker.
+    LoadTicket reserve(const std::string& id, const routing::RequestShape& shape, const std::vector<uint64_t>& chains, uint32_t kept, double capacity);
+
+private:
+    friend class LoadTicket;
+    struct Known {
+        routing::Worker worker;
+        Time heardAt { 0 };
+        Time missingSince { 0 }; ///< 0 while the entry is there.
+        Time grace { 0 };
+    };
+    void release(const std::string& id, const routing::WorkerLoad& load);
+
+    std::string dataCentre;
+    mutable std::mutex mutex;
+    ConfigurationPtr current;
+    std::map<std::string, Known> workers;
+    std::vector<SentPart> sent;
+};
+
+class LoadTicket {
+public:
+    LoadTicket(Fleet& fleet, std::string worker, routing::WorkerLoad load);
+    ~LoadTicket();
+    LoadTicket(LoadTicket&& other) noexcept;
+    LoadTicket(const LoadTicket&) = delete;
+    LoadTicket& operator=(const LoadTicket&) = delete;
+    /// Notes that the prompt has been read.
+    void prefilled();
+
+private:
+    Fleet* fleet;
+    std::string worker;
+    routing::WorkerLoad load;
+};
+
+} // namespace comfreypier::edge
--- /dev/null
+++ b/edge/src/order_duty.cpp
@@ -0,0 +1,439 @@
+#include "order_duty.h"
+
+#include <random>
+
+namespace comfreypier::edge {
+
+namespace {
+
+    /// Pause between two planning rounds without news.
+    constexpr milliseconds planInterval { 100 };
+    /// Pause between two looks at the lease.
+    constexpr milliseconds leaseLook { 100 };
+    /// Age of a worker's report: orders younger than that may be missing in it.
+    constexpr milliseconds reportLag { 400 };
+    /// Pause between two reports of a worker that carries out a model order.
+    constexpr milliseconds busyReportInterval { 250 };
+    /// Time in which the other VMs hear that a model is on its way out, before its unload is ordered.
+    constexpr milliseconds unloadNotice { 30 };
+    /// Usual time until an adapter is there after its order was accepted.
+    constexpr milliseconds adapterLoadTime { 12 };
+    /// Time since an adapter's last use below which it is not dropped.
+    constexpr milliseconds adapterIdle { 300 };
+    /// Key of the lease's record.
+    constexpr const char* leaseKey = "orders";
+
+    std::string drawName(const std::string& node)
+    {
+        std::random_device device;
+        return node + "#" + std::to_string(device());
+    }
+
+    ownership::LeaseSettings leaseSettings(const Settings& settings)
+    {
+        ownership::LeaseSettings lease;
+        lease.duration = settings.leaseTime + milliseconds { 1000 };
+        if (!settings.workersCheckTokens)
+            lease.quiet = settings.leaseTime;
+        return lease;
+    }
+
+    std::string encodeLease(const ownership::LeaseRecord& record)
+    {
+        return std::to_string(record.token) + " " + record.holder;
+    }
+
+    std::optional<ownership::LeaseRecord> decodeLease(const std::string& text)
+    {
+        auto space = text.find(' ');
+        auto token = protocol::parseInteger(text.substr(0, space));
+        if (space == std::string::npos || !token)
+            return std::nullopt;
+        return ownership::LeaseRecord { text.substr(space + 1), static_cast<uint64_t>(*token) };
+    }
+
+    const routing::EngineSpec* engineOf(const ConfigurationPtr& configuration, const std::string& service)
+    {
+        auto found = configuration->services.find(service);
+        return found == configuration->services.end() || !found->second.engine ? nullptr : &*found->second.engine;
+    }
+
+} // namespace
+
+OrderDuty::OrderDuty(Vm& vm, Peers& peers)
+    : vm(vm)
+    , peers(peers)
+    , lease(drawName(vm.settings.node), leaseSettings(vm.settings))
+{
+    this->peers.onWants = [this] { this->work.signal(); };
+    this->peers.onUse = [this](const Want& use) {
+        std::lock_guard lock(this->mutex);
+        auto found = this->agents.find(use.worker);
+        if (found == this->agents.end())
+            return;
+        auto adapter = found->second->held.adapters.find(use.model + "/" + use.adapter);
+        if (adapter != found->second->held.adapters.end())
+            adapter->second = monotonicNow();
+    };
+}
+
+void OrderDuty::keepLease()
+{
+    while (!this->vm.phase.stopping) {
+        this->stepLease();
+        sleepFor(leaseLook);
+    }
+}
+
+void OrderDuty::stepLease()
+{
+    auto now = transport::bootTimeNow();
+    ownership::LeaseStep step;
+    {
+        std::lock_guard lock(this->mutex);
+        step = this->lease.next(now);
+    }
+    if (step == ownership::LeaseStep::Wait || this->vm.phase.leaving)
+        return;
+    if (step == ownership::LeaseStep::Renew || step == ownership::LeaseStep::TakeOver)
+        return this->appendLease(step == ownership::LeaseStep::TakeOver);
+    if (this->peers.hearsHolder())
+        return;
+    add(this->vm.counters, Event::StoreCalls);
+    auto page = platform::readNewest(this->vm.store(), platform::Stream::Lease);
+    if (!page) {
+        add(this->vm.counters, Event::StoreFailures);
+        return;
+    }
+    ownership::LeaseReading reading;
+    reading.end = page.value().next;
+    for (const auto& record : page.value().records) {
+        if (record.key != leaseKey || !record.value)
+            continue;
+        reading.record = decodeLease(*record.value);
+        reading.offset = record.offset;
+    }
+    std::lock_guard lock(this->mutex);
+    this->lease.noteRead(reading, now);
+}
+
+void OrderDuty::appendLease(bool takeOver)
+{
+    auto sentAt = transport::bootTimeNow();
+    ownership::LeaseRecord record;
+    uint64_t at = 0;
+    {
+        std::lock_guard lock(this->mutex);
+        record = this->lease.proposal();
+        at = this->lease.appendAt();
+    }
+    add(this->vm.counters, Event::StoreCalls);
+    auto outcome = platform::append(this->vm.store(), platform::Stream::Lease, leaseKey, encodeLease(record), at);
+    {
+        std::lock_guard lock(this->mutex);
+        if (outcome)
+            this->lease.noteAppended(sentAt);
+        else
+            this->lease.noteUncertain(sentAt);
+        if (takeOver)
+            this->agents.clear();
+    }
+    if (takeOver || !outcome)
+        this->log.info(std::string("event=lease step=") + (takeOver ? "take_over" : "renew") + " token=" + std::to_string(record.token) + " outcome=" + (outcome ? "held" : platform::name(outcome.error())));
+}
+
+void OrderDuty::release()
+{
+    ownership::LeaseRecord record;
+    uint64_t at = 0;
+    {
+        std::lock_guard lock(this->mutex);
+        bool held = this->lease.holds();
+        this->lease.release();
+        if (!held)
+            return;
+        record = this->lease.proposal();
+        at = this->lease.appendAt();
+    }
+    this->peers.setHolding(0, {});
+    add(this->vm.counters, Event::StoreCalls);
+    auto outcome = platform::append(this->vm.store(), platform::Stream::Lease, leaseKey, encodeLease(record), at);
+    this->log.info("event=lease step=release token=" + std::to_string(record.token) + " outcome=" + (outcome ? "released" : platform::name(outcome.error())));
+}
+
+bool OrderDuty::mayOrder() const
+{
+    std::lock_guard lock(this->mutex);
+    return this->lease.mayOrder(transport::bootTimeNow());
+}
+
+void OrderDuty::run()
+{
+    bool held = false;
+    while (!this->vm.phase.stopping) {
+        this->work.waitFor(planInterval);
+        bool may = this->mayOrder() && this->vm.isReady();
+        if (std::exchange(held, may) && !may)
+            this->peers.setHolding(0, {});
+        if (!may)
+            continue;
+        this->syncAgents();
+        this->planModels();
+        std::vector<AgentPtr> idle;
+        {
+            std::lock_guard lock(this->mutex);
+            for (auto& [id, agent] : this->agents) {
+                if (!std::exchange(agent->working, true))
+                    idle.push_back(agent);
+            }
+        }
+        for (auto& agent : idle)
+            transport::spawnHere([this, agent] { this->serveWorker(agent); });
+        this->announce();
+    }
+}
+
+void OrderDuty::syncAgents()
+{
+    auto configuration = this->vm.fleet.configuration();
+    std::lock_guard lock(this->mutex);
+    std::set<std::string> present;
+    for (const auto& entry : this->vm.fleet.entries()) {
+        if (engineOf(configuration, entry.service) == nullptr)
+            continue;
+        present.insert(entry.id);
+        auto& agent = this->agents[entry.id];
+        if (!agent || agent->entry.startedAt != entry.startedAt)
+            agent = std::make_shared<Agent>();
+        agent->entry = entry;
+        agent->held.id = entry.id;
+        agent->held.alive = !entry.leaving;
+        agent->held.cached.insert(entry.onDisk.begin(), entry.onDisk.end());
+        agent->held.usable = agent->synced && !entry.leaving && !agent->modelOrder;
+    }
+    std::erase_if(this->agents, [&present](const auto& item) { return !present.contains(item.first); });
+}
+
+void OrderDuty::planModels()
+{
+    auto configuration = this->vm.fleet.configuration();
+    auto now = monotonicNow();
+    for (const auto& [name, service] : configuration->services) {
+        if (!service.engine)
+            continue;
+        placement::ModelInputs inputs;
+        inputs.engine = &*service.engine;
+        inputs.work = this->peers.totalDemand();
+        for (const auto& want : this->peers.allWants()) {
+            if (want.worker.empty())
+                inputs.work[want.model] += 1;
+        }
+        std::lock_guard lock(this->mutex);
+        for (const auto& [id, agent] : this->agents) {
+            if (agent->entry.service != name)
+                continue;
+            // A worker that was not heard yet may hold anything: planning waits for it a little.
+            if (!agent->synced && agent->held.alive)
+                agent->held.usable = false;
+            auto held = agent->held;
+            if (!agent->synced) {
+                for (const auto& model : agent->entry.models)
+                    held.models.insert(model.name);
+            }
+            inputs.workers.push_back(std::move(held));
+            if (agent->modelOrder && agent->modelOrder->fromStore)
+                inputs.storeLoadsRunning++;
+        }
+        inputs.storeLoadsAllowed = this->storeRate.allowed(service.engine->storeLoadsPerSecond, now);
+        if (auto order = placement::planModel(inputs))
+            this->assign(*order);
+    }
+}
+
+void OrderDuty::assign(const placement::Order& order)
+{
+    auto& agent = this->agents[order.worker];
+    agent->modelOrder = order;
+    agent->modelOrderSent = false;
+    agent->held.usable = false;
+    if (order.kind == placement::OrderKind::Load)
+        agent->held.models.insert(order.model);
+    else {
+        agent->held.models.erase(order.model);
+        agent->held.unloading.insert(order.model);
+    }
+    if (order.fromStore)
+        this->storeRate.noteLoad();
+}
+
+void OrderDuty::serveWorker(const AgentPtr& agent)
+{
+    bool synced = false;
+    {
+        std::lock_guard lock(this->mutex);
+        synced = agent->synced && !agent->reportWanted;
+    }
+    if (!synced)
+        this->sync(*agent);
+    if (agent->modelOrder && !agent->modelOrderSent)
+        this->orderModel(*agent);
+    this->orderAdapters(*agent);
+    std::lock_guard lock(this->mutex);
+    if (agent->modelOrder && agent->modelOrderSent)
+        agent->reportWanted = true;
+    agent->working = false;
+}
+
+void OrderDuty::sync(Agent& agent)
+{
+    auto now = monotonicNow();
+    if (now < agent.syncAt)
+        return;
+    agent.syncAt = now + busyReportInterval;
+    auto report = platform::fetchReport(this->vm.client, agent.entry);
+    if (!report)
+        return;
+    std::lock_guard lock(this->mutex);
+    auto& held = agent.held;
+    if (!agent.synced) {
+        held.models.clear();
+        held.unloading.clear();
+        auto adapters = std::exchange(held.adapters, {});
+        for (const auto& model : report->models) {
+            held.models.insert(model.name);
+            for (const auto& adapter : model.adapters)
+                held.adapters[model.name + "/" + adapter] = adapters[model.name + "/" + adapter];
+        }
+        for (const auto& pending : report->pendingAdapters)
+            held.adapters[pending] = now;
+        agent.ordersAccepted = report->ordersAccepted;
+        agent.synced = true;
+    }
+    held.cached.insert(report->cached.begin(), report->cached.end());
+    if (!agent.modelOrder || report->ordering || !agent.modelOrderSent)
+        return;
+    bool there = std::any_of(report->models.begin(), report->models.end(), [&](const auto& model) { return model.name == agent.modelOrder->model; });
+    bool load = agent.modelOrder->kind == placement::OrderKind::Load;
+    if (there != load || report->ordersAccepted < agent.ordersAccepted)
+        return;
+    held.unloading.erase(agent.modelOrder->model);
+    held.cached.insert(agent.modelOrder->model);
+    if (!load)
+        std::erase_if(held.adapters, [&](const auto& item) { return item.first.starts_with(agent.modelOrder->model + "/"); });
+    this->log.info("event=order_done worker=" + agent.entry.id + " kind=" + (load ? "load" : "unload") + " model=" + agent.modelOrder->model);
+    agent.modelOrder.reset();
+    agent.reportWanted = false;
+    this->work.signal();
+}
+
+bool OrderDuty::send(Agent& agent, const placement::Order& order)
+{
+    platform::OrderSource source;
+    {
+        std::lock_guard lock(this->mutex);
+        if (!agent.synced || !this->lease.mayOrder(transport::bootTimeNow()))
+            return false;
+        source = { this->vm.settings.node, this->lease.token(), agent.ordersAccepted };
+    }
+    add(this->vm.counters, Event::Orders);
+    auto outcome = platform::sendOrder(this->vm.client, agent.entry, order, source);
+    bool load = order.kind == placement::OrderKind::Load;
+    bool done = outcome == platform::OrderOutcome::Accepted || outcome == platform::OrderOutcome::AlreadyHolds;
+    this->log.info("event=order worker=" + order.worker + " kind=" + (load ? "load" : "unload") + " model=" + order.model + (order.adapter.empty() ? "" : " adapter=" + order.adapter)
+        + " reason=" + order.reason + " token=" + std::to_string(source.token) + " accepted_before=" + std::to_string(source.ordersAccepted) + " outcome=" + platform::name(outcome));
+    std::lock_guard lock(this->mutex);
+    bool counted = outcome == platform::OrderOutcome::Accepted || (outcome == platform::OrderOutcome::AlreadyHolds && !load && !order.adapter.empty());
+    if (counted)
+        agent.ordersAccepted++;
+    if (!done) {
+        agent.synced = false;
+        agent.syncAt = monotonicNow() + reportLag;
+    }
+    return done;
+}
+
+void OrderDuty::orderModel(Agent& agent)
+{
+    auto order = *agent.modelOrder;
+    if (order.kind == placement::OrderKind::Unload) {
+        this->announce();
+        sleepFor(unloadNotice);
+    }
+    bool sent = this->send(agent, order);
+    std::lock_guard lock(this->mutex);
+    if (sent) {
+        agent.modelOrderSent = true;
+        agent.syncAt = monotonicNow() + busyReportInterval;
+        return;
+    }
+    // What became of it shows in the next report.
+    agent.modelOrder.reset();
+    agent.synced = false;
+}
+
+void OrderDuty::orderAdapters(Agent& agent)
+{
+    auto configuration = this->vm.fleet.configuration();
+    const auto* engine = engineOf(configuration, agent.entry.service);
+    if (engine == nullptr)
+        return;
+    for (const auto& want : this->peers.allWants()) {
+        if (want.worker != agent.entry.id || want.adapter.empty())
+            continue;
+        std::optional<placement::Order> order;
+        {
+            std::lock_guard lock(this->mutex);
+            if (!agent.synced)
+                return;
+            order = placement::planAdapter(*engine, agent.held, want.model, want.adapter, monotonicNow(), adapterIdle);
+        }
+        if (!order || !this->send(agent, *order))
+            continue;
+        auto key = order->model + "/" + order->adapter;
+        std::lock_guard lock(this->mutex);
+        if (order->kind == placement::OrderKind::Unload) {
+            agent.held.adapters.erase(key);
+            this->work.signal();
+            continue;
+        }
+        agent.held.adapters[key] = monotonicNow();
+        agent.readyAt[key] = monotonicNow() + adapterLoadTime;
+        transport::spawnHere([this] {
+            sleepFor(adapterLoadTime);
+            this->announce();
+        });
+    }
+}
+
+void OrderDuty::announce()
+{
+    std::map<std::string, std::set<std::string>> resident;
+    uint64_t token = 0;
+    auto now = monotonicNow();
+    {
+        std::lock_guard lock(this->mutex);
+        if (!this->lease.mayOrder(transport::bootTimeNow()))
+            return;
+        token = this->lease.token();
+        for (auto& [id, agent] : this->agents) {
+            if (!agent->synced)
+                continue;
+            auto& items = resident[id];
+            std::erase_if(agent->readyAt, [now](const auto& item) { return item.second <= now; });
+            for (const auto& [adapter, used] : agent->held.adapters) {
+                if (!agent->readyAt.contains(adapter))
+                    items.insert(adapter);
+            }
+            for (const auto& model : agent->held.models) {
+                if (!agent->modelOrder || agent->modelOrder->model != model)
+                    items.insert(model);
+            }
+            for (const auto& model : agent->held.unloading)
+                items.insert("!" + model);
+        }
+    }
+    this->vm.fleet.applyResident(resident);
+    this->peers.setHolding(token, std::move(resident));
+}
+
+} // namespace comfreypier::edge
--- /dev/null
+++ b/edge/src/order_duty.h
@@ -0,0 +1,60 @@
+/// Holds the lease when it can and orders loads and unloads while it does.
+#pragma once
+
+#include "peers.h"
+
+namespace comfreypier::edge {
+
+/// Gives orders to workers.
+class OrderDuty {
+public:
+    OrderDuty(Vm& vm, Peers& peers);
+
+    /// Takes over, renews and watches the lease until the daemon stops.
+    void keepLease();
+    /// Plans and gives orders until the daemon stops.
+    void run();
+    /// Gives the lease up.
+    void release();
+
+private:
+    /// What the holder knows of one worker. Its orders go out one after the other.
+    struct Agent {
+        routing::WorkerEntry entry;
+        placement::HeldWorker held;
+        bool synced = false; ///< `held` and `ordersAccepted` come from a report and the orders since.
+        bool working = false; ///< A fiber talks to the worker.
+        bool reportWanted = false;
+        uint64_t ordersAccepted = 0;
+        Time syncAt { 0 }; ///< No report is asked for before.
+        std::optional<placement::Order> modelOrder; ///< In progress at the worker.
+        bool modelOrderSent = false;
+        std::map<std::string, Time> readyAt; ///< Adapters on their way.
+    };
+    using AgentPtr = std::shared_ptr<Agent>;
+
+    void stepLease();
+    void appendLease(bool takeOver);
+    bool mayOrder() const;
+    void syncAgents();
+    void planModels();
+    void assign(const placement::Order& order);
+    /// Talks to one worker: reports, then what is to be ordered.
+    void serveWorker(const AgentPtr& agent);
+    void sync(Agent& agent);
+    void orderModel(Agent& agent);
+    void orderAdapters(Agent& agent);
+    bool send(Agent& agent, const placement::Order& order);
+    void announce();
+
+    Vm& vm;
+    Peers& peers;
+    mutable std::mutex mutex;
+    ownership::Lease lease;
+    std::map<std::string, AgentPtr> agents;
+    placement::StoreRate storeRate;
+    transport::Event work;
+    transport::Log log { "orders" };
+};
+
+} // namespace comfreypier::edge
--- /dev/null
+++ b/edge/src/peers.cpp
@@ -0,0 +1,337 @@
+#include "peers.h"
+
+#include <random>
+
+namespace comfreypier::edge {
+
+namespace {
+
+    /// Shortest pause between beats that are sent at once.
+    constexpr milliseconds beatNowInterval { 3 };
+    /// What the holder announces is part of every beat for this long after a change, and of one beat in each such interval.
+    constexpr milliseconds residentNewsTime { 500 };
+    constexpr milliseconds residentRepeat { 1000 };
+    /// Least work that is worth telling, in worker seconds a second.
+    constexpr double demandLeast = 0.005;
+
+    uint64_t drawIncarnation()
+    {
+        std::random_device device;
+        return static_cast<uint64_t>(device()) << 32 | device();
+    }
+
+} // namespace
+
+Peers::Peers(Vm& vm, transport::Runtime& runtime)
+    : vm(vm)
+    , socket(runtime, vm.settings.inner, [this](std::string_view bytes) { this->receive(bytes); })
+    , incarnation(drawIncarnation())
+{
+}
+
+bool Peers::start()
+{
+    return this->socket.start();
+}
+
+bool Peers::publish()
+{
+    Member member { this->incarnation, this->vm.settings.inner, this->vm.settings.front, this->vm.settings.dataCentre };
+    add(this->vm.counters, Event::StoreCalls);
+    auto outcome = platform::append(this->vm.store(), platform::Stream::Members, this->vm.settings.node, encodeMember(member));
+    if (!outcome)
+        add(this->vm.counters, Event::StoreFailures);
+    return outcome.has_value();
+}
+
+void Peers::run()
+{
+    bool published = false;
+    Time triedAt { -std::chrono::hours { 1 } };
+    while (!this->vm.phase.stopping) {
+        if (!published && monotonicNow() - triedAt > std::chrono::seconds { 1 }) {
+            triedAt = monotonicNow();
+            transport::spawnHere([this, &published] { published = this->publish(); });
+        }
+        this->beatNow();
+        sleepFor(beatInterval);
+    }
+    // The publishing fiber refers to this frame.
+    while (!published && monotonicNow() - triedAt < platform::storeConnectTime + platform::storeAnswerTime)
+        sleepFor(beatInterval);
+}
+
+void Peers::resign()
+{
+    add(this->vm.counters, Event::StoreCalls);
+    auto outcome = platform::append(this->vm.store(), platform::Stream::Members, this->vm.settings.node, "");
+    this->log.info(std::string("event=resign outcome=") + (outcome ? "done" : platform::name(outcome.error())));
+}
+
+Beat Peers::makeBeat()
+{
+    Beat beat;
+    beat.node = this->vm.settings.node;
+    beat.incarnation = this->incarnation;
+    beat.number = ++this->number;
+    beat.ready = this->vm.isReady();
+    beat.leaving = this->vm.phase.leaving;
+    auto configuration = this->vm.fleet.configuration();
+    beat.configVersion = configuration ? configuration->version : 0;
+    beat.loads = this->vm.fleet.ownLoads();
+    beat.sent = this->vm.fleet.takeSent();
+    {
+        std::lock_guard lock(this->suspectMutex);
+        beat.suspects = this->suspects.counts();
+    }
+    std::lock_guard lock(this->mutex);
+    for (const auto& [model, rate] : this->work.rates(monotonicNow())) {
+        if (rate >= demandLeast)
+            beat.demand[model] = rate;
+    }
+    for (const auto& [want, count] : this->wants)
+        beat.wants.push_back(want);
+    beat.used.assign(this->used.begin(), this->used.end());
+    this->used.clear();
+    beat.leaseToken = this->leaseToken;
+    auto now = monotonicNow();
+    if (now - this->residentChangedAt < residentNewsTime || now - this->residentToldAt > residentRepeat) {
+        this->residentToldAt = now;
+        beat.resident = this->resident;
+    }
+    return beat;
+}
+
+void Peers::beatNow()
+{
+    auto now = monotonicNow();
+    if (now - this->beatenAt < beatNowInterval)
+        return;
+    this->beatenAt = now;
+    auto bytes = encodeBeat(this->makeBeat());
+    std::vector<transport::Endpoint> targets;
+    {
+        std::lock_guard lock(this->mutex);
+        for (auto& [node, peer] : this->peers) {
+            bool silent = now - peer.heardAt > silentPeerInterval;
+            if (silent && now - peer.toldAt < silentPeerInterval)
+                continue;
+            peer.toldAt = now;
+            targets.push_back(peer.member.inner);
+        }
+    }
+    for (const auto& target : targets)
+        this->socket.send(target, bytes);
+    add(this->vm.counters, Event::BeatsSent, targets.size());
+}
+
+void Peers::receive(std::string_view bytes)
+{
+    auto beat = decodeBeat(bytes);
+    if (!beat)
+        return;
+    add(this->vm.counters, Event::BeatsReceived);
+    bool wanting = !beat->wants.empty();
+    {
+        std::lock_guard lock(this->mutex);
+        auto found = this->peers.find(beat->node);
+        if (found == this->peers.end() || found->second.member.incarnation != beat->incarnation)
+            return;
+        auto& peer = found->second;
+        if (beat->number <= peer.number)
+            return;
+        if (monotonicNow() - peer.heardAt > peerSilence)
+            this->log.info("event=peer_heard node=" + beat->node);
+        peer.number = beat->number;
+        peer.heardAt = monotonicNow();
+        peer.ready = beat->ready;
+        peer.leaving = beat->leaving;
+        peer.leaseToken = beat->leaseToken;
+        peer.demand = std::move(beat->demand);
+        peer.wants = std::move(beat->wants);
+    }
+    this->vm.fleet.applyPeer(beat->node, *beat);
+    if (beat->leaseToken != 0)
+        this->vm.fleet.applyResident(beat->resident);
+    if (!beat->suspects.empty()) {
+        std::lock_guard lock(this->suspectMutex);
+        for (const auto& [content, crashes] : beat->suspects)
+            this->suspects.merge(content, crashes);
+    }
+    if (wanting && this->onWants)
+        this->onWants();
+    for (const auto& use : beat->used) {
+        if (this->onUse)
+            this->onUse(use);
+    }
+}
+
+void Peers::onMember(const std::string& node, const std::optional<Member>& member)
+{
+    if (node == this->vm.settings.node)
+        return;
+    std::lock_guard lock(this->mutex);
+    if (!member) {
+        if (this->peers.erase(node) > 0)
+            this->log.info("event=member_left node=" + node);
+        return;
+    }
+    auto& peer = this->peers[node];
+    if (peer.member.incarnation == member->incarnation)
+        return;
+    peer = {};
+    peer.member = *member;
+    this->log.info("event=member node=" + node + " inner=" + transport::toString(member->inner) + " data_centre=" + member->dataCentre);
+}
+
+std::vector<transport::Endpoint> Peers::addressesFor(const std::string& dataCentre) const
+{
+    constexpr size_t addressesLeast = 2;
+    std::vector<transport::Endpoint> near;
+    std::vector<transport::Endpoint> far;
+    if (this->vm.isReady())
+        (this->vm.settings.dataCentre == dataCentre ? near : far).push_back(this->vm.settings.front);
+    auto now = monotonicNow();
+    std::lock_guard lock(this->mutex);
+    for (const auto& [node, peer] : this->peers) {
+        if (peer.ready && !peer.leaving && now - peer.heardAt < peerSilence)
+            (peer.member.dataCentre == dataCentre ? near : far).push_back(peer.member.front);
+    }
+    if (near.size() < addressesLeast)
+        near.insert(near.end(), far.begin(), far.end());
+    return near;
+}
+
+void Peers::forgetSilent()
+{
+    std::vector<std::string> silent;
+    {
+        auto now = monotonicNow();
+        std::lock_guard lock(this->mutex);
+        for (const auto& [node, peer] : this->peers) {
+            if (now - peer.heardAt > peerSilence)
+                silent.push_back(node);
+        }
+    }
+    for (const auto& node : silent)
+        this->vm.fleet.forgetPeer(node);
+}
+
+uint32_t Peers::liveCount() const
+{
+    auto now = monotonicNow();
+    std::lock_guard lock(this->mutex);
+    uint32_t count = 1;
+    for (const auto& [node, peer] : this->peers)
+        count += now - peer.heardAt < silentPeerInterval ? 1 : 0;
+    return count;
+}
+
+std::vector<std::string> Peers::silentMembers() const
+{
+    auto now = monotonicNow();
+    std::lock_guard lock(this->mutex);
+    std::vector<std::string> silent;
+    for (const auto& [node, peer] : this->peers) {
+        if (now - std::max(peer.heardAt, Time { 0 }) > memberSilence)
+            silent.push_back(node);
+    }
+    return silent;
+}
+
+bool Peers::isHeard(const std::string& node) const
+{
+    std::lock_guard lock(this->mutex);
+    auto found = this->peers.find(node);
+    return found != this->peers.end() && monotonicNow() - found->second.heardAt < peerSilence;
+}
+
+std::map<std::string, double> Peers::totalDemand() const
+{
+    auto now = monotonicNow();
+    std::lock_guard lock(this->mutex);
+    auto total = this->work.rates(now);
+    for (const auto& [node, peer] : this->peers) {
+        if (now - peer.heardAt > silentPeerInterval)
+            continue;
+        for (const auto& [model, rate] : peer.demand)
+            total[model] += rate;
+    }
+    return total;
+}
+
+void Peers::noteWork(const std::string& model, double seconds)
+{
+    std::lock_guard lock(this->mutex);
+    this->work.add(model, seconds, monotonicNow());
+}
+
+std::vector<Want> Peers::allWants() const
+{
+    auto now = monotonicNow();
+    std::lock_guard lock(this->mutex);
+    std::set<Want> all;
+    for (const auto& [want, count] : this->wants)
+        all.insert(want);
+    for (const auto& [node, peer] : this->peers) {
+        if (now - peer.heardAt < peerSilence)
+            all.insert(peer.wants.begin(), peer.wants.end());
+    }
+    return { all.begin(), all.end() };
+}
+
+void Peers::want(const Want& want)
+{
+    {
+        std::lock_guard lock(this->mutex);
+        if (this->wants[want]++ > 0)
+            return;
+    }
+    this->beatNow();
+    if (this->onWants)
+        this->onWants();
+}
+
+void Peers::dropWant(const Want& want)
+{
+    std::lock_guard lock(this->mutex);
+    auto found = this->wants.find(want);
+    if (found != this->wants.end() && --found->second == 0)
+        this->wants.erase(found);
+}
+
+void Peers::noteUse(const Want& adapter)
+{
+    {
+        std::lock_guard lock(this->mutex);
+        this->used.insert(adapter);
+    }
+    if (this->onUse)
+        this->onUse(adapter);
+}
+
+void Peers::setHolding(uint64_t token, std::map<std::string, std::set<std::string>> adapters)
+{
+    bool news = false;
+    {
+        std::lock_guard lock(this->mutex);
+        news = this->resident != adapters;
+        if (news)
+            this->residentChangedAt = monotonicNow();
+        this->leaseToken = token;
+        this->resident = std::move(adapters);
+    }
+    if (news && token != 0)
+        this->beatNow();
+}
+
+bool Peers::hearsHolder() const
+{
+    auto now = monotonicNow();
+    std::lock_guard lock(this->mutex);
+    return std::any_of(this->peers.begin(), this->peers.end(), [now](const auto& item) {
+        return item.second.leaseToken != 0 && now - item.second.heardAt < peerSilence;
+    });
+}
+
+} // namespace comfreypier::edge
--- /dev/null
+++ b/edge/src/peers.h
@@ -0,0 +1,95 @@
+/// The other entry VMs: who they are, what they tell and what they are told.
+#pragma once
+
+#include "vm_p.h"
+
+namespace comfreypier::edge {
+
+/// What this VM knows of a peer.
+struct Peer {
+    Member member;
+    Time heardAt { -std::chrono::hours { 1 } };
+    Time toldAt { 0 };
+    uint64_t number = 0; ///< Of the newest beat.
+    bool ready = false;
+    bool leaving = false;
+    uint64_t leaseToken = 0;
+    std::map<std::string, double> demand;
+    std::vector<Want> wants;
+};
+
+/// Exchanges beats with the other VMs.
+class Peers {
+public:
+    Peers(Vm& vm, transport::Runtime& runtime);
+
+    /// Binds the socket. @return false if the address can't be bound.
+    bool start();
+    /// Publishes this VM as a member, then sends beats until the daemon stops.
+    void run();
+    /// Sends a beat at once, for news that others wait for.
+    void beatNow();
+    /// Takes this VM from the members.
+    void resign();
+    void stop() { this->socket.stop(); }
+
+    /// Takes over a member record.
+    void onMember(const std::string& node, const std::optional<Member>& member);
+    /// Addresses for callers in `dataCentre`: VMs that are ready, this one included.
+    std::vector<transport::Endpoint> addressesFor(const std::string& dataCentre) const;
+    /// Forgets the load of peers that fell silent.
+    void forgetSilent();
+    /// VMs that were heard of lately, with this one.
+    uint32_t liveCount() const;
+    /// Members that have been silent for long.
+    std::vector<std::string> silentMembers() const;
+    bool isHeard(const std::string& node) const;
+
+    /// Demand of all VMs by model.
+    std::map<std::string, double> totalDemand() const;
+    /// Notes work that this VM sent.
+    void noteWork(const std::string& model, double seconds);
+    /// Adapters and models that VMs miss now, this one included.
+    std::vector<Want> allWants() const;
+    /// Notes that this VM misses something, until `dropWant`.
+    void want(const Want& want);
+    void dropWant(const Want& want);
+    /// Notes that a request was sent to an adapter.
+    void noteUse(const Want& adapter);
+
+    /// Adapters that this VM reports as holder of the lease, and its token.
+    void setHolding(uint64_t leaseToken, std::map<std::string, std::set<std::string>> resident);
+    /// Tells whether some peer says that it holds the lease.
+    bool hearsHolder() const;
+
+    /// Called when some VM misses something.
+    std::function<void()> onWants;
+    /// Called for each use of an adapter by some VM.
+    std::function<void(const Want&)> onUse;
+    /// Counts of contents that crash workers.
+    routing::CrashSuspects suspects;
+    std::mutex suspectMutex;
+
+private:
+    Beat makeBeat();
+    void receive(std::string_view bytes);
+    bool publish();
+
+    Vm& vm;
+    transport::DatagramSocket socket;
+    uint64_t incarnation;
+    uint64_t number = 0;
+    Time beatenAt { 0 };
+    mutable std::mutex mutex;
+    std::map<std::string, Peer> peers;
+    placement::WorkAverage work;
+    std::map<Want, uint32_t> wants; ///< With the number of requests that miss it.
+    std::set<Want> used; ///< Since the last beat.
+    uint64_t leaseToken = 0;
+    std::map<std::string, std::set<std::string>> resident;
+    Time residentChangedAt { 0 };
+    Time residentToldAt { 0 };
+    transport::Log log { "peers" };
+};
+
+} // namespace comfreypier::edge
--- /dev/null
+++ b/edge/src/relay.cpp
@@ -0,0 +1,537 @@
+#include "relay.h"
+
+#include <cmath>
+
+namespace comfreypier::edge {
+
+namespace {
+
+    using transport::IoError;
+
+    /// Time that a caller waits if it does not say.
+    constexpr milliseconds defaultPatience { 30000 };
+    /// Part of the caller's time that is left for the way back.
+    constexpr milliseconds returnTime { 8 };
+    /// Pause between two tries to find a worker for a waiting request.
+    constexpr milliseconds waitStep { 5 };
+    /// A repeatable request is sent to another worker after this many target latencies without an answer,
+    constexpr double silentTargets = 2;
+    /// but not before this time.
+    constexpr milliseconds silentLeast { 200 };
+    /// A stream that may be resumed goes on elsewhere after this silence.
+    constexpr milliseconds streamSilence { 1200 };
+    /// Retry-After for obstacles that pass soon.
+    constexpr milliseconds soon { 200 };
+    /// Retry-After of a VM that leaves: the caller comes back at another one.
+    constexpr milliseconds atOnce { 0 };
+    /// Share of the time left that a queue may take before a request is refused as hopeless.
+    constexpr double hopelessShare = 1.0;
+    /// Worker seconds that an output token takes in a batch, for the demand figures.
+    constexpr double secondsPerOutputToken = 0.0003;
+    /// Most output tokens that are assumed for a request.
+    constexpr uint32_t outputTokensMost = 1200;
+
+    /// Urgency at the workers: the route's rank, split by how tight its target is.
+    uint32_t urgencyOf(const routing::Route& route)
+    {
+        constexpr uint32_t ranks = 4;
+        constexpr milliseconds tight { 1000 };
+        return std::min(route.priority, ranks) * 2 + (route.targetLatency > tight ? 1 : 0);
+    }
+
+    bool promisesNotRun(unsigned status)
+    {
+        return status == 408 || status == 421 || status == 429 || status == 503;
+    }
+
+} // namespace
+
+std::string milliText(Time time)
+{
+    std::array<char, 32> text {};
+    std::snprintf(text.data(), text.size(), "%.1f", std::chrono::duration<double, std::milli>(time).count());
+    return text.data();
+}
+
+/// One request on its way.
+struct Relay::Exchange {
+    Exchange(const transport::HttpRequest& request, transport::ResponseWriter& writer)
+        : request(request)
+        , writer(writer)
+        , head(platform::decodeRequestHead(request))
+        , startedAt(monotonicNow())
+    {
+    }
+
+    const transport::HttpRequest& request;
+    transport::ResponseWriter& writer;
+    platform::RequestHead head;
+    Time startedAt;
+    Time until { 0 }; ///< The caller's or the route's time is over.
+    ConfigurationPtr configuration;
+    const routing::Route* route = nullptr;
+    const routing::Service* service = nullptr;
+    std::vector<uint64_t> chains;
+    transport::CallCancel cancel;
+    std::set<std::string> excluded; ///< Workers that failed this request.
+    uint32_t sends = 0;
+    uint32_t mayHaveRun = 0; ///< Workers that may have run it.
+    bool streamStarted = false;
+    std::optional<std::string> lastEvent; ///< Last event that was passed on.
+    std::optional<transport::HttpResponse> failure; ///< A worker's own error, passed on if nothing better comes.
+    SendResult lastResult = SendResult::NotSent;
+    // For the log line.
+    std::string worker;
+    std::string outcome = "none";
+    unsigned status = 0;
+    uint32_t kept = 0;
+    Time expected { 0 };
+    Time waited { 0 };
+    Time firstByte { 0 };
+    Time entryAge { 0 };
+
+    bool gone() const { return this->cancel.isCancelled(); }
+    milliseconds left() const { return std::chrono::duration_cast<milliseconds>(this->until - monotonicNow()); }
+    bool repeatable() const { return this->route->idempotent || this->route->resumable; }
+};
+
+Relay::Relay(Vm& vm, Peers& peers)
+    : vm(vm)
+    , peers(peers)
+{
+}
+
+transport::HttpResponse Relay::refuseMalformed(unsigned status, std::string_view reason)
+{
+    return platform::makeRefusal(status, "", reason, std::nullopt);
+}
+
+void Relay::serve(const transport::HttpRequest& request, transport::ResponseWriter& writer)
+{
+    add(this->vm.counters, Event::Requests);
+    Exchange x(request, writer);
+    writer.watchCaller([&x] { x.cancel.cancel(); });
+    if (this->findTarget(x))
+        this->run(x);
+    writer.unwatchCaller();
+    this->vm.counters.whole.record(monotonicNow() - x.startedAt);
+    this->writeLog(x);
+}
+
+void Relay::writeLog(const Exchange& x)
+{
+    this->log.info("event=request id=" + x.head.id + " route=" + (x.route ? x.route->name : "-") + " version=" + (x.configuration ? std::to_string(x.configuration->version) : "-")
+        + " model=" + x.head.shape.model + (x.head.shape.adapter.empty() ? "" : "/" + x.head.shape.adapter)
+        + " tokens=" + std::to_string(x.head.shape.promptTokens) + " kept=" + std::to_string(x.kept)
+        + " worker=" + (x.worker.empty() ? "-" : x.worker) + " entry_age_ms=" + milliText(x.entryAge) + " sends=" + std::to_string(x.sends)
+        + " waited_ms=" + milliText(x.waited) + " expected_ms=" + milliText(x.expected) + " first_ms=" + milliText(x.firstByte)
+        + " total_ms=" + milliText(monotonicNow() - x.startedAt) + " status=" + std::to_string(x.status) + " outcome=" + x.outcome);
+}
+
+void Relay::refuse(Exchange& x, unsigned status, Refusal refusal, std::optional<milliseconds> retryAfter)
+{
+    add(this->vm.counters, refusal);
+    x.outcome = name(refusal);
+    x.status = status;
+    if (x.gone()) {
+        x.writer.abort();
+        return;
+    }
+    x.writer.send(platform::makeRefusal(status, x.head.id, name(refusal), retryAfter));
+}
+
+bool Relay::findTarget(Exchange& x)
+{
+    x.configuration = this->vm.fleet.configuration();
+    if (this->vm.phase.refusing) {
+        this->refuse(x, 503, Refusal::Leaving, atOnce);
+        return false;
+    }
+    if (!x.configuration || !this->vm.phase.workersKnown) {
+        this->refuse(x, 503, Refusal::NoConfiguration, soon);
+        return false;
+    }
+    x.route = routing::findRoute(*x.configuration, transport::findHeader(x.request.headers, "Host"), transport::targetPath(x.request.target));
+    if (x.route == nullptr) {
+        this->refuse(x, 404, Refusal::NoRoute, std::nullopt);
+        return false;
+    }
+    x.service = routing::pickService(*x.configuration, *x.route, x.head.id);
+    if (x.service == nullptr) {
+        this->refuse(x, 503, Refusal::NoService, soon);
+        return false;
+    }
+    auto patience = x.head.timeLeft.value_or(defaultPatience);
+    if (x.route->timeout > milliseconds { 0 })
+        patience = std::min(patience, x.route->timeout);
+    x.until = x.startedAt + patience;
+    x.head.shape.outputTokens = std::min(x.head.shape.outputTokens, outputTokensMost);
+    if (x.service->engine) {
+        x.chains = routing::chainHashes(x.head.shape);
+        if (x.head.shape.promptTokens == 0) {
+            for (const auto& part : x.head.shape.parts)
+                x.head.shape.promptTokens += part.tokens;
+        }
+    }
+    std::lock_guard lock(this->peers.suspectMutex);
+    if (this->peers.suspects.isRefused(x.head.shape.contentHash)) {
+        this->refuse(x, 503, Refusal::CrashesWorkers, std::nullopt);
+        return false;
+    }
+    return true;
+}
+
+routing::RepeatLimit& Relay::repeatLimit(const std::string& service)
+{
+    const auto& settings = this->vm.settings;
+    auto [found, added] = this->limits.try_emplace(service, settings.repeatRatio, settings.repeatSlack, settings.repeatWindow);
+    return found->second;
+}
+
+bool Relay::mayRepeat(Exchange& x, SendResult result)
+{
+    bool ran = result != SendResult::NotSent && result != SendResult::NotRun;
+    if (ran && (!x.repeatable() || x.mayHaveRun >= x.route->maxAttempts))
+        return false;
+    if (x.left() <= returnTime)
+        return false;
+    std::lock_guard lock(this->mutex);
+    return this->repeatLimit(x.service->name).take(monotonicNow(), this->peers.liveCount());
+}
+
+/// Waits until a worker can take the request. @return false if the request was refused or the caller has gone.
+bool Relay::waitForWorker(Exchange& x, Fleet::Picked& picked)
+{
+    std::optional<Want> want;
+    auto startedAt = monotonicNow();
+    auto stopWanting = [&] {
+        if (want)
+            this->peers.dropWant(*want);
+        want.reset();
+        x.waited += monotonicNow() - startedAt;
+    };
+    while (true) {
+        if (x.gone()) {
+            stopWanting();
+            this->refuse(x, 0, Refusal::CallerGone, std::nullopt);
+            return false;
+        }
+        auto now = monotonicNow();
+        picked = this->vm.fleet.choose(*x.service, x.head.shape, x.chains, x.excluded, x.route->targetLatency, now);
+        auto obstacle = picked.choice.obstacle;
+        auto left = x.until - now;
+        if (obstacle == routing::Obstacle::None) {
+            stopWanting();
+            return true;
+        }
+        Refusal refusal = Refusal::NoWorker;
+        Time need { 0 };
+        Want missing;
+        switch (obstacle) {
+        case routing::Obstacle::NoModel: {
+            const auto* model = routing::findModel(*x.service, x.head.shape.model);
+            refusal = Refusal::NoModel;
+            need = model != nullptr ? Time { model->diskLoad } : left;
+            missing = { "", x.head.shape.model, "" };
+            break;
+        }
+        case routing::Obstacle::NoAdapter:
+            refusal = Refusal::NoAdapter;
+            missing = { picked.id, x.head.shape.model, x.head.shape.adapter };
+            break;
+        case routing::Obstacle::NoRoom:
+            refusal = Refusal::NoRoom;
+            need = picked.choice.roomIn;
+            break;
+        case routing::Obstacle::Unreachable:
+            refusal = Refusal::Unreachable;
+            break;
+        default:
+            need = left;
+            break;
+        }
+        if (want != missing && !missing.model.empty()) {
+            stopWanting();
+            startedAt = now;
+            want = missing;
+            this->peers.want(missing);
+        }
+        if (left <= returnTime || need >= left) {
+            stopWanting();
+            auto back = std::chrono::duration_cast<milliseconds>(std::min<Time>(need, std::chrono::seconds { 1 }));
+            if (x.mayHaveRun > 0)
+                this->refuse(x, 502, Refusal::WorkerFailed, std::nullopt);
+            else
+                this->refuse(x, 503, refusal, std::max(back, soon));
+            return false;
+        }
+        sleepFor(waitStep);
+    }
+}
+
+void Relay::run(Exchange& x)
+{
+    {
+        std::lock_guard lock(this->mutex);
+        this->repeatLimit(x.service->name).noteFirst(monotonicNow());
+    }
+    while (true) {
+        Fleet::Picked picked;
+        if (x.streamStarted) {
+            picked = this->vm.fleet.choose(*x.service, x.head.shape, x.chains, x.excluded, x.route->targetLatency, monotonicNow());
+            if (picked.choice.obstacle != routing::Obstacle::None)
+                return this->finish(x, SendResult::Resumable);
+        } else if (!this->waitForWorker(x, picked))
+            return;
+        if (!x.streamStarted && picked.choice.firstByte > std::chrono::duration_cast<Time>(x.left() * hopelessShare) && x.mayHaveRun == 0) {
+            auto back = std::chrono::duration_cast<milliseconds>(picked.choice.firstByte / 2);
+            return this->refuse(x, 503, Refusal::Hopeless, std::clamp(back, soon, milliseconds { 2000 }));
+        }
+        auto result = this->sendOnce(x, picked);
+        x.lastResult = result;
+        if (result == SendResult::Answered || result == SendResult::Gone)
+            return;
+        if (result != SendResult::NotSent && result != SendResult::NotRun)
+            x.mayHaveRun++;
+        if (!this->mayRepeat(x, result))
+            return this->finish(x, result);
+        constexpr std::array<Repeat, static_cast<size_t>(SendResult::Count)> reasons {
+            Repeat::Failed, Repeat::NotSent, Repeat::NotRun, Repeat::Broken, Repeat::Silent, Repeat::Unusable, Repeat::Failed, Repeat::Resumed, Repeat::Failed
+        };
+        add(this->vm.counters, reasons[static_cast<size_t>(result)]);
+        this->log.info("event=repeat id=" + x.head.id + " worker=" + picked.id + " reason=" + name(reasons[static_cast<size_t>(result)]) + " left_ms=" + std::to_string(x.left().count()));
+    }
+}
+
+/// Ends a request that is not sent again.
+void Relay::finish(Exchange& x, SendResult result)
+{
+    if (x.streamStarted) {
+        add(this->vm.counters, Event::StreamsCut);
+        x.outcome = "cut";
+        x.writer.abort();
+        return;
+    }
+    if (x.gone())
+        return this->refuse(x, 0, Refusal::CallerGone, std::nullopt);
+    if (x.failure) {
+        x.status = x.failure->status;
+        x.outcome = "worker_error";
+        x.writer.send(*x.failure);
+        return;
+    }
+    if (x.mayHaveRun == 0)
+        return this->refuse(x, 503, result == SendResult::NotSent ? Refusal::Unreachable : Refusal::NoRoom, soon);
+    bool late = x.left() <= returnTime;
+    this->refuse(x, late ? 504 : 502, late ? Refusal::TimedOut : Refusal::WorkerFailed, std::nullopt);
+}
+
+Relay::SendResult Relay::sendOnce(Exchange& x, const Fleet::Picked& picked)
+{
+    auto left = x.left();
+    if (left <= returnTime) {
+        x.mayHaveRun += x.mayHaveRun > 0 ? 0 : 0;
+        return SendResult::NotRun;
+    }
+    const auto& shape = x.head.shape;
+    double capacity = x.service->engine ? x.service->engine->promptMemoryTokens : 0;
+    x.worker = picked.id;
+    x.kept = picked.choice.keptTokens;
+    x.expected = picked.choice.firstByte;
+    x.entryAge = picked.entryAge;
+    x.sends++;
+    auto ticket = this->vm.fleet.reserve(picked.id, shape, x.chains, x.kept, capacity);
+    if (x.service->engine) {
+        this->peers.noteWork(shape.model, (shape.promptTokens - x.kept) / routing::defaultPrefillRate / 1000 + shape.outputTokens * secondsPerOutputToken);
+        if (!shape.adapter.empty())
+            this->peers.noteUse({ picked.id, shape.model, shape.adapter });
+    }
+    platform::WorkerCall call { picked.id, left - returnTime, urgencyOf(*x.route), x.lastEvent ? x.lastEvent : x.head.resumeAfter };
+    auto request = platform::makeWorkerRequest(x.request, call);
+    transport::CallLimits limits;
+    limits.connect = std::min<milliseconds>(left, std::max(silentLeast, left / 4));
+    limits.response = left;
+    limits.bodyLimit = UINT64_MAX;
+    limits.cancel = &x.cancel;
+    bool canGoElsewhere = x.repeatable() && x.mayHaveRun + 1 < x.route->maxAttempts;
+    if (canGoElsewhere && !x.route->streaming)
+        limits.response = std::min(left, std::max(silentLeast, std::chrono::duration_cast<milliseconds>(x.route->targetLatency * silentTargets)));
+    auto sentAt = monotonicNow();
+    auto opened = this->vm.client.open(picked.entry.address, request, limits);
+    if (!opened)
+        return this->noteSendError(x, picked, opened.error());
+    auto stream = std::move(opened.value());
+    auto head = platform::decodeAnswerHead(stream->status(), stream->headers());
+    if (head.requestId != x.head.id && !(head.notRun && head.requestId.empty())) {
+        this->vm.fleet.update(picked.id, [](routing::Worker& worker) { routing::noteAnswer(worker, true, Time { 0 }, Time { 0 }, monotonicNow()); });
+        x.excluded.insert(picked.id);
+        return SendResult::Unusable;
+    }
+    if (head.notRun)
+        return this->judgeNotRun(x, picked, head);
+    if (!head.plainBody || (!head.authentic && stream->status() < 300)) {
+        this->vm.fleet.update(picked.id, [](routing::Worker& worker) { routing::noteAnswer(worker, true, Time { 0 }, Time { 0 }, monotonicNow()); });
+        x.excluded.insert(picked.id);
+        return SendResult::Unusable;
+    }
+    if (x.route->streaming && stream->status() == 200)
+        return this->relayStream(x, picked, *stream, ticket);
+    auto result = this->readWhole(x, picked, *stream);
+    auto took = monotonicNow() - sentAt;
+    bool failed = result != SendResult::Answered && result != SendResult::Gone;
+    auto expected = x.route->streaming ? Time { 0 } : x.expected;
+    if (result != SendResult::Gone)
+        this->vm.fleet.update(picked.id, [&](routing::Worker& worker) { routing::noteAnswer(worker, failed, expected, took, monotonicNow()); });
+    return result;
+}
+
+Relay::SendResult Relay::noteSendError(Exchange& x, const Fleet::Picked& picked, IoError error)
+{
+    if (x.gone() || error == IoError::Cancelled) {
+        this->refuse(x, 0, Refusal::CallerGone, std::nullopt);
+        return SendResult::Gone;
+    }
+    auto now = monotonicNow();
+    x.excluded.insert(picked.id);
+    if (transport::isBeforeSend(error)) {
+        this->vm.fleet.update(picked.id, [now](routing::Worker& worker) { routing::noteUnreachable(worker, now); });
+        std::lock_guard lock(this->peers.suspectMutex);
+        if (error == IoError::Refused)
+            this->peers.suspects.noteCrash(picked.id, now);
+        return SendResult::NotSent;
+    }
+    this->vm.fleet.update(picked.id, [now](routing::Worker& worker) { routing::noteAnswer(worker, true, Time { 0 }, Time { 0 }, now); });
+    if (error == IoError::Timeout)
+        return SendResult::Silent;
+    std::lock_guard lock(this->peers.suspectMutex);
+    this->peers.suspects.noteBroken(picked.id, x.head.shape.contentHash, now);
+    return SendResult::Broken;
+}
+
+Relay::SendResult Relay::judgeNotRun(Exchange& x, const Fleet::Picked& picked, const platform::AnswerHead& head)
+{
+    auto now = monotonicNow();
+    const auto& shape = x.head.shape;
+    this->vm.fleet.update(picked.id, [&](routing::Worker& worker) {
+        if (!head.otherWorker)
+            return routing::noteFull(worker, now);
+        // It is another worker, or does not hold what was believed: forget that until its next news.
+        if (shape.model.empty())
+            return routing::noteUnreachable(worker, now);
+        if (!shape.adapter.empty()) {
+            worker.announced.erase(shape.model + "/" + shape.adapter);
+            for (auto& model : worker.entry.models) {
+                if (model.name == shape.model)
+                    model.adapters.erase(shape.adapter);
+            }
+            return;
+        }
+        worker.announced.erase(shape.model);
+        std::erase_if(worker.entry.models, [&](const auto& model) { return model.name == shape.model; });
+    });
+    return SendResult::NotRun;
+}
+
+Relay::SendResult Relay::readWhole(Exchange& x, const Fleet::Picked& picked, transport::ResponseStream& stream)
+{
+    transport::HttpResponse response;
+    response.status = stream.status();
+    response.headers = platform::callerHeaders(stream.headers());
+    while (true) {
+        auto piece = stream.read(std::max(x.left(), milliseconds { 1 }));
+        if (!piece)
+            return this->noteSendError(x, picked, piece.error());
+        if (piece.value().empty())
+            break;
+        response.body.append(piece.value());
+    }
+    bool good = response.status < 400;
+    if (!good && x.route->idempotent && response.status >= 500) {
+        x.failure = std::move(response);
+        x.excluded.insert(picked.id);
+        return SendResult::Failed;
+    }
+    // Such a status would promise that the request did not run, which the worker does not say.
+    if (promisesNotRun(response.status)) {
+        x.excluded.insert(picked.id);
+        return SendResult::Unusable;
+    }
+    x.firstByte = monotonicNow() - x.startedAt;
+    this->vm.counters.firstByte.record(x.firstByte);
+    x.status = response.status;
+    x.outcome = good ? "answered" : "worker_error";
+    add(this->vm.counters, Event::Answers);
+    if (!x.writer.send(response))
+        x.outcome = name(Refusal::CallerGone);
+    return SendResult::Answered;
+}
+
+/// Passes the complete events of `buffer` on. @return false if the caller has gone.
+bool Relay::passEvents(Exchange& x, transport::ResponseStream& stream, std::string& buffer)
+{
+    constexpr std::string_view separator = "\n\n";
+    auto end = buffer.rfind(separator);
+    if (end == std::string::npos)
+        return true;
+    end += separator.size();
+    std::string_view events(buffer.data(), end);
+    auto last = events.substr(0, events.size() - separator.size());
+    auto start = last.rfind(separator);
+    auto id = platform::eventId(start == std::string_view::npos ? last : last.substr(start + separator.size()));
+    if (!x.streamStarted) {
+        x.streamStarted = true;
+        x.status = stream.status();
+        x.firstByte = monotonicNow() - x.startedAt;
+        this->vm.counters.firstByte.record(x.firstByte);
+        if (!x.writer.startStream(stream.status(), platform::callerHeaders(stream.headers())))
+            return false;
+    }
+    add(this->vm.counters, Event::StreamEvents);
+    if (!x.writer.writeChunk(events))
+        return false;
+    if (id)
+        x.lastEvent = id;
+    buffer.erase(0, end);
+    return true;
+}
+
+Relay::SendResult Relay::relayStream(Exchange& x, const Fleet::Picked& picked, transport::ResponseStream& stream, LoadTicket& ticket)
+{
+    std::string buffer;
+    auto sentAt = monotonicNow();
+    bool first = true;
+    while (true) {
+        auto wait = std::max(x.left(), milliseconds { 1 });
+        bool canResume = x.route->resumable && x.mayHaveRun + 1 < x.route->maxAttempts;
+        if (canResume && x.streamStarted)
+            wait = std::min(wait, streamSilence);
+        auto piece = stream.read(wait);
+        if (!piece) {
+            auto result = this->noteSendError(x, picked, piece.error());
+            if (result == SendResult::Gone || !x.streamStarted)
+                return result;
+            return SendResult::Resumable;
+        }
+        if (piece.value().empty())
+            break;
+        buffer.append(piece.value());
+        if (!this->passEvents(x, stream, buffer)) {
+            x.outcome = name(Refusal::CallerGone);
+            return SendResult::Gone;
+        }
+        if (first && x.streamStarted) {
+            first = false;
+            ticket.prefilled();
+            this->vm.fleet.update(picked.id, [&](routing::Worker& worker) { routing::noteAnswer(worker, false, x.expected, monotonicNow() - sentAt, monotonicNow()); });
+        }
+    }
+    if (!buffer.empty() || !x.streamStarted)
+        return x.streamStarted ? SendResult::Resumable : this->noteSendError(x, picked, IoError::Closed);
+    x.outcome = "answered";
+    add(this->vm.counters, Event::Answers);
+    if (!x.writer.finishStream())
+        x.outcome = name(Refusal::CallerGone);
+    return SendResult::Answered;
+}
+
+} // namespace comfreypier::edge
--- /dev/null
+++ b/edge/src/settings.cpp
@@ -0,0 +1,81 @@
+/// Settings file of the daemon on the platform.
+#include <edge/edge.h>
+
+namespace comfreypier::edge {
+
+namespace {
+
+    using protocol::IniSectionRule;
+    using protocol::IniType;
+    using protocol::SectionReader;
+
+    constexpr milliseconds hourLong { 3600 * 1000 };
+
+    const std::vector<IniSectionRule>& rules()
+    {
+        static const std::vector<std::string_view> levels { "debug", "info", "warn", "error" };
+        static const std::vector<IniSectionRule> all {
+            { "node", false, true, false, IniType::Text,
+                { { "name", IniType::Name, true, {} },
+                    { "region", IniType::Name, true, {} },
+                    { "data_centre", IniType::Name, true, {} },
+                    { "threads", IniType::Integer, false, {} } } },
+            { "listen", false, true, false, IniType::Text,
+                { { "front", IniType::Address, true, {} },
+                    { "directory", IniType::Address, true, {} },
+                    { "readiness", IniType::Address, true, {} },
+                    { "inner", IniType::Address, true, {} },
+                    { "metrics", IniType::Address, true, {} } } },
+            { "store", false, true, false, IniType::Text, { { "address", IniType::Address, true, {} } } },
+            { "repeats", false, false, false, IniType::Text,
+                { { "ratio", IniType::Decimal, false, {} },
+                    { "slack", IniType::Integer, false, {} },
+                    { "window", IniType::Duration, false, {} } } },
+            { "orders", false, false, false, IniType::Text,
+                { { "lease_time", IniType::Duration, false, {} },
+                    { "workers_check_tokens", IniType::Flag, false, {} } } },
+            { "drain", false, false, false, IniType::Text, { { "grace", IniType::Duration, false, {} } } },
+            { "limits", false, false, false, IniType::Text, { { "connections", IniType::Integer, false, {} } } },
+            { "log", false, false, true, IniType::Text, { { "level", IniType::Choice, false, levels } } },
+        };
+        return all;
+    }
+
+} // namespace
+
+Result<Settings, std::vector<protocol::FileFault>> parseSettings(std::string_view file, std::string_view text)
+{
+    auto document = protocol::parseIni(file, text);
+    protocol::checkIni(document, rules());
+    if (!document.faults.empty())
+        return document.faults;
+    Settings settings;
+    std::vector<protocol::FileFault> faults;
+    SectionReader node(document, "node", faults);
+    node.text("name", settings.node);
+    node.text("region", settings.region);
+    node.text("data_centre", settings.dataCentre);
+    node.integer("threads", settings.threads, 1, 64);
+    SectionReader listen(document, "listen", faults);
+    listen.address("front", settings.front);
+    listen.address("directory", settings.directory);
+    listen.address("readiness", settings.readiness);
+    listen.address("inner", settings.inner);
+    listen.address("metrics", settings.metrics);
+    SectionReader(document, "store", faults).address("address", settings.store);
+    SectionReader repeats(document, "repeats", faults);
+    repeats.decimal("ratio", settings.repeatRatio, 10);
+    repeats.integer("slack", settings.repeatSlack, 0, 1000000);
+    repeats.duration("window", settings.repeatWindow, milliseconds { 100 }, hourLong);
+    SectionReader orders(document, "orders", faults);
+    orders.duration("lease_time", settings.leaseTime, milliseconds { 100 }, hourLong);
+    orders.flag("workers_check_tokens", settings.workersCheckTokens);
+    SectionReader(document, "drain", faults).duration("grace", settings.grace, milliseconds { 500 }, hourLong);
+    SectionReader(document, "limits", faults).integer("connections", settings.connectionLimit, 1, 1000000);
+    protocol::readLogLevels(document, settings.logLevel, settings.partLevels, faults);
+    if (!faults.empty())
+        return faults;
+    return settings;
+}
+
+} // namespace comfreypier::edge
--- /dev/null
+++ b/edge/src/store_duty.cpp
@@ -0,0 +1,160 @@
+#include "store_duty.h"
+
+namespace comfreypier::edge {
+
+namespace {
+
+    const char* name(platform::Stream stream)
+    {
+        constexpr std::array<const char*, static_cast<size_t>(platform::Stream::Count)> names { "configuration", "workers", "members", "lease" };
+        return names[static_cast<size_t>(stream)];
+    }
+
+    /// Time after a failure during which lapsed entries may still come back.
+    constexpr Time unstableTime = std::chrono::seconds { 4 };
+
+} // namespace
+
+StoreDuty::StoreDuty(Vm& vm, MemberListener onMember, WorkerListener onWorkerGone)
+    : vm(vm)
+    , onMember(std::move(onMember))
+    , onWorkerGone(std::move(onWorkerGone))
+{
+}
+
+void StoreDuty::followConfiguration()
+{
+    this->follow({ platform::Stream::Configuration, newsWait, milliseconds { 0 }, [this](const auto& page, bool) {
+                      for (const auto& record : page.records) {
+                          if (record.key == platform::configurationKey() && record.value)
+                              this->applyConfiguration(record);
+                      }
+                  } });
+}
+
+void StoreDuty::followWorkers()
+{
+    this->follow({ platform::Stream::Workers, milliseconds { 0 }, workerReadInterval, [this](const auto& page, bool whole) { this->applyWorkers(page, whole); } });
+}
+
+void StoreDuty::followMembers()
+{
+    this->follow({ platform::Stream::Members, 2 * newsWait, milliseconds { 0 }, [this](const auto& page, bool) { this->applyMembers(page); } });
+}
+
+void StoreDuty::follow(const Follower& follower)
+{
+    std::optional<uint64_t> next;
+    while (!this->vm.phase.stopping) {
+        bool good = this->readOnce(follower, next);
+        sleepFor(good ? follower.pause : storeRetryPause);
+    }
+}
+
+bool StoreDuty::readOnce(const Follower& follower, std::optional<uint64_t>& next)
+{
+    bool whole = !next;
+    add(this->vm.counters, Event::StoreCalls);
+    auto page = whole ? platform::readNewest(this->vm.store(), follower.stream) : platform::readOn(this->vm.store(), follower.stream, *next, follower.wait);
+    if (!page) {
+        // Forgotten records: the newest of each key stand in for them.
+        if (page.error() != platform::StoreError::NotDone && page.error() != platform::StoreError::NoAnswer)
+            next.reset();
+        this->noteOutcome(follower.stream, false, platform::name(page.error()));
+        return page.error() == platform::StoreError::Forgotten;
+    }
+    this->noteOutcome(follower.stream, true, "");
+    next = page.value().next;
+    follower.apply(page.value(), whole);
+    return true;
+}
+
+void StoreDuty::noteOutcome(platform::Stream stream, bool good, const std::string& detail)
+{
+    if (!good) {
+        add(this->vm.counters, Event::StoreFailures);
+        this->lastFailure = monotonicNow();
+    }
+    auto& wasFailing = this->failing[static_cast<size_t>(stream)];
+    if (std::exchange(wasFailing, !good) == !good)
+        return;
+    if (good)
+        this->log.info(std::string("event=store_regained stream=") + name(stream));
+    else
+        this->log.warn(std::string("event=store_lost stream=") + name(stream) + " error=" + detail);
+}
+
+void StoreDuty::applyConfiguration(const platform::StoreRecord& record)
+{
+    std::string fault;
+    auto configuration = platform::decodeConfiguration(*record.value, fault);
+    if (!configuration) {
+        this->log.error("event=configuration_unreadable offset=" + std::to_string(record.offset) + " fault=\"" + fault + "\"");
+        return;
+    }
+    auto version = configuration->version;
+    auto routes = configuration->routes.size();
+    bool taken = this->vm.fleet.applyConfiguration(std::move(*configuration));
+    if (taken)
+        add(this->vm.counters, Event::ConfigurationsApplied);
+    this->log.info(std::string("event=configuration version=") + std::to_string(version) + " routes=" + std::to_string(routes) + " outcome=" + (taken ? "in_force" : "older"));
+}
+
+Time StoreDuty::graceNow() const
+{
+    return monotonicNow() - this->lastFailure < unstableTime ? Time { entryReturnTime } : Time { 0 };
+}
+
+void StoreDuty::applyWorkers(const platform::StorePage& page, bool whole)
+{
+    auto grace = this->graceNow();
+    std::set<std::string> present;
+    for (const auto& record : page.records) {
+        present.insert(record.key);
+        this->applyWorker(record, grace);
+    }
+    if (whole)
+        this->vm.fleet.retain(present, monotonicNow(), grace);
+    for (const auto& id : this->vm.fleet.dropMissing(monotonicNow())) {
+        this->log.info("event=worker_gone worker=" + id);
+        this->onWorkerGone(id);
+    }
+    this->vm.phase.workersKnown = true;
+}
+
+void StoreDuty::applyWorker(const platform::StoreRecord& record, Time grace)
+{
+    auto now = monotonicNow();
+    if (!record.value) {
+        this->vm.fleet.removeEntry(record.key, now, grace);
+        return;
+    }
+    auto entry = platform::decodeWorkerEntry(record.key, *record.value);
+    if (!entry) {
+        this->log.warn("event=worker_entry_unreadable worker=" + record.key + " offset=" + std::to_string(record.offset));
+        return;
+    }
+    bool restarted = false;
+    this->vm.fleet.update(entry->id, [&](routing::Worker& worker) { restarted = worker.entry.startedAt != entry->startedAt; });
+    if (restarted)
+        this->onWorkerGone(entry->id);
+    if (!this->vm.fleet.applyEntry(*entry, now))
+        return;
+    std::string models;
+    for (const auto& model : entry->models)
+        models += (models.empty() ? "" : ",") + model.name + ":" + std::to_string(model.adapters.size());
+    this->log.info("event=worker worker=" + entry->id + " service=" + entry->service + " address=" + transport::toString(entry->address)
+        + " state=" + (entry->leaving ? "leaving" : "ready") + " started=" + std::to_string(entry->startedAt) + " models=" + models + " cached=" + std::to_string(entry->onDisk.size()));
+}
+
+void StoreDuty::applyMembers(const platform::StorePage& page)
+{
+    for (const auto& record : page.records) {
+        auto member = record.value ? decodeMember(*record.value) : std::nullopt;
+        if (record.value && !member)
+            this->log.warn("event=member_unreadable node=" + record.key + " offset=" + std::to_string(record.offset));
+        this->onMember(record.key, member);
+    }
+}
+
+} // namespace comfreypier::edge
--- /dev/null
+++ b/edge/src/store_duty.h
@@ -0,0 +1,49 @@
+/// Follows the configuration, the workers and the members in the platform's store.
+#pragma once
+
+#include "vm_p.h"
+
+namespace comfreypier::edge {
+
+/// Keeps the fleet up to date from the store.
+class StoreDuty {
+public:
+    /// Hears of each member record; nothing if the member left.
+    using MemberListener = std::function<void(const std::string& node, const std::optional<Member>& member)>;
+    /// Hears of each worker that crashed or left for good.
+    using WorkerListener = std::function<void(const std::string& worker)>;
+
+    StoreDuty(Vm& vm, MemberListener onMember, WorkerListener onWorkerGone);
+
+    /// Each follows one stream until the daemon stops; one fiber each.
+    void followConfiguration();
+    void followWorkers();
+    void followMembers();
+
+private:
+    /// One stream that is read whole first and then on.
+    struct Follower {
+        platform::Stream stream;
+        milliseconds wait; ///< Longest wait for news in one read.
+        milliseconds pause; ///< Between two reads.
+        std::function<void(const platform::StorePage&, bool whole)> apply;
+    };
+    void follow(const Follower& follower);
+    bool readOnce(const Follower& follower, std::optional<uint64_t>& next);
+    void noteOutcome(platform::Stream stream, bool good, const std::string& detail);
+
+    void applyConfiguration(const platform::StoreRecord& record);
+    void applyWorkers(const platform::StorePage& page, bool whole);
+    void applyWorker(const platform::StoreRecord& record, Time grace);
+    void applyMembers(const platform::StorePage& page);
+    Time graceNow() const;
+
+    Vm& vm;
+    MemberListener onMember;
+    WorkerListener onWorkerGone;
+    std::array<bool, static_cast<size_t>(platform::Stream::Count)> failing {};
+    Time lastFailure { -std::chrono::hours { 1 } };
+    transport::Log log { "store" };
+};
+
+} // namespace comfreypier::edge
--- /dev/null
+++ b/ownership/include/ownership/ownership.h
@@ -0,0 +1,96 @@
+/// Ownership: which VM gives orders to workers.
+///
+/// One lease for all orders lies as the newest record of a key in the platform's log. A VM takes it over or renews it by
+/// an append that only succeeds while nothing else was appended, so that the log decides between racing VMs. The offset
+/// of a take-over is the fencing token: it only grows and no two take-overs share one. Free of fibers, sockets and clocks.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace comfreypier::ownership {
+
+/// Time that goes on while the machine is suspended, so that a lease can't outlive a freeze.
+using Time = std::chrono::nanoseconds;
+
+/// Times of the lease.
+struct LeaseSettings {
+    Time duration = std::chrono::milliseconds { 4000 }; ///< Unchanged for this long, a lease may be taken over.
+    Time margin = std::chrono::milliseconds { 700 }; ///< The holder stops ordering this long before that; covers orders on their way.
+    Time renewEvery = std::chrono::milliseconds { 1200 };
+    Time quiet { 0 }; ///< Time after a take-over before the first order, for workers that don't check fencing tokens.
+};
+
+/// The record that lies in the log.
+struct LeaseRecord {
+    std::string holder; ///< Name and incarnation of the VM; empty after a release.
+    uint64_t token = 0;
+    bool operator==(const LeaseRecord&) const = default;
+};
+
+/// The newest record as it was read.
+struct LeaseReading {
+    std::optional<LeaseRecord> record;
+    uint64_t offset = 0; ///< Of the record.
+    uint64_t end = 0; ///< Of the partition.
+};
+
+/// What the VM should do about the lease now.
+enum class LeaseStep {
+    Wait,
+    Read, ///< Read the newest record.
+    Renew, ///< Append `proposal()` at `appendAt()`.
+    TakeOver, ///< The same, as a new holder.
+    Count
+};
+
+/// One VM's view of the lease.
+class Lease {
+public:
+    /// @param self name and incarnation of this VM; never used by another process.
+    Lease(std::string self, LeaseSettings settings);
+
+    /// What to do at `now`. Asks for a read at most once in `renewEvery`.
+    LeaseStep next(Time now);
+    /// Record to append for the last `Renew` or `TakeOver`.
+    LeaseRecord proposal() const;
+    /// Offset at which the partition must end for that append.
+    uint64_t appendAt() const { return this->end; }
+
+    /// Notes a reading. @param sentAt time before the call was sent.
+    void noteRead(const LeaseReading& reading, Time sentAt);
+    /// Notes that an append of `proposal()` succeeded. @param sentAt time before the call was sent.
+    void noteAppended(Time sentAt);
+    /// Notes that an append failed or got no answer: the next step is a read.
+    void noteUncertain(Time sentAt);
+    /// Gives the lease up: `mayOrder` is false from now on, and `proposal()` is a release if `holds()` was true.
+    void release();
+
+    /// Tells whether this VM is the holder as far as it knows.
+    bool holds() const;
+    /// Tells whether this VM may give an order now.
+    bool mayOrder(Time now) const;
+    /// Fencing token of this VM's orders. Only valid while `mayOrder`.
+    uint64_t token() const { return this->held; }
+    /// Holder and token that were last seen.
+    const std::optional<LeaseRecord>& seen() const { return this->record; }
+
+private:
+    std::string self;
+    LeaseSettings settings;
+    std::optional<LeaseRecord> record;
+    uint64_t recordOffset = 0;
+    uint64_t end = 0;
+    Time firstSeenAt { 0 }; ///< When the newest record was first seen.
+    Time readAt { 0 };
+    bool known = false; ///< The partition was read at least once since the last uncertainty.
+    uint64_t held = 0; ///< Own token, 0 without one.
+    Time heldSince { 0 };
+    Time renewedAt { 0 }; ///< When the last successful append was sent.
+    Time triedAt { 0 }; ///< When the last uncertain append was sent.
+    bool released = false;
+};
+
+} // namespace comfreypier::ownership
--- /dev/null
+++ b/ownership/src/lease.cpp
@@ -0,0 +1,93 @@
+/// The lease's state machine.
+#include <ownership/ownership.h>
+
+namespace comfreypier::ownership {
+
+Lease::Lease(std::string self, LeaseSettings settings)
+    : self(std::move(self))
+    , settings(settings)
+{
+}
+
+bool Lease::holds() const
+{
+    return this->held != 0 && !this->released;
+}
+
+bool Lease::mayOrder(Time now) const
+{
+    return this->holds() && now < this->renewedAt + this->settings.duration - this->settings.margin && now >= this->heldSince + this->settings.quiet;
+}
+
+LeaseStep Lease::next(Time now)
+{
+    if (this->released)
+        return LeaseStep::Wait;
+    bool mayRead = this->readAt == Time { 0 } || now - this->readAt >= this->settings.renewEvery;
+    if (!this->known)
+        return mayRead ? LeaseStep::Read : LeaseStep::Wait;
+    if (this->holds())
+        return now - this->renewedAt >= this->settings.renewEvery ? LeaseStep::Renew : LeaseStep::Wait;
+    bool free = !this->record || this->record->holder.empty() || now - this->firstSeenAt > this->settings.duration;
+    // A reading that is not fresh may hide a renewal.
+    bool fresh = now - this->readAt < this->settings.renewEvery;
+    if (free && fresh)
+        return LeaseStep::TakeOver;
+    return mayRead ? LeaseStep::Read : LeaseStep::Wait;
+}
+
+LeaseRecord Lease::proposal() const
+{
+    if (this->released)
+        return { "", this->held };
+    return { this->self, this->holds() ? this->held : this->end + 1 };
+}
+
+void Lease::noteRead(const LeaseReading& reading, Time sentAt)
+{
+    this->readAt = sentAt;
+    this->known = true;
+    this->end = reading.end;
+    bool same = this->record.has_value() == reading.record.has_value() && this->recordOffset == reading.offset;
+    if (!same || this->firstSeenAt == Time { 0 })
+        this->firstSeenAt = sentAt;
+    this->record = reading.record;
+    this->recordOffset = reading.offset;
+    bool ours = reading.record && reading.record->holder == this->self;
+    if (!ours) {
+        this->held = 0;
+        return;
+    }
+    // An append that got no answer took effect. It counts from when it was sent.
+    if (this->held != reading.record->token)
+        this->heldSince = sentAt;
+    this->held = reading.record->token;
+    this->renewedAt = std::max(this->renewedAt, this->triedAt);
+}
+
+void Lease::noteAppended(Time sentAt)
+{
+    auto appended = this->proposal();
+    if (!this->holds())
+        this->heldSince = sentAt;
+    this->held = appended.token;
+    this->record = appended;
+    this->recordOffset = this->end;
+    this->end++;
+    this->firstSeenAt = sentAt;
+    this->renewedAt = sentAt;
+}
+
+void Lease::noteUncertain(Time sentAt)
+{
+    this->triedAt = sentAt;
+    this->known = false;
+    this->readAt = Time { 0 };
+}
+
+void Lease::release()
+{
+    this->released = true;
+}
+
+} // namespace comfreypier::ownership
--- a/protocol/include/protocol/protocol.h
+++ b/protocol/include/protocol/protocol.h
@@ -101,6 +101,45 @@
 /// Appends to `document.faults` everything that `rules` do not allow.
 void checkIni(IniDocument& document, const std::vector<IniSectionRule>& rules);
 
+/// Reads typed values of one section and notes those out of range. The document must have passed `checkIni`.
+class SectionReader {
+public:
+    SectionReader(const IniDocument& document, std::string_view kind, std::vector<FileFault>& faults);
+
+    void text(std::string_view key, std::string& target) const;
+    void address(std::string_view key, transport::Endpoint& target) const;
+    void flag(std::string_view key, bool& target) const;
+    void decimal(std::string_view key, double& target, double most) const;
+    void duration(std::string_view key, std::chrono::milliseconds& target, std::chrono::milliseconds least, std::chrono::milliseconds most) const;
+    template <class T>
+    void integer(std::string_view key, T& target, int64_t least, int64_t most) const
+    {
+        if (auto value = this->integerIn(key, least, most))
+            target = static_cast<T>(*value);
+    }
+    template <class T>
+    void bytes(std::string_view key, T& target, uint64_t least, uint64_t most) const
+    {
+        if (auto value = this->bytesIn(key, least, most))
+            target = static_cast<T>(*value);
+    }
+    /// Line of the section, or 0.
+    uint32_t line() const;
+
+private:
+    const IniEntry* find(std::string_view key) const;
+    void fault(const IniEntry& entry, const std::string& allowed) const;
+    std::optional<int64_t> integerIn(std::string_view key, int64_t least, int64_t most) const;
+    std::optional<uint64_t> bytesIn(std::string_view key, uint64_t least, uint64_t most) const;
+
+    const IniDocument& document;
+    std::vector<FileFault>& faults;
+    const IniSection* section = nullptr;
+};
+
+/// Reads the `[log]` section: `level` and levels of single parts.
+void readLogLevels(const IniDocument& document, transport::LogLevel& level, std::vector<transport::PartLevel>& parts, std::vector<FileFault>& faults);
+
 std::optional<int64_t> parseInteger(std::string_view text);
 std::optional<double> parseDecimal(std::string_view text);
 /// @return bytes.
--- a/protocol/src/node_settings.cpp
+++ b/protocol/src/node_settings.cpp
@@ -50,99 +50,6 @@
         return rules;
     }
 
-    /// Reads typed values of one section and notes those out of range.
-    class SectionReader {
-    public:
-        SectionReader(const IniDocument& document, std::string_view kind, std::vector<FileFault>& faults)
-            : document(document)
-            , faults(faults)
-        {
-            for (const auto& section : document.sections) {
-                if (section.kind == kind)
-                    this->section = &section;
-            }
-        }
-
-        void text(std::string_view key, std::string& target) const
-        {
-            if (const auto* entry = this->find(key))
-                target = entry->value;
-        }
-
-        void address(std::string_view key, transport::Endpoint& target) const
-        {
-            if (const auto* entry = this->find(key))
-                target = transport::parseEndpoint(entry->value).value();
-        }
-
-        template <class T>
-        void integer(std::string_view key, T& target, int64_t least, int64_t most) const
-        {
-            const auto* entry = this->find(key);
-            if (!entry)
-                return;
-            auto value = *parseInteger(entry->value);
-            if (value < least || value > most)
-                this->fault(*entry, std::to_string(least) + " to " + std::to_string(most));
-            target = static_cast<T>(value);
-        }
-
-        template <class T>
-        void bytes(std::string_view key, T& target, uint64_t least, uint64_t most) const
-        {
-            const auto* entry = this->find(key);
-            if (!entry)
-                return;
-            auto value = *parseBytes(entry->value);
-            if (value < least || value > most)
-                this->fault(*entry, formatBytes(least) + " to " + formatBytes(most));
-            target = static_cast<T>(value);
-        }
-
-        void decimal(std::string_view key, double& target, double most) const
-        {
-            const auto* entry = this->find(key);
-            if (!entry)
-                return;
-            target = *parseDecimal(entry->value);
-            if (target > most)
-                this->fault(*entry, "0 to " + std::to_string(most));
-        }
-
-        void duration(std::string_view key, milliseconds& target, milliseconds least, milliseconds most) const
-        {
-            const auto* entry = this->find(key);
-            if (!entry)
-                return;
-            target = duration_cast<milliseconds>(*parseDuration(entry->value));
-            if (target < least || target > most)
-                this->fault(*entry, formatDuration(least) + " to " + formatDuration(most));
-        }
-
-        uint32_t line() const { return this->section ? this->section->line : 0; }
-
-    private:
-        const IniEntry* find(std::string_view key) const
-        {
-            if (!this->section)
-                return nullptr;
-            for (const auto& entry : this->section->entries) {
-                if (entry.key == key)
-                    return &entry;
-            }
-            return nullptr;
-        }
-
-        void fault(const IniEntry& entry, const std::string& allowed) const
-        {
-            this->faults.push_back({ this->document.file, entry.line, "'" + entry.key + "' is " + entry.value + ", allowed: " + allowed });
-        }
-
-        const IniDocument& document;
-        std::vector<FileFault>& faults;
-        const IniSection* section = nullptr;
-    };
-
     constexpr milliseconds dayLong { 24 * 3600 * 1000 };
     constexpr milliseconds hourLong { 3600 * 1000 };
 
@@ -182,23 +89,6 @@
         limits.duration("silence", settings.silenceLimit, milliseconds { 10 }, hourLong);
     }
 
-    void readLogLevels(const IniDocument& document, NodeSettings& settings, std::vector<FileFault>& faults)
-    {
-        for (const auto& section : document.sections) {
-            if (section.kind != "log")
-                continue;
-            for (const auto& entry : section.entries) {
-                auto level = transport::LogLevel::Info;
-                if (!transport::parseLogLevel(entry.value, level))
-                    faults.push_back({ document.file, entry.line, "'" + entry.key + "' is '" + entry.value + "', allowed: debug, info, warn, error" });
-                else if (entry.key == "level")
-                    settings.logLevel = level;
-                else
-                    settings.partLevels.push_back({ entry.key, level });
-            }
-        }
-    }
-
 } // namespace
 
 Result<NodeSettings, std::vector<FileFault>> parseNodeSettings(std::string_view file, std::string_view text)
@@ -217,7 +107,7 @@
     drain.duration("limit", settings.drainLimit, milliseconds { 100 }, dayLong);
     drain.duration("leaving_notice", settings.leavingNotice, milliseconds { 0 }, milliseconds { 5000 });
     drain.duration("address_hold", settings.addressHold, milliseconds { 100 }, hourLong);
-    readLogLevels(document, settings, faults);
+    readLogLevels(document, settings.logLevel, settings.partLevels, faults);
     if (settings.sessionMargin * 2 > settings.sessionTtl)
         faults.push_back({ std::string(file), session.line(), "'margin' must be at most half of 'ttl'" });
     if (!faults.empty())
--- /dev/null
+++ b/routing/include/routing/routing.h
@@ -0,0 +1,339 @@
+/// Routing: which route a request takes, which worker answers it, and when it is refused or repeated.
+///
+/// Free of fibers, sockets and clocks: every function takes the time from its caller. The load it answers: bursts of
+/// long prompts that share their beginnings, on few workers with batches, paged prompt memory and several entry VMs.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <transport/transport.h>
+#include <unordered_map>
+#include <vector>
+
+namespace comfreypier::routing {
+
+/// Monotonic time.
+using Time = std::chrono::nanoseconds;
+using std::chrono::milliseconds;
+
+// ---------------------------------------------------------------- limits and defaults
+
+/// Prompt tokens that a worker of unknown speed is taken to read a millisecond; corrected by each answer.
+constexpr double defaultPrefillRate = 30;
+/// Usual time from sending a request to the first token besides the prefill: network, set-up and one batch step.
+constexpr milliseconds firstTokenOverhead { 15 };
+/// Longer batch step for each stream that runs on the worker. From the engines' published step time a slot.
+constexpr std::chrono::microseconds stepTimePerStream { 400 };
+/// Weight of a new sample in a worker's speed and failure averages.
+constexpr double sampleWeight = 0.2;
+/// Time after which half of what is known of a worker's failures and slowness is forgotten.
+constexpr Time beliefHalfLife = std::chrono::seconds { 4 };
+/// A worker whose calls fail to connect is left alone for this long, doubled each time up to the most.
+constexpr milliseconds downTimeLeast { 400 };
+constexpr milliseconds downTimeMost { 4000 };
+/// A worker that said it is full is left alone for this long.
+constexpr milliseconds fullTime { 60 };
+/// Share of a worker's prompt memory that running requests may fill: above it the engine preempts streams.
+constexpr double memoryFillLimit = 0.92;
+/// Share of a worker's prompt memory that is taken to hold kept parts.
+constexpr double keptMemoryShare = 0.85;
+/// Extra cost of reading a prompt part again, beyond its time: it takes the worker from other requests.
+constexpr double rereadWeight = 1.6;
+/// Spread that makes all VMs prefer the same worker for a prompt part that nobody keeps yet.
+constexpr milliseconds affinitySpread { 40 };
+/// Cost of leaving the data centre, beyond the measured distance: traffic between data centres is paid for.
+constexpr milliseconds crossDataCentreCost { 25 };
+/// Share of the first tries and the fixed number of repeats that this VM uses of what the deployment allows.
+constexpr double repeatUse = 0.7;
+/// Crashes after which a request content is refused.
+constexpr uint32_t crashLimit = 2;
+
+// ---------------------------------------------------------------- configuration
+
+/// One service that a route leads to, with its share of the route's requests.
+struct RouteTarget {
+    std::string service;
+    uint32_t weight = 1;
+};
+
+/// One route of the operators' configuration.
+struct Route {
+    std::string name;
+    std::string host;
+    std::string pathPrefix; ///< Begins and ends with a slash.
+    std::vector<RouteTarget> targets;
+    bool streaming = false; ///< Answers are event streams.
+    bool idempotent = false; ///< Requests may run more than once.
+    bool resumable = false; ///< A stream may go on at another worker.
+    milliseconds timeout { 0 }; ///< Longest time a caller is kept waiting; 0 is without limit.
+    milliseconds targetLatency { 0 }; ///< Time to the whole answer, or to a stream's first event.
+    milliseconds targetGap { 0 }; ///< Longest pause between events.
+    uint32_t priority = 0; ///< 0 is the most urgent.
+    uint32_t maxAttempts = 1; ///< Workers that may be handed one request.
+};
+
+/// One model that a service's workers can hold.
+struct ModelSpec {
+    std::string name;
+    double weightsMegabytes = 0;
+    double adapterMegabytes = 0;
+    uint32_t adapters = 0; ///< Named a1, a2 and so on.
+    milliseconds storeLoad { 0 }; ///< Load time from the weight store,
+    milliseconds diskLoad { 0 }; ///< from the worker's own disk,
+    milliseconds memoryLoad { 0 }; ///< and from its host memory.
+};
+
+/// What all model workers of a service have in common.
+struct EngineSpec {
+    uint32_t slots = 1;
+    double promptMemoryTokens = 0; ///< Shared by running requests and kept prompt parts.
+    double weightsMegabytes = 0; ///< For models and adapters together.
+    uint32_t adapterSlots = 0;
+    double storeLoadsPerSecond = 0; ///< Over all workers of the service.
+    uint32_t tokensPerEvent = 1;
+    std::vector<ModelSpec> models;
+};
+
+/// One service of the configuration.
+struct Service {
+    std::string name;
+    uint32_t connectionLimit = 0; ///< Connections that a worker accepts from all callers; 0 is without limit.
+    std::optional<EngineSpec> engine; ///< Present if its workers serve models.
+};
+
+/// Bounds on what a caller may send.
+struct CallerLimits {
+    uint32_t headerBytes = transport::defaultHeaderLimit;
+    uint64_t bodyBytes = transport::defaultBodyLimit;
+    milliseconds headerTimeout = transport::defaultReadTimeout;
+    milliseconds idleTimeout = transport::defaultIdleTimeout;
+};
+
+/// The operators' configuration as a whole.
+struct Configuration {
+    uint64_t version = 0;
+    std::vector<Route> routes;
+    std::map<std::string, Service> services;
+    CallerLimits limits;
+};
+
+/// Returns the route with the longest prefix of `path` among those of `host`, or null.
+/// @param host value of the Host field; a port is ignored.
+const Route* findRoute(const Configuration& configuration, std::string_view host, std::string_view path);
+
+/// Picks one of the route's services by weight. The same `key` picks the same service.
+const Service* pickService(const Configuration& configuration, const Route& route, std::string_view key);
+
+/// Returns the model called `name` of a service, or null.
+const ModelSpec* findModel(const Service& service, std::string_view name);
+
+// ---------------------------------------------------------------- workers
+
+/// One model that a worker holds, with its adapters.
+struct ResidentModel {
+    std::string name;
+    uint64_t version = 0;
+    std::set<std::string> adapters;
+};
+
+/// What a worker last published of itself.
+struct WorkerEntry {
+    std::string id;
+    std::string service;
+    transport::Endpoint address;
+    std::string dataCentre;
+    int64_t startedAt = 0; ///< Unix milliseconds of the worker's start.
+    uint32_t slots = 1;
+    bool leaving = false;
+    std::optional<milliseconds> timeLeft; ///< Until the worker is gone, if it said so.
+    std::vector<ResidentModel> models;
+    std::set<std::string> onDisk; ///< Models whose weights lie on the worker's disk or in its host memory.
+    bool operator==(const WorkerEntry&) const = default;
+};
+
+bool operator==(const ResidentModel& a, const ResidentModel& b);
+
+// ---------------------------------------------------------------- requests
+
+/// One part of a prompt. Requests that name the same parts in the same order share what a worker keeps of them.
+struct PromptPart {
+    uint64_t id = 0;
+    uint32_t tokens = 0;
+};
+
+/// What the choice of a worker needs to know of a request.
+struct RequestShape {
+    std::string model; ///< Empty for plain services.
+    std::string adapter; ///< Empty for the base model.
+    uint32_t promptTokens = 0;
+    uint32_t outputTokens = 0; ///< Expected, or the most.
+    std::vector<PromptPart> parts;
+    uint64_t contentHash = 0; ///< Of method, path and body.
+};
+
+/// Hash of the prompt up to and including each part, with model and adapter.
+std::vector<uint64_t> chainHashes(const RequestShape& shape);
+
+/// 64-bit hash of text.
+uint64_t hashText(std::string_view text, uint64_t seed = 0);
+
+// ---------------------------------------------------------------- kept prompt parts
+
+/// Prompt beginnings that a worker is believed to keep, least recently used first.
+class PromptCache {
+public:
+    /// Notes that a worker has read a prompt up to `chain`.
+    /// @param tokens tokens of the last part.
+    /// @param capacity tokens that are believed to be kept at most.
+    void note(uint64_t chain, uint32_t tokens, double capacity);
+    /// Tells whether the prompt up to `chain` is believed to be kept.
+    bool keeps(uint64_t chain) const { return this->entries.contains(chain); }
+    void clear();
+
+private:
+    struct Entry {
+        uint32_t tokens = 0;
+        std::list<uint64_t>::iterator position;
+    };
+    std::list<uint64_t> order;
+    std::unordered_map<uint64_t, Entry> entries;
+    double total = 0;
+};
+
+/// Tokens at the beginning of the prompt that `cache` keeps.
+uint32_t keptTokens(const PromptCache& cache, const RequestShape& shape, const std::vector<uint64_t>& chains);
+
+// ---------------------------------------------------------------- choice of a worker
+
+/// Requests at a worker, as their sender knows them.
+struct WorkerLoad {
+    double prefillTokens = 0; ///< Prompt tokens still to be read before the first token.
+    double memoryTokens = 0; ///< Prompt and output tokens that the requests occupy.
+    uint32_t requests = 0; ///< Sent and not yet answered whole.
+    bool operator==(const WorkerLoad&) const = default;
+};
+
+WorkerLoad operator+(const WorkerLoad& a, const WorkerLoad& b);
+
+/// What is believed of one worker.
+struct Worker {
+    WorkerEntry entry;
+    WorkerLoad own; ///< Requests of this VM.
+    std::map<std::string, WorkerLoad> peers; ///< Requests of other VMs, by VM.
+    PromptCache kept;
+    /// What the holder of the lease announced since the entry: `model`, `model/adapter`, or `!model` for a model on its way out.
+    std::set<std::string> announced;
+    double slowness = 1; ///< Measured time over expected time.
+    double failureRate = 0; ///< Share of recent requests that failed.
+    Time beliefAt { 0 }; ///< Time of the last correction of the two.
+    Time avoidUntil { 0 }; ///< It was full or could not be reached.
+    uint32_t connectFailures = 0; ///< In a row.
+    Time leavingAt { 0 }; ///< When it was first seen to leave; 0 while it does not.
+};
+
+/// All known load of a worker.
+WorkerLoad totalLoad(const Worker& worker);
+
+/// Notes the outcome of a request for later choices.
+/// @param expected predicted time to the first byte; 0 leaves the speed as it is.
+/// @param measured time to the first byte.
+void noteAnswer(Worker& worker, bool failed, Time expected, Time measured, Time now);
+/// Notes that a connection could not be opened.
+void noteUnreachable(Worker& worker, Time now);
+/// Notes that the worker refused a request for lack of room.
+void noteFull(Worker& worker, Time now);
+
+/// Why a worker may not take a request.
+enum class Obstacle {
+    None,
+    NoWorker, ///< No worker of the service is known, or all leave.
+    Unreachable, ///< All were unreachable or full a moment ago.
+    NoModel, ///< No worker holds the model.
+    NoAdapter, ///< Workers hold the model, none the adapter.
+    NoRoom, ///< The prompt memory or the slots of all are taken.
+    Count
+};
+
+const char* name(Obstacle obstacle);
+
+/// Outcome of a choice.
+struct Choice {
+    Worker* worker = nullptr; ///< Set if `obstacle` is `None`.
+    Obstacle obstacle = Obstacle::None;
+    Worker* home = nullptr; ///< For `NoAdapter`: the worker that should load it.
+    Time firstByte { 0 }; ///< Expected time to the first token, or to the whole answer of a plain service.
+    uint32_t keptTokens = 0; ///< Prompt tokens that the worker is believed to keep.
+    Time roomIn { 0 }; ///< For `NoRoom`: expected time until a place is free.
+};
+
+/// Inputs of a choice.
+struct ChoiceInputs {
+    const Service* service = nullptr;
+    const RequestShape* shape = nullptr;
+    const std::vector<uint64_t>* chains = nullptr; ///< `chainHashes` of the shape.
+    std::string_view dataCentre; ///< Of this VM.
+    const std::set<std::string>* excluded = nullptr; ///< Workers that failed this request.
+    milliseconds targetLatency { 0 };
+    milliseconds distance { 0 }; ///< Round trip to another data centre.
+    Time now { 0 };
+};
+
+/// Chooses among `workers` the one with the least expected time to the first byte, weighed with what it costs others.
+Choice chooseWorker(const std::vector<Worker*>& workers, const ChoiceInputs& inputs);
+
+// ---------------------------------------------------------------- repeats
+
+/// Bounds repeats of requests to this VM's part of what the deployment allows in a sliding window.
+class RepeatLimit {
+public:
+    /// @param ratio repeats allowed for each request of the window.
+    /// @param slack further repeats allowed in the window over all VMs.
+    RepeatLimit(double ratio, double slack, Time window);
+    /// Notes a first try.
+    void noteFirst(Time now);
+    /// Takes one repeat if the limit allows it.
+    /// @param vms number of VMs that share the slack, at least 1.
+    bool take(Time now, uint32_t vms);
+
+private:
+    void forget(Time now);
+    double ratio;
+    double slack;
+    Time window;
+    std::deque<Time> firsts;
+    std::deque<Time> repeats;
+};
+
+// ---------------------------------------------------------------- requests that crash workers
+
+/// Contents that were running on workers which crashed.
+class CrashSuspects {
+public:
+    /// Notes that a request broke off on a worker; it is suspect once that worker proves dead.
+    void noteBroken(const std::string& worker, uint64_t contentHash, Time now);
+    /// Notes that a worker crashed: what broke off on it shortly before gets a mark.
+    void noteCrash(const std::string& worker, Time now);
+    /// Takes over a count from another VM.
+    void merge(uint64_t contentHash, uint32_t crashes);
+    /// Tells whether a content has crashed `crashLimit` workers.
+    bool isRefused(uint64_t contentHash) const;
+    const std::map<uint64_t, uint32_t>& counts() const { return this->crashes; }
+
+private:
+    struct Broken {
+        std::string worker;
+        uint64_t contentHash = 0;
+        Time at { 0 };
+    };
+    std::deque<Broken> broken;
+    std::map<uint64_t, uint32_t> crashes;
+};
+
+} // namespace comfreypier::routing
--- /dev/null
+++ b/routing/src/choice.cpp
@@ -0,0 +1,245 @@
+/// Choice of the worker that answers a request.
+#include <algorithm>
+#include <cmath>
+#include <routing/routing.h>
+
+namespace comfreypier::routing {
+
+namespace {
+
+    using Seconds = std::chrono::duration<double>;
+
+    /// Usual time in which a plain service answers when nothing is known of it.
+    constexpr milliseconds plainAnswerTime { 30 };
+    /// Slowness that a worker is taken to have at most and at least.
+    constexpr double slownessMost = 20;
+    constexpr double slownessLeast = 0.2;
+    /// Cost of a sure failure, in target latencies.
+    constexpr double failureCost = 4;
+
+    /// Cost of one worker for one request.
+    struct Estimate {
+        Time firstByte { 0 };
+        Time cost { 0 };
+        uint32_t kept = 0;
+        bool room = true;
+        Time roomIn { 0 };
+    };
+
+    Time scaled(Time time, double factor)
+    {
+        return Time { static_cast<Time::rep>(static_cast<double>(time.count()) * factor) };
+    }
+
+    /// Moves slowness and failures half-way back to normal for each half-life without news.
+    void fade(Worker& worker, Time now)
+    {
+        if (worker.beliefAt == Time { 0 } || now <= worker.beliefAt)
+            return;
+        auto share = std::exp2(-Seconds(now - worker.beliefAt) / Seconds(beliefHalfLife));
+        worker.slowness = 1 + (worker.slowness - 1) * share;
+        worker.failureRate *= share;
+        worker.beliefAt = now;
+    }
+
+    double faded(double value, double normal, const Worker& worker, Time now)
+    {
+        if (now <= worker.beliefAt)
+            return value;
+        return normal + (value - normal) * std::exp2(-Seconds(now - worker.beliefAt) / Seconds(beliefHalfLife));
+    }
+
+    const ResidentModel* findResident(const Worker& worker, const std::string& model)
+    {
+        for (const auto& resident : worker.entry.models) {
+            if (resident.name == model)
+                return &resident;
+        }
+        return nullptr;
+    }
+
+    bool holdsModel(const Worker& worker, const std::string& model)
+    {
+        if (worker.announced.contains("!" + model))
+            return false;
+        return findResident(worker, model) != nullptr || worker.announced.contains(model);
+    }
+
+    bool holdsAdapter(const Worker& worker, const RequestShape& shape)
+    {
+        if (shape.adapter.empty())
+            return true;
+        const auto* resident = findResident(worker, shape.model);
+        return (resident != nullptr && resident->adapters.contains(shape.adapter)) || worker.announced.contains(shape.model + "/" + shape.adapter);
+    }
+
+    /// Position of a worker in the order in which all VMs prefer workers for `key`, from 0 to 1.
+    double affinity(const Worker& worker, uint64_t key)
+    {
+        return static_cast<double>(hashText(worker.entry.id, key) >> 11) / static_cast<double>(1ULL << 53);
+    }
+
+    Time distanceCost(const Worker& worker, const ChoiceInputs& inputs)
+    {
+        return worker.entry.dataCentre == inputs.dataCentre ? Time { 0 } : Time { inputs.distance + crossDataCentreCost };
+    }
+
+    Time failureTime(const Worker& worker, const ChoiceInputs& inputs)
+    {
+        return scaled(inputs.targetLatency, failureCost * faded(worker.failureRate, 0, worker, inputs.now));
+    }
+
+    Estimate estimateModel(const Worker& worker, const ChoiceInputs& inputs)
+    {
+        const auto& shape = *inputs.shape;
+        const auto& engine = *inputs.service->engine;
+        Estimate estimate;
+        auto load = totalLoad(worker);
+        estimate.kept = keptTokens(worker.kept, shape, *inputs.chains);
+        double unread = shape.promptTokens - estimate.kept;
+        double slowness = faded(worker.slowness, 1, worker, inputs.now);
+        auto reading = Seconds((load.prefillTokens + unread) / defaultPrefillRate / 1000 * slowness);
+        auto steps = load.requests * std::chrono::duration_cast<Time>(stepTimePerStream);
+        estimate.firstByte = firstTokenOverhead + std::chrono::duration_cast<Time>(reading) + steps;
+        auto ownReading = std::chrono::duration_cast<Time>(Seconds(unread / defaultPrefillRate / 1000));
+        estimate.cost = estimate.firstByte + scaled(ownReading, rereadWeight - 1) + distanceCost(worker, inputs) + failureTime(worker, inputs);
+        auto key = inputs.chains->empty() ? hashText(shape.adapter, hashText(shape.model)) : inputs.chains->size() > 1 ? (*inputs.chains)[inputs.chains->size() - 2]
+                                                                                                                       : inputs.chains->front();
+        estimate.cost += scaled(affinitySpread, affinity(worker, key));
+        double need = unread + shape.outputTokens;
+        estimate.room = load.requests < engine.slots && load.memoryTokens + need <= engine.promptMemoryTokens * memoryFillLimit;
+        if (load.requests == 0)
+            estimate.room = true;
+        estimate.roomIn = std::chrono::duration_cast<Time>(reading);
+        return estimate;
+    }
+
+    Estimate estimatePlain(const Worker& worker, const ChoiceInputs& inputs)
+    {
+        Estimate estimate;
+        auto load = totalLoad(worker);
+        auto slots = std::max(1U, worker.entry.slots);
+        double slowness = faded(worker.slowness, 1, worker, inputs.now);
+        auto answer = scaled(plainAnswerTime, slowness);
+        double waiting = load.requests >= slots ? static_cast<double>(load.requests - slots + 1) / slots : 0;
+        estimate.firstByte = answer + scaled(answer, waiting);
+        double busy = static_cast<double>(load.requests) / slots;
+        estimate.cost = estimate.firstByte + scaled(answer, busy * busy) + distanceCost(worker, inputs) + failureTime(worker, inputs);
+        return estimate;
+    }
+
+    Estimate estimateFor(const Worker& worker, const ChoiceInputs& inputs)
+    {
+        return inputs.service->engine ? estimateModel(worker, inputs) : estimatePlain(worker, inputs);
+    }
+
+    /// The worker that all VMs agree should load a missing adapter.
+    Worker* chooseHome(const std::vector<Worker*>& holders, const RequestShape& shape)
+    {
+        auto key = hashText(shape.adapter, hashText(shape.model));
+        return *std::max_element(holders.begin(), holders.end(), [key](const Worker* a, const Worker* b) { return affinity(*a, key) < affinity(*b, key); });
+    }
+
+    Choice chooseCheapest(const std::vector<Worker*>& able, const ChoiceInputs& inputs)
+    {
+        Choice choice;
+        choice.obstacle = Obstacle::NoRoom;
+        Time least = Time::max();
+        choice.roomIn = Time::max();
+        for (auto* worker : able) {
+            auto estimate = estimateFor(*worker, inputs);
+            if (!estimate.room) {
+                choice.roomIn = std::min(choice.roomIn, estimate.roomIn);
+                continue;
+            }
+            if (estimate.cost >= least)
+                continue;
+            least = estimate.cost;
+            choice = { worker, Obstacle::None, nullptr, estimate.firstByte, estimate.kept, choice.roomIn };
+        }
+        return choice;
+    }
+
+} // namespace
+
+WorkerLoad operator+(const WorkerLoad& a, const WorkerLoad& b)
+{
+    return { a.prefillTokens + b.prefillTokens, a.memoryTokens + b.memoryTokens, a.requests + b.requests };
+}
+
+WorkerLoad totalLoad(const Worker& worker)
+{
+    auto load = worker.own;
+    for (const auto& [vm, theirs] : worker.peers)
+        load = load + theirs;
+    return load;
+}
+
+void noteAnswer(Worker& worker, bool failed, Time expected, Time measured, Time now)
+{
+    fade(worker, now);
+    worker.beliefAt = now;
+    worker.connectFailures = 0;
+    worker.failureRate += sampleWeight * ((failed ? 1.0 : 0.0) - worker.failureRate);
+    if (expected <= Time { 0 } || failed)
+        return;
+    auto ratio = std::clamp(Seconds(measured) / Seconds(expected) * worker.slowness, slownessLeast, slownessMost);
+    worker.slowness += sampleWeight * (ratio - worker.slowness);
+}
+
+void noteUnreachable(Worker& worker, Time now)
+{
+    auto pause = std::min(downTimeMost, downTimeLeast * (1 << std::min(worker.connectFailures, 4U)));
+    worker.connectFailures++;
+    worker.avoidUntil = std::max(worker.avoidUntil, now + pause);
+}
+
+void noteFull(Worker& worker, Time now)
+{
+    worker.avoidUntil = std::max<Time>(worker.avoidUntil, now + fullTime);
+}
+
+Choice chooseWorker(const std::vector<Worker*>& workers, const ChoiceInputs& inputs)
+{
+    std::vector<Worker*> alive;
+    std::vector<Worker*> reachable;
+    std::vector<Worker*> holders;
+    std::vector<Worker*> able;
+    for (auto* worker : workers) {
+        if (worker->entry.leaving || worker->entry.service != inputs.service->name)
+            continue;
+        alive.push_back(worker);
+        if (worker->avoidUntil > inputs.now || (inputs.excluded != nullptr && inputs.excluded->contains(worker->entry.id)))
+            continue;
+        reachable.push_back(worker);
+        if (inputs.service->engine && !holdsModel(*worker, inputs.shape->model))
+            continue;
+        holders.push_back(worker);
+        if (holdsAdapter(*worker, *inputs.shape))
+            able.push_back(worker);
+    }
+    if (!able.empty())
+        return chooseCheapest(able, inputs);
+    Choice choice;
+    if (alive.empty())
+        choice.obstacle = Obstacle::NoWorker;
+    else if (reachable.empty())
+        choice.obstacle = Obstacle::Unreachable;
+    else if (holders.empty())
+        choice.obstacle = Obstacle::NoModel;
+    else {
+        choice.obstacle = Obstacle::NoAdapter;
+        choice.home = chooseHome(holders, *inputs.shape);
+    }
+    return choice;
+}
+
+const char* name(Obstacle obstacle)
+{
+    constexpr std::array<const char*, static_cast<size_t>(Obstacle::Count)> names {
+        "none", "no_worker", "unreachable", "no_model", "no_adapter", "no_room"
+    };
+    return names[static_cast<size_t>(obstacle)];
+}
+
+} // namespace comfreypier::routing
--- /dev/null
+++ b/routing/src/route_table.cpp
@@ -0,0 +1,73 @@
+/// Lookups in the operators' configuration.
+#include <algorithm>
+#include <routing/routing.h>
+#include <xxhash.h>
+
+namespace comfreypier::routing {
+
+namespace {
+
+    std::string_view withoutPort(std::string_view host)
+    {
+        return host.substr(0, host.rfind(':'));
+    }
+
+    bool equalIgnoringCase(std::string_view a, std::string_view b)
+    {
+        return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](unsigned char x, unsigned char y) { return std::tolower(x) == std::tolower(y); });
+    }
+
+} // namespace
+
+uint64_t hashText(std::string_view text, uint64_t seed)
+{
+    return XXH3_64bits_withSeed(text.data(), text.size(), seed);
+}
+
+const Route* findRoute(const Configuration& configuration, std::string_view host, std::string_view path)
+{
+    const Route* best = nullptr;
+    for (const auto& route : configuration.routes) {
+        if (!path.starts_with(route.pathPrefix) || !equalIgnoringCase(route.host, withoutPort(host)))
+            continue;
+        if (best == nullptr || route.pathPrefix.size() > best->pathPrefix.size())
+            best = &route;
+    }
+    return best;
+}
+
+const Service* pickService(const Configuration& configuration, const Route& route, std::string_view key)
+{
+    uint64_t total = 0;
+    for (const auto& target : route.targets)
+        total += target.weight;
+    if (total == 0)
+        return nullptr;
+    auto ticket = hashText(key) % total;
+    for (const auto& target : route.targets) {
+        if (ticket < target.weight) {
+            auto found = configuration.services.find(target.service);
+            return found == configuration.services.end() ? nullptr : &found->second;
+        }
+        ticket -= target.weight;
+    }
+    return nullptr;
+}
+
+const ModelSpec* findModel(const Service& service, std::string_view name)
+{
+    if (!service.engine)
+        return nullptr;
+    for (const auto& model : service.engine->models) {
+        if (model.name == name)
+            return &model;
+    }
+    return nullptr;
+}
+
+bool operator==(const ResidentModel& a, const ResidentModel& b)
+{
+    return a.name == b.name && a.version == b.version && a.adapters == b.adapters;
+}
+
+} // namespace comfreypier::routing
--- a/tests/standins/main.cpp
+++ b/tests/standins/main.cpp
@@ -136,7 +136,7 @@
         if (!startSection(world, section))
             return 1;
     }
-    transport::waitForTermination();
+    while (transport::waitForSignal(std::chrono::milliseconds { 1000 }) != transport::ProcessSignal::Terminate) { }
     std::cout.flush();
     std::_Exit(0);
 }
--- a/transport/include/transport/transport.h
+++ b/transport/include/transport/transport.h
@@ -46,6 +46,14 @@
 constexpr std::chrono::milliseconds clientIdleTimeout { 20000 };
 /// Time limit for opening a TCP connection.
 constexpr std::chrono::milliseconds defaultConnectTimeout { 1000 };
+/// Time by which a pooled connection is retired before the peer's announced idle limit; covers a slow network and timers.
+constexpr std::chrono::milliseconds idleLimitMargin { 500 };
+/// Longest time that sent bytes stay unacknowledged before the system gives a connection up.
+constexpr std::chrono::milliseconds unacknowledgedLimit { 3000 };
+/// Idle time before the system probes a connection, time between probes, and probes without an answer that end it.
+constexpr std::chrono::seconds keepAliveProbeIdle { 2 };
+constexpr std::chrono::seconds keepAliveProbeInterval { 1 };
+constexpr int keepAliveProbeCount = 3;
 
 // ---------------------------------------------------------------- errors
 
@@ -57,6 +65,7 @@
     Closed, ///< The peer closed the connection.
     Malformed, ///< The peer's bytes are not valid HTTP.
     TooLarge, ///< Head or body is larger than the limit.
+    Cancelled, ///< The call's owner cancelled it.
     Count
 };
 
@@ -137,12 +146,22 @@
 /// Returns the wall-clock time since the Unix epoch.
 std::chrono::milliseconds wallNow();
 
-/// Blocks the calling (non-fiber) thread until SIGTERM or SIGINT, then returns.
+/// Returns the time since the machine started, with the time for which it was suspended.
+std::chrono::nanoseconds bootTimeNow();
+
+/// Why `waitForSignal` returned.
+enum class ProcessSignal {
+    Terminate, ///< SIGTERM or SIGINT.
+    Reload, ///< SIGHUP.
+    None, ///< The time limit passed.
+    Count
+};
+/// Blocks the calling (non-fiber) thread until a signal arrives or `limit` has passed.
 /// Signals must have been blocked by `blockTerminationSignals` before any thread started.
-void waitForTermination();
+ProcessSignal waitForSignal(std::chrono::milliseconds limit);
 /// Raises this process's limit of open descriptors to the most that the system allows.
 void raiseDescriptorLimit();
-/// Blocks SIGTERM and SIGINT in this and all later threads and ignores SIGPIPE.
+/// Blocks SIGTERM, SIGINT and SIGHUP in this and all later threads and ignores SIGPIPE.
 void blockTerminationSignals();
 
 // ---------------------------------------------------------------- HTTP
@@ -193,6 +212,10 @@
     virtual void abort() = 0;
     /// Tells whether the caller has closed its side.
     virtual bool callerGone() = 0;
+    /// Calls `onGone` once on this I/O thread when the caller closes its side, until `unwatchCaller`.
+    virtual void watchCaller(std::function<void()> onGone) = 0;
+    /// Ends the watch. Must be called before the handler returns.
+    virtual void unwatchCaller() = 0;
 };
 
 /// Handles one request on its own fiber.
@@ -231,6 +254,10 @@
     /// Opens the listeners.
     /// @return false if the address can't be bound.
     bool start();
+    /// Replaces the limits; requests that are being read keep the old ones.
+    void setLimits(const ServerLimits& limits);
+    /// From now on each answer asks the caller to close its connection; the listeners stay open.
+    void announceClose();
     /// Closes the listeners; open requests go on, idle connections close.
     void stopAccepting();
     /// Closes every connection at once; does nothing a second time, so that the runtime may end before the server.
@@ -243,11 +270,25 @@
     std::shared_ptr<Impl> impl;
 };
 
+/// Cancels one call from another fiber of the same I/O thread.
+class CallCancel {
+public:
+    /// Ends the call at its current wait with `IoError::Cancelled`; later calls with this object fail at once.
+    void cancel();
+    bool isCancelled() const { return this->cancelled; }
+
+private:
+    friend class CancelHook;
+    std::function<void()> hook;
+    bool cancelled = false;
+};
+
 /// Time limits of one client call.
 struct CallLimits {
     std::chrono::milliseconds connect = defaultConnectTimeout;
     std::chrono::milliseconds response { 10000 }; ///< Until the head of the answer.
     uint64_t bodyLimit = defaultBodyLimit; ///< Bytes.
+    CallCancel* cancel = nullptr; ///< Must outlive the call and its response stream.
 };
 
 /// Body of a response that arrives piece by piece.
@@ -272,9 +313,42 @@
     /// Sends `request` and reads the whole answer. Must run on a fiber of a `Runtime`.
     Result<HttpResponse, IoError> call(const Endpoint& endpoint, const HttpRequest& request, const CallLimits& limits);
     /// Sends `request` and returns once the head of the answer is there. Destroying the stream cancels it.
+    /// A `Host` field of the request goes before the endpoint's address.
     /// @param freshConnection opens a new connection in place of a pooled one.
     Result<std::unique_ptr<ResponseStream>, IoError> open(const Endpoint& endpoint, const HttpRequest& request, const CallLimits& limits, bool freshConnection = false);
 
+    /// Connections opened since the start.
+    uint64_t connectionsOpened() const;
+
+private:
+    struct Impl;
+    std::shared_ptr<Impl> impl;
+};
+
+// ---------------------------------------------------------------- datagrams
+
+/// Largest datagram that is sent or received, in bytes.
+constexpr size_t datagramLimit = 60 * 1024;
+
+/// UDP socket of one I/O thread. Datagrams may be lost, doubled or overtake each other.
+class DatagramSocket {
+public:
+    /// Handles one datagram on a fiber.
+    using Receiver = std::function<void(std::string_view bytes)>;
+
+    DatagramSocket(Runtime& runtime, Endpoint listen, Receiver receiver);
+    ~DatagramSocket();
+    DatagramSocket(const DatagramSocket&) = delete;
+    DatagramSocket& operator=(const DatagramSocket&) = delete;
+
+    /// Binds the address and receives from then on.
+    /// @return false if the address can't be bound.
+    bool start();
+    /// Sends without waiting; a datagram that does not fit the socket's buffer is dropped.
+    void send(const Endpoint& to, std::string_view bytes);
+    /// Ends the receiving fiber.
+    void stop();
+
 private:
     struct Impl;
     std::shared_ptr<Impl> impl;
@@ -289,7 +363,11 @@
     Error,
     Count };
 
-/// Sets up logging to stderr.
+/// Most log lines that a process prints a second on average, and at once; more are dropped and counted.
+constexpr double logLinesPerSecond = 400;
+constexpr double logLineBurst = 2000;
+
+/// Sets up logging to standard output. A line that would block or exceeds the rate is dropped and counted.
 /// @param level lowest level that is printed, for parts without their own level.
 /// @param parts lowest level for each named part.
 struct PartLevel {
@@ -298,6 +376,9 @@
 };
 void setUpLogging(LogLevel level, const std::vector<PartLevel>& parts);
 
+/// Lines dropped since the start because the reader was slow or the rate too high.
+uint64_t droppedLogLines();
+
 /// Parses `debug`, `info`, `warn` or `error`.
 bool parseLogLevel(std::string_view text, LogLevel& level);
 
--- a/transport/src/http_client_beast.cpp
+++ b/transport/src/http_client_beast.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <deque>
 #include <map>
+#include <netinet/tcp.h>
 
 namespace comfreypier::transport {
 
@@ -19,7 +20,7 @@
         }
         Stream stream;
         beast::flat_buffer buffer;
-        std::chrono::nanoseconds idleSince { 0 };
+        std::chrono::nanoseconds idleUntil { 0 };
     };
     using ConnectionPtr = std::unique_ptr<ClientConnection>;
 
@@ -30,13 +31,30 @@
 
     thread_local std::map<const void*, Pool> threadPools;
 
+    /// Time for which the peer keeps the connection idle, less a margin, or the client's own limit if that is shorter.
+    std::chrono::nanoseconds idleTime(std::string_view keepAlive)
+    {
+        constexpr std::string_view key = "timeout=";
+        auto start = keepAlive.find(key);
+        int64_t seconds = 0;
+        if (start == std::string_view::npos)
+            return clientIdleTimeout;
+        auto digits = keepAlive.substr(start + key.size());
+        auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+        if (error != std::errc {})
+            return clientIdleTimeout;
+        std::chrono::nanoseconds announced = std::chrono::seconds { seconds } - idleLimitMargin;
+        return std::min<std::chrono::nanoseconds>(announced, clientIdleTimeout);
+    }
+
     http::request<http::string_body> toMessage(const Endpoint& endpoint, const HttpRequest& request)
     {
         http::request<http::string_body> message;
         message.version(11);
         message.method_string(request.method);
         message.target(request.target);
-        message.set(http::field::host, toString(endpoint));
+        if (findHeader(request.headers, "Host").empty())
+            message.set(http::field::host, toString(endpoint));
         for (const auto& header : request.headers)
             message.insert(header.name, header.value);
         message.body() = request.body;
@@ -54,6 +72,36 @@
 
 } // namespace
 
+/// Lets a `CallCancel` close one connection while this object lives.
+class CancelHook {
+public:
+    CancelHook(CallCancel* cancel, ClientConnection& connection)
+        : cancel(cancel)
+    {
+        if (cancel != nullptr)
+            cancel->hook = [&connection] { connection.stream.close(); };
+    }
+    ~CancelHook() { this->release(); }
+    CancelHook(const CancelHook&) = delete;
+    CancelHook& operator=(const CancelHook&) = delete;
+    void release()
+    {
+        if (this->cancel != nullptr)
+            this->cancel->hook = nullptr;
+        this->cancel = nullptr;
+    }
+
+private:
+    CallCancel* cancel;
+};
+
+void CallCancel::cancel()
+{
+    this->cancelled = true;
+    if (auto call = std::exchange(this->hook, nullptr))
+        call();
+}
+
 struct HttpClient::Impl : std::enable_shared_from_this<HttpClient::Impl> {
     ConnectionPtr takeIdle(const Endpoint& endpoint) const
     {
@@ -61,7 +109,7 @@
         while (!idle.empty()) {
             auto connection = std::move(idle.back());
             idle.pop_back();
-            if (monotonicNow() - connection->idleSince < clientIdleTimeout && this->isUsable(*connection))
+            if (monotonicNow() < connection->idleUntil && this->isUsable(*connection))
                 return connection;
         }
         return nullptr;
@@ -84,27 +132,33 @@
     void giveBack(const Endpoint& endpoint, ConnectionPtr connection) const
     {
         auto& idle = threadPools[this].idle[endpoint];
-        connection->idleSince = monotonicNow();
         connection->stream.expires_never();
         if (idle.size() < idleConnectionsPerEndpoint)
             idle.push_back(std::move(connection));
     }
 
-    static Result<ConnectionPtr, IoError> connect(const Endpoint& endpoint, std::chrono::milliseconds timeout)
+    std::atomic<uint64_t> opened { 0 };
+
+    Result<ConnectionPtr, IoError> connect(const Endpoint& endpoint, const CallLimits& limits)
     {
         ErrorCode error;
         auto address = asio::ip::make_address(endpoint.address, error);
         if (error)
             return IoError::Refused;
         auto connection = std::make_unique<ClientConnection>(*currentContext());
-        connection->stream.expires_after(timeout);
+        connection->stream.expires_after(limits.connect);
+        CancelHook hook(limits.cancel, *connection);
         Tcp::endpoint peer(address, endpoint.port);
         auto outcome = awaitIo([&](auto handler) { connection->stream.async_connect(peer, std::move(handler)); });
+        if (limits.cancel != nullptr && limits.cancel->isCancelled())
+            return IoError::Cancelled;
         if (outcome.error == beast::error::timeout)
             return IoError::ConnectTimeout;
         if (outcome.error)
             return IoError::Refused;
+        this->opened++;
         connection->stream.socket().set_option(Tcp::no_delay(true), error);
+        setLivenessOptions(connection->stream.socket());
         return connection;
     }
 };
@@ -116,16 +170,23 @@
     public:
         using GiveBack = std::function<void(ConnectionPtr)>;
 
-        BeastResponseStream(ConnectionPtr connection, GiveBack giveBack)
+        BeastResponseStream(ConnectionPtr connection, GiveBack giveBack, CallCancel* cancel)
             : connection(std::move(connection))
             , giveBack(std::move(giveBack))
+            , cancel(cancel)
+            , hook(cancel, *this->connection)
         {
         }
 
         ~BeastResponseStream() override
         {
-            if (this->parser.is_done() && this->parser.get().keep_alive())
-                this->giveBack(std::move(this->connection));
+            this->hook.release();
+            // Bytes after a complete answer belong to no request: such a connection is not used again.
+            bool clean = this->connection->buffer.size() == 0 && !this->isCancelled();
+            if (!clean || !this->parser.is_done() || !this->parser.get().keep_alive())
+                return;
+            this->connection->idleUntil = monotonicNow() + idleTime(this->parser.get()[http::field::keep_alive]);
+            this->giveBack(std::move(this->connection));
         }
 
         /// Sends the request and waits for the head of the answer.
@@ -140,6 +201,7 @@
             return awaitIo([&](auto handler) { http::async_read_header(stream, this->connection->buffer, this->parser, std::move(handler)); });
         }
 
+        bool isCancelled() const { return this->cancel != nullptr && this->cancel->isCancelled(); }
         void headRead() { this->fields = toHeaders(this->parser.get()); }
         unsigned status() const override { return this->parser.get().result_int(); }
         const std::vector<Header>& headers() const override { return this->fields; }
@@ -154,6 +216,8 @@
                 auto& socket = this->connection->stream.socket();
                 ReadDeadline deadline(socket, timeout);
                 auto outcome = awaitIo([&](auto handler) { http::async_read_some(socket, this->connection->buffer, this->parser, std::move(handler)); });
+                if (this->isCancelled())
+                    return IoError::Cancelled;
                 if (deadline.hasPassed())
                     return IoError::Timeout;
                 if (outcome.error && outcome.error != http::error::need_buffer)
@@ -168,6 +232,8 @@
     private:
         ConnectionPtr connection;
         GiveBack giveBack;
+        CallCancel* cancel;
+        CancelHook hook;
         http::response_parser<http::buffer_body> parser;
         std::vector<Header> fields;
         std::vector<char> chunk;
@@ -184,17 +250,21 @@
 
 Result<std::unique_ptr<ResponseStream>, IoError> HttpClient::open(const Endpoint& endpoint, const HttpRequest& request, const CallLimits& limits, bool freshConnection)
 {
+    if (limits.cancel != nullptr && limits.cancel->isCancelled())
+        return IoError::Cancelled;
     auto connection = freshConnection ? nullptr : this->impl->takeIdle(endpoint);
     if (!connection) {
-        auto connected = Impl::connect(endpoint, limits.connect);
+        auto connected = this->impl->connect(endpoint, limits);
         if (!connected)
             return connected.error();
         connection = std::move(connected.value());
     }
     auto giveBack = [impl = this->impl, endpoint](ConnectionPtr idle) { impl->giveBack(endpoint, std::move(idle)); };
-    auto stream = std::make_unique<BeastResponseStream>(std::move(connection), giveBack);
+    auto stream = std::make_unique<BeastResponseStream>(std::move(connection), giveBack, limits.cancel);
     auto message = toMessage(endpoint, request);
     auto outcome = stream->exchange(message, limits);
+    if (stream->isCancelled())
+        return IoError::Cancelled;
     if (outcome.error == beast::error::timeout)
         this->impl->renewPool(endpoint);
     if (outcome.error)
@@ -222,12 +292,17 @@
     }
 }
 
+uint64_t HttpClient::connectionsOpened() const
+{
+    return this->impl->opened;
+}
+
 // ---------------------------------------------------------------- helpers of the public header
 
 const char* name(IoError error)
 {
     constexpr std::array<const char*, static_cast<size_t>(IoError::Count)> names {
-        "refused", "connect_timeout", "timeout", "closed", "malformed", "too_large"
+        "refused", "connect_timeout", "timeout", "closed", "malformed", "too_large", "cancelled"
     };
     return names[static_cast<size_t>(error)];
 }
@@ -237,6 +312,17 @@
     return error == IoError::Refused || error == IoError::ConnectTimeout;
 }
 
+void setLivenessOptions(Stream::socket_type& socket)
+{
+    ErrorCode ignored;
+    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    auto set = [&socket](int option, int value) { ::setsockopt(socket.native_handle(), IPPROTO_TCP, option, &value, sizeof value); };
+    set(TCP_KEEPIDLE, static_cast<int>(keepAliveProbeIdle.count()));
+    set(TCP_KEEPINTVL, static_cast<int>(keepAliveProbeInterval.count()));
+    set(TCP_KEEPCNT, keepAliveProbeCount);
+    set(TCP_USER_TIMEOUT, static_cast<int>(unacknowledgedLimit.count()));
+}
+
 IoError toIoError(const ErrorCode& error)
 {
     if (error == beast::error::timeout)
--- a/transport/src/http_server_beast.cpp
+++ b/transport/src/http_server_beast.cpp
@@ -55,15 +55,17 @@
 
     class BeastWriter : public ResponseWriter {
     public:
-        BeastWriter(Connection& connection, std::chrono::milliseconds writeTimeout, bool keepAlive)
+        BeastWriter(Connection& connection, std::chrono::milliseconds writeTimeout, bool keepAlive, const std::atomic<bool>& closing)
             : connection(connection)
             , writeTimeout(writeTimeout)
+            , closing(closing)
             , keepAlive(keepAlive)
         {
         }
 
         bool send(const HttpResponse& response) override
         {
+            this->keepAlive = this->keepAlive && !this->closing;
             auto head = this->makeHead(response.status, response.headers);
             if (mayHoldBody(response.status))
                 head += "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
@@ -75,6 +77,7 @@
         bool startStream(unsigned status, const std::vector<Header>& headers) override
         {
             this->answered = true;
+            this->keepAlive = this->keepAlive && !this->closing;
             return this->write(this->makeHead(status, headers) + "Transfer-Encoding: chunked\r\n\r\n");
         }
 
@@ -110,10 +113,36 @@
             return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
         }
 
+        void watchCaller(std::function<void()> onGone) override
+        {
+            this->watch = std::make_shared<Watch>(Watch { std::move(onGone) });
+            this->connection.stream.socket().async_wait(Tcp::socket::wait_read, [this, watch = this->watch](ErrorCode error) {
+                if (error || !watch->onGone || !this->callerGone())
+                    return;
+                auto call = std::exchange(watch->onGone, nullptr);
+                this->failed = true;
+                call();
+            });
+        }
+
+        void unwatchCaller() override
+        {
+            if (!this->watch)
+                return;
+            this->watch->onGone = nullptr;
+            this->watch.reset();
+            ErrorCode ignored;
+            this->connection.stream.socket().cancel(ignored);
+        }
+
         bool hasAnswered() const { return this->answered; }
         bool mayContinue() const { return this->keepAlive && !this->failed && this->answered; }
 
     private:
+        struct Watch {
+            std::function<void()> onGone;
+        };
+
         std::string makeHead(unsigned status, const std::vector<Header>& headers) const
         {
             std::string head = "HTTP/1.1 " + std::to_string(status) + " ";
@@ -149,6 +178,8 @@
 
         Connection& connection;
         std::chrono::milliseconds writeTimeout;
+        const std::atomic<bool>& closing; ///< Answers ask for a close.
+        std::shared_ptr<Watch> watch;
         bool keepAlive;
         bool answered = false;
         bool failed = false;
@@ -173,14 +204,21 @@
     HttpHandler handler;
     ErrorBody errorBody;
     std::atomic<bool> accepting { true };
+    std::atomic<bool> closing { false };
     std::atomic<uint64_t> connectionCount { 0 };
     std::atomic<uint64_t> active { 0 };
     std::atomic<uint64_t> requests { 0 };
     std::atomic<uint64_t> malformed { 0 };
     std::atomic<uint64_t> overLimit { 0 };
-    std::mutex mutex;
+    mutable std::mutex mutex;
     std::vector<std::shared_ptr<ServerThread>> threads;
 
+    ServerLimits currentLimits() const
+    {
+        std::lock_guard lock(this->mutex);
+        return this->limits;
+    }
+
     /// Opens the listening socket. Each thread accepts from a duplicate of it.
     /// @return the socket, or -1.
     int openListener() const
@@ -223,7 +261,7 @@
                 sleepFor(acceptRetryPause);
                 continue;
             }
-            if (this->connectionCount >= this->limits.connectionLimit) {
+            if (this->connectionCount >= this->currentLimits().connectionLimit) {
                 this->overLimit++;
                 continue;
             }
@@ -237,6 +275,7 @@
         ErrorCode ignored;
         connection->stream.socket().set_option(Tcp::no_delay(true), ignored);
         connection->stream.socket().non_blocking(true, ignored);
+        setLivenessOptions(connection->stream.socket());
         spawnHere([self = this->shared_from_this(), thread, connection] {
             thread->connections.insert(connection.get());
             while (self->serveOne(*connection)) { }
@@ -254,11 +293,12 @@
         if (!this->waitForRequest(connection))
             return false;
         connection.idle = false;
+        auto limits = this->currentLimits();
         http::request_parser<http::string_body> parser;
-        parser.header_limit(this->limits.headerLimit);
-        parser.body_limit(this->limits.bodyLimit);
+        parser.header_limit(limits.headerLimit);
+        parser.body_limit(limits.bodyLimit);
         auto& socket = connection.stream.socket();
-        auto deadline = std::make_optional<ReadDeadline>(socket, this->limits.readTimeout);
+        auto deadline = std::make_optional<ReadDeadline>(socket, limits.readTimeout);
         auto read = awaitIo([&](auto handler) { http::async_read(socket, connection.buffer, parser, std::move(handler)); });
         if (deadline->hasPassed())
             read.error = beast::error::timeout;
@@ -268,7 +308,7 @@
             return false;
         }
         bool keepAlive = parser.get().keep_alive() && this->accepting;
-        BeastWriter writer(connection, this->limits.writeTimeout, keepAlive);
+        BeastWriter writer(connection, limits.writeTimeout, keepAlive, this->closing);
         this->active++;
         this->requests++;
         auto request = toRequest(parser.release());
@@ -283,7 +323,7 @@
     {
         if (connection.buffer.size() > 0)
             return true;
-        connection.stream.expires_after(this->limits.idleTimeout);
+        connection.stream.expires_after(this->currentLimits().idleTimeout);
         auto space = connection.buffer.prepare(2048);
         auto first = awaitIo([&](auto handler) { connection.stream.async_read_some(space, std::move(handler)); });
         connection.stream.expires_never();
@@ -308,7 +348,7 @@
             return;
         }
         this->malformed++;
-        BeastWriter writer(connection, this->limits.writeTimeout, false);
+        BeastWriter writer(connection, this->currentLimits().writeTimeout, false, this->closing);
         writer.send(this->errorBody(status, reason));
         this->drainInput(connection);
     }
@@ -363,6 +403,17 @@
     return !failed;
 }
 
+void HttpServer::setLimits(const ServerLimits& limits)
+{
+    std::lock_guard lock(this->impl->mutex);
+    this->impl->limits = limits;
+}
+
+void HttpServer::announceClose()
+{
+    this->impl->closing = true;
+}
+
 void HttpServer::stopAccepting()
 {
     this->impl->accepting = false;
--- a/transport/src/logging_log4cxx.cpp
+++ b/transport/src/logging_log4cxx.cpp
@@ -1,9 +1,80 @@
-/// Logging through log4cxx to stderr, one format for all parts.
-#include <log4cxx/consoleappender.h>
+/// Logging through log4cxx to standard output, one format for all parts. Never blocks on a slow reader.
+#include <algorithm>
+#include <log4cxx/appenderskeleton.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/logmanager.h>
 #include <log4cxx/patternlayout.h>
+#include <poll.h>
 #include <transport/transport.h>
+#include <unistd.h>
+
+namespace {
+
+/// Longest printed line in bytes: a pipe that polls as writable takes this much without blocking.
+constexpr size_t lineLimit = 4096;
+
+std::atomic<uint64_t> droppedLines { 0 };
+
+} // namespace
+
+/// The library's class macros only work inside its namespace.
+namespace log4cxx {
+
+/// Writes each line in one call if standard output takes it at once and the rate allows it.
+class BoundedAppender : public log4cxx::AppenderSkeleton {
+public:
+    BoundedAppender() = default;
+
+    DECLARE_LOG4CXX_OBJECT(BoundedAppender)
+    BEGIN_LOG4CXX_CAST_MAP()
+    LOG4CXX_CAST_ENTRY(BoundedAppender)
+    LOG4CXX_CAST_ENTRY_CHAIN(AppenderSkeleton)
+    END_LOG4CXX_CAST_MAP()
+
+    void close() override { }
+    bool requiresLayout() const override { return true; }
+
+protected:
+    void append(const log4cxx::spi::LoggingEventPtr& event, log4cxx::helpers::Pool& pool) override
+    {
+        if (!this->takeToken() || !isWritable()) {
+            droppedLines++;
+            return;
+        }
+        log4cxx::LogString line;
+        this->getLayout()->format(line, event, pool);
+        if (line.size() > lineLimit)
+            line.replace(lineLimit - 4, std::string::npos, "...\n");
+        if (::write(STDOUT_FILENO, line.data(), line.size()) < 0)
+            droppedLines++;
+    }
+
+private:
+    static bool isWritable()
+    {
+        pollfd output { STDOUT_FILENO, POLLOUT, 0 };
+        return ::poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+    }
+
+    bool takeToken()
+    {
+        auto now = comfreypier::transport::monotonicNow();
+        auto passed = std::chrono::duration<double>(now - this->filledAt).count();
+        this->tokens = std::min(comfreypier::transport::logLineBurst, this->tokens + passed * comfreypier::transport::logLinesPerSecond);
+        this->filledAt = now;
+        if (this->tokens < 1)
+            return false;
+        this->tokens -= 1;
+        return true;
+    }
+
+    double tokens = comfreypier::transport::logLineBurst;
+    std::chrono::nanoseconds filledAt { 0 };
+};
+
+IMPLEMENT_LOG4CXX_OBJECT(BoundedAppender)
+
+} // namespace log4cxx
 
 namespace comfreypier::transport {
 
@@ -28,7 +99,8 @@
 void setUpLogging(LogLevel level, const std::vector<PartLevel>& parts)
 {
     auto layout = std::make_shared<log4cxx::PatternLayout>("%d{yyyy-MM-ddTHH:mm:ss.SSS} %-5p %c: %m%n");
-    auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
+    auto appender = std::make_shared<log4cxx::BoundedAppender>();
+    appender->setLayout(layout);
     auto root = log4cxx::Logger::getRootLogger();
     root->removeAllAppenders();
     root->addAppender(appender);
@@ -37,6 +109,11 @@
         log4cxx::Logger::getLogger(part.part)->setLevel(toLevel(part.level));
 }
 
+uint64_t droppedLogLines()
+{
+    return droppedLines;
+}
+
 bool parseLogLevel(std::string_view text, LogLevel& level)
 {
     constexpr std::array names { "debug", "info", "warn", "error" };
--- a/transport/src/runtime_asio.cpp
+++ b/transport/src/runtime_asio.cpp
@@ -157,6 +157,13 @@
     return std::chrono::steady_clock::now().time_since_epoch();
 }
 
+std::chrono::nanoseconds bootTimeNow()
+{
+    timespec time {};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return std::chrono::seconds { time.tv_sec } + std::chrono::nanoseconds { time.tv_nsec };
+}
+
 std::chrono::milliseconds wallNow()
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch());
@@ -170,6 +177,7 @@
         sigemptyset(&signals);
         sigaddset(&signals, SIGTERM);
         sigaddset(&signals, SIGINT);
+        sigaddset(&signals, SIGHUP);
         return signals;
     }
 
@@ -190,11 +198,16 @@
     setrlimit(RLIMIT_NOFILE, &limit);
 }
 
-void waitForTermination()
+ProcessSignal waitForSignal(std::chrono::milliseconds limit)
 {
     auto signals = terminationSignals();
-    int received = 0;
-    sigwait(&signals, &received);
+    timespec time {};
+    time.tv_sec = limit.count() / 1000;
+    time.tv_nsec = limit.count() % 1000 * 1000000;
+    auto received = sigtimedwait(&signals, nullptr, &time);
+    if (received < 0)
+        return ProcessSignal::None;
+    return received == SIGHUP ? ProcessSignal::Reload : ProcessSignal::Terminate;
 }
 
 std::chrono::nanoseconds processCpuTime()
--- a/transport/src/transport_p.h
+++ b/transport/src/transport_p.h
@@ -78,6 +78,9 @@
     bool passed = false;
 };
 
+/// Makes the system end a connection whose peer has silently gone.
+void setLivenessOptions(Stream::socket_type& socket);
+
 /// Maps an Asio or Beast error to `IoError`.
 IoError toIoError(const ErrorCode& error);
 
