--- a/edge/src/order_duty.cpp
+++ b/edge/src/order_duty.cpp
@@ -10,10 +10,6 @@
     constexpr milliseconds planInterval { 100 };
     /// Pause between two looks at the lease.
     constexpr milliseconds leaseLook { 100 };
-    /// Age of a worker's report: orders younger than that may be missing in it.
-    constexpr milliseconds reportLag { 400 };
-    /// Pause between two reports of a worker that carries out a model order.
-    constexpr milliseconds busyReportInterval { 250 };
     /// Time in which the other VMs hear that a model is on its way out, before its unload is ordered.
     constexpr milliseconds unloadNotice { 30 };
     /// Usual time until an adapter is there after its order was accepted.
@@ -71,8 +67,8 @@
         auto found = this->agents.find(use.worker);
         if (found == this->agents.end())
             return;
-        auto adapter = found->second->held.adapters.find(use.model + "/" + use.adapter);
-        if (adapter != found->second->held.adapters.end())
+        auto adapter = found->second->account.held.adapters.find(use.model + "/" + use.adapter);
+        if (adapter != found->second->account.held.adapters.end())
             adapter->second = monotonicNow();
     };
 }
@@ -206,10 +202,11 @@
         if (!agent || agent->entry.startedAt != entry.startedAt)
             agent = std::make_shared<Agent>();
         agent->entry = entry;
-        agent->held.id = entry.id;
-        agent->held.alive = !entry.leaving;
-        agent->held.cached.insert(entry.onDisk.begin(), entry.onDisk.end());
-        agent->held.usable = agent->synced && !entry.leaving && !agent->modelOrder;
+        auto& held = agent->account.held;
+        held.id = entry.id;
+        held.alive = !entry.leaving;
+        held.cached.insert(entry.onDisk.begin(), entry.onDisk.end());
+        held.usable = !entry.leaving && placement::mayOrderModel(agent->account);
     }
     std::erase_if(this->agents, [&present](const auto& item) { return !present.contains(item.first); });
 }
@@ -232,16 +229,13 @@
         for (const auto& [id, agent] : this->agents) {
             if (agent->entry.service != name)
                 continue;
-            // A worker that was not heard yet may hold anything: planning waits for it a little.
-            if (!agent->synced && agent->held.alive)
-                agent->held.usable = false;
-            auto held = agent->held;
-            if (!agent->synced) {
+            auto held = agent->account.held;
+            if (!agent->account.synced) {
                 for (const auto& model : agent->entry.models)
                     held.models.insert(model.name);
             }
             inputs.workers.push_back(std::move(held));
-            if (agent->modelOrder && agent->modelOrder->fromStore)
+            if (agent->account.modelOrder && agent->account.modelOrder->fromStore)
                 inputs.storeLoadsRunning++;
         }
         inputs.storeLoadsAllowed = this->storeRate.allowed(service.engine->storeLoadsPerSecond, now);
@@ -253,122 +247,81 @@
 void OrderDuty::assign(const placement::Order& order)
 {
     auto& agent = this->agents[order.worker];
-    agent->modelOrder = order;
-    agent->modelOrderSent = false;
-    agent->held.usable = false;
-    if (order.kind == placement::OrderKind::Load)
-        agent->held.models.insert(order.model);
-    else {
-        agent->held.models.erase(order.model);
-        agent->held.unloading.insert(order.model);
-    }
+    placement::planOrder(agent->account, order);
     if (order.fromStore)
         this->storeRate.noteLoad();
 }
 
 void OrderDuty::serveWorker(const AgentPtr& agent)
 {
-    bool synced = false;
+    bool report = false;
+    bool order = false;
     {
         std::lock_guard lock(this->mutex);
-        synced = agent->synced && !agent->reportWanted;
+        report = placement::needsReport(agent->account, monotonicNow());
+        order = agent->account.modelOrder && !agent->account.modelOrderSent;
     }
-    if (!synced)
+    if (report)
         this->sync(*agent);
-    if (agent->modelOrder && !agent->modelOrderSent)
+    if (order)
         this->orderModel(*agent);
     this->orderAdapters(*agent);
     std::lock_guard lock(this->mutex);
-    if (agent->modelOrder && agent->modelOrderSent)
-        agent->reportWanted = true;
     agent->working = false;
 }
 
 void OrderDuty::sync(Agent& agent)
 {
-    auto now = monotonicNow();
-    if (now < agent.syncAt)
-        return;
-    agent.syncAt = now + busyReportInterval;
+    auto askedAt = monotonicNow();
     auto report = platform::fetchReport(this->vm.client, agent.entry);
-    if (!report)
-        return;
     std::lock_guard lock(this->mutex);
-    auto& held = agent.held;
-    if (!agent.synced) {
-        held.models.clear();
-        held.unloading.clear();
-        auto adapters = std::exchange(held.adapters, {});
-        for (const auto& model : report->models) {
-            held.models.insert(model.name);
-            for (const auto& adapter : model.adapters)
-                held.adapters[model.name + "/" + adapter] = adapters[model.name + "/" + adapter];
-        }
-        for (const auto& pending : report->pendingAdapters)
-            held.adapters[pending] = now;
-        agent.ordersAccepted = report->ordersAccepted;
-        agent.synced = true;
-    }
-    held.cached.insert(report->cached.begin(), report->cached.end());
-    if (!agent.modelOrder || report->ordering || !agent.modelOrderSent)
+    if (!report) {
+        agent.account.reportFrom = askedAt + placement::busyReportInterval;
         return;
-    bool there = std::any_of(report->models.begin(), report->models.end(), [&](const auto& model) { return model.name == agent.modelOrder->model; });
-    bool load = agent.modelOrder->kind == placement::OrderKind::Load;
-    if (there != load || report->ordersAccepted < agent.ordersAccepted)
+    }
+    auto order = agent.account.modelOrder;
+    if (!placement::applyReport(agent.account, *report, askedAt))
         return;
-    held.unloading.erase(agent.modelOrder->model);
-    held.cached.insert(agent.modelOrder->model);
-    if (!load)
-        std::erase_if(held.adapters, [&](const auto& item) { return item.first.starts_with(agent.modelOrder->model + "/"); });
-    this->log.info("event=order_done worker=" + agent.entry.id + " kind=" + (load ? "load" : "unload") + " model=" + agent.modelOrder->model);
-    agent.modelOrder.reset();
-    agent.reportWanted = false;
+    this->log.info("event=order_done worker=" + agent.entry.id + " kind=" + (order->kind == placement::OrderKind::Load ? "load" : "unload") + " model=" + order->model);
     this->work.signal();
 }
 
 bool OrderDuty::send(Agent& agent, const placement::Order& order)
 {
-    platform::OrderSource source;
+    placement::OrderSource source;
     {
         std::lock_guard lock(this->mutex);
-        if (!agent.synced || !this->lease.mayOrder(transport::bootTimeNow()))
+        if (!agent.account.synced || !this->lease.mayOrder(transport::bootTimeNow()))
             return false;
-        source = { this->vm.settings.node, this->lease.token(), agent.ordersAccepted };
+        source = { this->vm.settings.node, this->lease.token(), agent.account.ordersAccepted };
     }
     add(this->vm.counters, Event::Orders);
     auto outcome = platform::sendOrder(this->vm.client, agent.entry, order, source);
     bool load = order.kind == placement::OrderKind::Load;
-    bool done = outcome == platform::OrderOutcome::Accepted || outcome == platform::OrderOutcome::AlreadyHolds;
+    bool done = outcome == placement::OrderOutcome::Accepted || outcome == placement::OrderOutcome::AlreadyHolds;
     this->log.info("event=order worker=" + order.worker + " kind=" + (load ? "load" : "unload") + " model=" + order.model + (order.adapter.empty() ? "" : " adapter=" + order.adapter)
-        + " reason=" + order.reason + " token=" + std::to_string(source.token) + " accepted_before=" + std::to_string(source.ordersAccepted) + " outcome=" + platform::name(outcome));
+        + " reason=" + order.reason + " token=" + std::to_string(source.token) + " accepted_before=" + std::to_string(source.ordersAccepted) + " outcome=" + placement::name(outcome));
     std::lock_guard lock(this->mutex);
-    bool counted = outcome == platform::OrderOutcome::Accepted || (outcome == platform::OrderOutcome::AlreadyHolds && !load && !order.adapter.empty());
-    if (counted)
-        agent.ordersAccepted++;
-    if (!done) {
-        agent.synced = false;
-        agent.syncAt = monotonicNow() + reportLag;
-    }
+    placement::applyOutcome(agent.account, order, outcome, monotonicNow());
     return done;
 }
 
 void OrderDuty::orderModel(Agent& agent)
 {
-    auto order = *agent.modelOrder;
+    placement::Order order;
+    {
+        std::lock_guard lock(this->mutex);
+        order = *agent.account.modelOrder;
+    }
     if (order.kind == placement::OrderKind::Unload) {
         this->announce();
         sleepFor(unloadNotice);
     }
-    bool sent = this->send(agent, order);
-    std::lock_guard lock(this->mutex);
-    if (sent) {
-        agent.modelOrderSent = true;
-        agent.syncAt = monotonicNow() + busyReportInterval;
+    if (this->send(agent, order))
         return;
-    }
-    // What became of it shows in the next report.
-    agent.modelOrder.reset();
-    agent.synced = false;
+    std::lock_guard lock(this->mutex);
+    agent.account.modelOrder.reset();
+    agent.account.synced = false;
 }
 
 void OrderDuty::orderAdapters(Agent& agent)
@@ -383,20 +336,18 @@
         std::optional<placement::Order> order;
         {
             std::lock_guard lock(this->mutex);
-            if (!agent.synced)
+            if (!placement::mayOrderAdapter(agent.account))
                 return;
-            order = placement::planAdapter(*engine, agent.held, want.model, want.adapter, monotonicNow(), adapterIdle);
+            order = placement::planAdapter(*engine, agent.account.held, want.model, want.adapter, monotonicNow(), adapterIdle);
         }
         if (!order || !this->send(agent, *order))
             continue;
         auto key = order->model + "/" + order->adapter;
         std::lock_guard lock(this->mutex);
         if (order->kind == placement::OrderKind::Unload) {
-            agent.held.adapters.erase(key);
             this->work.signal();
             continue;
         }
-        agent.held.adapters[key] = monotonicNow();
         agent.readyAt[key] = monotonicNow() + adapterLoadTime;
         transport::spawnHere([this] {
             sleepFor(adapterLoadTime);
@@ -416,20 +367,23 @@
             return;
         token = this->lease.token();
         for (auto& [id, agent] : this->agents) {
-            if (!agent->synced)
+            const auto& account = agent->account;
+            if (!account.synced)
                 continue;
             auto& items = resident[id];
             std::erase_if(agent->readyAt, [now](const auto& item) { return item.second <= now; });
-            for (const auto& [adapter, used] : agent->held.adapters) {
+            for (const auto& [adapter, used] : account.held.adapters) {
                 if (!agent->readyAt.contains(adapter))
                     items.insert(adapter);
             }
-            for (const auto& model : agent->held.models) {
-                if (!agent->modelOrder || agent->modelOrder->model != model)
+            for (const auto& model : account.held.models) {
+                if (!account.modelOrder || account.modelOrder->model != model)
                     items.insert(model);
             }
-            for (const auto& model : agent->held.unloading)
+            for (const auto& model : account.held.unloading)
                 items.insert("!" + model);
+            if (!placement::mayOrderAdapter(account))
+                items.insert(routing::orderingMark);
         }
     }
     this->vm.fleet.applyResident(resident);
--- a/edge/src/order_duty.h
+++ b/edge/src/order_duty.h
@@ -21,14 +21,8 @@
     /// What the holder knows of one worker. Its orders go out one after the other.
     struct Agent {
         routing::WorkerEntry entry;
-        placement::HeldWorker held;
-        bool synced = false; ///< `held` and `ordersAccepted` come from a report and the orders since.
+        placement::WorkerAccount account;
         bool working = false; ///< A fiber talks to the worker.
-        bool reportWanted = false;
-        uint64_t ordersAccepted = 0;
-        Time syncAt { 0 }; ///< No report is asked for before.
-        std::optional<placement::Order> modelOrder; ///< In progress at the worker.
-        bool modelOrderSent = false;
         std::map<std::string, Time> readyAt; ///< Adapters on their way.
     };
     using AgentPtr = std::shared_ptr<Agent>;
--- a/placement/include/placement/placement.h
+++ b/placement/include/placement/placement.h
@@ -56,6 +56,74 @@
     bool operator==(const Order&) const = default;
 };
 
+// ---------------------------------------------------------------- what a worker holds, by its reports and the orders to it
+
+/// A worker's own account of its state, some hundred milliseconds old.
+struct WorkerReport {
+    std::vector<routing::ResidentModel> models; ///< Without one that is still being loaded.
+    std::set<std::string> pendingAdapters; ///< `model/adapter`.
+    std::set<std::string> cached; ///< Models on its disk or in its host memory.
+    bool ordering = false; ///< A model order is in progress.
+    uint64_t ordersAccepted = 0;
+    uint32_t waiting = 0;
+    uint32_t running = 0;
+    double usedTokens = 0; ///< Prompt memory that can't be freed.
+};
+
+/// What became of an order.
+enum class OrderOutcome {
+    Accepted,
+    AlreadyHolds,
+    Conflict, ///< Another order is in progress, or the count of accepted orders differs.
+    Fenced, ///< The worker has seen a higher fencing token.
+    OtherWorker, ///< The address is another worker's, or its software another version.
+    Invalid, ///< The worker does not know such an order.
+    NotSent, ///< No byte of it left.
+    Unknown, ///< No answer: it may be carried out, also later.
+    Count
+};
+
+const char* name(OrderOutcome outcome);
+
+/// Who gives an order.
+struct OrderSource {
+    std::string holder;
+    uint64_t token = 0;
+    uint64_t ordersAccepted = 0; ///< The worker refuses if its count differs.
+};
+
+/// Age that a worker's report may have: orders younger than that may be missing in it.
+constexpr Time reportLag = std::chrono::milliseconds { 400 };
+/// Pause between two reports of a worker that carries out a model order.
+constexpr Time busyReportInterval = std::chrono::milliseconds { 250 };
+
+/// Account of one worker. Until a report and all orders since are known, nothing may be ordered.
+struct WorkerAccount {
+    HeldWorker held;
+    bool synced = false; ///< `held` and `ordersAccepted` come from a report and the orders since.
+    uint64_t ordersAccepted = 0;
+    Time reportFrom { 0 }; ///< A report asked for before may be too old.
+    std::optional<Order> modelOrder; ///< In progress, or about to be sent.
+    bool modelOrderSent = false;
+    bool foreignOrder = false; ///< The worker carries out a model order that this VM did not give.
+};
+
+/// Tells whether a report is needed now.
+bool needsReport(const WorkerAccount& account, Time now);
+/// Takes over a report. @param askedAt when it was asked for.
+/// @return true if the model order in progress is done.
+bool applyReport(WorkerAccount& account, const WorkerReport& report, Time askedAt);
+/// Notes a model order that will be sent: its room is taken from now on.
+void planOrder(WorkerAccount& account, const Order& order);
+/// Takes over what became of an order.
+void applyOutcome(WorkerAccount& account, const Order& order, OrderOutcome outcome, Time now);
+/// Tells whether a model order may be given.
+bool mayOrderModel(const WorkerAccount& account);
+/// Tells whether an adapter order may be given: a worker refuses those while it carries out a model order.
+bool mayOrderAdapter(const WorkerAccount& account);
+
+// ---------------------------------------------------------------- plans
+
 /// Inputs of one planning round.
 struct ModelInputs {
     const routing::EngineSpec* engine = nullptr;
--- a/routing/include/routing/routing.h
+++ b/routing/include/routing/routing.h
@@ -55,6 +55,9 @@
 /// Crashes after which a request content is refused.
 constexpr uint32_t crashLimit = 2;
 
+/// Announced for a worker that loads no adapters now because it carries out a model order.
+constexpr const char* orderingMark = "*";
+
 // ---------------------------------------------------------------- configuration
 
 /// One service that a route leads to, with its share of the route's requests.
@@ -228,7 +231,7 @@
     WorkerLoad own; ///< Requests of this VM.
     std::map<std::string, WorkerLoad> peers; ///< Requests of other VMs, by VM.
     PromptCache kept;
-    /// What the holder of the lease announced since the entry: `model`, `model/adapter`, or `!model` for a model on its way out.
+    /// What the holder of the lease announced: `model`, `model/adapter`, `!model` for a model on its way out, or `orderingMark`.
     std::set<std::string> announced;
     double slowness = 1; ///< Measured time over expected time.
     double failureRate = 0; ///< Share of recent requests that failed.
--- a/routing/src/choice.cpp
+++ b/routing/src/choice.cpp
@@ -137,7 +137,8 @@
     Worker* chooseHome(const std::vector<Worker*>& holders, const RequestShape& shape)
     {
         auto key = hashText(shape.adapter, hashText(shape.model));
-        return *std::max_element(holders.begin(), holders.end(), [key](const Worker* a, const Worker* b) { return affinity(*a, key) < affinity(*b, key); });
+        auto rank = [key](const Worker* worker) { return affinity(*worker, key) - (worker->announced.contains(orderingMark) ? 1 : 0); };
+        return *std::max_element(holders.begin(), holders.end(), [&rank](const Worker* a, const Worker* b) { return rank(a) < rank(b); });
     }
 
     Choice chooseCheapest(const std::vector<Worker*>& able, const ChoiceInputs& inputs)
