--- a/edge/src/fleet.cpp
+++ b/edge/src/fleet.cpp
@@ -46,6 +46,7 @@
         worker.announced.clear();
         worker.avoidUntil = Time { 0 };
         worker.connectFailures = 0;
+        worker.runningStreams = 0;
     }
     if (entry.leaving && worker.leavingAt == Time { 0 })
         worker.leavingAt = now;
@@ -92,9 +93,10 @@
 {
     std::lock_guard lock(this->mutex);
     std::vector<routing::Worker*> candidates;
+    std::vector<routing::Worker*> missing;
     for (auto& [id, known] : this->workers) {
         if (known.worker.entry.service == service.name)
-            candidates.push_back(&known.worker);
+            (known.missingSince == Time { 0 } ? candidates : missing).push_back(&known.worker);
     }
     routing::ChoiceInputs inputs;
     inputs.service = &service;
@@ -107,6 +109,10 @@
     inputs.now = now;
     Picked picked;
     picked.choice = routing::chooseWorker(candidates, inputs);
+    if (picked.choice.obstacle != routing::Obstacle::None && !missing.empty()) {
+        candidates.insert(candidates.end(), missing.begin(), missing.end());
+        picked.choice = routing::chooseWorker(candidates, inputs);
+    }
     auto* worker = picked.choice.worker != nullptr ? picked.choice.worker : picked.choice.home;
     if (worker != nullptr) {
         picked.id = worker->entry.id;
@@ -118,6 +124,29 @@
     return picked;
 }
 
+std::optional<routing::WorkerEntry> Fleet::chooseBackup(const routing::Service& service, const routing::RequestShape& shape, const routing::WorkerEntry& primary, Time now)
+{
+    std::lock_guard lock(this->mutex);
+    std::vector<routing::Worker*> candidates;
+    for (auto& [id, known] : this->workers) {
+        if (known.worker.entry.service == service.name && known.missingSince == Time { 0 })
+            candidates.push_back(&known.worker);
+    }
+    routing::ChoiceInputs inputs;
+    inputs.service = &service;
+    inputs.shape = &shape;
+    inputs.now = now;
+    auto* backup = routing::chooseBackup(candidates, inputs, primary);
+    return backup == nullptr ? std::nullopt : std::optional(backup->entry);
+}
+
+std::optional<routing::WorkerEntry> Fleet::entry(const std::string& id) const
+{
+    std::lock_guard lock(this->mutex);
+    auto found = this->workers.find(id);
+    return found == this->workers.end() ? std::nullopt : std::optional(found->second.worker.entry);
+}
+
 void Fleet::update(const std::string& id, const std::function<void(routing::Worker&)>& change)
 {
     std::lock_guard lock(this->mutex);
@@ -234,11 +263,14 @@
     : fleet(std::exchange(other.fleet, nullptr))
     , worker(std::move(other.worker))
     , load(other.load)
+    , running(std::exchange(other.running, false))
 {
 }
 
 LoadTicket::~LoadTicket()
 {
+    if (this->running)
+        this->fleet->update(this->worker, [](routing::Worker& worker) { worker.runningStreams -= std::min(worker.runningStreams, 1U); });
     if (this->fleet != nullptr)
         this->fleet->release(this->worker, this->load);
 }
@@ -247,6 +279,16 @@
 {
     this->fleet->release(this->worker, { this->load.prefillTokens, 0, 0 });
     this->load.prefillTokens = 0;
+    this->running = true;
+    this->fleet->update(this->worker, [](routing::Worker& worker) {
+        worker.runningStreams++;
+        worker.lastByteAt = monotonicNow();
+    });
+}
+
+void LoadTicket::noteByte() const
+{
+    this->fleet->update(this->worker, [](routing::Worker& worker) { worker.lastByteAt = monotonicNow(); });
 }
 
 } // namespace comfreypier::edge
--- a/edge/src/fleet.h
+++ b/edge/src/fleet.h
@@ -45,6 +45,11 @@
     };
     Picked choose(const routing::Service& service, const routing::RequestShape& shape, const std::vector<uint64_t>& chains, const std::set<std::string>& excluded, milliseconds targetLatency, Time now);
 
+    /// Chooses the worker that keeps a copy of a run at `primary`.
+    std::optional<routing::WorkerEntry> chooseBackup(const routing::Service& service, const routing::RequestShape& shape, const routing::WorkerEntry& primary, Time now);
+    /// Entry of a worker that is not gone.
+    std::optional<routing::WorkerEntry> entry(const std::string& id) const;
+
     /// Calls `change` with the worker, if it is known, under the lock.
     void update(const std::string& id, const std::function<void(routing::Worker&)>& change);
     /// Entries of all workers that are not gone.
@@ -88,13 +93,16 @@
     LoadTicket(LoadTicket&& other) noexcept;
     LoadTicket(const LoadTicket&) = delete;
     LoadTicket& operator=(const LoadTicket&) = delete;
-    /// Notes that the prompt has been read.
+    /// Notes that the prompt has been read: the stream runs.
     void prefilled();
+    /// Notes an event of the stream.
+    void noteByte() const;
 
 private:
     Fleet* fleet;
     std::string worker;
     routing::WorkerLoad load;
+    bool running = false;
 };
 
 } // namespace comfreypier::edge
--- a/edge/src/relay.cpp
+++ b/edge/src/relay.cpp
@@ -18,8 +18,9 @@
     constexpr double silentTargets = 2;
     /// but not before this time.
     constexpr milliseconds silentLeast { 200 };
-    /// A stream that may be resumed goes on elsewhere after this silence.
-    constexpr milliseconds streamSilence { 1200 };
+    /// A stream that may go on elsewhere does so after this silence, or after three of its target gaps.
+    constexpr milliseconds streamSilenceLeast { 700 };
+    constexpr int streamSilenceGaps = 3;
     /// Retry-After for obstacles that pass soon.
     constexpr milliseconds soon { 200 };
     /// Retry-After of a VM that leaves: the caller comes back at another one.
@@ -78,6 +79,8 @@
     uint32_t mayHaveRun = 0; ///< Workers that may have run it.
     bool streamStarted = false;
     std::optional<std::string> lastEvent; ///< Last event that was passed on.
+    std::optional<routing::WorkerEntry> backup; ///< Worker that receives a copy of the run.
+    std::optional<routing::WorkerEntry> continueAt; ///< Worker at which the run goes on from such a copy.
     std::optional<transport::HttpResponse> failure; ///< A worker's own error, passed on if nothing better comes.
     SendResult lastResult = SendResult::NotSent;
     // For the log line.
@@ -191,10 +194,16 @@
 bool Relay::mayRepeat(Exchange& x, SendResult result)
 {
     bool ran = result != SendResult::NotSent && result != SendResult::NotRun;
-    if (ran && (!x.repeatable() || x.mayHaveRun >= x.route->maxAttempts))
-        return false;
+    bool again = x.repeatable() && x.mayHaveRun < x.route->maxAttempts;
     if (x.left() <= returnTime)
         return false;
+    // A run that goes on from its copy is still the same run.
+    if (ran && !again && x.backup && result != SendResult::Failed)
+        x.continueAt = std::exchange(x.backup, std::nullopt);
+    if (ran && !again && !x.continueAt)
+        return false;
+    if (!ran && x.mayHaveRun > 0 && !again)
+        return false;
     std::lock_guard lock(this->mutex);
     return this->repeatLimit(x.service->name).take(monotonicNow(), this->peers.liveCount());
 }
@@ -277,17 +286,22 @@
     }
     while (true) {
         Fleet::Picked picked;
-        if (x.streamStarted) {
+        if (x.continueAt) {
+            picked.id = x.continueAt->id;
+            picked.entry = *x.continueAt;
+            picked.choice.keptTokens = x.head.shape.promptTokens;
+        } else if (x.streamStarted) {
             picked = this->vm.fleet.choose(*x.service, x.head.shape, x.chains, x.excluded, x.route->targetLatency, monotonicNow());
             if (picked.choice.obstacle != routing::Obstacle::None)
                 return this->finish(x, SendResult::Resumable);
         } else if (!this->waitForWorker(x, picked))
             return;
-        if (!x.streamStarted && picked.choice.firstByte > std::chrono::duration_cast<Time>(x.left() * hopelessShare) && x.mayHaveRun == 0) {
+        if (!x.streamStarted && !x.continueAt && picked.choice.firstByte > std::chrono::duration_cast<Time>(x.left() * hopelessShare) && x.mayHaveRun == 0) {
             auto back = std::chrono::duration_cast<milliseconds>(picked.choice.firstByte / 2);
             return this->refuse(x, 503, Refusal::Hopeless, std::clamp(back, soon, milliseconds { 2000 }));
         }
         auto result = this->sendOnce(x, picked);
+        x.continueAt.reset();
         x.lastResult = result;
         if (result == SendResult::Answered || result == SendResult::Gone)
             return;
@@ -330,7 +344,6 @@
 {
     auto left = x.left();
     if (left <= returnTime) {
-        x.mayHaveRun += x.mayHaveRun > 0 ? 0 : 0;
         return SendResult::NotRun;
     }
     const auto& shape = x.head.shape;
@@ -347,6 +360,13 @@
             this->peers.noteUse({ picked.id, shape.model, shape.adapter });
     }
     platform::WorkerCall call { picked.id, left - returnTime, urgencyOf(*x.route), x.lastEvent ? x.lastEvent : x.head.resumeAfter };
+    if (x.continueAt)
+        call.backupOf = picked.entry.address;
+    x.backup.reset();
+    if (x.route->streaming && !x.route->resumable && routing::isBackupWorthwhile(*x.service, shape))
+        x.backup = this->vm.fleet.chooseBackup(*x.service, shape, picked.entry, monotonicNow());
+    if (x.backup)
+        call.backupAt = x.backup->address;
     auto request = platform::makeWorkerRequest(x.request, call);
     transport::CallLimits limits;
     limits.connect = std::min<milliseconds>(left, std::max(silentLeast, left / 4));
@@ -502,9 +522,9 @@
     bool first = true;
     while (true) {
         auto wait = std::max(x.left(), milliseconds { 1 });
-        bool canResume = x.route->resumable && x.mayHaveRun + 1 < x.route->maxAttempts;
-        if (canResume && x.streamStarted)
-            wait = std::min(wait, streamSilence);
+        bool canGoOn = x.backup || (x.route->resumable && x.mayHaveRun + 1 < x.route->maxAttempts);
+        if (canGoOn && x.streamStarted)
+            wait = std::min(wait, std::max(streamSilenceLeast, streamSilenceGaps * x.route->targetGap));
         auto piece = stream.read(wait);
         if (!piece) {
             auto result = this->noteSendError(x, picked, piece.error());
@@ -515,6 +535,8 @@
         if (piece.value().empty())
             break;
         buffer.append(piece.value());
+        if (!first)
+            ticket.noteByte();
         if (!this->passEvents(x, stream, buffer)) {
             x.outcome = name(Refusal::CallerGone);
             return SendResult::Gone;
@@ -522,7 +544,7 @@
         if (first && x.streamStarted) {
             first = false;
             ticket.prefilled();
-            this->vm.fleet.update(picked.id, [&](routing::Worker& worker) { routing::noteAnswer(worker, false, x.expected, monotonicNow() - sentAt, monotonicNow()); });
+            this->vm.fleet.update(picked.id, [&](routing::Worker& worker) { routing::noteAnswer(worker, false, x.sends == 1 ? x.expected : Time { 0 }, monotonicNow() - sentAt, monotonicNow()); });
         }
     }
     if (!buffer.empty() || !x.streamStarted)
--- a/edge/src/store_duty.cpp
+++ b/edge/src/store_duty.cpp
@@ -10,9 +10,6 @@
         return names[static_cast<size_t>(stream)];
     }
 
-    /// Time after a failure during which lapsed entries may still come back.
-    constexpr Time unstableTime = std::chrono::seconds { 4 };
-
 } // namespace
 
 StoreDuty::StoreDuty(Vm& vm, MemberListener onMember, WorkerListener onWorkerGone)
@@ -73,11 +70,12 @@
 {
     if (!good) {
         add(this->vm.counters, Event::StoreFailures);
-        this->lastFailure = monotonicNow();
     }
     auto& wasFailing = this->failing[static_cast<size_t>(stream)];
     if (std::exchange(wasFailing, !good) == !good)
         return;
+    if (good && stream == platform::Stream::Workers)
+        this->workersRegainedAt = monotonicNow();
     if (good)
         this->log.info(std::string("event=store_regained stream=") + name(stream));
     else
@@ -102,7 +100,7 @@
 
 Time StoreDuty::graceNow() const
 {
-    return monotonicNow() - this->lastFailure < unstableTime ? Time { entryReturnTime } : Time { 0 };
+    return std::max(Time { 0 }, this->workersRegainedAt + entryReturnTime - monotonicNow());
 }
 
 void StoreDuty::applyWorkers(const platform::StorePage& page, bool whole)
--- a/edge/src/store_duty.h
+++ b/edge/src/store_duty.h
@@ -42,7 +42,7 @@
     MemberListener onMember;
     WorkerListener onWorkerGone;
     std::array<bool, static_cast<size_t>(platform::Stream::Count)> failing {};
-    Time lastFailure { -std::chrono::hours { 1 } };
+    Time workersRegainedAt { -std::chrono::hours { 1 } }; ///< When the workers' stream was readable again.
     transport::Log log { "store" };
 };
 
--- a/routing/include/routing/routing.h
+++ b/routing/include/routing/routing.h
@@ -52,6 +52,11 @@
 constexpr milliseconds crossDataCentreCost { 25 };
 /// Share of the first tries and the fixed number of repeats that this VM uses of what the deployment allows.
 constexpr double repeatUse = 0.7;
+/// A worker whose running streams are all silent for this long gets no new requests: it has stopped or is cut off.
+constexpr milliseconds stallTime { 400 };
+/// A stream is backed up at another worker if its prompt has at most this many tokens for each expected output token:
+/// copying the memory of a long prompt costs more than the few events that it may save.
+constexpr double backupPromptShare = 12;
 /// Crashes after which a request content is refused.
 constexpr uint32_t crashLimit = 2;
 
@@ -101,6 +106,7 @@
     uint32_t adapterSlots = 0;
     double storeLoadsPerSecond = 0; ///< Over all workers of the service.
     uint32_t tokensPerEvent = 1;
+    bool backups = false; ///< Workers can copy a run's memory to another worker while it runs.
     std::vector<ModelSpec> models;
 };
 
@@ -238,6 +244,8 @@
     Time beliefAt { 0 }; ///< Time of the last correction of the two.
     Time avoidUntil { 0 }; ///< It was full or could not be reached.
     uint32_t connectFailures = 0; ///< In a row.
+    uint32_t runningStreams = 0; ///< Streams of this VM that have had their first event.
+    Time lastByteAt { 0 }; ///< When one of them last had an event.
     Time leavingAt { 0 }; ///< When it was first seen to leave; 0 while it does not.
 };
 
@@ -291,6 +299,13 @@
 /// Chooses among `workers` the one with the least expected time to the first byte, weighed with what it costs others.
 Choice chooseWorker(const std::vector<Worker*>& workers, const ChoiceInputs& inputs);
 
+/// Tells whether a stream should be copied to a second worker while it runs.
+bool isBackupWorthwhile(const Service& service, const RequestShape& shape);
+
+/// Chooses the worker that keeps a copy of a run: it must hold the model; the one with the most free prompt memory in the
+/// primary's data centre goes first. @return null if there is none.
+Worker* chooseBackup(const std::vector<Worker*>& workers, const ChoiceInputs& inputs, const WorkerEntry& primary);
+
 // ---------------------------------------------------------------- repeats
 
 /// Bounds repeats of requests to this VM's part of what the deployment allows in a sliding window.
--- a/routing/src/choice.cpp
+++ b/routing/src/choice.cpp
@@ -79,6 +79,11 @@
         return static_cast<double>(hashText(worker.entry.id, key) >> 11) / static_cast<double>(1ULL << 53);
     }
 
+    bool isStalled(const Worker& worker, Time now)
+    {
+        return worker.runningStreams > 0 && now - worker.lastByteAt > stallTime;
+    }
+
     Time distanceCost(const Worker& worker, const ChoiceInputs& inputs)
     {
         return worker.entry.dataCentre == inputs.dataCentre ? Time { 0 } : Time { inputs.distance + crossDataCentreCost };
@@ -210,7 +215,7 @@
         if (worker->entry.leaving || worker->entry.service != inputs.service->name)
             continue;
         alive.push_back(worker);
-        if (worker->avoidUntil > inputs.now || (inputs.excluded != nullptr && inputs.excluded->contains(worker->entry.id)))
+        if (worker->avoidUntil > inputs.now || isStalled(*worker, inputs.now) || (inputs.excluded != nullptr && inputs.excluded->contains(worker->entry.id)))
             continue;
         reachable.push_back(worker);
         if (inputs.service->engine && !holdsModel(*worker, inputs.shape->model))
@@ -235,6 +240,30 @@
     return choice;
 }
 
+bool isBackupWorthwhile(const Service& service, const RequestShape& shape)
+{
+    return service.engine && service.engine->backups && shape.outputTokens > 0 && shape.promptTokens <= backupPromptShare * shape.outputTokens;
+}
+
+Worker* chooseBackup(const std::vector<Worker*>& workers, const ChoiceInputs& inputs, const WorkerEntry& primary)
+{
+    Worker* best = nullptr;
+    double least = 0;
+    for (auto* worker : workers) {
+        bool usable = !worker->entry.leaving && worker->avoidUntil <= inputs.now && !isStalled(*worker, inputs.now);
+        if (!usable || worker->entry.id == primary.id || !holdsModel(*worker, inputs.shape->model))
+            continue;
+        double memory = totalLoad(*worker).memoryTokens + (holdsAdapter(*worker, *inputs.shape) ? 0 : inputs.service->engine->promptMemoryTokens);
+        if (worker->entry.dataCentre != primary.dataCentre)
+            memory += inputs.service->engine->promptMemoryTokens / 2;
+        if (best == nullptr || memory < least) {
+            best = worker;
+            least = memory;
+        }
+    }
+    return best;
+}
+
 const char* name(Obstacle obstacle)
 {
     constexpr std::array<const char*, static_cast<size_t>(Obstacle::Count)> names {
