--- a/edge/src/fleet.cpp
+++ b/edge/src/fleet.cpp
@@ -140,6 +140,13 @@
     return backup == nullptr ? std::nullopt : std::optional(backup->entry);
 }
 
+bool Fleet::holdsAdapter(const std::string& id, const routing::RequestShape& shape) const
+{
+    std::lock_guard lock(this->mutex);
+    auto found = this->workers.find(id);
+    return found != this->workers.end() && routing::holdsAdapter(found->second.worker, shape);
+}
+
 std::optional<routing::WorkerEntry> Fleet::entry(const std::string& id) const
 {
     std::lock_guard lock(this->mutex);
--- a/edge/src/fleet.h
+++ b/edge/src/fleet.h
@@ -47,6 +47,8 @@
 
     /// Chooses the worker that keeps a copy of a run at `primary`.
     std::optional<routing::WorkerEntry> chooseBackup(const routing::Service& service, const routing::RequestShape& shape, const routing::WorkerEntry& primary, Time now);
+    /// Tells whether a worker is believed to hold the adapter of a request.
+    bool holdsAdapter(const std::string& id, const routing::RequestShape& shape) const;
     /// Entry of a worker that is not gone.
     std::optional<routing::WorkerEntry> entry(const std::string& id) const;
 
--- a/edge/src/order_duty.cpp
+++ b/edge/src/order_duty.cpp
@@ -16,6 +16,8 @@
     constexpr milliseconds adapterLoadTime { 12 };
     /// Time since an adapter's last use below which it is not dropped.
     constexpr milliseconds adapterIdle { 300 };
+    /// Time for which an adapter counts as in use after its last use.
+    constexpr std::chrono::seconds adapterInterest { 20 };
     /// Key of the lease's record.
     constexpr const char* leaseKey = "orders";
 
@@ -64,6 +66,7 @@
     this->peers.onWants = [this] { this->work.signal(); };
     this->peers.onUse = [this](const Want& use) {
         std::lock_guard lock(this->mutex);
+        this->adapterUses[use.model + "/" + use.adapter] = monotonicNow();
         auto found = this->agents.find(use.worker);
         if (found == this->agents.end())
             return;
@@ -220,6 +223,7 @@
             continue;
         placement::ModelInputs inputs;
         inputs.engine = &*service.engine;
+        inputs.now = now;
         inputs.work = this->peers.totalDemand();
         for (const auto& want : this->peers.allWants()) {
             if (want.worker.empty())
@@ -333,29 +337,59 @@
     for (const auto& want : this->peers.allWants()) {
         if (want.worker != agent.entry.id || want.adapter.empty())
             continue;
-        std::optional<placement::Order> order;
-        {
-            std::lock_guard lock(this->mutex);
-            if (!placement::mayOrderAdapter(agent.account))
-                return;
-            order = placement::planAdapter(*engine, agent.account.held, want.model, want.adapter, monotonicNow(), adapterIdle);
+        // Room first, if there is none, then the adapter.
+        for (int step = 0; step < 2; step++) {
+            std::optional<placement::Order> order;
+            {
+                std::lock_guard lock(this->mutex);
+                if (!placement::mayOrderAdapter(agent.account))
+                    return;
+                order = placement::planAdapter(*engine, agent.account.held, want.model, want.adapter, monotonicNow(), adapterIdle);
+            }
+            if (!order)
+                break;
+            this->orderAdapter(agent, *order);
         }
-        if (!order || !this->send(agent, *order))
-            continue;
-        auto key = order->model + "/" + order->adapter;
+    }
+    this->prefetchAdapter(agent, *engine);
+}
+
+void OrderDuty::prefetchAdapter(Agent& agent, const routing::EngineSpec& engine)
+{
+    std::optional<placement::Order> order;
+    {
         std::lock_guard lock(this->mutex);
-        if (order->kind == placement::OrderKind::Unload) {
-            this->work.signal();
-            continue;
+        if (!placement::mayOrderAdapter(agent.account))
+            return;
+        std::vector<placement::HeldWorker> workers;
+        for (const auto& [id, other] : this->agents) {
+            if (other->entry.service == agent.entry.service)
+                workers.push_back(other->account.held);
         }
-        agent.readyAt[key] = monotonicNow() + adapterLoadTime;
-        transport::spawnHere([this] {
-            sleepFor(adapterLoadTime);
-            this->announce();
-        });
+        auto now = monotonicNow();
+        std::erase_if(this->adapterUses, [now](const auto& use) { return now - use.second > adapterInterest; });
+        order = placement::planPrefetch(engine, workers, agent.account.held, this->adapterUses);
     }
+    if (order)
+        this->orderAdapter(agent, *order);
 }
 
+void OrderDuty::orderAdapter(Agent& agent, const placement::Order& order)
+{
+    if (!this->send(agent, order))
+        return;
+    auto key = order.model + "/" + order.adapter;
+    if (order.kind == placement::OrderKind::Unload) {
+        this->work.signal();
+        return;
+    }
+    std::lock_guard lock(this->mutex);
+    agent.readyAt[key] = monotonicNow() + adapterLoadTime;
+    transport::spawnHere([this] {
+        sleepFor(adapterLoadTime);
+        this->announce();
+    });
+}
 void OrderDuty::announce()
 {
     std::map<std::string, std::set<std::string>> resident;
--- a/edge/src/order_duty.h
+++ b/edge/src/order_duty.h
@@ -38,6 +38,8 @@
     void sync(Agent& agent);
     void orderModel(Agent& agent);
     void orderAdapters(Agent& agent);
+    void prefetchAdapter(Agent& agent, const routing::EngineSpec& engine);
+    void orderAdapter(Agent& agent, const placement::Order& order);
     bool send(Agent& agent, const placement::Order& order);
     void announce();
 
@@ -47,6 +49,7 @@
     ownership::Lease lease;
     std::map<std::string, AgentPtr> agents;
     placement::StoreRate storeRate;
+    placement::AdapterUses adapterUses;
     transport::Event work;
     transport::Log log { "orders" };
 };
--- a/edge/src/relay.cpp
+++ b/edge/src/relay.cpp
@@ -12,6 +12,8 @@
     constexpr milliseconds defaultPatience { 30000 };
     /// Part of the caller's time that is left for the way back.
     constexpr milliseconds returnTime { 8 };
+    /// Longest wait for the adapter of a run that goes on elsewhere: a caller gives up after eight target gaps.
+    constexpr milliseconds adapterPatience { 500 };
     /// Pause between two tries to find a worker for a waiting request.
     constexpr milliseconds waitStep { 5 };
     /// A repeatable request is sent to another worker after this many target latencies without an answer,
@@ -32,6 +34,11 @@
     /// Most output tokens that are assumed for a request.
     constexpr uint32_t outputTokensMost = 1200;
 
+    /// Callers give a stream up that is silent for this long, for four target latencies or for eight target gaps.
+    constexpr milliseconds firstEventPatience { 2000 };
+    /// Share of the caller's patience that a request waits for a worker at most. What is left serves its return elsewhere.
+    constexpr double waitShare = 0.6;
+
     /// Urgency at the workers: the route's rank, split by how tight its target is.
     uint32_t urgencyOf(const routing::Route& route)
     {
@@ -69,6 +76,7 @@
     platform::RequestHead head;
     Time startedAt;
     Time until { 0 }; ///< The caller's or the route's time is over.
+    Time firstUntil { 0 }; ///< The caller gives up if nothing has come by then.
     ConfigurationPtr configuration;
     const routing::Route* route = nullptr;
     const routing::Service* service = nullptr;
@@ -168,6 +176,9 @@
     if (x.route->timeout > milliseconds { 0 })
         patience = std::min(patience, x.route->timeout);
     x.until = x.startedAt + patience;
+    x.firstUntil = x.until;
+    if (x.route->streaming)
+        x.firstUntil = std::min<Time>(x.until, x.startedAt + std::max({ firstEventPatience, 4 * x.route->targetLatency, 8 * x.route->targetGap }));
     x.head.shape.outputTokens = std::min(x.head.shape.outputTokens, outputTokensMost);
     if (x.service->engine) {
         x.chains = routing::chainHashes(x.head.shape);
@@ -197,8 +208,8 @@
     bool again = x.repeatable() && x.mayHaveRun < x.route->maxAttempts;
     if (x.left() <= returnTime)
         return false;
-    // A run that goes on from its copy is still the same run.
-    if (ran && !again && x.backup && result != SendResult::Failed)
+    // A run that goes on from its copy is still the same run; before its first event there may be no copy yet.
+    if (ran && !again && x.backup && x.streamStarted && result != SendResult::Failed)
         x.continueAt = std::exchange(x.backup, std::nullopt);
     if (ran && !again && !x.continueAt)
         return false;
@@ -228,7 +239,8 @@
         auto now = monotonicNow();
         picked = this->vm.fleet.choose(*x.service, x.head.shape, x.chains, x.excluded, x.route->targetLatency, now);
         auto obstacle = picked.choice.obstacle;
-        auto left = x.until - now;
+        auto left = x.firstUntil - now;
+        auto patience = std::chrono::duration_cast<Time>((x.firstUntil - x.startedAt) * waitShare) - (now - x.startedAt);
         if (obstacle == routing::Obstacle::None) {
             stopWanting();
             return true;
@@ -265,7 +277,7 @@
             want = missing;
             this->peers.want(missing);
         }
-        if (left <= returnTime || need >= left) {
+        if (patience <= Time { 0 } || need >= left) {
             stopWanting();
             auto back = std::chrono::duration_cast<milliseconds>(std::min<Time>(need, std::chrono::seconds { 1 }));
             if (x.mayHaveRun > 0)
@@ -278,6 +290,20 @@
     }
 }
 
+/// Waits until the adapter of a run is where it is to go on.
+void Relay::waitForAdapter(Exchange& x, const routing::WorkerEntry& worker)
+{
+    const auto& shape = x.head.shape;
+    if (shape.adapter.empty() || this->vm.fleet.holdsAdapter(worker.id, shape))
+        return;
+    Want want { worker.id, shape.model, shape.adapter };
+    this->peers.want(want);
+    auto until = monotonicNow() + adapterPatience;
+    while (!x.gone() && monotonicNow() < until && !this->vm.fleet.holdsAdapter(worker.id, shape))
+        sleepFor(waitStep);
+    this->peers.dropWant(want);
+}
+
 void Relay::run(Exchange& x)
 {
     {
@@ -287,6 +313,7 @@
     while (true) {
         Fleet::Picked picked;
         if (x.continueAt) {
+            this->waitForAdapter(x, *x.continueAt);
             picked.id = x.continueAt->id;
             picked.entry = *x.continueAt;
             picked.choice.keptTokens = x.head.shape.promptTokens;
@@ -296,7 +323,7 @@
                 return this->finish(x, SendResult::Resumable);
         } else if (!this->waitForWorker(x, picked))
             return;
-        if (!x.streamStarted && !x.continueAt && picked.choice.firstByte > std::chrono::duration_cast<Time>(x.left() * hopelessShare) && x.mayHaveRun == 0) {
+        if (!x.streamStarted && !x.continueAt && picked.choice.firstByte > std::chrono::duration_cast<Time>((x.firstUntil - monotonicNow()) * hopelessShare) && x.mayHaveRun == 0) {
             auto back = std::chrono::duration_cast<milliseconds>(picked.choice.firstByte / 2);
             return this->refuse(x, 503, Refusal::Hopeless, std::clamp(back, soon, milliseconds { 2000 }));
         }
--- a/edge/src/relay.h
+++ b/edge/src/relay.h
@@ -33,6 +33,7 @@
 
     void run(Exchange& x);
     bool findTarget(Exchange& x);
+    void waitForAdapter(Exchange& x, const routing::WorkerEntry& worker);
     bool waitForWorker(Exchange& x, Fleet::Picked& picked);
     SendResult sendOnce(Exchange& x, const Fleet::Picked& picked);
     SendResult readWhole(Exchange& x, const Fleet::Picked& picked, transport::ResponseStream& stream);
--- a/placement/include/placement/placement.h
+++ b/placement/include/placement/placement.h
@@ -18,6 +18,12 @@
 constexpr double reliefShare = 0.85;
 /// A copy is only dropped for another if its model's work a copy stays below this share of the other's.
 constexpr double evictShare = 0.5;
+/// A model stays at least this long where it was loaded: a shorter stay would not pay for the load.
+constexpr Time residenceLeast = std::chrono::seconds { 5 };
+/// Workers on which an adapter in use should lie, so that one that loads a model or ends is no obstacle.
+constexpr uint32_t prefetchCopies = 2;
+/// Places that prefetched adapters leave free for one that a request waits for.
+constexpr size_t prefetchFree = 1;
 /// Loads from the weight store that run at once; more would share its bandwidth.
 constexpr uint32_t storeLoadsAtOnce = 2;
 /// Share of the weight store's rate that is used.
@@ -34,6 +40,8 @@
     bool alive = true; ///< Not leaving.
     std::set<std::string> models; ///< Resident or being loaded.
     std::set<std::string> unloading; ///< Models on their way out; they still take room.
+    std::string reserved; ///< Model for which room is being made; empty if there is none.
+    std::map<std::string, Time> loadedAt; ///< When this VM loaded models there.
     std::set<std::string> cached; ///< Models on its disk or in its host memory.
     std::map<std::string, Time> adapters; ///< Resident or pending `model/adapter`, with their last use.
 };
@@ -53,6 +61,7 @@
     std::string adapter; ///< Empty for the model itself.
     bool fromStore = false; ///< The load counts against the weight store's rate.
     std::string reason; ///< For the log.
+    std::string roomFor; ///< For unloads: the model that the room is for.
     bool operator==(const Order&) const = default;
 };
 
@@ -127,6 +136,7 @@
 /// Inputs of one planning round.
 struct ModelInputs {
     const routing::EngineSpec* engine = nullptr;
+    Time now { 0 };
     std::vector<HeldWorker> workers;
     std::map<std::string, double> work; ///< By model: worker time that its requests take, in seconds a second.
     uint32_t storeLoadsRunning = 0;
@@ -141,6 +151,14 @@
 /// @return nothing if the adapter is resident, the model is not, or all others are in use.
 std::optional<Order> planAdapter(const routing::EngineSpec& engine, const HeldWorker& worker, const std::string& model, const std::string& adapter, Time now, Time minimumIdle);
 
+/// Adapters that VMs use, with the time of the last use.
+using AdapterUses = std::map<std::string, Time>;
+
+/// Decides which adapter to load ahead of need: one that was used lately and lies on fewer than `prefetchCopies` workers,
+/// to a worker with its model and a free place. Fewer copies and later use go first.
+/// @param workers all workers of the service; `worker` is one of them.
+std::optional<Order> planPrefetch(const routing::EngineSpec& engine, const std::vector<HeldWorker>& workers, const HeldWorker& worker, const AdapterUses& uses);
+
 /// Megabytes of a worker's memory that models may fill: all but what its adapters can take.
 double modelRoom(const routing::EngineSpec& engine);
 
--- a/placement/src/plan_adapters.cpp
+++ b/placement/src/plan_adapters.cpp
@@ -23,12 +23,37 @@
     if (!worker.models.contains(model) || worker.adapters.contains(key) || engine.adapterSlots == 0)
         return std::nullopt;
     if (worker.adapters.size() < engine.adapterSlots)
-        return Order { worker.id, OrderKind::Load, model, adapter, false, "wanted" };
+        return Order { worker.id, OrderKind::Load, model, adapter, false, "wanted", "" };
     auto oldest = std::min_element(worker.adapters.begin(), worker.adapters.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
     if (oldest == worker.adapters.end() || now - oldest->second < minimumIdle)
         return std::nullopt;
     auto slash = oldest->first.find('/');
-    return Order { worker.id, OrderKind::Unload, oldest->first.substr(0, slash), oldest->first.substr(slash + 1), false, "room_for_" + key };
+    return Order { worker.id, OrderKind::Unload, oldest->first.substr(0, slash), oldest->first.substr(slash + 1), false, "room_for_" + key, "" };
+}
+
+std::optional<Order> planPrefetch(const routing::EngineSpec& engine, const std::vector<HeldWorker>& workers, const HeldWorker& worker, const AdapterUses& uses)
+{
+    if (worker.adapters.size() + prefetchFree >= engine.adapterSlots)
+        return std::nullopt;
+    std::optional<std::string> best;
+    std::pair<uint32_t, Time> bestRank;
+    for (const auto& [adapter, usedAt] : uses) {
+        auto model = adapter.substr(0, adapter.find('/'));
+        if (!worker.models.contains(model) || worker.adapters.contains(adapter))
+            continue;
+        uint32_t copies = 0;
+        for (const auto& other : workers)
+            copies += other.alive && other.adapters.contains(adapter) ? 1 : 0;
+        std::pair<uint32_t, Time> rank { copies, -usedAt };
+        if (copies >= prefetchCopies || (best && rank >= bestRank))
+            continue;
+        best = adapter;
+        bestRank = rank;
+    }
+    if (!best)
+        return std::nullopt;
+    auto slash = best->find('/');
+    return Order { worker.id, OrderKind::Load, best->substr(0, slash), best->substr(slash + 1), false, "prefetch", "" };
 }
 
 double StoreRate::allowed(double perSecond, Time now)
--- a/placement/src/plan_models.cpp
+++ b/placement/src/plan_models.cpp
@@ -45,6 +45,8 @@
                 continue;
             for (const auto& model : worker.models)
                 totals.copies[model]++;
+            if (!worker.reserved.empty() && !worker.models.contains(worker.reserved))
+                totals.copies[worker.reserved]++;
         }
         for (const auto& spec : inputs.engine->models)
             totals.perCopy[spec.name] = workOf(inputs, spec.name) / std::max(1U, totals.copies[spec.name]);
@@ -69,6 +71,9 @@
             auto copies = totals.copies.find(model);
             if (copies == totals.copies.end() || copies->second < 2)
                 continue;
+            auto loaded = worker.loadedAt.find(model);
+            if (loaded != worker.loadedAt.end() && inputs.now - loaded->second < residenceLeast)
+                continue;
             if (workOf(inputs, model) / (copies->second - 1) <= below)
                 models.push_back(model);
         }
@@ -88,7 +93,7 @@
 
     std::optional<Way> findWay(const HeldWorker& worker, const std::string& model, const ModelInputs& inputs, const Totals& totals, double below)
     {
-        if (!worker.usable || !worker.alive || worker.models.contains(model) || worker.unloading.contains(model))
+        if (!worker.usable || !worker.alive || !worker.reserved.empty() || worker.models.contains(model) || worker.unloading.contains(model))
             return std::nullopt;
         Way way { &worker, {}, worker.cached.contains(model), workerWork(worker, totals) };
         double room = freeRoom(*inputs.engine, worker);
@@ -131,8 +136,26 @@
         if (fromStore && (inputs.storeLoadsAllowed < 1 || inputs.storeLoadsRunning >= storeLoadsAtOnce))
             return std::nullopt;
         if (!way.drop.empty())
-            return Order { way.worker->id, OrderKind::Unload, way.drop.front(), "", false, "room_for_" + model };
-        return Order { way.worker->id, OrderKind::Load, model, "", fromStore, reason };
+            return Order { way.worker->id, OrderKind::Unload, way.drop.front(), "", false, "room_for_" + model, model };
+        return Order { way.worker->id, OrderKind::Load, model, "", fromStore, reason, "" };
+    }
+
+    /// Goes on where room is being made for a model.
+    std::optional<Order> planReserved(const ModelInputs& inputs, const Totals& totals)
+    {
+        for (const auto& worker : inputs.workers) {
+            if (worker.reserved.empty() || !worker.usable || !worker.alive)
+                continue;
+            auto free = worker;
+            free.reserved.clear();
+            auto way = findWay(free, worker.reserved, inputs, totals, HUGE_VAL);
+            if (!way)
+                continue;
+            way->worker = &worker;
+            if (auto order = firstStep(*way, worker.reserved, inputs, "reserved"))
+                return order;
+        }
+        return std::nullopt;
     }
 
     std::optional<Order> planMissing(const ModelInputs& inputs, const Totals& totals)
@@ -190,6 +213,8 @@
 std::optional<Order> planModel(const ModelInputs& inputs)
 {
     auto totals = countCopies(inputs);
+    if (auto order = planReserved(inputs, totals))
+        return order;
     if (auto order = planMissing(inputs, totals))
         return order;
     return planRelief(inputs, totals);
--- a/placement/src/worker_account.cpp
+++ b/placement/src/worker_account.cpp
@@ -64,6 +64,8 @@
     account.held.cached.insert(order.model);
     if (!load)
         std::erase_if(account.held.adapters, [&order](const auto& item) { return item.first.starts_with(order.model + "/"); });
+    if (load)
+        account.held.loadedAt[order.model] = askedAt;
     account.modelOrder.reset();
     account.modelOrderSent = false;
     return true;
@@ -73,6 +75,7 @@
 {
     account.modelOrder = order;
     account.modelOrderSent = false;
+    account.held.reserved = order.roomFor;
     if (order.kind == OrderKind::Load)
         account.held.models.insert(order.model);
     else {
@@ -93,8 +96,10 @@
     if (!done) {
         account.synced = false;
         account.reportFrom = now + reportLag;
-        if (!ofAdapter)
+        if (!ofAdapter) {
             account.modelOrder.reset();
+            account.held.reserved.clear();
+        }
         return;
     }
     if (!ofAdapter) {
--- a/routing/include/routing/routing.h
+++ b/routing/include/routing/routing.h
@@ -249,6 +249,11 @@
     Time leavingAt { 0 }; ///< When it was first seen to leave; 0 while it does not.
 };
 
+/// Tells whether the worker is believed to hold a model.
+bool holdsModel(const Worker& worker, const std::string& model);
+/// Tells whether the worker is believed to hold the adapter of a request; true if it needs none.
+bool holdsAdapter(const Worker& worker, const RequestShape& shape);
+
 /// All known load of a worker.
 WorkerLoad totalLoad(const Worker& worker);
 
--- a/routing/src/choice.cpp
+++ b/routing/src/choice.cpp
@@ -26,6 +26,15 @@
         Time roomIn { 0 };
     };
 
+    const ResidentModel* findResident(const Worker& worker, const std::string& model)
+    {
+        for (const auto& resident : worker.entry.models) {
+            if (resident.name == model)
+                return &resident;
+        }
+        return nullptr;
+    }
+
     Time scaled(Time time, double factor)
     {
         return Time { static_cast<Time::rep>(static_cast<double>(time.count()) * factor) };
@@ -49,30 +58,6 @@
         return normal + (value - normal) * std::exp2(-Seconds(now - worker.beliefAt) / Seconds(beliefHalfLife));
     }
 
-    const ResidentModel* findResident(const Worker& worker, const std::string& model)
-    {
-        for (const auto& resident : worker.entry.models) {
-            if (resident.name == model)
-                return &resident;
-        }
-        return nullptr;
-    }
-
-    bool holdsModel(const Worker& worker, const std::string& model)
-    {
-        if (worker.announced.contains("!" + model))
-            return false;
-        return findResident(worker, model) != nullptr || worker.announced.contains(model);
-    }
-
-    bool holdsAdapter(const Worker& worker, const RequestShape& shape)
-    {
-        if (shape.adapter.empty())
-            return true;
-        const auto* resident = findResident(worker, shape.model);
-        return (resident != nullptr && resident->adapters.contains(shape.adapter)) || worker.announced.contains(shape.model + "/" + shape.adapter);
-    }
-
     /// Position of a worker in the order in which all VMs prefer workers for `key`, from 0 to 1.
     double affinity(const Worker& worker, uint64_t key)
     {
@@ -139,10 +124,13 @@
     }
 
     /// The worker that all VMs agree should load a missing adapter.
-    Worker* chooseHome(const std::vector<Worker*>& holders, const RequestShape& shape)
+    Worker* chooseHome(const std::vector<Worker*>& holders, const RequestShape& shape, uint32_t adapterSlots)
     {
+        auto isFull = [adapterSlots](const Worker* worker) {
+            return std::count_if(worker->announced.begin(), worker->announced.end(), [](const auto& item) { return item.find('/') != std::string::npos; }) >= adapterSlots;
+        };
         auto key = hashText(shape.adapter, hashText(shape.model));
-        auto rank = [key](const Worker* worker) { return affinity(*worker, key) - (worker->announced.contains(orderingMark) ? 1 : 0); };
+        auto rank = [key, isFull](const Worker* worker) { return affinity(*worker, key) - (worker->announced.contains(orderingMark) ? 2 : 0) - (isFull(worker) ? 1 : 0); };
         return *std::max_element(holders.begin(), holders.end(), [&rank](const Worker* a, const Worker* b) { return rank(a) < rank(b); });
     }
 
@@ -168,6 +156,21 @@
 
 } // namespace
 
+bool holdsModel(const Worker& worker, const std::string& model)
+{
+    if (worker.announced.contains("!" + model))
+        return false;
+    return findResident(worker, model) != nullptr || worker.announced.contains(model);
+}
+
+bool holdsAdapter(const Worker& worker, const RequestShape& shape)
+{
+    if (shape.adapter.empty())
+        return true;
+    const auto* resident = findResident(worker, shape.model);
+    return (resident != nullptr && resident->adapters.contains(shape.adapter)) || worker.announced.contains(shape.model + "/" + shape.adapter);
+}
+
 WorkerLoad operator+(const WorkerLoad& a, const WorkerLoad& b)
 {
     return { a.prefillTokens + b.prefillTokens, a.memoryTokens + b.memoryTokens, a.requests + b.requests };
@@ -235,7 +238,7 @@
         choice.obstacle = Obstacle::NoModel;
     else {
         choice.obstacle = Obstacle::NoAdapter;
-        choice.home = chooseHome(holders, *inputs.shape);
+        choice.home = chooseHome(holders, *inputs.shape, inputs.service->engine->adapterSlots);
     }
     return choice;
 }
