Let the holder order on without the store while workers check fencing tokens

Ruled out: a longer lease (a dead holder would then be replaced later). Change: a holder that can't reach the store orders on for up to 30 s if workers check tokens, most peers are heard and none claims a higher token; beats carry the newest lease record, so that a dead holder's lease is known to be old at once; after a failure streams are read without waiting; a peer with a newer configuration makes a VM read it; a VM without configuration asks callers back in 2 s.

--- a/edge/include/edge/edge.h
+++ b/edge/include/edge/edge.h
@@ -22,9 +22,12 @@
 /// Longest time a read waits for news of configuration and members: half the time in which a configuration must be in force.
 constexpr milliseconds newsWait { 2500 };
 /// Pause between two reads of the workers' stream. Each worker writes there about every second.
-constexpr milliseconds workerReadInterval { 500 };
-/// Pause after a failed call to the store.
+constexpr milliseconds workerReadInterval { 700 };
+/// Pause after a failed call to the store, doubled after each further failure up to the most.
 constexpr milliseconds storeRetryPause { 250 };
+constexpr milliseconds storeRetryPauseMost { 1000 };
+/// Shortest time between two readings of the configuration because a peer has a newer one.
+constexpr milliseconds newerVersionPause { 300 };
 /// Time in which entries that lapsed while the store was away come back after its return, with some slack.
 constexpr milliseconds entryReturnTime { 2600 };
 
--- a/edge/src/beat.capnp
+++ b/edge/src/beat.capnp
@@ -60,4 +60,5 @@
   suspects @11 :List(Suspect);
   configVersion @12 :UInt64;
   used @13 :List(Want);
+  leaseOffset @14 :UInt64;
 }
--- a/edge/src/beat.capnp.h
+++ b/edge/src/beat.capnp.h
@@ -145,7 +145,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ed1775a394c07423, 5, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(ed1775a394c07423, 6, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -860,6 +860,8 @@
   inline bool hasUsed() const;
   inline  ::capnp::List< ::comfreypier::edge::wire::Want,  ::capnp::Kind::STRUCT>::Reader getUsed() const;
 
+  inline  ::uint64_t getLeaseOffset() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -962,6 +964,9 @@
   inline void adoptUsed(::capnp::Orphan< ::capnp::List< ::comfreypier::edge::wire::Want,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::comfreypier::edge::wire::Want,  ::capnp::Kind::STRUCT>> disownUsed();
 
+  inline  ::uint64_t getLeaseOffset();
+  inline void setLeaseOffset( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1850,6 +1855,20 @@
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Beat::Reader::getLeaseOffset() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Beat::Builder::getLeaseOffset() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Beat::Builder::setLeaseOffset( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/edge/src/beat_codec.h
+++ b/edge/src/beat_codec.h
@@ -40,6 +40,7 @@
     bool ready = false;
     bool leaving = false;
     uint64_t leaseToken = 0; ///< Fencing token if the VM gives orders now, else 0.
+    uint64_t leaseOffset = 0; ///< Newest record of the lease, from its holder.
     uint64_t configVersion = 0;
     std::map<std::string, routing::WorkerLoad> loads; ///< By worker; others carry none.
     std::vector<SentPart> sent;
--- a/edge/src/beat_codec_capnp.cpp
+++ b/edge/src/beat_codec_capnp.cpp
@@ -158,6 +158,7 @@
     root.setReady(beat.ready);
     root.setLeaving(beat.leaving);
     root.setLeaseToken(beat.leaseToken);
+    root.setLeaseOffset(beat.leaseOffset);
     root.setConfigVersion(beat.configVersion);
     fillLists(root, beat);
     return toBytes(message);
@@ -173,6 +174,7 @@
         beat.ready = root.getReady();
         beat.leaving = root.getLeaving();
         beat.leaseToken = root.getLeaseToken();
+        beat.leaseOffset = root.getLeaseOffset();
         beat.configVersion = root.getConfigVersion();
         readLists(root, beat);
     });
--- a/edge/src/edge.cpp
+++ b/edge/src/edge.cpp
@@ -62,6 +62,11 @@
     {
     }
 
+    void hearVersions()
+    {
+        this->peers.onVersion = [this](uint64_t version) { this->store.hearVersion(version); };
+    }
+
     void noteCrash(const std::string& worker)
     {
         std::lock_guard lock(this->peers.suspectMutex);
@@ -155,6 +160,7 @@
 bool Edge::start()
 {
     auto& self = *this->impl;
+    self.hearVersions();
     if (!self.peers.start() || !self.front.start() || !self.directory.start() || !self.readiness.start() || !self.metrics.start())
         return false;
     self.startDuties();
--- a/edge/src/order_duty.cpp
+++ b/edge/src/order_duty.cpp
@@ -18,6 +18,8 @@
     constexpr milliseconds adapterIdle { 300 };
     /// Time for which an adapter counts as in use after its last use.
     constexpr std::chrono::seconds adapterInterest { 20 };
+    /// Time for which orders go on without the store while workers check fencing tokens: its longest outages are shorter.
+    constexpr std::chrono::seconds leaseExtension { 30 };
     /// Key of the lease's record.
     constexpr const char* leaseKey = "orders";
 
@@ -31,7 +33,9 @@
     {
         ownership::LeaseSettings lease;
         lease.duration = settings.leaseTime + milliseconds { 1000 };
-        if (!settings.workersCheckTokens)
+        if (settings.workersCheckTokens)
+            lease.extension = leaseExtension;
+        else
             lease.quiet = settings.leaseTime;
         return lease;
     }
@@ -64,6 +68,10 @@
     , lease(drawName(vm.settings.node), leaseSettings(vm.settings))
 {
     this->peers.onWants = [this] { this->work.signal(); };
+    this->peers.onClaim = [this](uint64_t offset) {
+        std::lock_guard lock(this->mutex);
+        this->lease.noteClaim(offset, transport::bootTimeNow());
+    };
     this->peers.onUse = [this](const Want& use) {
         std::lock_guard lock(this->mutex);
         this->adapterUses[use.model + "/" + use.adapter] = monotonicNow();
@@ -102,6 +110,8 @@
     auto page = platform::readNewest(this->vm.store(), platform::Stream::Lease);
     if (!page) {
         add(this->vm.counters, Event::StoreFailures);
+        std::lock_guard lock(this->mutex);
+        this->lease.noteReadFailed(now);
         return;
     }
     ownership::LeaseReading reading;
@@ -132,9 +142,11 @@
         std::lock_guard lock(this->mutex);
         if (outcome)
             this->lease.noteAppended(sentAt);
+        else if (outcome.error() == platform::StoreError::Conflict)
+            this->lease.noteConflict();
         else
             this->lease.noteUncertain(sentAt);
-        if (takeOver)
+        if (takeOver && outcome)
             this->agents.clear();
     }
     if (takeOver || !outcome)
@@ -154,7 +166,7 @@
         record = this->lease.proposal();
         at = this->lease.appendAt();
     }
-    this->peers.setHolding(0, {});
+    this->peers.setHolding(0, 0, {});
     add(this->vm.counters, Event::StoreCalls);
     auto outcome = platform::append(this->vm.store(), platform::Stream::Lease, leaseKey, encodeLease(record), at);
     this->log.info("event=lease step=release token=" + std::to_string(record.token) + " outcome=" + (outcome ? "released" : platform::name(outcome.error())));
@@ -162,8 +174,10 @@
 
 bool OrderDuty::mayOrder() const
 {
-    std::lock_guard lock(this->mutex);
-    return this->lease.mayOrder(transport::bootTimeNow());
+    auto now = transport::bootTimeNow();
+    if (this->lease.mayOrder(now))
+        return true;
+    return this->lease.mayOrderExtended(now) && this->peers.highestToken() < this->lease.token() && this->peers.hearsMost();
 }
 
 void OrderDuty::run()
@@ -171,9 +185,13 @@
     bool held = false;
     while (!this->vm.phase.stopping) {
         this->work.waitFor(planInterval);
-        bool may = this->mayOrder() && this->vm.isReady();
+        bool may = this->vm.isReady();
+        {
+            std::lock_guard lock(this->mutex);
+            may = may && this->mayOrder();
+        }
         if (std::exchange(held, may) && !may)
-            this->peers.setHolding(0, {});
+            this->peers.setHolding(0, 0, {});
         if (!may)
             continue;
         this->syncAgents();
@@ -295,7 +313,7 @@
     placement::OrderSource source;
     {
         std::lock_guard lock(this->mutex);
-        if (!agent.account.synced || !this->lease.mayOrder(transport::bootTimeNow()))
+        if (!agent.account.synced || !this->mayOrder())
             return false;
         source = { this->vm.settings.node, this->lease.token(), agent.account.ordersAccepted };
     }
@@ -394,12 +412,14 @@
 {
     std::map<std::string, std::set<std::string>> resident;
     uint64_t token = 0;
+    uint64_t offset = 0;
     auto now = monotonicNow();
     {
         std::lock_guard lock(this->mutex);
-        if (!this->lease.mayOrder(transport::bootTimeNow()))
+        if (!this->mayOrder())
             return;
         token = this->lease.token();
+        offset = this->lease.seenOffset();
         for (auto& [id, agent] : this->agents) {
             const auto& account = agent->account;
             if (!account.synced)
@@ -421,7 +441,7 @@
         }
     }
     this->vm.fleet.applyResident(resident);
-    this->peers.setHolding(token, std::move(resident));
+    this->peers.setHolding(token, offset, std::move(resident));
 }
 
 } // namespace comfreypier::edge
--- a/edge/src/order_duty.h
+++ b/edge/src/order_duty.h
@@ -29,6 +29,7 @@
 
     void stepLease();
     void appendLease(bool takeOver);
+    /// Tells whether this VM may give orders now. The lock must be held.
     bool mayOrder() const;
     void syncAgents();
     void planModels();
--- a/edge/src/peers.cpp
+++ b/edge/src/peers.cpp
@@ -94,6 +94,7 @@
     beat.used.assign(this->used.begin(), this->used.end());
     this->used.clear();
     beat.leaseToken = this->leaseToken;
+    beat.leaseOffset = this->leaseOffset;
     auto now = monotonicNow();
     if (now - this->residentChangedAt < residentNewsTime || now - this->residentToldAt > residentRepeat) {
         this->residentToldAt = now;
@@ -151,8 +152,11 @@
         peer.wants = std::move(beat->wants);
     }
     this->vm.fleet.applyPeer(beat->node, *beat);
-    if (beat->leaseToken != 0)
+    if (beat->leaseToken != 0) {
         this->vm.fleet.applyResident(beat->resident);
+        if (this->onClaim)
+            this->onClaim(beat->leaseOffset);
+    }
     if (!beat->suspects.empty()) {
         std::lock_guard lock(this->suspectMutex);
         for (const auto& [content, crashes] : beat->suspects)
@@ -160,6 +164,8 @@
     }
     if (wanting && this->onWants)
         this->onWants();
+    if (this->onVersion)
+        this->onVersion(beat->configVersion);
     for (const auto& use : beat->used) {
         if (this->onUse)
             this->onUse(use);
@@ -310,7 +316,7 @@
         this->onUse(adapter);
 }
 
-void Peers::setHolding(uint64_t token, std::map<std::string, std::set<std::string>> adapters)
+void Peers::setHolding(uint64_t token, uint64_t offset, std::map<std::string, std::set<std::string>> adapters)
 {
     bool news = false;
     {
@@ -319,12 +325,35 @@
         if (news)
             this->residentChangedAt = monotonicNow();
         this->leaseToken = token;
+        this->leaseOffset = offset;
         this->resident = std::move(adapters);
     }
     if (news && token != 0)
         this->beatNow();
 }
 
+uint64_t Peers::highestToken() const
+{
+    auto now = monotonicNow();
+    std::lock_guard lock(this->mutex);
+    uint64_t highest = 0;
+    for (const auto& [node, peer] : this->peers) {
+        if (now - peer.heardAt < peerSilence)
+            highest = std::max(highest, peer.leaseToken);
+    }
+    return highest;
+}
+
+bool Peers::hearsMost() const
+{
+    auto now = monotonicNow();
+    std::lock_guard lock(this->mutex);
+    size_t heard = 0;
+    for (const auto& [node, peer] : this->peers)
+        heard += now - peer.heardAt < peerSilence ? 1 : 0;
+    return 2 * heard >= this->peers.size();
+}
+
 bool Peers::hearsHolder() const
 {
     auto now = monotonicNow();
--- a/edge/src/peers.h
+++ b/edge/src/peers.h
@@ -58,12 +58,20 @@
     void noteUse(const Want& adapter);
 
     /// Adapters that this VM reports as holder of the lease, and its token.
-    void setHolding(uint64_t leaseToken, std::map<std::string, std::set<std::string>> resident);
+    void setHolding(uint64_t leaseToken, uint64_t leaseOffset, std::map<std::string, std::set<std::string>> resident);
     /// Tells whether some peer says that it holds the lease.
     bool hearsHolder() const;
+    /// Highest fencing token that a live peer claims, or 0.
+    uint64_t highestToken() const;
+    /// Tells whether at least half of the other members were heard of lately.
+    bool hearsMost() const;
 
     /// Called when some VM misses something.
     std::function<void()> onWants;
+    /// Called with the newest lease record for each beat of a holder.
+    std::function<void(uint64_t)> onClaim;
+    /// Called with the configuration version of each beat.
+    std::function<void(uint64_t)> onVersion;
     /// Called for each use of an adapter by some VM.
     std::function<void(const Want&)> onUse;
     /// Counts of contents that crash workers.
@@ -86,6 +94,7 @@
     std::map<Want, uint32_t> wants; ///< With the number of requests that miss it.
     std::set<Want> used; ///< Since the last beat.
     uint64_t leaseToken = 0;
+    uint64_t leaseOffset = 0;
     std::map<std::string, std::set<std::string>> resident;
     Time residentChangedAt { 0 };
     Time residentToldAt { 0 };
--- a/edge/src/relay.cpp
+++ b/edge/src/relay.cpp
@@ -25,6 +25,8 @@
     constexpr int streamSilenceGaps = 3;
     /// Retry-After for obstacles that pass soon.
     constexpr milliseconds soon { 200 };
+    /// Retry-After while no configuration is known: the store is away, or this VM has just started.
+    constexpr milliseconds later { 2000 };
     /// Retry-After of a VM that leaves: the caller comes back at another one.
     constexpr milliseconds atOnce { 0 };
     /// Share of the time left that a queue may take before a request is refused as hopeless.
@@ -159,7 +161,7 @@
         return false;
     }
     if (!x.configuration || !this->vm.phase.workersKnown) {
-        this->refuse(x, 503, Refusal::NoConfiguration, soon);
+        this->refuse(x, 503, Refusal::NoConfiguration, later);
         return false;
     }
     x.route = routing::findRoute(*x.configuration, transport::findHeader(x.request.headers, "Host"), transport::targetPath(x.request.target));
--- a/edge/src/store_duty.cpp
+++ b/edge/src/store_duty.cpp
@@ -21,12 +21,33 @@
 
 void StoreDuty::followConfiguration()
 {
-    this->follow({ platform::Stream::Configuration, newsWait, milliseconds { 0 }, [this](const auto& page, bool) {
-                      for (const auto& record : page.records) {
-                          if (record.key == platform::configurationKey() && record.value)
-                              this->applyConfiguration(record);
-                      }
-                  } });
+    this->follow({ platform::Stream::Configuration, newsWait, milliseconds { 0 }, [this](const auto& page, bool) { this->applyConfigurations(page); } });
+}
+
+void StoreDuty::applyConfigurations(const platform::StorePage& page)
+{
+    for (const auto& record : page.records) {
+        if (record.key == platform::configurationKey() && record.value)
+            this->applyConfiguration(record);
+    }
+}
+
+void StoreDuty::hearVersion(uint64_t version)
+{
+    auto configuration = this->vm.fleet.configuration();
+    auto now = monotonicNow();
+    if (!configuration || version <= configuration->version || now - this->newerReadAt < newerVersionPause)
+        return;
+    this->newerReadAt = now;
+    // The follower's own read may hang on a connection that has gone silent.
+    transport::spawnHere([this] {
+        add(this->vm.counters, Event::StoreCalls);
+        auto page = platform::readNewest(this->vm.store(), platform::Stream::Configuration);
+        if (page)
+            this->applyConfigurations(page.value());
+        else
+            add(this->vm.counters, Event::StoreFailures);
+    });
 }
 
 void StoreDuty::followWorkers()
@@ -42,17 +63,25 @@
 void StoreDuty::follow(const Follower& follower)
 {
     std::optional<uint64_t> next;
+    auto pause = storeRetryPause;
+    bool good = true;
     while (!this->vm.phase.stopping) {
-        bool good = this->readOnce(follower, next);
-        sleepFor(good ? follower.pause : storeRetryPause);
+        good = this->readOnce(follower, next, !good);
+        if (good)
+            pause = storeRetryPause;
+        sleepFor(good ? follower.pause : pause);
+        if (!good)
+            pause = std::min(2 * pause, storeRetryPauseMost);
     }
 }
 
-bool StoreDuty::readOnce(const Follower& follower, std::optional<uint64_t>& next)
+bool StoreDuty::readOnce(const Follower& follower, std::optional<uint64_t>& next, bool hurry)
 {
+    // After a failure the answer shows at once whether the store is back.
+    auto wait = hurry ? milliseconds { 0 } : follower.wait;
     bool whole = !next;
     add(this->vm.counters, Event::StoreCalls);
-    auto page = whole ? platform::readNewest(this->vm.store(), follower.stream) : platform::readOn(this->vm.store(), follower.stream, *next, follower.wait);
+    auto page = whole ? platform::readNewest(this->vm.store(), follower.stream) : platform::readOn(this->vm.store(), follower.stream, *next, wait);
     if (!page) {
         // Forgotten records: the newest of each key stand in for them.
         if (page.error() != platform::StoreError::NotDone && page.error() != platform::StoreError::NoAnswer)
--- a/edge/src/store_duty.h
+++ b/edge/src/store_duty.h
@@ -19,6 +19,8 @@
     void followConfiguration();
     void followWorkers();
     void followMembers();
+    /// Reads the configuration at once if `version`, which a peer has, is newer than the one in force.
+    void hearVersion(uint64_t version);
 
 private:
     /// One stream that is read whole first and then on.
@@ -29,7 +31,8 @@
         std::function<void(const platform::StorePage&, bool whole)> apply;
     };
     void follow(const Follower& follower);
-    bool readOnce(const Follower& follower, std::optional<uint64_t>& next);
+    bool readOnce(const Follower& follower, std::optional<uint64_t>& next, bool hurry);
+    void applyConfigurations(const platform::StorePage& page);
     void noteOutcome(platform::Stream stream, bool good, const std::string& detail);
 
     void applyConfiguration(const platform::StoreRecord& record);
@@ -42,6 +45,7 @@
     MemberListener onMember;
     WorkerListener onWorkerGone;
     std::array<bool, static_cast<size_t>(platform::Stream::Count)> failing {};
+    Time newerReadAt { 0 }; ///< When the configuration was last read because of a peer.
     Time workersRegainedAt { -std::chrono::hours { 1 } }; ///< When the workers' stream was readable again.
     transport::Log log { "store" };
 };
--- a/ownership/include/ownership/ownership.h
+++ b/ownership/include/ownership/ownership.h
@@ -21,6 +21,9 @@
     Time margin = std::chrono::milliseconds { 700 }; ///< The holder stops ordering this long before that; covers orders on their way.
     Time renewEvery = std::chrono::milliseconds { 1200 };
     Time quiet { 0 }; ///< Time after a take-over before the first order, for workers that don't check fencing tokens.
+    /// Time for which a holder that can't reach the store may go on ordering after its lease ran out, if the workers check
+    /// fencing tokens: whoever takes over has a higher one. 0 if they don't.
+    Time extension { 0 };
 };
 
 /// The record that lies in the log.
@@ -63,8 +66,14 @@
     void noteRead(const LeaseReading& reading, Time sentAt);
     /// Notes that an append of `proposal()` succeeded. @param sentAt time before the call was sent.
     void noteAppended(Time sentAt);
-    /// Notes that an append failed or got no answer: the next step is a read.
+    /// Notes that an append may have taken effect, or that the store could not be reached: the next step is a read.
     void noteUncertain(Time sentAt);
+    /// Notes that another append came first.
+    void noteConflict();
+    /// Notes that the store could not be read.
+    void noteReadFailed(Time now);
+    /// Notes that the holder itself says which record is the newest, so that it need not be read while the holder is heard.
+    void noteClaim(uint64_t recordOffset, Time now);
     /// Gives the lease up: `mayOrder` is false from now on, and `proposal()` is a release if `holds()` was true.
     void release();
 
@@ -72,6 +81,11 @@
     bool holds() const;
     /// Tells whether this VM may give an order now.
     bool mayOrder(Time now) const;
+    /// Tells whether only fencing tokens protect an order given now: the lease ran out and the store can't be reached.
+    /// The caller must know of no holder with a higher token.
+    bool mayOrderExtended(Time now) const;
+    /// Offset of the newest record that is known.
+    uint64_t seenOffset() const { return this->recordOffset; }
     /// Fencing token of this VM's orders. Only valid while `mayOrder`.
     uint64_t token() const { return this->held; }
     /// Holder and token that were last seen.
@@ -90,6 +104,9 @@
     Time heldSince { 0 };
     Time renewedAt { 0 }; ///< When the last successful append was sent.
     Time triedAt { 0 }; ///< When the last uncertain append was sent.
+    Time failedAt { 0 }; ///< When the store last could not be reached; 0 since the last success.
+    uint64_t claimedOffset = 0; ///< Record that the holder last said to be the newest,
+    Time claimedAt { 0 }; ///< and when it first said so.
     bool released = false;
 };
 
--- a/ownership/src/lease.cpp
+++ b/ownership/src/lease.cpp
@@ -1,4 +1,5 @@
 /// The lease's state machine.
+#include <algorithm>
 #include <ownership/ownership.h>
 
 namespace comfreypier::ownership {
@@ -19,6 +20,13 @@
     return this->holds() && now < this->renewedAt + this->settings.duration - this->settings.margin && now >= this->heldSince + this->settings.quiet;
 }
 
+bool Lease::mayOrderExtended(Time now) const
+{
+    constexpr Time failureAge = std::chrono::seconds { 3 };
+    bool unreachable = !this->known && this->failedAt != Time { 0 } && now - this->failedAt < failureAge;
+    return this->holds() && unreachable && now < this->renewedAt + this->settings.extension && now >= this->heldSince + this->settings.quiet;
+}
+
 LeaseStep Lease::next(Time now)
 {
     if (this->released)
@@ -47,12 +55,15 @@
 {
     this->readAt = sentAt;
     this->known = true;
+    this->failedAt = Time { 0 };
     this->end = reading.end;
     bool same = this->record.has_value() == reading.record.has_value() && this->recordOffset == reading.offset;
     if (!same || this->firstSeenAt == Time { 0 })
         this->firstSeenAt = sentAt;
     this->record = reading.record;
     this->recordOffset = reading.offset;
+    if (this->claimedAt != Time { 0 } && this->claimedOffset == reading.offset)
+        this->firstSeenAt = std::min(this->firstSeenAt, this->claimedAt);
     bool ours = reading.record && reading.record->holder == this->self;
     if (!ours) {
         this->held = 0;
@@ -76,15 +87,39 @@
     this->end++;
     this->firstSeenAt = sentAt;
     this->renewedAt = sentAt;
+    this->failedAt = Time { 0 };
 }
 
 void Lease::noteUncertain(Time sentAt)
 {
     this->triedAt = sentAt;
+    this->failedAt = sentAt;
+    this->known = false;
+    this->readAt = Time { 0 };
+}
+
+void Lease::noteConflict()
+{
+    this->failedAt = Time { 0 };
     this->known = false;
     this->readAt = Time { 0 };
 }
 
+void Lease::noteReadFailed(Time now)
+{
+    this->readAt = now;
+    this->failedAt = now;
+    this->known = false;
+}
+
+void Lease::noteClaim(uint64_t offset, Time now)
+{
+    if (this->claimedAt != Time { 0 } && this->claimedOffset == offset)
+        return;
+    this->claimedOffset = offset;
+    this->claimedAt = now;
+}
+
 void Lease::release()
 {
     this->released = true;
