Test routing, placement and ownership; date a lost renewal by its own append

Cause, found by the new property of the lease (two VMs could order): a VM that found its record in the log took its last try as the renewal, although the record was an older one. Ruled out: late appends themselves; they carry the same token and offset. Change: tries without an answer are remembered by offset; only the one that lies there counts.

--- a/ownership/include/ownership/ownership.h
+++ b/ownership/include/ownership/ownership.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -103,7 +104,7 @@
     uint64_t held = 0; ///< Own token, 0 without one.
     Time heldSince { 0 };
     Time renewedAt { 0 }; ///< When the last successful append was sent.
-    Time triedAt { 0 }; ///< When the last uncertain append was sent.
+    std::map<uint64_t, Time> uncertain; ///< Appends without an answer: their offset, and when the first for it was sent.
     Time failedAt { 0 }; ///< When the store last could not be reached; 0 since the last success.
     uint64_t claimedOffset = 0; ///< Record that the holder last said to be the newest,
     Time claimedAt { 0 }; ///< and when it first said so.
--- a/ownership/src/lease.cpp
+++ b/ownership/src/lease.cpp
@@ -4,6 +4,13 @@
 
 namespace comfreypier::ownership {
 
+namespace {
+
+    /// Most appends without an answer that are remembered.
+    constexpr size_t uncertainLimit = 16;
+
+} // namespace
+
 Lease::Lease(std::string self, LeaseSettings settings)
     : self(std::move(self))
     , settings(settings)
@@ -69,16 +76,19 @@
         this->held = 0;
         return;
     }
-    // An append that got no answer took effect. It counts from when it was sent.
     if (this->held != reading.record->token)
         this->heldSince = sentAt;
     this->held = reading.record->token;
-    this->renewedAt = std::max(this->renewedAt, this->triedAt);
+    // An append that got no answer took effect. It counts from when it was first sent.
+    auto tried = this->uncertain.find(reading.offset);
+    if (tried != this->uncertain.end())
+        this->renewedAt = std::max(this->renewedAt, tried->second);
 }
 
 void Lease::noteAppended(Time sentAt)
 {
     auto appended = this->proposal();
+    this->uncertain.clear();
     if (!this->holds())
         this->heldSince = sentAt;
     this->held = appended.token;
@@ -92,7 +102,9 @@
 
 void Lease::noteUncertain(Time sentAt)
 {
-    this->triedAt = sentAt;
+    this->uncertain.try_emplace(this->end, sentAt);
+    if (this->uncertain.size() > uncertainLimit)
+        this->uncertain.erase(this->uncertain.begin());
     this->failedAt = sentAt;
     this->known = false;
     this->readAt = Time { 0 };
--- /dev/null
+++ b/tests/unit/ownership_test.cpp
@@ -0,0 +1,266 @@
+/// The lease: one holder, tokens that only grow, under lost and late answers, outages for some and freezes.
+#include <criterion/criterion.h>
+#include <deque>
+#include <ownership/ownership.h>
+#include <rapidcheck.h>
+
+using namespace comfreypier::ownership;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr Time start = seconds { 10 };
+
+/// The log's partition: appends succeed only at its end.
+struct Partition {
+    std::optional<LeaseRecord> record;
+    uint64_t offset = 0;
+    uint64_t end = 0;
+
+    bool append(const LeaseRecord& next, uint64_t at)
+    {
+        if (at != this->end)
+            return false;
+        this->record = next;
+        this->offset = this->end++;
+        return true;
+    }
+    LeaseReading read() const { return { this->record, this->offset, this->end }; }
+};
+
+/// Takes one step for a VM that reaches the store.
+void step(Lease& lease, Partition& store, Time now)
+{
+    switch (lease.next(now)) {
+    case LeaseStep::Read:
+        lease.noteRead(store.read(), now);
+        break;
+    case LeaseStep::Renew:
+    case LeaseStep::TakeOver:
+        if (store.append(lease.proposal(), lease.appendAt()))
+            lease.noteAppended(now);
+        else
+            lease.noteConflict();
+        break;
+    default:
+        break;
+    }
+}
+
+LeaseSettings checkedWorkers()
+{
+    LeaseSettings settings;
+    settings.extension = seconds { 30 };
+    return settings;
+}
+
+} // namespace
+
+Test(lease, the_first_to_append_holds_it)
+{
+    Partition store;
+    Lease a("a#1", {});
+    Lease b("b#1", {});
+    for (int i = 0; i < 3; i++) {
+        step(a, store, start + milliseconds { 100 * i });
+        step(b, store, start + milliseconds { 100 * i });
+    }
+    cr_assert(a.mayOrder(start + milliseconds { 300 }));
+    cr_assert_not(b.mayOrder(start + milliseconds { 300 }));
+}
+
+Test(lease, a_dead_holder_is_replaced_with_a_higher_token)
+{
+    Partition store;
+    Lease a("a#1", {});
+    step(a, store, start);
+    step(a, store, start);
+    auto token = a.token();
+    Lease b("b#1", {});
+    Time now = start;
+    while (!b.holds() && now < start + seconds { 20 }) {
+        now += milliseconds { 100 };
+        step(b, store, now);
+    }
+    cr_assert(b.holds());
+    cr_assert_gt(b.token(), token);
+    cr_assert_not(a.mayOrder(now), "the old lease ran out before the new one began");
+    cr_assert_leq(now - start, seconds { 6 });
+}
+
+Test(lease, a_release_frees_it_at_once)
+{
+    Partition store;
+    Lease a("a#1", {});
+    step(a, store, start);
+    step(a, store, start);
+    a.release();
+    cr_assert_not(a.mayOrder(start));
+    cr_assert(store.append(a.proposal(), a.appendAt()));
+    Lease b("b#1", {});
+    step(b, store, start + milliseconds { 50 });
+    step(b, store, start + milliseconds { 60 });
+    cr_assert(b.mayOrder(start + milliseconds { 70 }));
+}
+
+Test(lease, a_lost_answer_is_found_in_the_log)
+{
+    Partition store;
+    Lease a("a#1", {});
+    step(a, store, start);
+    cr_assert_eq(a.next(start), LeaseStep::TakeOver);
+    store.append(a.proposal(), a.appendAt());
+    a.noteUncertain(start);
+    cr_assert_not(a.holds());
+    step(a, store, start + milliseconds { 10 });
+    cr_assert(a.mayOrder(start + milliseconds { 20 }));
+}
+
+Test(lease, an_earlier_process_of_the_same_vm_is_another_holder)
+{
+    Partition store;
+    Lease before("a#1", {});
+    step(before, store, start);
+    step(before, store, start);
+    Lease after("a#2", {});
+    step(after, store, start + milliseconds { 10 });
+    cr_assert_not(after.holds());
+}
+
+Test(lease, quiet_time_passes_before_the_first_order)
+{
+    LeaseSettings settings;
+    settings.quiet = seconds { 3 };
+    Partition store;
+    Lease a("a#1", settings);
+    Time now = start;
+    for (int i = 0; i < 29; i++, now += milliseconds { 100 }) {
+        step(a, store, now);
+        cr_assert_not(a.mayOrder(now));
+    }
+    for (int i = 0; i < 5; i++, now += milliseconds { 100 })
+        step(a, store, now);
+    cr_assert(a.mayOrder(now));
+}
+
+Test(lease, only_an_unreachable_store_extends_it)
+{
+    Partition store;
+    Lease a("a#1", checkedWorkers());
+    step(a, store, start);
+    step(a, store, start);
+    auto late = start + seconds { 10 };
+    cr_assert_not(a.mayOrder(late));
+    cr_assert_not(a.mayOrderExtended(late), "a VM that was frozen has not tried to renew");
+    a.noteUncertain(late);
+    cr_assert(a.mayOrderExtended(late));
+    cr_assert_not(a.mayOrderExtended(late + seconds { 5 }), "the failure is no news any more");
+    a.noteReadFailed(start + seconds { 40 });
+    cr_assert_not(a.mayOrderExtended(start + seconds { 40 }), "the extension has its end");
+    Lease b("b#1", {});
+    b.noteRead(store.read(), start);
+    cr_assert_not(b.mayOrderExtended(late));
+}
+
+Test(lease, a_conflict_ends_the_extension)
+{
+    Partition store;
+    Lease a("a#1", checkedWorkers());
+    step(a, store, start);
+    step(a, store, start);
+    a.noteUncertain(start + seconds { 6 });
+    a.noteConflict();
+    cr_assert_not(a.mayOrderExtended(start + seconds { 6 }));
+}
+
+Test(lease, a_claim_dates_the_record)
+{
+    Partition store;
+    Lease a("a#1", {});
+    step(a, store, start);
+    step(a, store, start);
+    Lease b("b#1", {});
+    b.noteClaim(store.offset, start + milliseconds { 200 });
+    b.noteClaim(store.offset, start + seconds { 1 });
+    b.noteRead(store.read(), start + seconds { 4 });
+    cr_assert_eq(b.next(start + seconds { 4 }), LeaseStep::Wait);
+    b.noteRead(store.read(), start + milliseconds { 4300 });
+    cr_assert_eq(b.next(start + milliseconds { 4300 }), LeaseStep::TakeOver);
+}
+
+Test(lease, never_two_holders_under_any_interleaving)
+{
+    cr_assert(rc::check("at most one VM may order without an extension; tokens of take-overs are unique and grow", [] {
+        constexpr size_t vms = 3;
+        Partition store;
+        std::vector<Lease> leases;
+        std::vector<Time> frozenUntil(vms, Time { 0 });
+        std::vector<Time> cutUntil(vms, Time { 0 });
+        /// An append that the store carries out later, if its condition still holds.
+        struct Late {
+            Time at;
+            LeaseRecord record;
+            uint64_t offset;
+        };
+        std::deque<Late> late;
+        for (size_t i = 0; i < vms; i++)
+            leases.emplace_back("vm" + std::to_string(i), checkedWorkers());
+        Time now = start;
+        uint64_t highest = 0;
+        std::string holder;
+        for (int i = 0; i < 400; i++) {
+            now += milliseconds { *rc::gen::inRange(20, 300) };
+            for (auto it = late.begin(); it != late.end();) {
+                if (it->at > now) {
+                    ++it;
+                    continue;
+                }
+                store.append(it->record, it->offset);
+                it = late.erase(it);
+            }
+            auto vm = *rc::gen::inRange<size_t>(0, vms);
+            auto event = *rc::gen::inRange(0, 100);
+            if (event < 3)
+                frozenUntil[vm] = now + milliseconds { *rc::gen::inRange(500, 9000) };
+            else if (event < 6)
+                cutUntil[vm] = now + milliseconds { *rc::gen::inRange(500, 9000) };
+            if (now < frozenUntil[vm])
+                continue;
+            auto& lease = leases[vm];
+            auto todo = lease.next(now);
+            bool cut = now < cutUntil[vm];
+            if (todo == LeaseStep::Read) {
+                if (cut)
+                    lease.noteReadFailed(now);
+                else
+                    lease.noteRead(store.read(), now);
+            } else if (todo != LeaseStep::Wait) {
+                auto record = lease.proposal();
+                auto offset = lease.appendAt();
+                auto fate = *rc::gen::inRange(0, 10);
+                if (cut)
+                    lease.noteUncertain(now);
+                else if (fate == 0) {
+                    late.push_back({ now + milliseconds { *rc::gen::inRange(100, 6000) }, record, offset });
+                    lease.noteUncertain(now);
+                } else if (fate == 1) {
+                    store.append(record, offset);
+                    lease.noteUncertain(now);
+                } else if (store.append(record, offset))
+                    lease.noteAppended(now);
+                else
+                    lease.noteConflict();
+            }
+            if (store.record && store.record->holder != holder) {
+                RC_ASSERT(store.record->token > highest);
+                highest = store.record->token;
+                holder = store.record->holder;
+            }
+            size_t ordering = 0;
+            for (auto& each : leases)
+                ordering += each.mayOrder(now) ? 1 : 0;
+            RC_ASSERT(ordering <= 1U);
+        }
+    }));
+}
--- /dev/null
+++ b/tests/unit/placement_test.cpp
@@ -0,0 +1,317 @@
+/// Plans of models and adapters, and the account of what a worker holds.
+#include <criterion/criterion.h>
+#include <placement/placement.h>
+#include <rapidcheck.h>
+
+using namespace comfreypier;
+using namespace comfreypier::placement;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr Time now = seconds { 100 };
+
+routing::EngineSpec threeModels()
+{
+    routing::EngineSpec engine;
+    engine.weightsMegabytes = 200;
+    engine.adapterSlots = 2;
+    for (const auto* name : { "a", "b", "c" }) {
+        routing::ModelSpec model;
+        model.name = name;
+        model.weightsMegabytes = 80;
+        model.adapterMegabytes = 10;
+        model.adapters = 4;
+        engine.models.push_back(model);
+    }
+    return engine;
+}
+
+HeldWorker holding(const std::string& id, std::set<std::string> models)
+{
+    HeldWorker worker;
+    worker.id = id;
+    worker.models = std::move(models);
+    return worker;
+}
+
+ModelInputs inputsOf(const routing::EngineSpec& engine, std::vector<HeldWorker> workers)
+{
+    ModelInputs inputs;
+    inputs.engine = &engine;
+    inputs.now = now;
+    inputs.workers = std::move(workers);
+    inputs.storeLoadsAllowed = 3;
+    return inputs;
+}
+
+double weightOf(const routing::EngineSpec& engine, const HeldWorker& worker)
+{
+    double sum = 0;
+    for (const auto& model : engine.models)
+        sum += worker.models.contains(model.name) || worker.unloading.contains(model.name) ? model.weightsMegabytes : 0;
+    return sum;
+}
+
+WorkerReport reportOf(std::vector<std::string> models, uint64_t accepted, bool ordering = false)
+{
+    WorkerReport report;
+    for (auto& model : models)
+        report.models.push_back({ std::move(model), 1, {} });
+    report.ordersAccepted = accepted;
+    report.ordering = ordering;
+    return report;
+}
+
+} // namespace
+
+Test(models, a_missing_model_goes_first)
+{
+    auto engine = threeModels();
+    auto inputs = inputsOf(engine, { holding("w", { "a" }), holding("v", { "a", "b" }) });
+    inputs.work["a"] = 5;
+    auto order = planModel(inputs);
+    cr_assert(order.has_value());
+    cr_assert_eq(order->model, "c");
+    cr_assert_eq(order->worker, "w");
+    cr_assert_eq(order->kind, OrderKind::Load);
+}
+
+Test(models, room_is_made_on_one_worker_only)
+{
+    auto engine = threeModels();
+    std::vector<HeldWorker> workers { holding("w", { "a", "b" }), holding("v", { "a", "b" }) };
+    auto first = planModel(inputsOf(engine, workers));
+    cr_assert_eq(first->kind, OrderKind::Unload);
+    cr_assert_eq(first->roomFor, "c");
+    auto& chosen = workers[0].id == first->worker ? workers[0] : workers[1];
+    chosen.models.erase(first->model);
+    chosen.unloading.insert(first->model);
+    chosen.reserved = "c";
+    chosen.usable = false;
+    cr_assert_not(planModel(inputsOf(engine, workers)).has_value(), "nothing else is unloaded for the same model");
+    chosen.unloading.clear();
+    chosen.usable = true;
+    auto second = planModel(inputsOf(engine, workers));
+    cr_assert_eq(second->kind, OrderKind::Load);
+    cr_assert_eq(second->model, "c");
+    cr_assert_eq(second->worker, chosen.id);
+}
+
+Test(models, the_last_copy_is_never_dropped)
+{
+    auto engine = threeModels();
+    auto inputs = inputsOf(engine, { holding("w", { "a", "b" }), holding("v", { "c" }) });
+    inputs.work["c"] = 10;
+    for (int i = 0; i < 5; i++) {
+        auto order = planModel(inputs);
+        if (order)
+            cr_assert_neq(order->kind, OrderKind::Unload);
+    }
+}
+
+Test(models, a_fresh_model_stays_for_a_while)
+{
+    auto engine = threeModels();
+    auto worker = holding("w", { "a", "b" });
+    worker.loadedAt["a"] = now - residenceLeast / 2;
+    worker.loadedAt["b"] = now - residenceLeast / 2;
+    auto inputs = inputsOf(engine, { worker, holding("v", { "a", "b" }) });
+    inputs.workers[1].usable = false;
+    cr_assert_not(planModel(inputs).has_value());
+    inputs.now = now + residenceLeast;
+    cr_assert(planModel(inputs).has_value());
+}
+
+Test(models, the_store_rate_bounds_loads)
+{
+    auto engine = threeModels();
+    auto inputs = inputsOf(engine, { holding("w", { "a" }), holding("v", { "b" }) });
+    inputs.storeLoadsAllowed = 0.5;
+    cr_assert_not(planModel(inputs).has_value());
+    inputs.workers[0].cached = { "c" };
+    auto order = planModel(inputs);
+    cr_assert(order.has_value());
+    cr_assert_not(order->fromStore);
+}
+
+Test(models, a_busy_model_gets_another_copy_and_a_quiet_one_does_not)
+{
+    auto engine = threeModels();
+    auto inputs = inputsOf(engine, { holding("w", { "a", "b" }), holding("v", { "c" }) });
+    inputs.work = { { "a", 0.05 }, { "b", 0.05 }, { "c", 0.05 } };
+    cr_assert_not(planModel(inputs).has_value());
+    inputs.work["a"] = 0.9;
+    auto order = planModel(inputs);
+    cr_assert_eq(order->model, "a");
+    cr_assert_eq(order->worker, "v");
+}
+
+Test(models, any_sequence_of_plans_stays_within_the_workers_room)
+{
+    cr_assert(rc::check("models and those on their way out never exceed the room, and every model stays or comes", [] {
+        auto engine = threeModels();
+        std::vector<HeldWorker> workers { holding("w", { "a" }), holding("v", { "b" }), holding("u", {}) };
+        Time at = now;
+        for (int step = 0; step < 60; step++) {
+            at += milliseconds { 400 };
+            auto inputs = inputsOf(engine, workers);
+            inputs.now = at;
+            for (const auto* model : { "a", "b", "c" })
+                inputs.work[model] = *rc::gen::inRange(0, 20) / 10.0;
+            auto order = planModel(inputs);
+            // A worker that carries out an order finishes at some step.
+            for (auto& worker : workers) {
+                if (!worker.usable && *rc::gen::inRange(0, 2) == 0) {
+                    worker.usable = true;
+                    worker.unloading.clear();
+                }
+            }
+            if (!order)
+                continue;
+            auto& worker = *std::find_if(workers.begin(), workers.end(), [&](const auto& item) { return item.id == order->worker; });
+            WorkerAccount account;
+            account.held = worker;
+            planOrder(account, *order);
+            worker = account.held;
+            worker.usable = false;
+            if (order->kind == OrderKind::Load)
+                worker.loadedAt[order->model] = at;
+            for (const auto& item : workers)
+                RC_ASSERT(weightOf(engine, item) <= modelRoom(engine));
+        }
+        std::set<std::string> there;
+        for (const auto& worker : workers) {
+            there.insert(worker.models.begin(), worker.models.end());
+            if (!worker.reserved.empty())
+                there.insert(worker.reserved);
+        }
+        RC_ASSERT(there.size() == 3);
+    }));
+}
+
+Test(account, a_model_being_loaded_keeps_its_room_through_a_conflict)
+{
+    WorkerAccount account;
+    account.held.id = "w";
+    cr_assert(needsReport(account, now));
+    applyReport(account, reportOf({ "a" }, 3), now);
+    Order load { "w", OrderKind::Load, "b", "", true, "", "" };
+    planOrder(account, load);
+    applyOutcome(account, load, OrderOutcome::Accepted, now);
+    Order adapter { "w", OrderKind::Load, "a", "a1", false, "", "" };
+    applyOutcome(account, adapter, OrderOutcome::Conflict, now);
+    cr_assert_not(account.synced);
+    applyReport(account, reportOf({ "a" }, 4, true), now + reportLag);
+    cr_assert(account.held.models.contains("b"), "reports leave a model out while it is loaded");
+    cr_assert(applyReport(account, reportOf({ "a", "b" }, 4), now + 2 * reportLag));
+    cr_assert(mayOrderModel(account));
+}
+
+Test(account, another_holders_load_blocks_model_orders)
+{
+    WorkerAccount account;
+    applyReport(account, reportOf({ "a" }, 3, true), now);
+    cr_assert_not(mayOrderModel(account));
+    cr_assert_not(mayOrderAdapter(account));
+    applyReport(account, reportOf({ "a", "b" }, 3), now + busyReportInterval);
+    cr_assert(mayOrderModel(account));
+    cr_assert(account.held.models.contains("b"));
+}
+
+Test(account, nothing_is_ordered_after_an_unknown_outcome_until_a_new_report)
+{
+    WorkerAccount account;
+    applyReport(account, reportOf({ "a" }, 3), now);
+    Order load { "w", OrderKind::Load, "b", "", true, "", "" };
+    planOrder(account, load);
+    applyOutcome(account, load, OrderOutcome::Unknown, now);
+    cr_assert_not(mayOrderModel(account));
+    cr_assert_not(needsReport(account, now + reportLag / 2), "a report of that age may not show the order");
+    cr_assert(needsReport(account, now + reportLag));
+}
+
+Test(account, the_order_count_follows_accepted_orders)
+{
+    WorkerAccount account;
+    applyReport(account, reportOf({ "a" }, 3), now);
+    applyOutcome(account, { "w", OrderKind::Load, "a", "a1", false, "", "" }, OrderOutcome::Accepted, now);
+    cr_assert_eq(account.ordersAccepted, 4U);
+    applyOutcome(account, { "w", OrderKind::Load, "a", "a1", false, "", "" }, OrderOutcome::AlreadyHolds, now);
+    cr_assert_eq(account.ordersAccepted, 4U);
+    applyOutcome(account, { "w", OrderKind::Unload, "a", "a1", false, "", "" }, OrderOutcome::AlreadyHolds, now);
+    cr_assert_eq(account.ordersAccepted, 5U);
+    cr_assert(account.held.adapters.empty());
+}
+
+Test(adapters, places_are_never_exceeded)
+{
+    cr_assert(rc::check("", [] {
+        auto engine = threeModels();
+        auto worker = holding("w", { "a" });
+        Time at = now;
+        for (int i = 0; i < 40; i++) {
+            at += milliseconds { *rc::gen::inRange(1, 800) };
+            auto adapter = "a" + std::to_string(*rc::gen::inRange(1, 6));
+            auto order = planAdapter(engine, worker, "a", adapter, at, milliseconds { 300 });
+            if (!order)
+                continue;
+            auto key = order->model + "/" + order->adapter;
+            if (order->kind == OrderKind::Load)
+                worker.adapters[key] = at;
+            else {
+                RC_ASSERT(at - worker.adapters.at(key) >= milliseconds { 300 });
+                worker.adapters.erase(key);
+            }
+            RC_ASSERT(worker.adapters.size() <= engine.adapterSlots);
+        }
+    }));
+}
+
+Test(adapters, prefetch_leaves_a_place_free_and_stops_at_two_copies)
+{
+    auto engine = threeModels();
+    std::vector<HeldWorker> workers { holding("w", { "a" }), holding("v", { "a" }), holding("u", { "a" }) };
+    AdapterUses uses { { "a/a1", now }, { "b/a1", now } };
+    auto order = planPrefetch(engine, workers, workers[0], uses);
+    cr_assert_eq(order->adapter, "a1");
+    cr_assert_eq(order->model, "a");
+    workers[0].adapters["a/a9"] = now;
+    cr_assert_not(planPrefetch(engine, workers, workers[0], uses).has_value());
+    workers[1].adapters["a/a1"] = now;
+    workers[2].adapters["a/a1"] = now;
+    workers[0].adapters.clear();
+    cr_assert_not(planPrefetch(engine, workers, workers[0], uses).has_value());
+}
+
+Test(rates, loads_from_the_store_stay_within_the_rate)
+{
+    cr_assert(rc::check("in any five seconds at most five times the rate and the burst", [] {
+        StoreRate rate;
+        std::vector<Time> loads;
+        Time at = now;
+        for (int i = 0; i < 300; i++) {
+            at += milliseconds { *rc::gen::inRange(1, 200) };
+            if (rate.allowed(1.1, at) >= 1) {
+                rate.noteLoad();
+                loads.push_back(at);
+            }
+        }
+        for (size_t i = 0; i < loads.size(); i++) {
+            auto count = std::count_if(loads.begin() + static_cast<long>(i), loads.end(), [&](Time time) { return time < loads[i] + seconds { 5 }; });
+            RC_ASSERT(count <= 1.1 * 5 * 1.1 + 3);
+        }
+    }));
+}
+
+Test(rates, work_rises_and_falls_with_the_load)
+{
+    WorkAverage work;
+    for (int i = 0; i < 100; i++)
+        work.add("m", 0.05, now + milliseconds { 100 * i });
+    auto busy = work.rates(now + seconds { 10 })["m"];
+    cr_assert_gt(busy, 0.4);
+    cr_assert_lt(busy, 0.6);
+    cr_assert_lt(work.rates(now + seconds { 20 })["m"], 0.02);
+}
--- /dev/null
+++ b/tests/unit/routing_test.cpp
@@ -0,0 +1,328 @@
+/// Routes, choice of workers, repeats and suspects.
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+#include <routing/routing.h>
+
+using namespace comfreypier;
+using namespace comfreypier::routing;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr Time now = seconds { 100 };
+
+Configuration twoRoutes()
+{
+    Configuration configuration;
+    Route wide { "wide", "h.example", "/a/", { { "s", 1 } } };
+    Route narrow { "narrow", "h.example", "/a/b/", { { "t", 1 } } };
+    configuration.routes = { wide, narrow };
+    configuration.services["s"].name = "s";
+    configuration.services["t"].name = "t";
+    return configuration;
+}
+
+Service engineService()
+{
+    Service service;
+    service.name = "s";
+    EngineSpec engine;
+    engine.slots = 64;
+    engine.promptMemoryTokens = 200000;
+    engine.weightsMegabytes = 100;
+    engine.adapterSlots = 2;
+    engine.backups = true;
+    service.engine = engine;
+    return service;
+}
+
+Worker makeWorker(const std::string& id, const std::string& dataCentre = "dc")
+{
+    Worker worker;
+    worker.entry.id = id;
+    worker.entry.service = "s";
+    worker.entry.dataCentre = dataCentre;
+    worker.entry.models = { { "m", 1, {} } };
+    return worker;
+}
+
+RequestShape promptOf(uint32_t shared, uint32_t own)
+{
+    RequestShape shape;
+    shape.model = "m";
+    shape.parts = { { 1, shared }, { 2, own } };
+    shape.promptTokens = shared + own;
+    shape.outputTokens = 50;
+    return shape;
+}
+
+/// Chooses among the workers with everything else at its default.
+struct Chooser {
+    Service service = engineService();
+    RequestShape shape = promptOf(6000, 3000);
+    std::set<std::string> excluded;
+    Choice choose(std::vector<Worker>& workers, Time at = now)
+    {
+        this->chains = chainHashes(this->shape);
+        std::vector<Worker*> pointers;
+        for (auto& worker : workers)
+            pointers.push_back(&worker);
+        ChoiceInputs inputs;
+        inputs.service = &this->service;
+        inputs.shape = &this->shape;
+        inputs.chains = &this->chains;
+        inputs.dataCentre = "dc";
+        inputs.excluded = &this->excluded;
+        inputs.targetLatency = milliseconds { 800 };
+        inputs.distance = milliseconds { 3 };
+        inputs.now = at;
+        return chooseWorker(pointers, inputs);
+    }
+    std::vector<uint64_t> chains;
+};
+
+} // namespace
+
+Test(routes, longest_prefix_of_the_host_wins)
+{
+    auto configuration = twoRoutes();
+    cr_assert_eq(findRoute(configuration, "h.example", "/a/b/c")->name, "narrow");
+    cr_assert_eq(findRoute(configuration, "H.EXAMPLE:80", "/a/x")->name, "wide");
+    cr_assert_null(findRoute(configuration, "other.example", "/a/x"));
+    cr_assert_null(findRoute(configuration, "h.example", "/ab"));
+}
+
+Test(routes, split_follows_its_weights)
+{
+    cr_assert(rc::check("shares are within 6 in 100 of the weights", [](uint32_t seed) {
+        auto configuration = twoRoutes();
+        configuration.routes[0].targets = { { "s", 80 }, { "t", 20 } };
+        int toS = 0;
+        constexpr int tries = 2000;
+        for (int i = 0; i < tries; i++)
+            toS += pickService(configuration, configuration.routes[0], std::to_string(seed) + "-" + std::to_string(i))->name == "s" ? 1 : 0;
+        RC_ASSERT(toS > tries * 74 / 100);
+        RC_ASSERT(toS < tries * 86 / 100);
+    }));
+}
+
+Test(routes, a_route_without_weight_leads_nowhere)
+{
+    auto configuration = twoRoutes();
+    configuration.routes[0].targets = { { "s", 0 } };
+    cr_assert_null(pickService(configuration, configuration.routes[0], "k"));
+}
+
+Test(choice, kept_prompt_beats_a_little_queue)
+{
+    Chooser chooser;
+    std::vector<Worker> workers { makeWorker("a"), makeWorker("b") };
+    auto chains = chainHashes(chooser.shape);
+    workers[1].kept.note(chains[0], 6000, 100000);
+    workers[1].own.prefillTokens = 2000;
+    workers[1].own.requests = 1;
+    auto choice = chooser.choose(workers);
+    cr_assert_eq(choice.worker->entry.id, "b");
+    cr_assert_eq(choice.keptTokens, 6000U);
+}
+
+Test(choice, a_long_queue_beats_a_kept_prompt)
+{
+    Chooser chooser;
+    std::vector<Worker> workers { makeWorker("a"), makeWorker("b") };
+    workers[1].kept.note(chainHashes(chooser.shape)[0], 6000, 100000);
+    workers[1].peers["other"] = { 40000, 40000, 4 };
+    cr_assert_eq(chooser.choose(workers).worker->entry.id, "a");
+}
+
+Test(choice, never_a_leaving_excluded_stalled_or_avoided_worker)
+{
+    cr_assert(rc::check("", [](bool leaving, bool excluded, bool avoided, bool stalled) {
+        Chooser chooser;
+        std::vector<Worker> workers { makeWorker("a") };
+        workers[0].entry.leaving = leaving;
+        workers[0].avoidUntil = avoided ? now + seconds { 1 } : Time { 0 };
+        workers[0].runningStreams = stalled ? 1 : 0;
+        workers[0].lastByteAt = now - 2 * stallTime;
+        if (excluded)
+            chooser.excluded.insert("a");
+        auto choice = chooser.choose(workers);
+        bool usable = !leaving && !excluded && !avoided && !stalled;
+        RC_ASSERT((choice.worker != nullptr) == usable);
+        if (leaving)
+            RC_ASSERT(choice.obstacle == Obstacle::NoWorker);
+    }));
+}
+
+Test(choice, memory_of_a_worker_is_not_overfilled)
+{
+    cr_assert(rc::check("", [] {
+        Chooser chooser;
+        std::vector<Worker> workers { makeWorker("a"), makeWorker("b") };
+        auto capacity = chooser.service.engine->promptMemoryTokens;
+        for (auto& worker : workers) {
+            worker.own.requests = *rc::gen::inRange(1, 30);
+            worker.own.memoryTokens = *rc::gen::inRange(0, 200000);
+        }
+        auto choice = chooser.choose(workers);
+        if (choice.worker == nullptr)
+            RC_ASSERT(choice.obstacle == Obstacle::NoRoom);
+        else
+            RC_ASSERT(choice.worker->own.memoryTokens + chooser.shape.promptTokens + chooser.shape.outputTokens <= capacity);
+    }));
+}
+
+Test(choice, missing_model_and_adapter_are_told_apart)
+{
+    Chooser chooser;
+    std::vector<Worker> workers { makeWorker("a"), makeWorker("b") };
+    chooser.shape.model = "other";
+    cr_assert_eq(chooser.choose(workers).obstacle, Obstacle::NoModel);
+    chooser.shape.model = "m";
+    chooser.shape.adapter = "a1";
+    auto missing = chooser.choose(workers);
+    cr_assert_eq(missing.obstacle, Obstacle::NoAdapter);
+    cr_assert_not_null(missing.home);
+    missing.home->announced.insert("m/a1");
+    cr_assert_eq(chooser.choose(workers).worker, missing.home);
+}
+
+Test(choice, a_missing_adapter_goes_where_it_can_be_loaded_now)
+{
+    Chooser chooser;
+    chooser.shape.adapter = "a1";
+    std::vector<Worker> workers { makeWorker("a"), makeWorker("b"), makeWorker("c") };
+    workers[0].announced = { orderingMark };
+    workers[1].announced = { "m/x", "m/y" };
+    cr_assert_eq(chooser.choose(workers).home->entry.id, "c");
+}
+
+Test(choice, a_model_on_its_way_out_is_not_used)
+{
+    Chooser chooser;
+    std::vector<Worker> workers { makeWorker("a") };
+    workers[0].announced = { "!m" };
+    cr_assert_eq(chooser.choose(workers).obstacle, Obstacle::NoModel);
+}
+
+Test(choice, failures_and_slowness_turn_requests_away_and_fade)
+{
+    Chooser chooser;
+    std::vector<Worker> workers { makeWorker("a"), makeWorker("b") };
+    auto first = chooser.choose(workers).worker;
+    for (int i = 0; i < 6; i++)
+        noteAnswer(*first, true, Time { 0 }, Time { 0 }, now);
+    cr_assert_neq(chooser.choose(workers).worker, first);
+    cr_assert_eq(chooser.choose(workers, now + 60 * beliefHalfLife).worker, first);
+    auto second = chooser.choose(workers).worker;
+    for (int i = 0; i < 10; i++)
+        noteAnswer(*second, false, milliseconds { 100 }, milliseconds { 2000 }, now);
+    cr_assert_gt(second->slowness, 4);
+}
+
+Test(choice, a_backup_is_another_worker_with_the_model)
+{
+    Chooser chooser;
+    std::vector<Worker> workers { makeWorker("a"), makeWorker("b"), makeWorker("c", "far"), makeWorker("d") };
+    workers[3].entry.models.clear();
+    std::vector<Worker*> pointers;
+    for (auto& worker : workers)
+        pointers.push_back(&worker);
+    ChoiceInputs inputs;
+    inputs.service = &chooser.service;
+    inputs.shape = &chooser.shape;
+    inputs.now = now;
+    cr_assert_eq(chooseBackup(pointers, inputs, workers[0].entry)->entry.id, "b");
+    workers[1].entry.leaving = true;
+    cr_assert_eq(chooseBackup(pointers, inputs, workers[0].entry)->entry.id, "c");
+    workers[2].entry.leaving = true;
+    cr_assert_null(chooseBackup(pointers, inputs, workers[0].entry));
+}
+
+Test(choice, only_long_streams_are_backed_up)
+{
+    auto service = engineService();
+    auto longPrompt = promptOf(6000, 3000);
+    cr_assert_not(isBackupWorthwhile(service, longPrompt));
+    auto chat = promptOf(200, 600);
+    chat.outputTokens = 290;
+    cr_assert(isBackupWorthwhile(service, chat));
+    service.engine->backups = false;
+    cr_assert_not(isBackupWorthwhile(service, chat));
+}
+
+Test(prompt_cache, keeps_no_more_than_its_capacity)
+{
+    cr_assert(rc::check("the newest parts stay, the oldest go", [](const std::vector<uint8_t>& chains) {
+        PromptCache cache;
+        for (auto chain : chains)
+            cache.note(chain, 10, 50);
+        std::set<uint8_t> newest;
+        for (auto it = chains.rbegin(); it != chains.rend() && newest.size() < 5; ++it)
+            newest.insert(*it);
+        for (int chain = 0; chain < 256; chain++)
+            RC_ASSERT(cache.keeps(chain) == newest.contains(static_cast<uint8_t>(chain)));
+    }));
+}
+
+Test(prompt_cache, a_part_counts_only_if_all_before_it_are_kept)
+{
+    auto shape = promptOf(100, 50);
+    auto chains = chainHashes(shape);
+    PromptCache cache;
+    cache.note(chains[1], 50, 1000);
+    cr_assert_eq(keptTokens(cache, shape, chains), 0U);
+    cache.note(chains[0], 100, 1000);
+    cr_assert_eq(keptTokens(cache, shape, chains), 150U);
+    auto other = shape;
+    other.adapter = "a1";
+    cr_assert_eq(keptTokens(cache, other, chainHashes(other)), 0U);
+}
+
+Test(repeats, all_vms_together_stay_below_the_limit)
+{
+    cr_assert(rc::check("", [] {
+        auto vms = *rc::gen::inRange<uint32_t>(1, 12);
+        auto requests = *rc::gen::inRange(0, 400);
+        std::vector<RepeatLimit> limits(vms, RepeatLimit(0.2, 56, seconds { 10 }));
+        int taken = 0;
+        for (int i = 0; i < requests; i++)
+            limits[i % vms].noteFirst(now);
+        for (int i = 0; i < 1000; i++)
+            taken += limits[i % vms].take(now + milliseconds { i }, vms) ? 1 : 0;
+        RC_ASSERT(taken <= 0.2 * requests + 56);
+    }));
+}
+
+Test(repeats, the_window_slides)
+{
+    RepeatLimit limit(0, 2, seconds { 10 });
+    cr_assert(limit.take(now, 1));
+    cr_assert_not(limit.take(now + seconds { 9 }, 1));
+    cr_assert(limit.take(now + seconds { 11 }, 1));
+}
+
+Test(suspects, a_content_is_refused_after_two_crashes)
+{
+    CrashSuspects suspects;
+    suspects.noteBroken("w", 7, now);
+    cr_assert_not(suspects.isRefused(7));
+    suspects.noteCrash("w", now + milliseconds { 500 });
+    suspects.noteCrash("w", now + milliseconds { 600 });
+    cr_assert_not(suspects.isRefused(7), "one crash counts once");
+    suspects.noteBroken("v", 7, now + seconds { 1 });
+    suspects.noteCrash("v", now + seconds { 2 });
+    cr_assert(suspects.isRefused(7));
+    cr_assert_not(suspects.isRefused(8));
+}
+
+Test(suspects, a_lost_answer_alone_is_no_crash)
+{
+    CrashSuspects suspects;
+    for (int i = 0; i < 10; i++)
+        suspects.noteBroken("w", 7, now);
+    cr_assert_not(suspects.isRefused(7));
+    suspects.noteCrash("w", now + seconds { 60 });
+    cr_assert_not(suspects.isRefused(7), "the worker died much later");
+}
