--- a/edge/include/edge/edge.h
+++ b/edge/include/edge/edge.h
@@ -13,14 +13,25 @@
 
 /// Pause between beats to the other VMs: a peer's load is news for about as long as a prompt takes to read.
 constexpr milliseconds beatInterval { 200 };
+/// Least pause for each member: it bounds what all VMs send to each other to their number, not its square.
+constexpr milliseconds beatIntervalPerMember { 12 };
 /// A peer not heard for this long is left out of the directory.
 constexpr milliseconds peerSilence { 1100 };
+/// The same in pauses between beats, for many VMs.
+constexpr int peerSilenceBeats = 4;
 /// Pause between beats to a peer that has been silent for long.
 constexpr milliseconds silentPeerInterval { 2000 };
 /// A peer silent for this long is dropped from the members by the holder of the lease.
 constexpr std::chrono::seconds memberSilence { 120 };
-/// Longest time a read waits for news of configuration and members: half the time in which a configuration must be in force.
-constexpr milliseconds newsWait { 2500 };
+/// Longest time a read waits for news of configuration and members. Beats tell of a newer configuration meanwhile, should
+/// the read's connection have gone silent.
+constexpr milliseconds newsWait { 8000 };
+/// Longest time for which a VM leaves reading the workers' stream to others that pass it on.
+constexpr milliseconds lazyReadInterval { 4000 };
+/// VMs that read the workers' stream for all.
+constexpr size_t workerReaders = 2;
+/// Beats in which a passed record is repeated, as datagrams may be lost.
+constexpr int passRepeats = 3;
 /// Pause between two reads of the workers' stream. Each worker writes there about every second.
 constexpr milliseconds workerReadInterval { 700 };
 /// Pause after a failed call to the store, doubled after each further failure up to the most.
--- a/edge/src/beat.capnp
+++ b/edge/src/beat.capnp
@@ -12,14 +12,14 @@
 }
 
 struct Load {
-  worker @0 :Text;
+  worker @0 :UInt32;
   prefillTokens @1 :UInt32;
   memoryTokens @2 :UInt32;
   requests @3 :UInt16;
 }
 
 struct Sent {
-  worker @0 :Text;
+  worker @0 :UInt32;
   chain @1 :UInt64;
   tokens @2 :UInt32;
 }
@@ -45,6 +45,12 @@
   crashes @1 :UInt8;
 }
 
+struct Entry {
+  worker @0 :Text;
+  value @1 :Data;
+  offset @2 :UInt64;
+}
+
 struct Beat {
   node @0 :Text;
   incarnation @1 :UInt64;
@@ -61,4 +67,7 @@
   configVersion @12 :UInt64;
   used @13 :List(Want);
   leaseOffset @14 :UInt64;
+  readsWorkers @15 :Bool;
+  entries @16 :List(Entry);
+  partial @17 :Bool;
 }
--- a/edge/src/beat.capnp.h
+++ b/edge/src/beat.capnp.h
@@ -23,6 +23,7 @@
 CAPNP_DECLARE_SCHEMA(d7003ec6739d697a);
 CAPNP_DECLARE_SCHEMA(f07145a02a2ed46c);
 CAPNP_DECLARE_SCHEMA(ab173b2e6cb73b5c);
+CAPNP_DECLARE_SCHEMA(81e2ca8cdcaea04c);
 CAPNP_DECLARE_SCHEMA(ed1775a394c07423);
 
 }  // namespace schemas
@@ -55,7 +56,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e1d080c07741ab98, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(e1d080c07741ab98, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -70,7 +71,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8411c5879f335939, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(8411c5879f335939, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -137,6 +138,21 @@
   };
 };
 
+struct Entry {
+  Entry() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(81e2ca8cdcaea04c, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Beat {
   Beat() = delete;
 
@@ -145,7 +161,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ed1775a394c07423, 6, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(ed1775a394c07423, 6, 9)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -277,8 +293,7 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasWorker() const;
-  inline  ::capnp::Text::Reader getWorker() const;
+  inline  ::uint32_t getWorker() const;
 
   inline  ::uint32_t getPrefillTokens() const;
 
@@ -314,12 +329,8 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasWorker();
-  inline  ::capnp::Text::Builder getWorker();
-  inline void setWorker( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initWorker(unsigned int size);
-  inline void adoptWorker(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownWorker();
+  inline  ::uint32_t getWorker();
+  inline void setWorker( ::uint32_t value);
 
   inline  ::uint32_t getPrefillTokens();
   inline void setPrefillTokens( ::uint32_t value);
@@ -373,8 +384,7 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasWorker() const;
-  inline  ::capnp::Text::Reader getWorker() const;
+  inline  ::uint32_t getWorker() const;
 
   inline  ::uint64_t getChain() const;
 
@@ -408,12 +418,8 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasWorker();
-  inline  ::capnp::Text::Builder getWorker();
-  inline void setWorker( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initWorker(unsigned int size);
-  inline void adoptWorker(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownWorker();
+  inline  ::uint32_t getWorker();
+  inline void setWorker( ::uint32_t value);
 
   inline  ::uint64_t getChain();
   inline void setChain( ::uint64_t value);
@@ -807,6 +813,102 @@
 };
 #endif  // !CAPNP_LITE
 
+class Entry::Reader {
+public:
+  typedef Entry Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasWorker() const;
+  inline  ::capnp::Text::Reader getWorker() const;
+
+  inline bool hasValue() const;
+  inline  ::capnp::Data::Reader getValue() const;
+
+  inline  ::uint64_t getOffset() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Entry::Builder {
+public:
+  typedef Entry Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasWorker();
+  inline  ::capnp::Text::Builder getWorker();
+  inline void setWorker( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initWorker(unsigned int size);
+  inline void adoptWorker(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownWorker();
+
+  inline bool hasValue();
+  inline  ::capnp::Data::Builder getValue();
+  inline void setValue( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initValue(unsigned int size);
+  inline void adoptValue(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownValue();
+
+  inline  ::uint64_t getOffset();
+  inline void setOffset( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Entry::Pipeline {
+public:
+  typedef Entry Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Beat::Reader {
 public:
   typedef Beat Reads;
@@ -862,6 +964,13 @@
 
   inline  ::uint64_t getLeaseOffset() const;
 
+  inline bool getReadsWorkers() const;
+
+  inline bool hasEntries() const;
+  inline  ::capnp::List< ::comfreypier::edge::wire::Entry,  ::capnp::Kind::STRUCT>::Reader getEntries() const;
+
+  inline bool getPartial() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -967,6 +1076,19 @@
   inline  ::uint64_t getLeaseOffset();
   inline void setLeaseOffset( ::uint64_t value);
 
+  inline bool getReadsWorkers();
+  inline void setReadsWorkers(bool value);
+
+  inline bool hasEntries();
+  inline  ::capnp::List< ::comfreypier::edge::wire::Entry,  ::capnp::Kind::STRUCT>::Builder getEntries();
+  inline void setEntries( ::capnp::List< ::comfreypier::edge::wire::Entry,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::comfreypier::edge::wire::Entry,  ::capnp::Kind::STRUCT>::Builder initEntries(unsigned int size);
+  inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::comfreypier::edge::wire::Entry,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::comfreypier::edge::wire::Entry,  ::capnp::Kind::STRUCT>> disownEntries();
+
+  inline bool getPartial();
+  inline void setPartial(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1111,142 +1233,102 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool Load::Reader::hasWorker() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Load::Builder::hasWorker() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Load::Reader::getWorker() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Load::Builder::getWorker() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Load::Builder::setWorker( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Load::Builder::initWorker(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::uint32_t Load::Reader::getWorker() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Load::Builder::adoptWorker(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint32_t Load::Builder::getWorker() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> Load::Builder::disownWorker() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void Load::Builder::setWorker( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::uint32_t Load::Reader::getPrefillTokens() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
 inline  ::uint32_t Load::Builder::getPrefillTokens() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 inline void Load::Builder::setPrefillTokens( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::uint32_t Load::Reader::getMemoryTokens() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
 inline  ::uint32_t Load::Builder::getMemoryTokens() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 inline void Load::Builder::setMemoryTokens( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::uint16_t Load::Reader::getRequests() const {
   return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
 
 inline  ::uint16_t Load::Builder::getRequests() {
   return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
 inline void Load::Builder::setRequests( ::uint16_t value) {
   _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Sent::Reader::hasWorker() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Sent::Builder::hasWorker() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Sent::Reader::getWorker() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Sent::Builder::getWorker() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Sent::Builder::setWorker( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Sent::Builder::initWorker(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::uint32_t Sent::Reader::getWorker() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Sent::Builder::adoptWorker(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint32_t Sent::Builder::getWorker() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> Sent::Builder::disownWorker() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void Sent::Builder::setWorker( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::uint64_t Sent::Reader::getChain() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
 inline  ::uint64_t Sent::Builder::getChain() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 inline void Sent::Builder::setChain( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::uint32_t Sent::Reader::getTokens() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
 inline  ::uint32_t Sent::Builder::getTokens() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 inline void Sent::Builder::setTokens( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Demand::Reader::hasModel() const {
@@ -1499,6 +1581,88 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Entry::Reader::hasWorker() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Entry::Builder::hasWorker() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Entry::Reader::getWorker() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Entry::Builder::getWorker() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Entry::Builder::setWorker( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Entry::Builder::initWorker(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Entry::Builder::adoptWorker(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Entry::Builder::disownWorker() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Entry::Reader::hasValue() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Entry::Builder::hasValue() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Entry::Reader::getValue() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Entry::Builder::getValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Entry::Builder::setValue( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Entry::Builder::initValue(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Entry::Builder::adoptValue(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Entry::Builder::disownValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Entry::Reader::getOffset() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Entry::Builder::getOffset() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Entry::Builder::setOffset( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Beat::Reader::hasNode() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1869,6 +2033,68 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Beat::Reader::getReadsWorkers() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<130>() * ::capnp::ELEMENTS);
+}
+
+inline bool Beat::Builder::getReadsWorkers() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<130>() * ::capnp::ELEMENTS);
+}
+inline void Beat::Builder::setReadsWorkers(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<130>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Beat::Reader::hasEntries() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool Beat::Builder::hasEntries() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::comfreypier::edge::wire::Entry,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getEntries() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreypier::edge::wire::Entry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::comfreypier::edge::wire::Entry,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreypier::edge::wire::Entry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void Beat::Builder::setEntries( ::capnp::List< ::comfreypier::edge::wire::Entry,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::comfreypier::edge::wire::Entry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::comfreypier::edge::wire::Entry,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initEntries(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreypier::edge::wire::Entry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+}
+inline void Beat::Builder::adoptEntries(
+    ::capnp::Orphan< ::capnp::List< ::comfreypier::edge::wire::Entry,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::comfreypier::edge::wire::Entry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::comfreypier::edge::wire::Entry,  ::capnp::Kind::STRUCT>> Beat::Builder::disownEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreypier::edge::wire::Entry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
+inline bool Beat::Reader::getPartial() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<131>() * ::capnp::ELEMENTS);
+}
+
+inline bool Beat::Builder::getPartial() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<131>() * ::capnp::ELEMENTS);
+}
+inline void Beat::Builder::setPartial(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<131>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/edge/src/beat_codec.h
+++ b/edge/src/beat_codec.h
@@ -17,9 +17,22 @@
 std::string encodeMember(const Member& member);
 std::optional<Member> decodeMember(std::string_view bytes);
 
+/// Short name of a worker in beats.
+using WorkerKey = uint32_t;
+
+/// Returns the short name of a worker.
+WorkerKey workerKey(std::string_view worker);
+
+/// A record of the workers' stream that a VM passes on.
+struct PassedEntry {
+    std::string worker;
+    std::string value; ///< Empty if the record drops its key.
+    uint64_t offset = 0;
+};
+
 /// A prompt part that a VM has just sent to a worker.
 struct SentPart {
-    std::string worker;
+    WorkerKey worker = 0;
     uint64_t chain = 0;
     uint32_t tokens = 0;
 };
@@ -42,7 +55,10 @@
     uint64_t leaseToken = 0; ///< Fencing token if the VM gives orders now, else 0.
     uint64_t leaseOffset = 0; ///< Newest record of the lease, from its holder.
     uint64_t configVersion = 0;
-    std::map<std::string, routing::WorkerLoad> loads; ///< By worker; others carry none.
+    bool partial = false; ///< Carries only what is urgent: loads are left out.
+    bool readsWorkers = false; ///< The VM has just read the workers' stream and passes news of it on.
+    std::vector<PassedEntry> entries;
+    std::map<WorkerKey, routing::WorkerLoad> loads; ///< By worker; others carry none.
     std::vector<SentPart> sent;
     std::map<std::string, double> demand; ///< By model, in worker seconds a second.
     std::vector<Want> wants;
--- a/edge/src/beat_codec_capnp.cpp
+++ b/edge/src/beat_codec_capnp.cpp
@@ -4,8 +4,7 @@
 #include "beat.capnp.h"
 
 #include <capnp/message.h>
-#include <capnp/serialize.h>
-#include <cstring>
+#include <capnp/serialize-packed.h>
 
 namespace comfreypier::edge {
 
@@ -13,8 +12,9 @@
 
     std::string toBytes(capnp::MessageBuilder& message)
     {
-        auto words = capnp::messageToFlatArray(message);
-        auto bytes = words.asBytes();
+        kj::VectorOutputStream out;
+        capnp::writePackedMessage(out, message);
+        auto bytes = out.getArray();
         return { reinterpret_cast<const char*>(bytes.begin()), bytes.size() };
     }
 
@@ -22,12 +22,9 @@
     template <class Root, class Read>
     bool readBytes(std::string_view bytes, Read&& read)
     {
-        if (bytes.empty() || bytes.size() % sizeof(capnp::word) != 0)
-            return false;
-        auto words = kj::heapArray<capnp::word>(bytes.size() / sizeof(capnp::word));
-        std::memcpy(words.begin(), bytes.data(), bytes.size());
+        kj::ArrayInputStream in(kj::arrayPtr(reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()));
         auto fault = kj::runCatchingExceptions([&] {
-            capnp::FlatArrayMessageReader reader(words);
+            capnp::PackedMessageReader reader(in);
             read(reader.getRoot<Root>());
         });
         return fault == nullptr;
@@ -93,6 +90,13 @@
             for (const auto& item : items)
                 list.set(k++, item);
         }
+        auto entries = root.initEntries(static_cast<unsigned>(beat.entries.size()));
+        for (i = 0; i < beat.entries.size(); i++) {
+            const auto& entry = beat.entries[i];
+            entries[i].setWorker(entry.worker);
+            entries[i].setValue(kj::arrayPtr(reinterpret_cast<const kj::byte*>(entry.value.data()), entry.value.size()));
+            entries[i].setOffset(entry.offset);
+        }
         auto suspects = root.initSuspects(static_cast<unsigned>(beat.suspects.size()));
         i = 0;
         for (const auto& [content, crashes] : beat.suspects) {
@@ -104,9 +108,9 @@
     void readLists(wire::Beat::Reader root, Beat& beat)
     {
         for (auto item : root.getLoads())
-            beat.loads[text(item.getWorker())] = { static_cast<double>(item.getPrefillTokens()), static_cast<double>(item.getMemoryTokens()), item.getRequests() };
+            beat.loads[item.getWorker()] = { static_cast<double>(item.getPrefillTokens()), static_cast<double>(item.getMemoryTokens()), item.getRequests() };
         for (auto item : root.getSent())
-            beat.sent.push_back({ text(item.getWorker()), item.getChain(), item.getTokens() });
+            beat.sent.push_back({ item.getWorker(), item.getChain(), item.getTokens() });
         for (auto item : root.getDemand())
             beat.demand[text(item.getModel())] = item.getWork();
         readWants(root.getWants(), beat.wants);
@@ -116,12 +120,21 @@
             for (auto item : entry.getItems())
                 items.insert(text(item));
         }
+        for (auto item : root.getEntries()) {
+            auto value = item.getValue();
+            beat.entries.push_back({ text(item.getWorker()), std::string(reinterpret_cast<const char*>(value.begin()), value.size()), item.getOffset() });
+        }
         for (auto item : root.getSuspects())
             beat.suspects[item.getContent()] = item.getCrashes();
     }
 
 } // namespace
 
+WorkerKey workerKey(std::string_view worker)
+{
+    return static_cast<WorkerKey>(routing::hashText(worker));
+}
+
 std::string encodeMember(const Member& member)
 {
     capnp::MallocMessageBuilder message;
@@ -158,6 +171,8 @@
     root.setReady(beat.ready);
     root.setLeaving(beat.leaving);
     root.setLeaseToken(beat.leaseToken);
+    root.setPartial(beat.partial);
+    root.setReadsWorkers(beat.readsWorkers);
     root.setLeaseOffset(beat.leaseOffset);
     root.setConfigVersion(beat.configVersion);
     fillLists(root, beat);
@@ -174,6 +189,8 @@
         beat.ready = root.getReady();
         beat.leaving = root.getLeaving();
         beat.leaseToken = root.getLeaseToken();
+        beat.partial = root.getPartial();
+        beat.readsWorkers = root.getReadsWorkers();
         beat.leaseOffset = root.getLeaseOffset();
         beat.configVersion = root.getConfigVersion();
         readLists(root, beat);
--- a/edge/src/edge.cpp
+++ b/edge/src/edge.cpp
@@ -48,7 +48,8 @@
         , store(
               this->vm, [this](const auto& node, const auto& member) { this->peers.onMember(node, member); },
               [this](const auto& worker) { this->noteCrash(worker); },
-              [this](const auto& configuration) { this->front.setLimits(frontLimits(this->settings, configuration.limits)); })
+              [this](const auto& configuration) { this->front.setLimits(frontLimits(this->settings, configuration.limits)); },
+              [this](const auto& entry) { this->peers.passOn(entry); }, [this] { return this->peers.othersRead(); })
         , orders(this->vm, this->peers)
         , relay(this->vm, this->peers)
         , front(
@@ -63,8 +64,11 @@
     {
     }
 
-    void hearVersions()
+    /// Connects what peers say of the store with its follower.
+    void connectPeers()
     {
+        this->peers.readsWorkers = [this] { return this->store.readsWorkers(); };
+        this->peers.onEntries = [this](const auto& entries) { this->store.hearEntries(entries); };
         this->peers.onVersion = [this](uint64_t version) { this->store.hearVersion(version); };
     }
 
@@ -146,7 +150,7 @@
 bool Edge::start()
 {
     auto& self = *this->impl;
-    self.hearVersions();
+    self.connectPeers();
     if (!self.peers.start() || !self.front.start() || !self.directory.start() || !self.readiness.start() || !self.metrics.start())
         return false;
     self.startDuties();
--- a/edge/src/fleet.cpp
+++ b/edge/src/fleet.cpp
@@ -6,6 +6,8 @@
 
     /// Round trip to another data centre that is assumed for the choice of a worker.
     constexpr milliseconds dataCentreRoundTrip { 3 };
+    /// Most workers that are remembered after their end.
+    constexpr size_t goneLimit = 4096;
     /// Most sent parts that wait for the next beat.
     constexpr size_t sentLimit = 256;
 
@@ -31,10 +33,17 @@
     return true;
 }
 
-bool Fleet::applyEntry(const routing::WorkerEntry& entry, Time now)
+bool Fleet::applyEntry(const routing::WorkerEntry& entry, uint64_t offset, Time now)
 {
     std::lock_guard lock(this->mutex);
+    auto gone = this->goneAt.find(entry.id);
+    if (gone != this->goneAt.end() && offset <= gone->second)
+        return false;
     auto& known = this->workers[entry.id];
+    if (known.heardAt != Time { 0 } && offset <= known.offset)
+        return false;
+    known.offset = offset;
+    this->workerNames[workerKey(entry.id)] = entry.id;
     known.heardAt = now;
     known.missingSince = Time { 0 };
     auto& worker = known.worker;
@@ -54,22 +63,25 @@
     return true;
 }
 
-void Fleet::removeEntry(const std::string& id, Time now, Time grace)
+bool Fleet::removeEntry(const std::string& id, uint64_t offset, Time now, Time grace)
 {
     std::lock_guard lock(this->mutex);
     auto found = this->workers.find(id);
-    if (found == this->workers.end() || found->second.missingSince != Time { 0 })
-        return;
+    if (found == this->workers.end() || found->second.missingSince != Time { 0 } || offset <= found->second.offset)
+        return false;
+    found->second.offset = offset;
     found->second.missingSince = now;
     found->second.grace = grace;
+    return true;
 }
 
-void Fleet::retain(const std::set<std::string>& present, Time now, Time grace)
+void Fleet::retain(const std::set<std::string>& present, uint64_t end, Time now, Time grace)
 {
     std::lock_guard lock(this->mutex);
     for (auto& [id, known] : this->workers) {
-        if (present.contains(id) || known.missingSince != Time { 0 })
+        if (present.contains(id) || known.missingSince != Time { 0 } || known.offset >= end)
             continue;
+        known.offset = end;
         known.missingSince = now;
         known.grace = grace;
     }
@@ -82,10 +94,14 @@
     for (auto it = this->workers.begin(); it != this->workers.end();) {
         if (it->second.missingSince != Time { 0 } && now >= it->second.missingSince + it->second.grace) {
             dropped.push_back(it->first);
+            this->goneAt[it->first] = it->second.offset;
+            this->workerNames.erase(workerKey(it->first));
             it = this->workers.erase(it);
         } else
             ++it;
     }
+    while (this->goneAt.size() > goneLimit)
+        this->goneAt.erase(this->goneAt.begin());
     return dropped;
 }
 
@@ -175,15 +191,18 @@
 {
     std::lock_guard lock(this->mutex);
     double capacity = 0;
+    if (beat.partial)
+        return;
     for (auto& [id, known] : this->workers) {
-        auto load = beat.loads.find(id);
+        auto load = beat.loads.find(workerKey(id));
         if (load == beat.loads.end())
             known.worker.peers.erase(peer);
         else
             known.worker.peers[peer] = load->second;
     }
     for (const auto& part : beat.sent) {
-        auto found = this->workers.find(part.worker);
+        auto named = this->workerNames.find(part.worker);
+        auto found = named == this->workerNames.end() ? this->workers.end() : this->workers.find(named->second);
         if (found == this->workers.end() || !this->current)
             continue;
         auto service = this->current->services.find(found->second.worker.entry.service);
@@ -210,13 +229,13 @@
     }
 }
 
-std::map<std::string, routing::WorkerLoad> Fleet::ownLoads() const
+std::map<WorkerKey, routing::WorkerLoad> Fleet::ownLoads() const
 {
     std::lock_guard lock(this->mutex);
-    std::map<std::string, routing::WorkerLoad> loads;
+    std::map<WorkerKey, routing::WorkerLoad> loads;
     for (const auto& [id, known] : this->workers) {
         if (known.worker.own.requests > 0)
-            loads[id] = known.worker.own;
+            loads[workerKey(id)] = known.worker.own;
     }
     return loads;
 }
@@ -241,7 +260,7 @@
             worker.kept.note(chains[i], shape.parts[i].tokens, capacity * routing::keptMemoryShare);
             // The last part is the request's own: other VMs hardly see it again.
             if (!known && i + 1 < chains.size() && this->sent.size() < sentLimit)
-                this->sent.push_back({ id, chains[i], shape.parts[i].tokens });
+                this->sent.push_back({ workerKey(id), chains[i], shape.parts[i].tokens });
         }
     }
     return { *this, id, load };
--- a/edge/src/fleet.h
+++ b/edge/src/fleet.h
@@ -27,12 +27,14 @@
     /// Puts a configuration in force unless a newer one already is. @return true if it was taken.
     bool applyConfiguration(routing::Configuration configuration);
 
-    /// Takes over a worker's entry. @return true if it says something new.
-    bool applyEntry(const routing::WorkerEntry& entry, Time now);
+    /// Takes over a worker's entry. @param offset of its record; older ones than the last are ignored.
+    /// @return true if it says something new.
+    bool applyEntry(const routing::WorkerEntry& entry, uint64_t offset, Time now);
     /// Notes that a worker's entry is gone. @param grace time in which it may come back.
-    void removeEntry(const std::string& id, Time now, Time grace);
-    /// Notes all that are not among `present` as gone.
-    void retain(const std::set<std::string>& present, Time now, Time grace);
+    /// @return true if that is news.
+    bool removeEntry(const std::string& id, uint64_t offset, Time now, Time grace);
+    /// Notes all that are not among `present` as gone. @param end offset at which they were read.
+    void retain(const std::set<std::string>& present, uint64_t end, Time now, Time grace);
     /// Drops workers whose entries did not come back. @return their ids.
     std::vector<std::string> dropMissing(Time now);
 
@@ -65,7 +67,7 @@
     void applyResident(const std::map<std::string, std::set<std::string>>& resident);
 
     /// Own load by worker, for beats.
-    std::map<std::string, routing::WorkerLoad> ownLoads() const;
+    std::map<WorkerKey, routing::WorkerLoad> ownLoads() const;
     /// Parts sent since the last call, for beats.
     std::vector<SentPart> takeSent();
     /// Notes a request on its way to a worker.
@@ -75,6 +77,7 @@
     friend class LoadTicket;
     struct Known {
         routing::Worker worker;
+        uint64_t offset = 0; ///< Of the record that was last taken over.
         Time heardAt { 0 };
         Time missingSince { 0 }; ///< 0 while the entry is there.
         Time grace { 0 };
@@ -85,6 +88,8 @@
     mutable std::mutex mutex;
     ConfigurationPtr current;
     std::map<std::string, Known> workers;
+    std::map<std::string, uint64_t> goneAt; ///< Offset at which workers went.
+    std::map<WorkerKey, std::string> workerNames;
     std::vector<SentPart> sent;
 };
 
--- a/edge/src/peers.cpp
+++ b/edge/src/peers.cpp
@@ -8,9 +8,12 @@
 
     /// Shortest pause between beats that are sent at once.
     constexpr milliseconds beatNowInterval { 3 };
-    /// What the holder announces is part of every beat for this long after a change, and of one beat in each such interval.
+    /// The same for each member.
+    constexpr std::chrono::microseconds urgentPerMember { 500 };
+    /// What the holder announces of a worker is part of every beat for this long after a change.
     constexpr milliseconds residentNewsTime { 500 };
-    constexpr milliseconds residentRepeat { 1000 };
+    /// Workers whose models and adapters are part of a beat without a change.
+    constexpr size_t residentInTurn = 3;
     /// Least work that is worth telling, in worker seconds a second.
     constexpr double demandLeast = 0.005;
 
@@ -54,13 +57,56 @@
             transport::spawnHere([this, &published] { published = this->publish(); });
         }
         this->beatNow();
-        sleepFor(beatInterval);
+        milliseconds pause;
+        {
+            std::lock_guard lock(this->mutex);
+            pause = this->interval();
+        }
+        sleepFor(pause);
     }
     // The publishing fiber refers to this frame.
     while (!published && monotonicNow() - triedAt < platform::storeConnectTime + platform::storeAnswerTime)
         sleepFor(beatInterval);
 }
 
+milliseconds Peers::interval() const
+{
+    return std::max(beatInterval, beatIntervalPerMember * static_cast<int>(this->peers.size() + 1));
+}
+
+milliseconds Peers::silence() const
+{
+    return std::max(peerSilence, peerSilenceBeats * this->interval());
+}
+
+Time Peers::urgentInterval() const
+{
+    std::lock_guard lock(this->mutex);
+    return beatNowInterval + urgentPerMember * this->peers.size();
+}
+
+void Peers::passOn(const PassedEntry& entry)
+{
+    {
+        std::lock_guard lock(this->mutex);
+        this->passed.emplace_back(entry, passRepeats);
+    }
+    this->beatNow();
+}
+
+bool Peers::othersRead() const
+{
+    auto now = monotonicNow();
+    auto own = routing::hashText(this->vm.settings.node);
+    std::lock_guard lock(this->mutex);
+    size_t readers = 0;
+    for (const auto& [node, peer] : this->peers) {
+        bool reads = peer.readsWorkers && !peer.leaving && now - peer.heardAt < this->silence();
+        readers += reads && routing::hashText(node) < own ? 1 : 0;
+    }
+    return readers >= workerReaders;
+}
+
 void Peers::resign()
 {
     add(this->vm.counters, Event::StoreCalls);
@@ -68,19 +114,21 @@
     this->log.info(std::string("event=resign outcome=") + (outcome ? "done" : platform::name(outcome.error())));
 }
 
-Beat Peers::makeBeat()
+Beat Peers::makeBeat(bool partial)
 {
     Beat beat;
+    beat.partial = partial;
     beat.node = this->vm.settings.node;
     beat.incarnation = this->incarnation;
     beat.number = ++this->number;
     beat.ready = this->vm.isReady();
     beat.leaving = this->vm.phase.leaving;
     auto configuration = this->vm.fleet.configuration();
+    beat.readsWorkers = this->readsWorkers && this->readsWorkers();
     beat.configVersion = configuration ? configuration->version : 0;
-    beat.loads = this->vm.fleet.ownLoads();
-    beat.sent = this->vm.fleet.takeSent();
-    {
+    if (!partial) {
+        beat.loads = this->vm.fleet.ownLoads();
+        beat.sent = this->vm.fleet.takeSent();
         std::lock_guard lock(this->suspectMutex);
         beat.suspects = this->suspects.counts();
     }
@@ -91,25 +139,73 @@
     }
     for (const auto& [want, count] : this->wants)
         beat.wants.push_back(want);
-    beat.used.assign(this->used.begin(), this->used.end());
-    this->used.clear();
     beat.leaseToken = this->leaseToken;
     beat.leaseOffset = this->leaseOffset;
-    auto now = monotonicNow();
-    if (now - this->residentChangedAt < residentNewsTime || now - this->residentToldAt > residentRepeat) {
-        this->residentToldAt = now;
-        beat.resident = this->resident;
+    if (partial)
+        return beat;
+    for (auto& [entry, left] : this->passed) {
+        beat.entries.push_back(entry);
+        left--;
     }
+    std::erase_if(this->passed, [](const auto& item) { return item.second <= 0; });
+    beat.used.assign(this->used.begin(), this->used.end());
+    this->used.clear();
+    this->fillResident(beat);
     return beat;
 }
 
+/// Adds the workers whose models or adapters have just changed, and a few others in turn.
+void Peers::fillResident(Beat& beat)
+{
+    auto now = monotonicNow();
+    auto news = std::max(residentNewsTime, 2 * this->interval());
+    for (const auto& [worker, items] : this->resident) {
+        if (now - this->residentChangedAt[worker] < news)
+            beat.resident[worker] = items;
+    }
+    auto next = this->resident.upper_bound(this->residentTold);
+    for (size_t i = 0; i < residentInTurn && !this->resident.empty(); i++) {
+        if (next == this->resident.end())
+            next = this->resident.begin();
+        beat.resident[next->first] = next->second;
+        this->residentTold = next->first;
+        ++next;
+    }
+}
+
+void Peers::tellHolder()
+{
+    std::optional<transport::Endpoint> holder;
+    {
+        auto now = monotonicNow();
+        std::lock_guard lock(this->mutex);
+        for (const auto& [node, peer] : this->peers) {
+            if (peer.leaseToken != 0 && now - peer.heardAt < this->silence())
+                holder = peer.member.inner;
+        }
+    }
+    if (!holder)
+        return;
+    this->socket.send(*holder, encodeBeat(this->makeBeat(true)));
+    add(this->vm.counters, Event::BeatsSent);
+}
+
 void Peers::beatNow()
 {
     auto now = monotonicNow();
-    if (now - this->beatenAt < beatNowInterval)
+    if (now < this->beatenAt + this->urgentInterval()) {
+        if (!std::exchange(this->beatPending, true)) {
+            transport::spawnHere([this] {
+                sleepFor(std::max(Time { 0 }, this->beatenAt + this->urgentInterval() - monotonicNow()));
+                this->beatPending = false;
+                this->beatNow();
+            });
+        }
         return;
+    }
     this->beatenAt = now;
-    auto bytes = encodeBeat(this->makeBeat());
+    auto beat = this->makeBeat(false);
+    auto bytes = encodeBeat(beat);
     std::vector<transport::Endpoint> targets;
     {
         std::lock_guard lock(this->mutex);
@@ -141,12 +237,13 @@
         auto& peer = found->second;
         if (beat->number <= peer.number)
             return;
-        if (monotonicNow() - peer.heardAt > peerSilence)
+        if (monotonicNow() - peer.heardAt > this->silence())
             this->log.info("event=peer_heard node=" + beat->node);
         peer.number = beat->number;
         peer.heardAt = monotonicNow();
         peer.ready = beat->ready;
         peer.leaving = beat->leaving;
+        peer.readsWorkers = beat->readsWorkers;
         peer.leaseToken = beat->leaseToken;
         peer.demand = std::move(beat->demand);
         peer.wants = std::move(beat->wants);
@@ -164,6 +261,8 @@
     }
     if (wanting && this->onWants)
         this->onWants();
+    if (this->onEntries)
+        this->onEntries(beat->entries);
     if (this->onVersion)
         this->onVersion(beat->configVersion);
     for (const auto& use : beat->used) {
@@ -200,7 +299,7 @@
     auto now = monotonicNow();
     std::lock_guard lock(this->mutex);
     for (const auto& [node, peer] : this->peers) {
-        if (peer.ready && !peer.leaving && now - peer.heardAt < peerSilence)
+        if (peer.ready && !peer.leaving && now - peer.heardAt < this->silence())
             (peer.member.dataCentre == dataCentre ? near : far).push_back(peer.member.front);
     }
     if (near.size() < addressesLeast)
@@ -215,7 +314,7 @@
         auto now = monotonicNow();
         std::lock_guard lock(this->mutex);
         for (const auto& [node, peer] : this->peers) {
-            if (now - peer.heardAt > peerSilence)
+            if (now - peer.heardAt > this->silence())
                 silent.push_back(node);
         }
     }
@@ -249,7 +348,7 @@
 {
     std::lock_guard lock(this->mutex);
     auto found = this->peers.find(node);
-    return found != this->peers.end() && monotonicNow() - found->second.heardAt < peerSilence;
+    return found != this->peers.end() && monotonicNow() - found->second.heardAt < this->silence();
 }
 
 std::map<std::string, double> Peers::totalDemand() const
@@ -280,7 +379,7 @@
     for (const auto& [want, count] : this->wants)
         all.insert(want);
     for (const auto& [node, peer] : this->peers) {
-        if (now - peer.heardAt < peerSilence)
+        if (now - peer.heardAt < this->silence())
             all.insert(peer.wants.begin(), peer.wants.end());
     }
     return { all.begin(), all.end() };
@@ -293,7 +392,7 @@
         if (this->wants[want]++ > 0)
             return;
     }
-    this->beatNow();
+    this->tellHolder();
     if (this->onWants)
         this->onWants();
 }
@@ -321,9 +420,14 @@
     bool news = false;
     {
         std::lock_guard lock(this->mutex);
-        news = this->resident != adapters;
-        if (news)
-            this->residentChangedAt = monotonicNow();
+        for (const auto& [worker, items] : adapters) {
+            auto known = this->resident.find(worker);
+            if (known != this->resident.end() && known->second == items)
+                continue;
+            this->residentChangedAt[worker] = monotonicNow();
+            news = true;
+        }
+        std::erase_if(this->residentChangedAt, [&adapters](const auto& item) { return !adapters.contains(item.first); });
         this->leaseToken = token;
         this->leaseOffset = offset;
         this->resident = std::move(adapters);
@@ -338,7 +442,7 @@
     std::lock_guard lock(this->mutex);
     uint64_t highest = 0;
     for (const auto& [node, peer] : this->peers) {
-        if (now - peer.heardAt < peerSilence)
+        if (now - peer.heardAt < this->silence())
             highest = std::max(highest, peer.leaseToken);
     }
     return highest;
@@ -350,7 +454,7 @@
     std::lock_guard lock(this->mutex);
     size_t heard = 0;
     for (const auto& [node, peer] : this->peers)
-        heard += now - peer.heardAt < peerSilence ? 1 : 0;
+        heard += now - peer.heardAt < this->silence() ? 1 : 0;
     return 2 * heard >= this->peers.size();
 }
 
@@ -358,8 +462,8 @@
 {
     auto now = monotonicNow();
     std::lock_guard lock(this->mutex);
-    return std::any_of(this->peers.begin(), this->peers.end(), [now](const auto& item) {
-        return item.second.leaseToken != 0 && now - item.second.heardAt < peerSilence;
+    return std::any_of(this->peers.begin(), this->peers.end(), [this, now](const auto& item) {
+        return item.second.leaseToken != 0 && now - item.second.heardAt < this->silence();
     });
 }
 
--- a/edge/src/peers.h
+++ b/edge/src/peers.h
@@ -13,6 +13,7 @@
     uint64_t number = 0; ///< Of the newest beat.
     bool ready = false;
     bool leaving = false;
+    bool readsWorkers = false;
     uint64_t leaseToken = 0;
     std::map<std::string, double> demand;
     std::vector<Want> wants;
@@ -27,8 +28,10 @@
     bool start();
     /// Publishes this VM as a member, then sends beats until the daemon stops.
     void run();
-    /// Sends a beat at once, for news that others wait for.
+    /// Sends a beat at once, for news that others wait for; a little later if there was one just now.
     void beatNow();
+    /// Tells the holder of the lease at once what this VM misses.
+    void tellHolder();
     /// Takes this VM from the members.
     void resign();
     void stop() { this->socket.stop(); }
@@ -68,6 +71,14 @@
 
     /// Called when some VM misses something.
     std::function<void()> onWants;
+    /// Passes a record of the workers' stream on to the other VMs.
+    void passOn(const PassedEntry& entry);
+    /// Tells whether enough other VMs read the workers' stream and pass it on.
+    bool othersRead() const;
+    /// Tells whether this VM does so.
+    std::function<bool()> readsWorkers;
+    /// Called with the records that a peer passes on.
+    std::function<void(const std::vector<PassedEntry>&)> onEntries;
     /// Called with the newest lease record for each beat of a holder.
     std::function<void(uint64_t)> onClaim;
     /// Called with the configuration version of each beat.
@@ -79,7 +90,14 @@
     std::mutex suspectMutex;
 
 private:
-    Beat makeBeat();
+    /// @param partial leaves out all but what this VM misses and its state.
+    Beat makeBeat(bool partial);
+    void fillResident(Beat& beat);
+    /// Pause between two beats, and the silence after which a peer is left out. The lock must be held.
+    milliseconds interval() const;
+    milliseconds silence() const;
+    /// Least pause between two urgent beats.
+    Time urgentInterval() const;
     void receive(std::string_view bytes);
     bool publish();
 
@@ -92,12 +110,14 @@
     std::map<std::string, Peer> peers;
     placement::WorkAverage work;
     std::map<Want, uint32_t> wants; ///< With the number of requests that miss it.
+    std::vector<std::pair<PassedEntry, int>> passed; ///< With the number of beats that still carry it.
     std::set<Want> used; ///< Since the last beat.
     uint64_t leaseToken = 0;
     uint64_t leaseOffset = 0;
     std::map<std::string, std::set<std::string>> resident;
-    Time residentChangedAt { 0 };
-    Time residentToldAt { 0 };
+    std::map<std::string, Time> residentChangedAt; ///< By worker.
+    std::string residentTold; ///< Worker after which the next beat goes on.
+    bool beatPending = false;
     transport::Log log { "peers" };
 };
 
--- a/edge/src/store_duty.cpp
+++ b/edge/src/store_duty.cpp
@@ -12,17 +12,19 @@
 
 } // namespace
 
-StoreDuty::StoreDuty(Vm& vm, MemberListener onMember, WorkerListener onWorkerGone, ConfigurationListener onConfiguration)
+StoreDuty::StoreDuty(Vm& vm, MemberListener onMember, WorkerListener onWorkerGone, ConfigurationListener onConfiguration, EntryListener onEntry, OthersRead othersRead)
     : vm(vm)
     , onMember(std::move(onMember))
     , onWorkerGone(std::move(onWorkerGone))
     , onConfiguration(std::move(onConfiguration))
+    , onEntry(std::move(onEntry))
+    , othersRead(std::move(othersRead))
 {
 }
 
 void StoreDuty::followConfiguration()
 {
-    this->follow({ platform::Stream::Configuration, newsWait, milliseconds { 0 }, [this](const auto& page, bool) { this->applyConfigurations(page); } });
+    this->follow({ platform::Stream::Configuration, newsWait, [] { return milliseconds { 0 }; }, [this](const auto& page, bool) { this->applyConfigurations(page); } });
 }
 
 void StoreDuty::applyConfigurations(const platform::StorePage& page)
@@ -53,12 +55,12 @@
 
 void StoreDuty::followWorkers()
 {
-    this->follow({ platform::Stream::Workers, milliseconds { 0 }, workerReadInterval, [this](const auto& page, bool whole) { this->applyWorkers(page, whole); } });
+    this->follow({ platform::Stream::Workers, milliseconds { 0 }, [] { return workerReadInterval; }, [this](const auto& page, bool whole) { this->applyWorkers(page, whole); }, [this] { return this->mayLeaveReading(); } });
 }
 
 void StoreDuty::followMembers()
 {
-    this->follow({ platform::Stream::Members, 2 * newsWait, milliseconds { 0 }, [this](const auto& page, bool) { this->applyMembers(page); } });
+    this->follow({ platform::Stream::Members, newsWait, [] { return milliseconds { 0 }; }, [this](const auto& page, bool) { this->applyMembers(page); } });
 }
 
 void StoreDuty::follow(const Follower& follower)
@@ -67,10 +69,14 @@
     auto pause = storeRetryPause;
     bool good = true;
     while (!this->vm.phase.stopping) {
+        if (good && next && follower.mayLeave && follower.mayLeave()) {
+            sleepFor(follower.pause());
+            continue;
+        }
         good = this->readOnce(follower, next, !good);
         if (good)
             pause = storeRetryPause;
-        sleepFor(good ? follower.pause : pause);
+        sleepFor(good ? follower.pause() : pause);
         if (!good)
             pause = std::min(2 * pause, storeRetryPauseMost);
     }
@@ -135,46 +141,68 @@
     return std::max(Time { 0 }, this->workersRegainedAt + entryReturnTime - monotonicNow());
 }
 
+bool StoreDuty::mayLeaveReading() const
+{
+    return this->vm.phase.workersKnown && this->othersRead() && monotonicNow() - this->workersReadAt < lazyReadInterval;
+}
+
+void StoreDuty::hearEntries(const std::vector<PassedEntry>& entries)
+{
+    for (const auto& entry : entries) {
+        auto value = entry.value.empty() ? std::nullopt : std::optional(entry.value);
+        this->applyWorker({ entry.worker, value, entry.offset }, this->graceNow());
+    }
+    if (!entries.empty())
+        this->dropMissing();
+}
+
+void StoreDuty::dropMissing()
+{
+    for (const auto& id : this->vm.fleet.dropMissing(monotonicNow())) {
+        this->log.info("event=worker_gone worker=" + id);
+        this->onWorkerGone(id);
+    }
+}
+
 void StoreDuty::applyWorkers(const platform::StorePage& page, bool whole)
 {
     auto grace = this->graceNow();
     std::set<std::string> present;
     for (const auto& record : page.records) {
         present.insert(record.key);
-        this->applyWorker(record, grace);
+        if (this->applyWorker(record, grace) && !whole)
+            this->onEntry({ record.key, record.value.value_or(""), record.offset });
     }
     if (whole)
-        this->vm.fleet.retain(present, monotonicNow(), grace);
-    for (const auto& id : this->vm.fleet.dropMissing(monotonicNow())) {
-        this->log.info("event=worker_gone worker=" + id);
-        this->onWorkerGone(id);
-    }
+        this->vm.fleet.retain(present, page.next, monotonicNow(), grace);
+    this->dropMissing();
+    this->workersReadAt = monotonicNow();
     this->vm.phase.workersKnown = true;
 }
 
-void StoreDuty::applyWorker(const platform::StoreRecord& record, Time grace)
+bool StoreDuty::applyWorker(const platform::StoreRecord& record, Time grace)
 {
     auto now = monotonicNow();
     if (!record.value) {
-        this->vm.fleet.removeEntry(record.key, now, grace);
-        return;
+        return this->vm.fleet.removeEntry(record.key, record.offset, now, grace);
     }
     auto entry = platform::decodeWorkerEntry(record.key, *record.value);
     if (!entry) {
         this->log.warn("event=worker_entry_unreadable worker=" + record.key + " offset=" + std::to_string(record.offset));
-        return;
+        return false;
     }
     bool restarted = false;
     this->vm.fleet.update(entry->id, [&](routing::Worker& worker) { restarted = worker.entry.startedAt != entry->startedAt; });
+    if (!this->vm.fleet.applyEntry(*entry, record.offset, now))
+        return false;
     if (restarted)
         this->onWorkerGone(entry->id);
-    if (!this->vm.fleet.applyEntry(*entry, now))
-        return;
     std::string models;
     for (const auto& model : entry->models)
         models += (models.empty() ? "" : ",") + model.name + ":" + std::to_string(model.adapters.size());
     this->log.info("event=worker worker=" + entry->id + " service=" + entry->service + " address=" + transport::toString(entry->address)
         + " state=" + (entry->leaving ? "leaving" : "ready") + " started=" + std::to_string(entry->startedAt) + " models=" + models + " cached=" + std::to_string(entry->onDisk.size()));
+    return true;
 }
 
 void StoreDuty::applyMembers(const platform::StorePage& page)
--- a/edge/src/store_duty.h
+++ b/edge/src/store_duty.h
@@ -16,7 +16,15 @@
     /// Hears of each configuration that comes into force.
     using ConfigurationListener = std::function<void(const routing::Configuration& configuration)>;
 
-    StoreDuty(Vm& vm, MemberListener onMember, WorkerListener onWorkerGone, ConfigurationListener onConfiguration);
+    /// Hears of each record that says something new of a worker.
+    using EntryListener = std::function<void(const PassedEntry& entry)>;
+    /// Tells whether others read the workers' stream and pass it on.
+    using OthersRead = std::function<bool()>;
+
+    StoreDuty(Vm& vm, MemberListener onMember, WorkerListener onWorkerGone, ConfigurationListener onConfiguration, EntryListener onEntry, OthersRead othersRead);
+
+    /// Tells whether this VM has just read the workers' stream.
+    bool readsWorkers() const { return monotonicNow() - this->workersReadAt < 2 * workerReadInterval; }
 
     /// Each follows one stream until the daemon stops; one fiber each.
     void followConfiguration();
@@ -24,14 +32,17 @@
     void followMembers();
     /// Reads the configuration at once if `version`, which a peer has, is newer than the one in force.
     void hearVersion(uint64_t version);
+    /// Takes over records of the workers' stream that a peer passes on.
+    void hearEntries(const std::vector<PassedEntry>& entries);
 
 private:
     /// One stream that is read whole first and then on.
     struct Follower {
         platform::Stream stream;
         milliseconds wait; ///< Longest wait for news in one read.
-        milliseconds pause; ///< Between two reads.
+        std::function<milliseconds()> pause; ///< Between two reads.
         std::function<void(const platform::StorePage&, bool whole)> apply;
+        std::function<bool()> mayLeave = {}; ///< Tells whether the next read may be left out.
     };
     void follow(const Follower& follower);
     bool readOnce(const Follower& follower, std::optional<uint64_t>& next, bool hurry);
@@ -40,7 +51,10 @@
 
     void applyConfiguration(const platform::StoreRecord& record);
     void applyWorkers(const platform::StorePage& page, bool whole);
-    void applyWorker(const platform::StoreRecord& record, Time grace);
+    /// @return true if the record says something new.
+    bool applyWorker(const platform::StoreRecord& record, Time grace);
+    void dropMissing();
+    bool mayLeaveReading() const;
     void applyMembers(const platform::StorePage& page);
     Time graceNow() const;
 
@@ -48,7 +62,10 @@
     MemberListener onMember;
     WorkerListener onWorkerGone;
     ConfigurationListener onConfiguration;
+    EntryListener onEntry;
+    OthersRead othersRead;
     std::array<bool, static_cast<size_t>(platform::Stream::Count)> failing {};
+    Time workersReadAt { -std::chrono::hours { 1 } };
     Time newerReadAt { 0 }; ///< When the configuration was last read because of a peer.
     Time workersRegainedAt { -std::chrono::hours { 1 } }; ///< When the workers' stream was readable again.
     transport::Log log { "store" };
