--- a/edge/include/edge/edge.h
+++ b/edge/include/edge/edge.h
@@ -29,9 +29,9 @@
 /// Longest time for which a VM leaves reading the workers' stream to others that pass it on.
 constexpr milliseconds lazyReadInterval { 4000 };
 /// VMs that read the workers' stream for all.
-constexpr size_t workerReaders = 2;
+constexpr size_t workerReaders = 3;
 /// Beats in which a passed record is repeated, as datagrams may be lost.
-constexpr int passRepeats = 3;
+constexpr int passRepeats = 5;
 /// Pause between two reads of the workers' stream. Each worker writes there about every second.
 constexpr milliseconds workerReadInterval { 700 };
 /// Pause after a failed call to the store, doubled after each further failure up to the most.
--- a/edge/src/order_duty.cpp
+++ b/edge/src/order_duty.cpp
@@ -261,8 +261,17 @@
                 inputs.storeLoadsRunning++;
         }
         inputs.storeLoadsAllowed = this->storeRate.allowed(service.engine->storeLoadsPerSecond, now);
-        if (auto order = placement::planModel(inputs))
+        for (int i = 0; i < placement::ordersPerRound; i++) {
+            auto order = placement::planModel(inputs);
+            if (!order)
+                break;
             this->assign(*order);
+            auto planned = std::find_if(inputs.workers.begin(), inputs.workers.end(), [&](const auto& worker) { return worker.id == order->worker; });
+            *planned = this->agents[order->worker]->account.held;
+            planned->usable = false;
+            inputs.storeLoadsRunning += order->fromStore ? 1 : 0;
+            inputs.storeLoadsAllowed -= order->fromStore ? 1 : 0;
+        }
     }
 }
 
@@ -318,13 +327,14 @@
         source = { this->vm.settings.node, this->lease.token(), agent.account.ordersAccepted };
     }
     add(this->vm.counters, Event::Orders);
+    auto sentAt = monotonicNow();
     auto outcome = platform::sendOrder(this->vm.client, agent.entry, order, source);
     bool load = order.kind == placement::OrderKind::Load;
     bool done = outcome == placement::OrderOutcome::Accepted || outcome == placement::OrderOutcome::AlreadyHolds;
     this->log.info("event=order worker=" + order.worker + " kind=" + (load ? "load" : "unload") + " model=" + order.model + (order.adapter.empty() ? "" : " adapter=" + order.adapter)
         + " reason=" + order.reason + " token=" + std::to_string(source.token) + " accepted_before=" + std::to_string(source.ordersAccepted) + " outcome=" + placement::name(outcome));
     std::lock_guard lock(this->mutex);
-    placement::applyOutcome(agent.account, order, outcome, monotonicNow());
+    placement::applyOutcome(agent.account, order, outcome, sentAt);
     return done;
 }
 
--- a/placement/include/placement/placement.h
+++ b/placement/include/placement/placement.h
@@ -24,8 +24,12 @@
 constexpr uint32_t prefetchCopies = 2;
 /// Places that prefetched adapters leave free for one that a request waits for.
 constexpr size_t prefetchFree = 1;
-/// Loads from the weight store that run at once; more would share its bandwidth.
-constexpr uint32_t storeLoadsAtOnce = 2;
+/// Loads from the weight store that run at once at least; see `storeLoadsAtOnce`.
+constexpr uint32_t storeLoadsLeast = 2;
+/// Part of the loads that the weight store's rate and load time allow at once: more would share its bandwidth.
+constexpr double storeAtOnceUse = 0.85;
+/// Orders of one planning round at most.
+constexpr int ordersPerRound = 12;
 /// Share of the weight store's rate that is used.
 constexpr double storeRateUse = 0.95;
 /// Loads from the weight store that may begin at once after a pause.
@@ -124,8 +128,8 @@
 bool applyReport(WorkerAccount& account, const WorkerReport& report, Time askedAt);
 /// Notes a model order that will be sent: its room is taken from now on.
 void planOrder(WorkerAccount& account, const Order& order);
-/// Takes over what became of an order.
-void applyOutcome(WorkerAccount& account, const Order& order, OrderOutcome outcome, Time now);
+/// Takes over what became of an order. @param sentAt when it was sent.
+void applyOutcome(WorkerAccount& account, const Order& order, OrderOutcome outcome, Time sentAt);
 /// Tells whether a model order may be given.
 bool mayOrderModel(const WorkerAccount& account);
 /// Tells whether an adapter order may be given: a worker refuses those while it carries out a model order.
@@ -143,6 +147,9 @@
     double storeLoadsAllowed = 0; ///< Loads that may begin now.
 };
 
+/// Loads from the weight store that may run at once: those that its rate starts in the time of the longest load.
+uint32_t storeLoadsAtOnce(const routing::EngineSpec& engine);
+
 /// Decides the next model order, if any. A missing model goes before relief of a busy one.
 std::optional<Order> planModel(const ModelInputs& inputs);
 
--- a/placement/src/plan_models.cpp
+++ b/placement/src/plan_models.cpp
@@ -133,7 +133,7 @@
     std::optional<Order> firstStep(const Way& way, const std::string& model, const ModelInputs& inputs, const std::string& reason)
     {
         bool fromStore = !way.cached;
-        if (fromStore && (inputs.storeLoadsAllowed < 1 || inputs.storeLoadsRunning >= storeLoadsAtOnce))
+        if (fromStore && (inputs.storeLoadsAllowed < 1 || inputs.storeLoadsRunning >= storeLoadsAtOnce(*inputs.engine)))
             return std::nullopt;
         if (!way.drop.empty())
             return Order { way.worker->id, OrderKind::Unload, way.drop.front(), "", false, "room_for_" + model, model };
@@ -210,6 +210,14 @@
     return engine.weightsMegabytes - adapter * engine.adapterSlots;
 }
 
+uint32_t storeLoadsAtOnce(const routing::EngineSpec& engine)
+{
+    std::chrono::duration<double> longest { 0 };
+    for (const auto& model : engine.models)
+        longest = std::max<std::chrono::duration<double>>(longest, model.storeLoad);
+    return std::max(storeLoadsLeast, static_cast<uint32_t>(engine.storeLoadsPerSecond * longest.count() * storeAtOnceUse));
+}
+
 std::optional<Order> planModel(const ModelInputs& inputs)
 {
     auto totals = countCopies(inputs);
--- a/placement/src/worker_account.cpp
+++ b/placement/src/worker_account.cpp
@@ -84,7 +84,7 @@
     }
 }
 
-void applyOutcome(WorkerAccount& account, const Order& order, OrderOutcome outcome, Time now)
+void applyOutcome(WorkerAccount& account, const Order& order, OrderOutcome outcome, Time sentAt)
 {
     bool load = order.kind == OrderKind::Load;
     bool ofAdapter = !order.adapter.empty();
@@ -95,7 +95,7 @@
         account.ordersAccepted++;
     if (!done) {
         account.synced = false;
-        account.reportFrom = now + reportLag;
+        account.reportFrom = sentAt + reportLag;
         if (!ofAdapter) {
             account.modelOrder.reset();
             account.held.reserved.clear();
@@ -104,12 +104,12 @@
     }
     if (!ofAdapter) {
         account.modelOrderSent = true;
-        account.reportFrom = now + busyReportInterval;
+        account.reportFrom = sentAt + busyReportInterval;
         return;
     }
     auto key = order.model + "/" + order.adapter;
     if (load)
-        account.held.adapters[key] = now;
+        account.held.adapters[key] = sentAt;
     else
         account.held.adapters.erase(key);
 }
