--- a/edge/src/relay.cpp
+++ b/edge/src/relay.cpp
@@ -29,8 +29,6 @@
     constexpr milliseconds later { 2000 };
     /// Retry-After of a VM that leaves: the caller comes back at another one.
     constexpr milliseconds atOnce { 0 };
-    /// Share of the time left that a queue may take before a request is refused as hopeless.
-    constexpr double hopelessShare = 1.0;
     /// Worker seconds that an output token takes in a batch, for the demand figures.
     constexpr double secondsPerOutputToken = 0.0003;
     /// Most output tokens that are assumed for a request.
@@ -38,8 +36,6 @@
 
     /// Callers give a stream up that is silent for this long, for four target latencies or for eight target gaps.
     constexpr milliseconds firstEventPatience { 2000 };
-    /// Share of the caller's patience that a request waits for a worker at most. What is left serves its return elsewhere.
-    constexpr double waitShare = 0.6;
 
     /// Urgency at the workers: the route's rank, split by how tight its target is.
     uint32_t urgencyOf(const routing::Route& route)
@@ -221,75 +217,65 @@
     return this->repeatLimit(x.service->name).take(monotonicNow(), this->peers.liveCount());
 }
 
+/// Tells the holder of the lease what a request waits for.
+class Relay::Missing {
+public:
+    explicit Missing(Peers& peers)
+        : peers(peers)
+    {
+    }
+    ~Missing() { this->set(std::nullopt); }
+    Missing(const Missing&) = delete;
+    Missing& operator=(const Missing&) = delete;
+
+    void set(const std::optional<Want>& next)
+    {
+        if (this->want == next)
+            return;
+        if (this->want)
+            this->peers.dropWant(*this->want);
+        this->want = next;
+        if (next)
+            this->peers.want(*next);
+    }
+
+private:
+    Peers& peers;
+    std::optional<Want> want;
+};
+
 /// Waits until a worker can take the request. @return false if the request was refused or the caller has gone.
 bool Relay::waitForWorker(Exchange& x, Fleet::Picked& picked)
 {
-    std::optional<Want> want;
-    auto startedAt = monotonicNow();
-    auto stopWanting = [&] {
-        if (want)
-            this->peers.dropWant(*want);
-        want.reset();
-        x.waited += monotonicNow() - startedAt;
+    constexpr std::array<Refusal, static_cast<size_t>(routing::Obstacle::Count)> refusals {
+        Refusal::NoWorker, Refusal::NoWorker, Refusal::Unreachable, Refusal::NoModel, Refusal::NoAdapter, Refusal::NoRoom
     };
-    while (true) {
-        if (x.gone()) {
-            stopWanting();
-            this->refuse(x, 0, Refusal::CallerGone, std::nullopt);
-            return false;
-        }
+    const auto& shape = x.head.shape;
+    Missing missing(this->peers);
+    auto startedAt = monotonicNow();
+    while (!x.gone()) {
         auto now = monotonicNow();
-        picked = this->vm.fleet.choose(*x.service, x.head.shape, x.chains, x.excluded, x.route->targetLatency, now);
+        picked = this->vm.fleet.choose(*x.service, shape, x.chains, x.excluded, x.route->targetLatency, now);
         auto obstacle = picked.choice.obstacle;
-        auto left = x.firstUntil - now;
-        auto patience = std::chrono::duration_cast<Time>((x.firstUntil - x.startedAt) * waitShare) - (now - x.startedAt);
-        if (obstacle == routing::Obstacle::None) {
-            stopWanting();
+        x.waited += now - std::exchange(startedAt, now);
+        if (obstacle == routing::Obstacle::None)
             return true;
-        }
-        Refusal refusal = Refusal::NoWorker;
-        Time need { 0 };
-        Want missing;
-        switch (obstacle) {
-        case routing::Obstacle::NoModel: {
-            const auto* model = routing::findModel(*x.service, x.head.shape.model);
-            refusal = Refusal::NoModel;
-            need = model != nullptr ? Time { model->diskLoad } : left;
-            missing = { "", x.head.shape.model, "" };
-            break;
-        }
-        case routing::Obstacle::NoAdapter:
-            refusal = Refusal::NoAdapter;
-            missing = { picked.id, x.head.shape.model, x.head.shape.adapter };
-            break;
-        case routing::Obstacle::NoRoom:
-            refusal = Refusal::NoRoom;
-            need = picked.choice.roomIn;
-            break;
-        case routing::Obstacle::Unreachable:
-            refusal = Refusal::Unreachable;
-            break;
-        default:
-            need = left;
-            break;
-        }
-        if (want != missing && !missing.model.empty()) {
-            stopWanting();
-            startedAt = now;
-            want = missing;
-            this->peers.want(missing);
-        }
-        if (patience <= Time { 0 } || need >= left) {
-            stopWanting();
-            auto back = std::chrono::duration_cast<milliseconds>(std::min<Time>(need, std::chrono::seconds { 1 }));
+        if (obstacle == routing::Obstacle::NoModel)
+            missing.set(Want { "", shape.model, "" });
+        else if (obstacle == routing::Obstacle::NoAdapter)
+            missing.set(Want { picked.id, shape.model, shape.adapter });
+        auto decision = routing::decideWait(picked.choice, routing::findModel(*x.service, shape.model), now - x.startedAt, x.firstUntil - x.startedAt);
+        if (!decision.wait) {
             if (x.mayHaveRun > 0)
                 this->refuse(x, 502, Refusal::WorkerFailed, std::nullopt);
             else
-                this->refuse(x, 503, refusal, std::max(back, soon));
+                this->refuse(x, 503, refusals[static_cast<size_t>(obstacle)], decision.retryAfter);
             return false;
         }
         sleepFor(waitStep);
     }
+    this->refuse(x, 0, Refusal::CallerGone, std::nullopt);
+    return false;
 }
 
 /// Waits until the adapter of a run is where it is to go on.
@@ -325,9 +311,10 @@
                 return this->finish(x, SendResult::Resumable);
         } else if (!this->waitForWorker(x, picked))
             return;
-        if (!x.streamStarted && !x.continueAt && picked.choice.firstByte > std::chrono::duration_cast<Time>((x.firstUntil - monotonicNow()) * hopelessShare) && x.mayHaveRun == 0) {
-            auto back = std::chrono::duration_cast<milliseconds>(picked.choice.firstByte / 2);
-            return this->refuse(x, 503, Refusal::Hopeless, std::clamp(back, soon, milliseconds { 2000 }));
+        if (!x.streamStarted && !x.continueAt && x.mayHaveRun == 0) {
+            auto decision = routing::decideSend(picked.choice, x.firstUntil - monotonicNow());
+            if (!decision.wait)
+                return this->refuse(x, 503, Refusal::Hopeless, decision.retryAfter);
         }
         auto result = this->sendOnce(x, picked);
         x.continueAt.reset();
--- a/edge/src/relay.h
+++ b/edge/src/relay.h
@@ -17,6 +17,7 @@
 
 private:
     struct Exchange;
+    class Missing;
     /// What became of one send to a worker.
     enum class SendResult {
         Answered, ///< The caller has its answer, or as much of it as there will be.
--- a/routing/include/routing/routing.h
+++ b/routing/include/routing/routing.h
@@ -311,6 +311,31 @@
 /// primary's data centre goes first. @return null if there is none.
 Worker* chooseBackup(const std::vector<Worker*>& workers, const ChoiceInputs& inputs, const WorkerEntry& primary);
 
+// ---------------------------------------------------------------- waiting and refusing
+
+/// Share of a caller's patience that its request waits for a worker at most. What is left serves its return elsewhere.
+constexpr double waitShare = 0.6;
+/// Least and most of a Retry-After: most obstacles pass soon, and callers honour a third of the time they have left at most.
+constexpr milliseconds retryAfterLeast { 200 };
+constexpr milliseconds retryAfterMost { 2000 };
+
+/// Whether a request that no worker can take now waits or is refused.
+struct WaitDecision {
+    bool wait = false;
+    milliseconds retryAfter { 0 }; ///< If it is refused: when there may be room.
+};
+
+/// Decides for a request that meets an obstacle. It waits while the obstacle can pass before the caller gives up, and for at
+/// most `waitShare` of the caller's patience; what can't be served in time is refused at once.
+/// @param model the model that it needs, or null.
+/// @param waited time since the request came.
+/// @param patience time from then in which the caller expects the first byte.
+WaitDecision decideWait(const Choice& choice, const ModelSpec* model, Time waited, Time patience);
+
+/// Decides for a request that a worker can take: refuses it at once if the first byte would come too late for its caller.
+/// @param left time until the caller gives up.
+WaitDecision decideSend(const Choice& choice, Time left);
+
 // ---------------------------------------------------------------- repeats
 
 /// Bounds repeats of requests to this VM's part of what the deployment allows in a sliding window.
--- a/tests/unit/routing_test.cpp
+++ b/tests/unit/routing_test.cpp
@@ -326,3 +326,44 @@
     suspects.noteCrash("w", now + seconds { 60 });
     cr_assert_not(suspects.isRefused(7), "the worker died much later");
 }
+
+Test(waiting, what_cannot_be_served_in_time_is_refused_at_once)
+{
+    Choice choice;
+    ModelSpec model;
+    model.diskLoad = milliseconds { 400 };
+    constexpr Time patience = seconds { 2 };
+    choice.obstacle = Obstacle::NoWorker;
+    cr_assert_not(decideWait(choice, nullptr, Time { 0 }, patience).wait);
+    choice.obstacle = Obstacle::NoModel;
+    cr_assert_not(decideWait(choice, nullptr, Time { 0 }, patience).wait, "a model that is not declared");
+    cr_assert(decideWait(choice, &model, Time { 0 }, patience).wait);
+    model.diskLoad = seconds { 3 };
+    cr_assert_not(decideWait(choice, &model, Time { 0 }, patience).wait);
+    choice.obstacle = Obstacle::NoRoom;
+    choice.roomIn = seconds { 5 };
+    auto refused = decideWait(choice, nullptr, Time { 0 }, patience);
+    cr_assert_not(refused.wait);
+    cr_assert_eq(refused.retryAfter, retryAfterMost);
+    choice.firstByte = seconds { 3 };
+    cr_assert_not(decideSend(choice, patience).wait);
+    cr_assert(decideSend(choice, seconds { 4 }).wait);
+}
+
+Test(waiting, nobody_is_held_until_the_end_of_its_time)
+{
+    cr_assert(rc::check("a wait ends before its share of the patience, and a refusal says when to come back", [] {
+        Choice choice;
+        choice.obstacle = static_cast<Obstacle>(*rc::gen::inRange(1, static_cast<int>(Obstacle::Count)));
+        choice.roomIn = milliseconds { *rc::gen::inRange(0, 5000) };
+        ModelSpec model;
+        model.diskLoad = milliseconds { *rc::gen::inRange(0, 5000) };
+        Time patience = milliseconds { *rc::gen::inRange(100, 15000) };
+        Time waited = milliseconds { *rc::gen::inRange(0, 20000) };
+        auto decision = decideWait(choice, &model, waited, patience);
+        if (decision.wait)
+            RC_ASSERT(waited < patience * waitShare);
+        else
+            RC_ASSERT(decision.retryAfter >= retryAfterLeast && decision.retryAfter <= retryAfterMost);
+    }));
+}
