--- a/edge/src/fleet.cpp
+++ b/edge/src/fleet.cpp
@@ -75,16 +75,19 @@
     return true;
 }
 
-void Fleet::retain(const std::set<std::string>& present, uint64_t end, Time now, Time grace)
+std::vector<std::string> Fleet::retain(const std::set<std::string>& present, uint64_t end, Time now, Time grace)
 {
     std::lock_guard lock(this->mutex);
+    std::vector<std::string> gone;
     for (auto& [id, known] : this->workers) {
         if (present.contains(id) || known.missingSince != Time { 0 } || known.offset >= end)
             continue;
         known.offset = end;
         known.missingSince = now;
         known.grace = grace;
+        gone.push_back(id);
     }
+    return gone;
 }
 
 std::vector<std::string> Fleet::dropMissing(Time now)
--- a/edge/src/fleet.h
+++ b/edge/src/fleet.h
@@ -34,7 +34,8 @@
     /// @return true if that is news.
     bool removeEntry(const std::string& id, uint64_t offset, Time now, Time grace);
     /// Notes all that are not among `present` as gone. @param end offset at which they were read.
-    void retain(const std::set<std::string>& present, uint64_t end, Time now, Time grace);
+    /// @return those of which that is news.
+    std::vector<std::string> retain(const std::set<std::string>& present, uint64_t end, Time now, Time grace);
     /// Drops workers whose entries did not come back. @return their ids.
     std::vector<std::string> dropMissing(Time now);
 
--- a/edge/src/order_duty.cpp
+++ b/edge/src/order_duty.cpp
@@ -259,6 +259,8 @@
             inputs.workers.push_back(std::move(held));
             if (agent->account.modelOrder && agent->account.modelOrder->fromStore)
                 inputs.storeLoadsRunning++;
+            if (agent->account.modelOrder || !agent->account.held.reserved.empty())
+                inputs.ordersRunning++;
         }
         inputs.storeLoadsAllowed = this->storeRate.allowed(service.engine->storeLoadsPerSecond, now);
         for (int i = 0; i < placement::ordersPerRound; i++) {
@@ -269,6 +271,7 @@
             auto planned = std::find_if(inputs.workers.begin(), inputs.workers.end(), [&](const auto& worker) { return worker.id == order->worker; });
             *planned = this->agents[order->worker]->account.held;
             planned->usable = false;
+            inputs.ordersRunning++;
             inputs.storeLoadsRunning += order->fromStore ? 1 : 0;
             inputs.storeLoadsAllowed -= order->fromStore ? 1 : 0;
         }
--- a/edge/src/store_duty.cpp
+++ b/edge/src/store_duty.cpp
@@ -167,14 +167,18 @@
 void StoreDuty::applyWorkers(const platform::StorePage& page, bool whole)
 {
     auto grace = this->graceNow();
+    // The first reading is no news to others.
+    bool news = this->vm.phase.workersKnown;
     std::set<std::string> present;
     for (const auto& record : page.records) {
         present.insert(record.key);
-        if (this->applyWorker(record, grace) && !whole)
+        if (this->applyWorker(record, grace) && news)
             this->onEntry({ record.key, record.value.value_or(""), record.offset });
     }
-    if (whole)
-        this->vm.fleet.retain(present, page.next, monotonicNow(), grace);
+    if (whole) {
+        for (const auto& id : this->vm.fleet.retain(present, page.next, monotonicNow(), grace))
+            this->onEntry({ id, "", page.next });
+    }
     this->dropMissing();
     this->workersReadAt = monotonicNow();
     this->vm.phase.workersKnown = true;
--- a/placement/include/placement/placement.h
+++ b/placement/include/placement/placement.h
@@ -28,6 +28,10 @@
 constexpr uint32_t storeLoadsLeast = 2;
 /// Part of the loads that the weight store's rate and load time allow at once: more would share its bandwidth.
 constexpr double storeAtOnceUse = 0.85;
+/// Workers for each of which one busy model may be given another copy at a time, and such orders that are always allowed:
+/// each drops what other requests were using, so that many at once do more harm than good.
+constexpr uint32_t workersPerRelief = 15;
+constexpr uint32_t reliefLeast = 3;
 /// Orders of one planning round at most.
 constexpr int ordersPerRound = 12;
 /// Share of the weight store's rate that is used.
@@ -144,6 +148,7 @@
     std::vector<HeldWorker> workers;
     std::map<std::string, double> work; ///< By model: worker time that its requests take, in seconds a second.
     uint32_t storeLoadsRunning = 0;
+    uint32_t ordersRunning = 0; ///< Model orders in progress, and workers where room is being made.
     double storeLoadsAllowed = 0; ///< Loads that may begin now.
 };
 
--- a/placement/src/plan_models.cpp
+++ b/placement/src/plan_models.cpp
@@ -180,6 +180,8 @@
     std::optional<Order> planRelief(const ModelInputs& inputs, const Totals& totals)
     {
         double busiest = 0;
+        auto limit = std::max(reliefLeast, static_cast<uint32_t>(inputs.workers.size()) / workersPerRelief);
+        bool mayDrop = inputs.ordersRunning < limit;
         for (const auto& worker : inputs.workers)
             busiest = std::max(busiest, worker.alive ? workerWork(worker, totals) : 0);
         std::vector<std::pair<double, std::string>> models;
@@ -191,7 +193,8 @@
         for (const auto& [work, model] : models) {
             auto copies = totals.copies.at(model);
             double share = workOf(inputs, model) / (copies + 1);
-            auto way = bestWay(model, inputs, totals, work * evictShare, busiest * reliefShare - share);
+            // Nothing is dropped for less than no work.
+            auto way = bestWay(model, inputs, totals, mayDrop ? work * evictShare : -1, busiest * reliefShare - share);
             if (!way)
                 continue;
             if (auto order = firstStep(*way, model, inputs, "busy"))
--- a/tests/unit/edge_test.cpp
+++ b/tests/unit/edge_test.cpp
@@ -522,3 +522,22 @@
     cr_assert_eq(world->store.newest("keyed.comfreypier-lease", "orders"), lease, "the holder changed without need");
     leave();
 }
+
+Test(edge, all_vms_hear_of_a_leaving_worker_also_when_records_are_forgotten, .timeout = 40)
+{
+    constexpr int vms = 5;
+    auto* world = new World(23500, vms);
+    world->configureAndWait(vms);
+    std::this_thread::sleep_for(milliseconds { 2500 });
+    world->store.forgetful = true;
+    world->app(0).leaving = true;
+    world->app(0).publish();
+    std::this_thread::sleep_for(milliseconds { 1900 });
+    auto before = world->app(0).runs.load();
+    for (int vm = 0; vm < vms; vm++) {
+        for (int i = 0; i < 5; i++)
+            cr_assert_eq(world->ask("/order/1", "id-" + std::to_string(vm) + "-" + std::to_string(i), {}, vm).status, 200U);
+    }
+    cr_assert_eq(world->app(0).runs, before);
+    leave();
+}
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -148,6 +148,18 @@
     cr_assert_eq(order->worker, "v");
 }
 
+Test(models, relief_drops_nothing_while_many_orders_run)
+{
+    auto engine = threeModels();
+    auto inputs = inputsOf(engine, { holding("w", { "a", "b" }), holding("v", { "b", "c" }) });
+    inputs.work["a"] = 0.9;
+    cr_assert(planModel(inputs).has_value());
+    inputs.ordersRunning = reliefLeast;
+    cr_assert_not(planModel(inputs).has_value());
+    inputs.workers.push_back(holding("empty", {}));
+    cr_assert_eq(planModel(inputs)->worker, "empty", "an empty worker is filled all the same");
+}
+
 Test(models, any_sequence_of_plans_stays_within_the_workers_room)
 {
     cr_assert(rc::check("models and those on their way out never exceed the room, and every model stays or comes", [] {
