--- a/edge/src/peers.cpp
+++ b/edge/src/peers.cpp
@@ -9,9 +9,11 @@
     /// Shortest pause between beats that are sent at once.
     constexpr milliseconds beatNowInterval { 3 };
     /// The same for each member.
-    constexpr std::chrono::microseconds urgentPerMember { 500 };
+    constexpr std::chrono::milliseconds urgentPerMember { 4 };
     /// What the holder announces of a worker is part of every beat for this long after a change.
     constexpr milliseconds residentNewsTime { 500 };
+    /// The same for what VMs are told at once that wait for something.
+    constexpr milliseconds waitingNewsTime { 100 };
     /// Workers whose models and adapters are part of a beat without a change.
     constexpr size_t residentInTurn = 3;
     /// Least work that is worth telling, in worker seconds a second.
@@ -158,7 +160,7 @@
 void Peers::fillResident(Beat& beat)
 {
     auto now = monotonicNow();
-    auto news = std::max(residentNewsTime, 2 * this->interval());
+    auto news = std::max(residentNewsTime, this->interval() + this->interval() / 4);
     for (const auto& [worker, items] : this->resident) {
         if (now - this->residentChangedAt[worker] < news)
             beat.resident[worker] = items;
@@ -433,7 +435,29 @@
         this->resident = std::move(adapters);
     }
     if (news && token != 0)
-        this->beatNow();
+        this->tellWaiting();
+}
+
+void Peers::tellWaiting()
+{
+    std::vector<transport::Endpoint> targets;
+    auto beat = this->makeBeat(true);
+    {
+        auto now = monotonicNow();
+        std::lock_guard lock(this->mutex);
+        for (const auto& [node, peer] : this->peers) {
+            if (!peer.wants.empty() && now - peer.heardAt < this->silence())
+                targets.push_back(peer.member.inner);
+        }
+        for (const auto& [worker, items] : this->resident) {
+            if (now - this->residentChangedAt[worker] < waitingNewsTime)
+                beat.resident[worker] = items;
+        }
+    }
+    auto bytes = encodeBeat(beat);
+    for (const auto& target : targets)
+        this->socket.send(target, bytes);
+    add(this->vm.counters, Event::BeatsSent, targets.size());
 }
 
 uint64_t Peers::highestToken() const
--- a/edge/src/peers.h
+++ b/edge/src/peers.h
@@ -93,6 +93,8 @@
     /// @param partial leaves out all but what this VM misses and its state.
     Beat makeBeat(bool partial);
     void fillResident(Beat& beat);
+    /// Tells the VMs that miss something what has just become resident.
+    void tellWaiting();
     /// Pause between two beats, and the silence after which a peer is left out. The lock must be held.
     milliseconds interval() const;
     milliseconds silence() const;
