Send demand and adapter uses to the holder only; partial beats keep what they leave out

Cause: a VM's urgent beat carries no demand, and the holder took that for none, so that its plans jumped; demand and uses went to all VMs, who have no use for them. Ruled out: the pace of beats.

--- a/edge/src/peers.cpp
+++ b/edge/src/peers.cpp
@@ -207,7 +207,7 @@
     }
     this->beatenAt = now;
     auto beat = this->makeBeat(false);
-    auto bytes = encodeBeat(beat);
+    std::optional<transport::Endpoint> holder;
     std::vector<transport::Endpoint> targets;
     {
         std::lock_guard lock(this->mutex);
@@ -216,12 +216,21 @@
             if (silent && now - peer.toldAt < silentPeerInterval)
                 continue;
             peer.toldAt = now;
-            targets.push_back(peer.member.inner);
+            if (peer.leaseToken != 0 && now - peer.heardAt < this->silence())
+                holder = peer.member.inner;
+            else
+                targets.push_back(peer.member.inner);
         }
     }
+    // Only the holder plans by demand and by the use of adapters.
+    if (holder)
+        this->socket.send(*holder, encodeBeat(beat));
+    beat.demand.clear();
+    beat.used.clear();
+    auto bytes = encodeBeat(beat);
     for (const auto& target : targets)
         this->socket.send(target, bytes);
-    add(this->vm.counters, Event::BeatsSent, targets.size());
+    add(this->vm.counters, Event::BeatsSent, targets.size() + (holder ? 1 : 0));
 }
 
 void Peers::receive(std::string_view bytes)
@@ -247,7 +256,9 @@
         peer.leaving = beat->leaving;
         peer.readsWorkers = beat->readsWorkers;
         peer.leaseToken = beat->leaseToken;
-        peer.demand = std::move(beat->demand);
+        // A partial beat carries none.
+        if (!beat->partial)
+            peer.demand = beat->demand;
         peer.wants = std::move(beat->wants);
     }
     this->vm.fleet.applyPeer(beat->node, *beat);
