--- a/edge/src/edge.cpp
+++ b/edge/src/edge.cpp
@@ -16,6 +16,8 @@
     constexpr milliseconds staleCallers { 6200 };
     /// Part of the grace that is left for the end of the process.
     constexpr milliseconds endTime { 400 };
+    /// Shortest suspension of the machine that is worth a log line.
+    constexpr milliseconds suspensionLeast { 200 };
     /// Requests that the directory, readiness and metrics listeners take at once.
     constexpr uint32_t sideConnections = 400;
 
@@ -98,12 +100,17 @@
         writer.send({ ready ? 200U : 503U, {}, "" });
     }
 
-    /// Forgets the loads of peers that fell silent.
+    /// Forgets the loads of peers that fell silent, and notes when this machine was suspended.
     void watchPeers()
     {
+        auto suspendedBefore = transport::bootTimeNow() - monotonicNow();
         while (!this->vm.phase.stopping) {
             sleepFor(peerSilence);
             this->peers.forgetSilent();
+            auto suspended = transport::bootTimeNow() - monotonicNow();
+            if (suspended - suspendedBefore > suspensionLeast)
+                this->log.warn("event=suspended ms=" + milliText(suspended - suspendedBefore));
+            suspendedBefore = suspended;
         }
     }
 
--- a/edge/src/relay.cpp
+++ b/edge/src/relay.cpp
@@ -559,6 +559,7 @@
         }
         if (first && x.streamStarted) {
             first = false;
+            this->log.info("event=streaming id=" + x.head.id + " worker=" + picked.id + " backup=" + (x.backup ? x.backup->id : "-") + " sends=" + std::to_string(x.sends) + " first_ms=" + milliText(monotonicNow() - x.startedAt));
             ticket.prefilled();
             this->vm.fleet.update(picked.id, [&](routing::Worker& worker) { routing::noteAnswer(worker, false, x.sends == 1 ? x.expected : Time { 0 }, monotonicNow() - sentAt, monotonicNow()); });
         }
