Cut a stream that meets an error where it goes on; count errors against workers; one I/O thread

Cause, found by reading: after a stream had begun, the next worker's error was written as a second answer into it; a refusal was written under the lock of the crash counts; after a repeat a worker's own error was replaced by 502. Change: only a 200 goes on with a stream; a worker that failed this request gets no copy of it back; errors of 500 and above count against a worker; resumable streams are repeated after them. The number of threads is no setting: what the fibers share is not locked everywhere. Test: failing first (the caller saw a malformed stream).

--- a/edge/include/edge/edge.h
+++ b/edge/include/edge/edge.h
@@ -53,7 +53,6 @@
     transport::Endpoint inner; ///< UDP, for beats.
     transport::Endpoint metrics; ///< For counters and histograms.
     transport::Endpoint store;
-    uint32_t threads = 1;
     double repeatRatio = 0.2; ///< Repeats that all VMs may send a worker service for each request.
     uint32_t repeatSlack = 50; ///< Further repeats in a window over all VMs.
     milliseconds repeatWindow { 10000 };
--- a/edge/src/edge.cpp
+++ b/edge/src/edge.cpp
@@ -18,6 +18,8 @@
     constexpr milliseconds endTime { 400 };
     /// Shortest suspension of the machine that is worth a log line.
     constexpr milliseconds suspensionLeast { 200 };
+    /// A VM has one core, and what its fibers share is not locked against other threads everywhere.
+    constexpr unsigned ioThreads = 1;
     /// Requests that the directory, readiness and metrics listeners take at once.
     constexpr uint32_t sideConnections = 400;
 
@@ -44,7 +46,7 @@
 struct Edge::Impl {
     explicit Impl(Settings given)
         : settings(std::move(given))
-        , runtime(this->settings.threads)
+        , runtime(ioThreads)
         , vm(this->settings, this->client)
         , peers(this->vm, this->runtime)
         , store(
--- a/edge/src/relay.cpp
+++ b/edge/src/relay.cpp
@@ -37,6 +37,9 @@
     /// Callers give a stream up that is silent for this long, for four target latencies or for eight target gaps.
     constexpr milliseconds firstEventPatience { 2000 };
 
+    /// Largest answer that is kept whole before it is passed on, in bytes: some at once must fit a VM's memory.
+    constexpr uint64_t wholeAnswerLimit = 16ULL * 1024 * 1024;
+
     /// Urgency at the workers: the route's rank, split by how tight its target is.
     uint32_t urgencyOf(const routing::Route& route)
     {
@@ -185,14 +188,19 @@
                 x.head.shape.promptTokens += part.tokens;
         }
     }
-    std::lock_guard lock(this->peers.suspectMutex);
-    if (this->peers.suspects.isRefused(x.head.shape.contentHash)) {
+    if (this->crashesWorkers(x)) {
         this->refuse(x, 503, Refusal::CrashesWorkers, std::nullopt);
         return false;
     }
     return true;
 }
 
+bool Relay::crashesWorkers(const Exchange& x)
+{
+    std::lock_guard lock(this->peers.suspectMutex);
+    return this->peers.suspects.isRefused(x.head.shape.contentHash);
+}
+
 routing::RepeatLimit& Relay::repeatLimit(const std::string& service)
 {
     const auto& settings = this->vm.settings;
@@ -207,7 +215,8 @@
     if (x.left() <= returnTime)
         return false;
     // A run that goes on from its copy is still the same run; before its first event there may be no copy yet.
-    if (ran && !again && x.backup && x.streamStarted && result != SendResult::Failed)
+    bool copyIsSound = x.backup && !x.excluded.contains(x.backup->id);
+    if (ran && !again && copyIsSound && x.streamStarted && result != SendResult::Failed)
         x.continueAt = std::exchange(x.backup, std::nullopt);
     if (ran && !again && !x.continueAt)
         return false;
@@ -267,7 +276,7 @@
         auto decision = routing::decideWait(picked.choice, routing::findModel(*x.service, shape.model), now - x.startedAt, x.firstUntil - x.startedAt);
         if (!decision.wait) {
             if (x.mayHaveRun > 0)
-                this->refuse(x, 502, Refusal::WorkerFailed, std::nullopt);
+                this->finish(x, x.lastResult);
             else
                 this->refuse(x, 503, refusals[static_cast<size_t>(obstacle)], decision.retryAfter);
             return false;
@@ -359,9 +368,8 @@
 Relay::SendResult Relay::sendOnce(Exchange& x, const Fleet::Picked& picked)
 {
     auto left = x.left();
-    if (left <= returnTime) {
+    if (left <= returnTime)
         return SendResult::NotRun;
-    }
     const auto& shape = x.head.shape;
     double capacity = x.service->engine ? x.service->engine->promptMemoryTokens : 0;
     x.worker = picked.id;
@@ -387,7 +395,7 @@
     transport::CallLimits limits;
     limits.connect = std::min<milliseconds>(left, std::max(silentLeast, left / 4));
     limits.response = left;
-    limits.bodyLimit = UINT64_MAX;
+    limits.bodyLimit = x.route->streaming ? UINT64_MAX : wholeAnswerLimit;
     limits.cancel = &x.cancel;
     bool canGoElsewhere = x.repeatable() && x.mayHaveRun + 1 < x.route->maxAttempts;
     if (canGoElsewhere && !x.route->streaming)
@@ -398,29 +406,33 @@
         return this->noteSendError(x, picked, opened.error());
     auto stream = std::move(opened.value());
     auto head = platform::decodeAnswerHead(stream->status(), stream->headers());
-    if (head.requestId != x.head.id && !(head.notRun && head.requestId.empty())) {
-        this->vm.fleet.update(picked.id, [](routing::Worker& worker) { routing::noteAnswer(worker, true, Time { 0 }, Time { 0 }, monotonicNow()); });
-        x.excluded.insert(picked.id);
-        return SendResult::Unusable;
-    }
+    if (head.requestId != x.head.id && !(head.notRun && head.requestId.empty()))
+        return this->noteUnusable(x, picked);
     if (head.notRun)
         return this->judgeNotRun(x, picked, head);
-    if (!head.plainBody || (!head.authentic && stream->status() < 300)) {
-        this->vm.fleet.update(picked.id, [](routing::Worker& worker) { routing::noteAnswer(worker, true, Time { 0 }, Time { 0 }, monotonicNow()); });
-        x.excluded.insert(picked.id);
-        return SendResult::Unusable;
-    }
+    if (!head.plainBody || (!head.authentic && stream->status() < 300))
+        return this->noteUnusable(x, picked);
+    // The caller has the head of a stream already: nothing but more of it can follow.
+    if (x.streamStarted && stream->status() != 200)
+        return this->noteUnusable(x, picked);
     if (x.route->streaming && stream->status() == 200)
         return this->relayStream(x, picked, *stream, ticket);
     auto result = this->readWhole(x, picked, *stream);
     auto took = monotonicNow() - sentAt;
-    bool failed = result != SendResult::Answered && result != SendResult::Gone;
+    bool failed = (result != SendResult::Answered && result != SendResult::Gone) || stream->status() >= 500;
     auto expected = x.route->streaming ? Time { 0 } : x.expected;
     if (result != SendResult::Gone)
         this->vm.fleet.update(picked.id, [&](routing::Worker& worker) { routing::noteAnswer(worker, failed, expected, took, monotonicNow()); });
     return result;
 }
 
+Relay::SendResult Relay::noteUnusable(Exchange& x, const Fleet::Picked& picked)
+{
+    this->vm.fleet.update(picked.id, [](routing::Worker& worker) { routing::noteAnswer(worker, true, Time { 0 }, Time { 0 }, monotonicNow()); });
+    x.excluded.insert(picked.id);
+    return SendResult::Unusable;
+}
+
 Relay::SendResult Relay::noteSendError(Exchange& x, const Fleet::Picked& picked, IoError error)
 {
     if (x.gone() || error == IoError::Cancelled) {
@@ -482,7 +494,7 @@
         response.body.append(piece.value());
     }
     bool good = response.status < 400;
-    if (!good && x.route->idempotent && response.status >= 500) {
+    if (!good && x.repeatable() && response.status >= 500) {
         x.failure = std::move(response);
         x.excluded.insert(picked.id);
         return SendResult::Failed;
--- a/edge/src/relay.h
+++ b/edge/src/relay.h
@@ -34,12 +34,14 @@
 
     void run(Exchange& x);
     bool findTarget(Exchange& x);
+    bool crashesWorkers(const Exchange& x);
     void waitForAdapter(Exchange& x, const routing::WorkerEntry& worker);
     bool waitForWorker(Exchange& x, Fleet::Picked& picked);
     SendResult sendOnce(Exchange& x, const Fleet::Picked& picked);
     SendResult readWhole(Exchange& x, const Fleet::Picked& picked, transport::ResponseStream& stream);
     SendResult relayStream(Exchange& x, const Fleet::Picked& picked, transport::ResponseStream& stream, LoadTicket& ticket);
     bool passEvents(Exchange& x, transport::ResponseStream& stream, std::string& buffer);
+    SendResult noteUnusable(Exchange& x, const Fleet::Picked& picked);
     SendResult noteSendError(Exchange& x, const Fleet::Picked& picked, transport::IoError error);
     SendResult judgeNotRun(Exchange& x, const Fleet::Picked& picked, const platform::AnswerHead& head);
     bool mayRepeat(Exchange& x, SendResult result);
--- a/edge/src/settings.cpp
+++ b/edge/src/settings.cpp
@@ -18,8 +18,7 @@
             { "node", false, true, false, IniType::Text,
                 { { "name", IniType::Name, true, {} },
                     { "region", IniType::Name, true, {} },
-                    { "data_centre", IniType::Name, true, {} },
-                    { "threads", IniType::Integer, false, {} } } },
+                    { "data_centre", IniType::Name, true, {} } } },
             { "listen", false, true, false, IniType::Text,
                 { { "front", IniType::Address, true, {} },
                     { "directory", IniType::Address, true, {} },
@@ -55,7 +54,6 @@
     node.text("name", settings.node);
     node.text("region", settings.region);
     node.text("data_centre", settings.dataCentre);
-    node.integer("threads", settings.threads, 1, 64);
     SectionReader listen(document, "listen", faults);
     listen.address("front", settings.front);
     listen.address("directory", settings.directory);
--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -338,6 +338,10 @@
             return writer.abort();
         }
     }
+    if (!model.empty() && mood == WorkerMood::FailsStream) {
+        writer.send({ 500, headers, "failed" });
+        return;
+    }
     if (!model.empty())
         return this->streamEvents(request, writer, headers);
     writer.send({ mood == WorkerMood::Failing ? 500U : 200U, headers, "answer of " + this->id + " to " + requestId });
--- a/tests/standins/platform_standin.h
+++ b/tests/standins/platform_standin.h
@@ -56,6 +56,7 @@
     Unsigned, ///< Answers without its signature.
     Failing, ///< Runs the request and answers 500.
     BreaksStream, ///< Breaks a stream off in the middle of its third event.
+    FailsStream, ///< Answers streams with 500.
     Silent, ///< Runs the request and never answers.
     Count
 };
--- a/tests/unit/edge_test.cpp
+++ b/tests/unit/edge_test.cpp
@@ -427,6 +427,19 @@
     }
 }
 
+WORLD_TEST(a_resumed_stream_that_meets_an_error_is_cut, 23600)
+{
+    world.configureAndWait();
+    cr_assert_eq(world.askChat("id-0", "/chat/x").status, 200U);
+    // The same prompt goes to the same worker first.
+    int first = world.llm(0).runs > 0 ? 0 : 1;
+    world.llm(first).mood = WorkerMood::BreaksStream;
+    world.llm(1 - first).mood = WorkerMood::FailsStream;
+    auto answer = world.askChat("id-1", "/chat/x");
+    cr_assert_eq(answer.body, "closed", "got %u: %s", answer.status, answer.body.c_str());
+    cr_assert_eq(world.llm(1 - first).runs, 1, "the stream did not go on there");
+}
+
 WORLD_TEST(missing_models_and_adapters_are_loaded_within_the_room, 22800)
 {
     world.configureAndWait();
