--- a/edge/src/edge.cpp
+++ b/edge/src/edge.cpp
@@ -16,7 +16,7 @@
     constexpr milliseconds staleCallers { 6200 };
     /// Part of the grace that is left for the end of the process.
     constexpr milliseconds endTime { 400 };
-    /// Shortest suspension of the machine that is worth a log line.
+    /// Shortest suspension of the VM that is worth a log line.
     constexpr milliseconds suspensionLeast { 200 };
     /// A VM has one core, and what its fibers share is not locked against other threads everywhere.
     constexpr unsigned ioThreads = 1;
@@ -102,7 +102,7 @@
         writer.send({ ready ? 200U : 503U, {}, "" });
     }
 
-    /// Forgets the loads of peers that fell silent, and notes when this machine was suspended.
+    /// Forgets the loads of peers that fell silent, and notes when this VM was suspended.
     void watchPeers()
     {
         auto suspendedBefore = transport::bootTimeNow() - monotonicNow();
--- a/ownership/include/ownership/ownership.h
+++ b/ownership/include/ownership/ownership.h
@@ -13,7 +13,7 @@
 
 namespace comfreypier::ownership {
 
-/// Time that goes on while the machine is suspended, so that a lease can't outlive a freeze.
+/// Time that goes on while the VM is suspended, so that a lease can't outlive a freeze.
 using Time = std::chrono::nanoseconds;
 
 /// Times of the lease.
