Take out what the platform's daemon never calls

Cause, found by reading the change: Peers::isHeard and silentMembers with their limit, Fleet::entry, the time at which a worker was first seen to leave and an include had no reader. Ruled out: a use in tests or other packages (grep over the tree; all targets build). Change: removal only, no behaviour. Unit and path tests pass as before.

--- a/edge/include/edge/edge.h
+++ b/edge/include/edge/edge.h
@@ -21,8 +21,6 @@
 constexpr int peerSilenceBeats = 4;
 /// Pause between beats to a peer that has been silent for long.
 constexpr milliseconds silentPeerInterval { 2000 };
-/// A peer silent for this long is dropped from the members by the holder of the lease.
-constexpr std::chrono::seconds memberSilence { 120 };
 /// Longest time a read waits for news of configuration and members. Beats tell of a newer configuration meanwhile, should
 /// the read's connection have gone silent.
 constexpr milliseconds newsWait { 8000 };
--- a/edge/src/fleet.cpp
+++ b/edge/src/fleet.cpp
@@ -57,8 +57,6 @@
         worker.connectFailures = 0;
         worker.runningStreams = 0;
     }
-    if (entry.leaving && worker.leavingAt == Time { 0 })
-        worker.leavingAt = now;
     worker.entry = entry;
     return true;
 }
@@ -166,13 +164,6 @@
     return found != this->workers.end() && routing::holdsAdapter(found->second.worker, shape);
 }
 
-std::optional<routing::WorkerEntry> Fleet::entry(const std::string& id) const
-{
-    std::lock_guard lock(this->mutex);
-    auto found = this->workers.find(id);
-    return found == this->workers.end() ? std::nullopt : std::optional(found->second.worker.entry);
-}
-
 void Fleet::update(const std::string& id, const std::function<void(routing::Worker&)>& change)
 {
     std::lock_guard lock(this->mutex);
--- a/edge/src/fleet.h
+++ b/edge/src/fleet.h
@@ -52,8 +52,6 @@
     std::optional<routing::WorkerEntry> chooseBackup(const routing::Service& service, const routing::RequestShape& shape, const routing::WorkerEntry& primary, Time now);
     /// Tells whether a worker is believed to hold the adapter of a request.
     bool holdsAdapter(const std::string& id, const routing::RequestShape& shape) const;
-    /// Entry of a worker that is not gone.
-    std::optional<routing::WorkerEntry> entry(const std::string& id) const;
 
     /// Calls `change` with the worker, if it is known, under the lock.
     void update(const std::string& id, const std::function<void(routing::Worker&)>& change);
--- a/edge/src/peers.cpp
+++ b/edge/src/peers.cpp
@@ -345,25 +345,6 @@
     return count;
 }
 
-std::vector<std::string> Peers::silentMembers() const
-{
-    auto now = monotonicNow();
-    std::lock_guard lock(this->mutex);
-    std::vector<std::string> silent;
-    for (const auto& [node, peer] : this->peers) {
-        if (now - std::max(peer.heardAt, Time { 0 }) > memberSilence)
-            silent.push_back(node);
-    }
-    return silent;
-}
-
-bool Peers::isHeard(const std::string& node) const
-{
-    std::lock_guard lock(this->mutex);
-    auto found = this->peers.find(node);
-    return found != this->peers.end() && monotonicNow() - found->second.heardAt < this->silence();
-}
-
 std::map<std::string, double> Peers::totalDemand() const
 {
     auto now = monotonicNow();
--- a/edge/src/peers.h
+++ b/edge/src/peers.h
@@ -44,9 +44,6 @@
     void forgetSilent();
     /// VMs that were heard of lately, with this one.
     uint32_t liveCount() const;
-    /// Members that have been silent for long.
-    std::vector<std::string> silentMembers() const;
-    bool isHeard(const std::string& node) const;
 
     /// Demand of all VMs by model.
     std::map<std::string, double> totalDemand() const;
--- a/edge/src/relay.cpp
+++ b/edge/src/relay.cpp
@@ -1,7 +1,5 @@
 #include "relay.h"
 
-#include <cmath>
-
 namespace comfreypier::edge {
 
 namespace {
--- a/routing/include/routing/routing.h
+++ b/routing/include/routing/routing.h
@@ -246,7 +246,6 @@
     uint32_t connectFailures = 0; ///< In a row.
     uint32_t runningStreams = 0; ///< Streams of this VM that have had their first event.
     Time lastByteAt { 0 }; ///< When one of them last had an event.
-    Time leavingAt { 0 }; ///< When it was first seen to leave; 0 while it does not.
 };
 
 /// Tells whether the worker is believed to hold a model.
