--- /dev/null
+++ b/tests/standins/raw_peer.cpp
@@ -0,0 +1,74 @@
+#include "raw_peer.h"
+
+#include <arpa/inet.h>
+#include <cstdlib>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace comfreypier::standins {
+
+RawPeer::RawPeer(uint16_t port, Serve serve)
+{
+    int listener = ::socket(AF_INET, SOCK_STREAM, 0);
+    int on = 1;
+    ::setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+    if (::bind(listener, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0 || ::listen(listener, 64) != 0)
+        std::abort();
+    std::thread([listener, serve = std::move(serve)] {
+        while (true) {
+            int connection = ::accept(listener, nullptr, nullptr);
+            if (connection < 0)
+                continue;
+            std::thread([connection, serve] {
+                serve(connection);
+                ::close(connection);
+            }).detach();
+        }
+    }).detach();
+}
+
+std::string RawPeer::readRequest(int connection, size_t limit)
+{
+    std::string bytes;
+    while (bytes.size() < limit && !isWhole(bytes)) {
+        char byte = 0;
+        if (::recv(connection, &byte, 1, 0) <= 0)
+            break;
+        bytes.push_back(byte);
+    }
+    return bytes;
+}
+
+bool RawPeer::isWhole(const std::string& bytes)
+{
+    auto end = bytes.find("\r\n\r\n");
+    if (end == std::string::npos)
+        return false;
+    constexpr std::string_view field = "Content-Length: ";
+    auto length = bytes.find(field);
+    size_t body = length == std::string::npos || length > end ? 0 : std::strtoul(bytes.c_str() + length + field.size(), nullptr, 10);
+    return bytes.size() >= end + 4 + body;
+}
+
+void RawPeer::write(int connection, const std::string& bytes)
+{
+    size_t sent = 0;
+    while (sent < bytes.size()) {
+        auto count = ::send(connection, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+        if (count <= 0)
+            return;
+        sent += static_cast<size_t>(count);
+    }
+}
+
+void RawPeer::resetOnClose(int connection)
+{
+    linger hard { 1, 0 };
+    ::setsockopt(connection, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+}
+
+} // namespace comfreypier::standins
--- a/tests/unit/transport_test.cpp
+++ b/tests/unit/transport_test.cpp
@@ -1,5 +1,6 @@
 /// The HTTP server under bad input.
 #include "generators.h"
+#include "raw_peer.h"
 
 #include <arpa/inet.h>
 #include <criterion/criterion.h>
@@ -62,3 +63,37 @@
     server.closeAll();
     cr_assert(runtime.stop(std::chrono::seconds { 5 }));
 }
+
+Test(http_client, idle_connections_that_the_peer_forgets_cost_one_request_only)
+{
+    signal(SIGPIPE, SIG_IGN);
+    constexpr uint16_t peerPort = 26998;
+    constexpr std::chrono::milliseconds forgetsAfter { 150 };
+    // The peer keeps the connection open, and resets it at the next request if it rested for too long.
+    standins::RawPeer peer(peerPort, [forgetsAfter](int connection) {
+        auto restedSince = monotonicNow();
+        bool first = true;
+        while (!standins::RawPeer::readRequest(connection).empty()) {
+            if (!std::exchange(first, false) && monotonicNow() - restedSince > forgetsAfter)
+                return standins::RawPeer::resetOnClose(connection);
+            standins::RawPeer::write(connection, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+            restedSince = monotonicNow();
+        }
+    });
+    Runtime runtime(1);
+    HttpClient client;
+    std::atomic<int> lost { 0 };
+    std::atomic<bool> done { false };
+    runtime.spawn([&] {
+        for (int i = 0; i < 8; i++) {
+            auto answer = client.call({ "127.0.0.1", peerPort }, { "POST", "/", {}, "b" }, {});
+            lost += answer ? 0 : 1;
+            sleepFor(2 * forgetsAfter);
+        }
+        done = true;
+    });
+    while (!done)
+        std::this_thread::sleep_for(std::chrono::milliseconds { 10 });
+    cr_assert_eq(lost, 1, "%d requests were lost", lost.load());
+    cr_assert(runtime.stop(std::chrono::seconds { 5 }));
+}
--- a/transport/include/transport/transport.h
+++ b/transport/include/transport/transport.h
@@ -44,6 +44,10 @@
 constexpr uint32_t idleConnectionsPerEndpoint = 64;
 /// Longest time the client keeps a connection idle.
 constexpr std::chrono::milliseconds clientIdleTimeout { 20000 };
+/// After a pooled connection was found dropped by its peer, others rest at most half as long as it did, but this long at least,
+constexpr std::chrono::milliseconds learnedIdleLeast { 50 };
+/// for this time.
+constexpr std::chrono::seconds learnedIdleTime { 60 };
 /// Time limit for opening a TCP connection.
 constexpr std::chrono::milliseconds defaultConnectTimeout { 1000 };
 /// Time by which a pooled connection is retired before the peer's announced idle limit; covers a slow network and timers.
--- a/transport/src/http_client_beast.cpp
+++ b/transport/src/http_client_beast.cpp
@@ -21,6 +21,7 @@
         Stream stream;
         beast::flat_buffer buffer;
         std::chrono::nanoseconds idleUntil { 0 };
+        std::chrono::nanoseconds idleSince { 0 }; ///< 0 if it has carried no answer yet.
     };
     using ConnectionPtr = std::unique_ptr<ClientConnection>;
 
@@ -109,12 +110,31 @@
         while (!idle.empty()) {
             auto connection = std::move(idle.back());
             idle.pop_back();
-            if (monotonicNow() < connection->idleUntil && this->isUsable(*connection))
+            auto now = monotonicNow();
+            if (now < connection->idleUntil && now - connection->idleSince < this->idleLimit(now) && this->isUsable(*connection))
                 return connection;
         }
         return nullptr;
     }
 
+    /// Idle time after which pooled connections are not used any more.
+    std::chrono::nanoseconds idleLimit(std::chrono::nanoseconds now) const
+    {
+        std::lock_guard lock(this->mutex);
+        return now < this->learnedUntil ? this->learnedLimit : clientIdleTimeout;
+    }
+
+    /// Notes that a connection which had rested for `rested` ended before a byte of the answer: peers may drop idle connections
+    /// without a sign, and the next request on one is lost.
+    void noteDroppedIdle(std::chrono::nanoseconds rested)
+    {
+        auto now = monotonicNow();
+        std::lock_guard lock(this->mutex);
+        auto current = now < this->learnedUntil ? this->learnedLimit : clientIdleTimeout;
+        this->learnedLimit = std::max<std::chrono::nanoseconds>(learnedIdleLeast, std::min(current, rested / 2));
+        this->learnedUntil = now + learnedIdleTime;
+    }
+
     /// A pooled connection is unusable once the peer has closed it or sent bytes nobody asked for.
     static bool isUsable(ClientConnection& connection)
     {
@@ -138,6 +158,9 @@
     }
 
     std::atomic<uint64_t> opened { 0 };
+    mutable std::mutex mutex;
+    std::chrono::nanoseconds learnedLimit { 0 }; ///< Guarded by `mutex`, like the next.
+    std::chrono::nanoseconds learnedUntil { 0 };
 
     Result<ConnectionPtr, IoError> connect(const Endpoint& endpoint, const CallLimits& limits)
     {
@@ -185,7 +208,8 @@
             bool clean = this->connection->buffer.size() == 0 && !this->isCancelled();
             if (!clean || !this->parser.is_done() || !this->parser.get().keep_alive())
                 return;
-            this->connection->idleUntil = monotonicNow() + idleTime(this->parser.get()[http::field::keep_alive]);
+            this->connection->idleSince = monotonicNow();
+            this->connection->idleUntil = this->connection->idleSince + idleTime(this->parser.get()[http::field::keep_alive]);
             this->giveBack(std::move(this->connection));
         }
 
@@ -259,6 +283,8 @@
             return connected.error();
         connection = std::move(connected.value());
     }
+    auto idleSince = connection->idleSince;
+    auto sentAt = monotonicNow();
     auto giveBack = [impl = this->impl, endpoint](ConnectionPtr idle) { impl->giveBack(endpoint, std::move(idle)); };
     auto stream = std::make_unique<BeastResponseStream>(std::move(connection), giveBack, limits.cancel);
     auto message = toMessage(endpoint, request);
@@ -267,8 +293,12 @@
         return IoError::Cancelled;
     if (outcome.error == beast::error::timeout)
         this->impl->renewPool(endpoint);
-    if (outcome.error)
-        return toIoError(outcome.error);
+    if (outcome.error) {
+        auto error = toIoError(outcome.error);
+        if (error == IoError::Closed && idleSince.count() > 0)
+            this->impl->noteDroppedIdle(sentAt - idleSince);
+        return error;
+    }
     stream->headRead();
     return std::unique_ptr<ResponseStream>(std::move(stream));
 }
