Beats in groups of one data centre, entries passed on only for their standing

Load: 60 to 83 VMs.

Change: above 24 members a data centre is a group with its own readers; other groups hear loads only, every two seconds (the holder's beats every second); an entry is passed on when a worker comes, moves, restarts or leaves; what the holder announces takes gone models and adapters out of older entries. The lease goes to a VM with more capacity; VMs that fall behind say so and leave the directory's answers while half of their data centre keeps up.

--- a/edge/include/edge/edge.h
+++ b/edge/include/edge/edge.h
@@ -13,8 +13,14 @@
 
 /// Pause between beats to the other VMs: a peer's load is news for about as long as a prompt takes to read.
 constexpr milliseconds beatInterval { 200 };
-/// Least pause for each member: it bounds what all VMs send to each other to their number, not its square.
-constexpr milliseconds beatIntervalPerMember { 12 };
+/// Least pause for each VM of the group: it bounds what all VMs send to each other to their number, not its square.
+constexpr milliseconds beatIntervalPerMember { 15 };
+/// Up to this many VMs are one group, in which all tell each other everything; more are split into a group for each data centre.
+constexpr size_t groupMost = 24;
+/// Pause between beats to a VM of another group: its load is of use only for the few workers that both use.
+constexpr milliseconds farBeatInterval { 2000 };
+/// The same for the holder of the lease, whose silence must be noticed.
+constexpr milliseconds farHolderInterval { 1000 };
 /// A peer not heard for this long is left out of the directory.
 constexpr milliseconds peerSilence { 1100 };
 /// The same in pauses between beats, for many VMs.
@@ -26,7 +32,7 @@
 constexpr milliseconds newsWait { 8000 };
 /// Longest time for which a VM leaves reading the workers' stream to others that pass it on.
 constexpr milliseconds lazyReadInterval { 4000 };
-/// VMs that read the workers' stream for all.
+/// VMs that read the workers' stream for their group.
 constexpr size_t workerReaders = 3;
 /// Beats in which a passed record is repeated, as datagrams may be lost.
 constexpr int passRepeats = 5;
@@ -59,10 +65,18 @@
     bool workersCheckTokens = true; ///< Workers refuse lower fencing tokens.
     std::chrono::seconds directoryKeep { 2 }; ///< For which callers keep the directory's answer.
     uint32_t connectionLimit = 3000; ///< Callers' connections at once.
+    double processorShare = 1; ///< Of a core that this VM may use.
+    double processorSpeed = 1; ///< Of that core, where 1 is the usual one.
+    double linkMegabits = 1000; ///< A second, of the VM's link.
     transport::LogLevel logLevel = transport::LogLevel::Info;
     std::vector<transport::PartLevel> partLevels;
 };
 
+/// Link that one usual core keeps busy by relaying, in megabits a second: 45,000 tokens a second of some 250 bytes, both ways.
+constexpr double linkMegabitsPerCore = 200;
+/// What a VM can carry, in usual cores: its processor or its link, whichever is less.
+double capacityOf(const Settings& settings);
+
 /// Parses and checks a settings file.
 Result<Settings, std::vector<protocol::FileFault>> parseSettings(std::string_view file, std::string_view text);
 
--- a/edge/src/beat.capnp
+++ b/edge/src/beat.capnp
@@ -9,6 +9,7 @@
   inner @1 :Text;
   front @2 :Text;
   dataCentre @3 :Text;
+  capacity @4 :Float32;
 }
 
 struct Load {
@@ -70,4 +71,5 @@
   readsWorkers @15 :Bool;
   entries @16 :List(Entry);
   partial @17 :Bool;
+  strained @18 :Bool;
 }
--- a/edge/src/beat.capnp.h
+++ b/edge/src/beat.capnp.h
@@ -41,7 +41,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fb024e591b5c3a9e, 1, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(fb024e591b5c3a9e, 2, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -198,6 +198,8 @@
   inline bool hasDataCentre() const;
   inline  ::capnp::Text::Reader getDataCentre() const;
 
+  inline float getCapacity() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -250,6 +252,9 @@
   inline void adoptDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownDataCentre();
 
+  inline float getCapacity();
+  inline void setCapacity(float value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -971,6 +976,8 @@
 
   inline bool getPartial() const;
 
+  inline bool getStrained() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1089,6 +1096,9 @@
   inline bool getPartial();
   inline void setPartial(bool value);
 
+  inline bool getStrained();
+  inline void setStrained(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1233,6 +1243,20 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline float Member::Reader::getCapacity() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline float Member::Builder::getCapacity() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setCapacity(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t Load::Reader::getWorker() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2095,6 +2119,20 @@
       ::capnp::bounded<131>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Beat::Reader::getStrained() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<132>() * ::capnp::ELEMENTS);
+}
+
+inline bool Beat::Builder::getStrained() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<132>() * ::capnp::ELEMENTS);
+}
+inline void Beat::Builder::setStrained(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<132>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/edge/src/beat_codec.h
+++ b/edge/src/beat_codec.h
@@ -12,6 +12,7 @@
     transport::Endpoint inner;
     transport::Endpoint front;
     std::string dataCentre;
+    double capacity = 0; ///< As of `capacityOf`.
 };
 
 std::string encodeMember(const Member& member);
@@ -52,6 +53,7 @@
     uint64_t number = 0; ///< Grows with each beat of an incarnation.
     bool ready = false;
     bool leaving = false;
+    bool strained = false; ///< The VM falls behind: callers that can go elsewhere should.
     uint64_t leaseToken = 0; ///< Fencing token if the VM gives orders now, else 0.
     uint64_t leaseOffset = 0; ///< Newest record of the lease, from its holder.
     uint64_t configVersion = 0;
--- a/edge/src/beat_codec_capnp.cpp
+++ b/edge/src/beat_codec_capnp.cpp
@@ -143,6 +143,7 @@
     root.setInner(transport::toString(member.inner));
     root.setFront(transport::toString(member.front));
     root.setDataCentre(member.dataCentre);
+    root.setCapacity(static_cast<float>(member.capacity));
     return toBytes(message);
 }
 
@@ -156,7 +157,7 @@
         whole = inner.has_value() && front.has_value();
         if (!whole)
             return;
-        member = { root.getIncarnation(), inner.value(), front.value(), text(root.getDataCentre()) };
+        member = { root.getIncarnation(), inner.value(), front.value(), text(root.getDataCentre()), root.getCapacity() };
     });
     return readable && whole ? std::optional(member) : std::nullopt;
 }
@@ -170,6 +171,7 @@
     root.setNumber(beat.number);
     root.setReady(beat.ready);
     root.setLeaving(beat.leaving);
+    root.setStrained(beat.strained);
     root.setLeaseToken(beat.leaseToken);
     root.setPartial(beat.partial);
     root.setReadsWorkers(beat.readsWorkers);
@@ -188,6 +190,7 @@
         beat.number = root.getNumber();
         beat.ready = root.getReady();
         beat.leaving = root.getLeaving();
+        beat.strained = root.getStrained();
         beat.leaseToken = root.getLeaseToken();
         beat.partial = root.getPartial();
         beat.readsWorkers = root.getReadsWorkers();
--- a/edge/src/counters.cpp
+++ b/edge/src/counters.cpp
@@ -44,7 +44,7 @@
 const char* name(Event event)
 {
     constexpr std::array<const char*, static_cast<size_t>(Event::Count)> names {
-        "requests", "answers", "stream_events", "streams_cut", "store_calls", "store_failures", "beats_sent", "beats_received", "orders", "configurations_applied"
+        "requests", "answers", "stream_events", "streams_cut", "store_calls", "store_failures", "beats_sent", "beat_bytes_sent", "beats_received", "orders", "configurations_applied"
     };
     return names[static_cast<size_t>(event)];
 }
--- a/edge/src/counters.h
+++ b/edge/src/counters.h
@@ -48,6 +48,7 @@
     StoreCalls,
     StoreFailures,
     BeatsSent,
+    BeatBytesSent,
     BeatsReceived,
     Orders,
     ConfigurationsApplied,
--- a/edge/src/edge.cpp
+++ b/edge/src/edge.cpp
@@ -18,6 +18,12 @@
     constexpr milliseconds endTime { 400 };
     /// Shortest suspension of the VM that is worth a log line.
     constexpr milliseconds suspensionLeast { 200 };
+    /// Pause between two looks at how late timers fire.
+    constexpr milliseconds strainPause { 50 };
+    /// Lateness from which callers are sent elsewhere: a good part of what a first token may take.
+    constexpr milliseconds strainLeast { 150 };
+    /// Looks in which a lateness fades to about a third: some two seconds.
+    constexpr int strainFade = 40;
     /// A VM has one core, and what its fibers share is not locked against other threads everywhere.
     constexpr unsigned ioThreads = 1;
     /// Requests that the directory, readiness and metrics listeners take at once.
@@ -116,6 +122,23 @@
         }
     }
 
+    /// Measures by how much timers fire late, which is what callers wait in addition.
+    void watchStrain()
+    {
+        Time late { 0 };
+        while (!this->vm.phase.stopping) {
+            auto before = monotonicNow();
+            sleepFor(strainPause);
+            auto now = monotonicNow() - before - strainPause;
+            // A rise counts at once, a fall by and by.
+            late = std::max<Time>(now, late - late / strainFade);
+            bool strained = late > (this->vm.phase.strained ? strainLeast / 2 : strainLeast);
+            if (this->vm.phase.strained.exchange(strained) == strained)
+                continue;
+            this->log.info("event=strain state=" + std::string(strained ? "begin" : "end") + " late_ms=" + milliText(late) + " open_requests=" + std::to_string(this->front.stats().activeRequests));
+        }
+    }
+
     void startDuties()
     {
         this->runtime.spawn([this] { this->store.followConfiguration(); });
@@ -125,6 +148,7 @@
         this->runtime.spawn([this] { this->orders.keepLease(); });
         this->runtime.spawn([this] { this->orders.run(); });
         this->runtime.spawn([this] { this->watchPeers(); });
+        this->runtime.spawn([this] { this->watchStrain(); });
     }
 
     /// Tells the store that this VM leaves; ends by itself if the store does not answer.
--- a/edge/src/fleet.cpp
+++ b/edge/src/fleet.cpp
@@ -33,23 +33,25 @@
     return true;
 }
 
-bool Fleet::applyEntry(const routing::WorkerEntry& entry, uint64_t offset, Time now)
+EntryNews Fleet::applyEntry(const routing::WorkerEntry& entry, uint64_t offset, Time now)
 {
     std::lock_guard lock(this->mutex);
     auto gone = this->goneAt.find(entry.id);
     if (gone != this->goneAt.end() && offset <= gone->second)
-        return false;
+        return EntryNews::None;
     auto& known = this->workers[entry.id];
     if (known.heardAt != Time { 0 } && offset <= known.offset)
-        return false;
+        return EntryNews::None;
     known.offset = offset;
-    this->workerNames[workerKey(entry.id)] = entry.id;
+    known.key = workerKey(entry.id);
+    this->workerNames[known.key] = entry.id;
     known.heardAt = now;
-    known.missingSince = Time { 0 };
+    bool missing = std::exchange(known.missingSince, Time { 0 }) != Time { 0 };
     auto& worker = known.worker;
-    if (worker.entry == entry)
-        return false;
+    if (worker.entry == entry && !missing)
+        return EntryNews::None;
     bool restarted = worker.entry.startedAt != entry.startedAt;
+    bool standing = restarted || missing || worker.entry.id.empty() || worker.entry.service != entry.service || worker.entry.address != entry.address || worker.entry.leaving != entry.leaving;
     if (restarted) {
         worker.kept.clear();
         worker.announced.clear();
@@ -58,7 +60,7 @@
         worker.runningStreams = 0;
     }
     worker.entry = entry;
-    return true;
+    return standing ? EntryNews::Standing : EntryNews::Contents;
 }
 
 bool Fleet::removeEntry(const std::string& id, uint64_t offset, Time now, Time grace)
@@ -188,7 +190,7 @@
     if (beat.partial)
         return;
     for (auto& [id, known] : this->workers) {
-        auto load = beat.loads.find(workerKey(id));
+        auto load = beat.loads.find(known.key);
         if (load == beat.loads.end())
             known.worker.peers.erase(peer);
         else
@@ -218,8 +220,14 @@
     std::lock_guard lock(this->mutex);
     for (const auto& [id, adapters] : resident) {
         auto found = this->workers.find(id);
-        if (found != this->workers.end())
-            found->second.worker.announced = adapters;
+        if (found == this->workers.end())
+            continue;
+        auto& worker = found->second.worker;
+        worker.announced = adapters;
+        // What has gone since is no reason to send a request there. An entry that is read later goes before this.
+        for (auto& model : worker.entry.models)
+            std::erase_if(model.adapters, [&](const auto& adapter) { return !adapters.contains(model.name + "/" + adapter); });
+        std::erase_if(worker.entry.models, [&adapters](const auto& model) { return !adapters.contains(model.name); });
     }
 }
 
@@ -229,7 +237,7 @@
     std::map<WorkerKey, routing::WorkerLoad> loads;
     for (const auto& [id, known] : this->workers) {
         if (known.worker.own.requests > 0)
-            loads[workerKey(id)] = known.worker.own;
+            loads[known.key] = known.worker.own;
     }
     return loads;
 }
--- a/edge/src/fleet.h
+++ b/edge/src/fleet.h
@@ -14,6 +14,14 @@
 using transport::sleepFor;
 using ConfigurationPtr = std::shared_ptr<const routing::Configuration>;
 
+/// What a worker's entry says that was not known.
+enum class EntryNews {
+    None,
+    Contents, ///< Other models or adapters: the holder of the lease tells all VMs of those.
+    Standing, ///< A new worker or start, another address, or whether it leaves.
+    Count
+};
+
 /// Load that a request puts on a worker. Ends with the object.
 class LoadTicket;
 
@@ -28,8 +36,7 @@
     bool applyConfiguration(routing::Configuration configuration);
 
     /// Takes over a worker's entry. @param offset of its record; older ones than the last are ignored.
-    /// @return true if it says something new.
-    bool applyEntry(const routing::WorkerEntry& entry, uint64_t offset, Time now);
+    EntryNews applyEntry(const routing::WorkerEntry& entry, uint64_t offset, Time now);
     /// Notes that a worker's entry is gone. @param grace time in which it may come back.
     /// @return true if that is news.
     bool removeEntry(const std::string& id, uint64_t offset, Time now, Time grace);
@@ -75,6 +82,7 @@
 private:
     friend class LoadTicket;
     struct Known {
+        WorkerKey key = 0;
         routing::Worker worker;
         uint64_t offset = 0; ///< Of the record that was last taken over.
         Time heardAt { 0 };
--- a/edge/src/order_duty.cpp
+++ b/edge/src/order_duty.cpp
@@ -96,11 +96,20 @@
 {
     auto now = transport::bootTimeNow();
     ownership::LeaseStep step;
+    bool handsOver = false;
+    bool stronger = this->peers.hearsStronger();
     {
         std::lock_guard lock(this->mutex);
         step = this->lease.next(now);
+        handsOver = this->lease.holds() && this->deference.handsOver(stronger, now);
+        if (step == ownership::LeaseStep::TakeOver && this->deference.leavesFree(this->lease.seenOffset(), stronger, now))
+            step = ownership::LeaseStep::Wait;
     }
-    if (step == ownership::LeaseStep::Wait || this->vm.phase.leaving)
+    if (this->vm.phase.leaving)
+        return;
+    if (handsOver)
+        return this->handOver();
+    if (step == ownership::LeaseStep::Wait)
         return;
     if (step == ownership::LeaseStep::Renew || step == ownership::LeaseStep::TakeOver)
         return this->appendLease(step == ownership::LeaseStep::TakeOver);
@@ -126,6 +135,13 @@
     this->lease.noteRead(reading, now);
 }
 
+void OrderDuty::handOver()
+{
+    this->release();
+    std::lock_guard lock(this->mutex);
+    this->lease.rejoin();
+}
+
 void OrderDuty::appendLease(bool takeOver)
 {
     auto sentAt = transport::bootTimeNow();
--- a/edge/src/order_duty.h
+++ b/edge/src/order_duty.h
@@ -29,6 +29,8 @@
 
     void stepLease();
     void appendLease(bool takeOver);
+    /// Releases the lease for a stronger VM and takes part again.
+    void handOver();
     /// Tells whether this VM may give orders now. The lock must be held.
     bool mayOrder() const;
     void syncAgents();
@@ -48,6 +50,7 @@
     Peers& peers;
     mutable std::mutex mutex;
     ownership::Lease lease;
+    ownership::Deference deference;
     std::map<std::string, AgentPtr> agents;
     placement::StoreRate storeRate;
     placement::AdapterUses adapterUses;
--- a/edge/src/peers.cpp
+++ b/edge/src/peers.cpp
@@ -16,6 +16,8 @@
     constexpr milliseconds waitingNewsTime { 100 };
     /// Workers whose models and adapters are part of a beat without a change.
     constexpr size_t residentInTurn = 3;
+    /// A VM leaves orders to another with this many times its capacity.
+    constexpr double strongerBy = 1.5;
     /// Least work that is worth telling, in worker seconds a second.
     constexpr double demandLeast = 0.005;
 
@@ -27,6 +29,26 @@
 
 } // namespace
 
+std::vector<transport::Endpoint> chooseAddresses(const std::vector<Candidate>& near, const std::vector<Candidate>& far)
+{
+    std::vector<transport::Endpoint> addresses;
+    auto take = [&addresses](const std::vector<Candidate>& from, bool strained) {
+        for (const auto& candidate : from) {
+            if (candidate.strained == strained)
+                addresses.push_back(candidate.front);
+        }
+    };
+    take(near, false);
+    // Too few that keep up would be the next to fall behind.
+    if (static_cast<double>(addresses.size()) < addressesShare * static_cast<double>(near.size()))
+        take(near, true);
+    if (addresses.size() < addressesLeast)
+        take(far, false);
+    if (addresses.empty())
+        take(far, true);
+    return addresses;
+}
+
 Peers::Peers(Vm& vm, transport::Runtime& runtime)
     : vm(vm)
     , socket(runtime, vm.settings.inner, [this](std::string_view bytes) { this->receive(bytes); })
@@ -41,7 +63,7 @@
 
 bool Peers::publish()
 {
-    Member member { this->incarnation, this->vm.settings.inner, this->vm.settings.front, this->vm.settings.dataCentre };
+    Member member { this->incarnation, this->vm.settings.inner, this->vm.settings.front, this->vm.settings.dataCentre, capacityOf(this->vm.settings) };
     add(this->vm.counters, Event::StoreCalls);
     auto outcome = platform::append(this->vm.store(), platform::Stream::Members, this->vm.settings.node, encodeMember(member));
     if (!outcome)
@@ -71,20 +93,37 @@
         sleepFor(beatInterval);
 }
 
+bool Peers::isNear(const Peer& peer) const
+{
+    return this->peers.size() < groupMost || peer.member.dataCentre == this->vm.settings.dataCentre;
+}
+
+size_t Peers::nearCount() const
+{
+    return static_cast<size_t>(std::count_if(this->peers.begin(), this->peers.end(), [this](const auto& item) { return this->isNear(item.second); }));
+}
+
 milliseconds Peers::interval() const
 {
-    return std::max(beatInterval, beatIntervalPerMember * static_cast<int>(this->peers.size() + 1));
+    return std::max(beatInterval, beatIntervalPerMember * static_cast<int>(this->nearCount() + 1));
+}
+
+milliseconds Peers::silence(const Peer& peer) const
+{
+    if (this->isNear(peer))
+        return std::max(peerSilence, peerSilenceBeats * this->interval());
+    return peerSilenceBeats * (peer.leaseToken != 0 ? farHolderInterval : farBeatInterval);
 }
 
-milliseconds Peers::silence() const
+bool Peers::isHeard(const Peer& peer, Time now) const
 {
-    return std::max(peerSilence, peerSilenceBeats * this->interval());
+    return now - peer.heardAt < this->silence(peer);
 }
 
 Time Peers::urgentInterval() const
 {
     std::lock_guard lock(this->mutex);
-    return beatNowInterval + urgentPerMember * this->peers.size();
+    return beatNowInterval + urgentPerMember * this->nearCount();
 }
 
 void Peers::passOn(const PassedEntry& entry)
@@ -103,7 +142,7 @@
     std::lock_guard lock(this->mutex);
     size_t readers = 0;
     for (const auto& [node, peer] : this->peers) {
-        bool reads = peer.readsWorkers && !peer.leaving && now - peer.heardAt < this->silence();
+        bool reads = peer.readsWorkers && !peer.leaving && this->isNear(peer) && this->isHeard(peer, now);
         readers += reads && routing::hashText(node) < own ? 1 : 0;
     }
     return readers >= workerReaders;
@@ -125,6 +164,7 @@
     beat.number = ++this->number;
     beat.ready = this->vm.isReady();
     beat.leaving = this->vm.phase.leaving;
+    beat.strained = this->vm.phase.strained;
     auto configuration = this->vm.fleet.configuration();
     beat.readsWorkers = this->readsWorkers && this->readsWorkers();
     beat.configVersion = configuration ? configuration->version : 0;
@@ -160,7 +200,8 @@
 void Peers::fillResident(Beat& beat)
 {
     auto now = monotonicNow();
-    auto news = std::max(residentNewsTime, this->interval() + this->interval() / 4);
+    auto pause = this->nearCount() < this->peers.size() ? farHolderInterval : this->interval();
+    auto news = std::max(residentNewsTime, pause + pause / 4);
     for (const auto& [worker, items] : this->resident) {
         if (now - this->residentChangedAt[worker] < news)
             beat.resident[worker] = items;
@@ -182,14 +223,13 @@
         auto now = monotonicNow();
         std::lock_guard lock(this->mutex);
         for (const auto& [node, peer] : this->peers) {
-            if (peer.leaseToken != 0 && now - peer.heardAt < this->silence())
+            if (peer.leaseToken != 0 && this->isHeard(peer, now))
                 holder = peer.member.inner;
         }
     }
     if (!holder)
         return;
-    this->socket.send(*holder, encodeBeat(this->makeBeat(true)));
-    add(this->vm.counters, Event::BeatsSent);
+    this->sendTo({ *holder }, this->makeBeat(true));
 }
 
 void Peers::beatNow()
@@ -206,31 +246,61 @@
         return;
     }
     this->beatenAt = now;
+    auto targets = this->chooseTargets(now);
     auto beat = this->makeBeat(false);
-    std::optional<transport::Endpoint> holder;
-    std::vector<transport::Endpoint> targets;
-    {
-        std::lock_guard lock(this->mutex);
-        for (auto& [node, peer] : this->peers) {
-            bool silent = now - peer.heardAt > silentPeerInterval;
-            if (silent && now - peer.toldAt < silentPeerInterval)
-                continue;
-            peer.toldAt = now;
-            if (peer.leaseToken != 0 && now - peer.heardAt < this->silence())
-                holder = peer.member.inner;
-            else
-                targets.push_back(peer.member.inner);
-        }
-    }
+    this->sendTo(targets.holder, beat);
     // Only the holder plans by demand and by the use of adapters.
-    if (holder)
-        this->socket.send(*holder, encodeBeat(beat));
     beat.demand.clear();
     beat.used.clear();
+    this->sendTo(targets.near, beat);
+    // Which prompt parts a worker keeps and which records changed matters within the group.
+    beat.sent.clear();
+    beat.entries.clear();
+    this->sendTo(targets.far, beat);
+}
+
+void Peers::sendTo(const std::vector<transport::Endpoint>& targets, const Beat& beat)
+{
+    if (targets.empty())
+        return;
     auto bytes = encodeBeat(beat);
     for (const auto& target : targets)
         this->socket.send(target, bytes);
-    add(this->vm.counters, Event::BeatsSent, targets.size() + (holder ? 1 : 0));
+    add(this->vm.counters, Event::BeatsSent, targets.size());
+    add(this->vm.counters, Event::BeatBytesSent, targets.size() * bytes.size());
+}
+
+/// VMs that are told now. Those of other groups come in turn, some in each beat.
+Peers::Targets Peers::chooseTargets(Time now)
+{
+    Targets targets;
+    std::lock_guard lock(this->mutex);
+    std::vector<Peer*> far;
+    auto farInterval = this->leaseToken != 0 ? farHolderInterval : farBeatInterval;
+    for (auto& [node, peer] : this->peers) {
+        bool silent = now - peer.heardAt > std::max(silentPeerInterval, this->silence(peer));
+        bool near = this->isNear(peer);
+        if (now - peer.toldAt < (silent ? silentPeerInterval : near ? milliseconds { 0 } : farInterval))
+            continue;
+        if (!near) {
+            far.push_back(&peer);
+            continue;
+        }
+        peer.toldAt = now;
+        bool holds = peer.leaseToken != 0 && this->isHeard(peer, now);
+        (holds ? targets.holder : targets.near).push_back(peer.member.inner);
+    }
+    std::sort(far.begin(), far.end(), [](const Peer* a, const Peer* b) { return a->toldAt < b->toldAt; });
+    auto farCount = this->peers.size() - this->nearCount();
+    auto most = 1 + farCount * static_cast<size_t>(this->interval().count()) / static_cast<size_t>(farInterval.count());
+    if (far.size() > most)
+        far.resize(most);
+    for (auto* peer : far) {
+        peer->toldAt = now;
+        bool holds = peer->leaseToken != 0 && this->isHeard(*peer, now);
+        (holds ? targets.holder : targets.far).push_back(peer->member.inner);
+    }
+    return targets;
 }
 
 void Peers::receive(std::string_view bytes)
@@ -248,12 +318,13 @@
         auto& peer = found->second;
         if (beat->number <= peer.number)
             return;
-        if (monotonicNow() - peer.heardAt > this->silence())
+        if (!this->isHeard(peer, monotonicNow()))
             this->log.info("event=peer_heard node=" + beat->node);
         peer.number = beat->number;
         peer.heardAt = monotonicNow();
         peer.ready = beat->ready;
         peer.leaving = beat->leaving;
+        peer.strained = beat->strained;
         peer.readsWorkers = beat->readsWorkers;
         peer.leaseToken = beat->leaseToken;
         // A partial beat carries none.
@@ -304,20 +375,31 @@
 
 std::vector<transport::Endpoint> Peers::addressesFor(const std::string& dataCentre) const
 {
-    constexpr size_t addressesLeast = 2;
-    std::vector<transport::Endpoint> near;
-    std::vector<transport::Endpoint> far;
+    std::vector<Candidate> near;
+    std::vector<Candidate> far;
+    auto sort = [&](const std::string& centre, const Candidate& candidate) { (centre == dataCentre ? near : far).push_back(candidate); };
     if (this->vm.isReady())
-        (this->vm.settings.dataCentre == dataCentre ? near : far).push_back(this->vm.settings.front);
+        sort(this->vm.settings.dataCentre, { this->vm.settings.front, this->vm.phase.strained });
     auto now = monotonicNow();
-    std::lock_guard lock(this->mutex);
-    for (const auto& [node, peer] : this->peers) {
-        if (peer.ready && !peer.leaving && now - peer.heardAt < this->silence())
-            (peer.member.dataCentre == dataCentre ? near : far).push_back(peer.member.front);
+    {
+        std::lock_guard lock(this->mutex);
+        for (const auto& [node, peer] : this->peers) {
+            if (peer.ready && !peer.leaving && this->isHeard(peer, now))
+                sort(peer.member.dataCentre, { peer.member.front, peer.strained });
+        }
     }
-    if (near.size() < addressesLeast)
-        near.insert(near.end(), far.begin(), far.end());
-    return near;
+    return chooseAddresses(near, far);
+}
+
+bool Peers::hearsStronger() const
+{
+    auto least = capacityOf(this->vm.settings) * strongerBy;
+    auto now = monotonicNow();
+    std::lock_guard lock(this->mutex);
+    return std::any_of(this->peers.begin(), this->peers.end(), [&](const auto& item) {
+        const auto& peer = item.second;
+        return peer.ready && !peer.leaving && !peer.strained && peer.member.capacity >= least && this->isHeard(peer, now);
+    });
 }
 
 void Peers::forgetSilent()
@@ -327,7 +409,7 @@
         auto now = monotonicNow();
         std::lock_guard lock(this->mutex);
         for (const auto& [node, peer] : this->peers) {
-            if (now - peer.heardAt > this->silence())
+            if (!this->isHeard(peer, now))
                 silent.push_back(node);
         }
     }
@@ -341,7 +423,7 @@
     std::lock_guard lock(this->mutex);
     uint32_t count = 1;
     for (const auto& [node, peer] : this->peers)
-        count += now - peer.heardAt < silentPeerInterval ? 1 : 0;
+        count += now - peer.heardAt < std::max(silentPeerInterval, this->silence(peer)) ? 1 : 0;
     return count;
 }
 
@@ -351,7 +433,7 @@
     std::lock_guard lock(this->mutex);
     auto total = this->work.rates(now);
     for (const auto& [node, peer] : this->peers) {
-        if (now - peer.heardAt > silentPeerInterval)
+        if (now - peer.heardAt > std::max(silentPeerInterval, this->silence(peer)))
             continue;
         for (const auto& [model, rate] : peer.demand)
             total[model] += rate;
@@ -373,7 +455,7 @@
     for (const auto& [want, count] : this->wants)
         all.insert(want);
     for (const auto& [node, peer] : this->peers) {
-        if (now - peer.heardAt < this->silence())
+        if (this->isHeard(peer, now))
             all.insert(peer.wants.begin(), peer.wants.end());
     }
     return { all.begin(), all.end() };
@@ -438,7 +520,7 @@
         auto now = monotonicNow();
         std::lock_guard lock(this->mutex);
         for (const auto& [node, peer] : this->peers) {
-            if (!peer.wants.empty() && now - peer.heardAt < this->silence())
+            if (!peer.wants.empty() && this->isHeard(peer, now))
                 targets.push_back(peer.member.inner);
         }
         for (const auto& [worker, items] : this->resident) {
@@ -446,10 +528,7 @@
                 beat.resident[worker] = items;
         }
     }
-    auto bytes = encodeBeat(beat);
-    for (const auto& target : targets)
-        this->socket.send(target, bytes);
-    add(this->vm.counters, Event::BeatsSent, targets.size());
+    this->sendTo(targets, beat);
 }
 
 uint64_t Peers::highestToken() const
@@ -458,7 +537,7 @@
     std::lock_guard lock(this->mutex);
     uint64_t highest = 0;
     for (const auto& [node, peer] : this->peers) {
-        if (now - peer.heardAt < this->silence())
+        if (this->isHeard(peer, now))
             highest = std::max(highest, peer.leaseToken);
     }
     return highest;
@@ -470,7 +549,7 @@
     std::lock_guard lock(this->mutex);
     size_t heard = 0;
     for (const auto& [node, peer] : this->peers)
-        heard += now - peer.heardAt < this->silence() ? 1 : 0;
+        heard += this->isHeard(peer, now) ? 1 : 0;
     return 2 * heard >= this->peers.size();
 }
 
@@ -479,7 +558,7 @@
     auto now = monotonicNow();
     std::lock_guard lock(this->mutex);
     return std::any_of(this->peers.begin(), this->peers.end(), [this, now](const auto& item) {
-        return item.second.leaseToken != 0 && now - item.second.heardAt < this->silence();
+        return item.second.leaseToken != 0 && this->isHeard(item.second, now);
     });
 }
 
--- a/edge/src/peers.h
+++ b/edge/src/peers.h
@@ -13,12 +13,29 @@
     uint64_t number = 0; ///< Of the newest beat.
     bool ready = false;
     bool leaving = false;
+    bool strained = false;
     bool readsWorkers = false;
     uint64_t leaseToken = 0;
     std::map<std::string, double> demand;
     std::vector<Want> wants;
 };
 
+/// Share of a data centre's VMs that the directory names at least.
+constexpr double addressesShare = 0.5;
+/// Addresses below which those of other data centres are named too.
+constexpr size_t addressesLeast = 2;
+
+/// A VM that callers could be sent to.
+struct Candidate {
+    transport::Endpoint front;
+    bool strained = false;
+};
+
+/// Chooses the addresses that the directory names. It answers bursts that bring single weak VMs to their limit: those are left
+/// out while at least half of their data centre keeps up.
+/// @param near VMs of the caller's data centre that take requests. @param far those of the others.
+std::vector<transport::Endpoint> chooseAddresses(const std::vector<Candidate>& near, const std::vector<Candidate>& far);
+
 /// Exchanges beats with the other VMs.
 class Peers {
 public:
@@ -40,6 +57,8 @@
     void onMember(const std::string& node, const std::optional<Member>& member);
     /// Addresses for callers in `dataCentre`: VMs that are ready, this one included.
     std::vector<transport::Endpoint> addressesFor(const std::string& dataCentre) const;
+    /// Tells whether a VM with much more capacity is ready to give orders.
+    bool hearsStronger() const;
     /// Forgets the load of peers that fell silent.
     void forgetSilent();
     /// VMs that were heard of lately, with this one.
@@ -92,9 +111,23 @@
     void fillResident(Beat& beat);
     /// Tells the VMs that miss something what has just become resident.
     void tellWaiting();
-    /// Pause between two beats, and the silence after which a peer is left out. The lock must be held.
+    /// VMs that one beat goes to.
+    struct Targets {
+        std::vector<transport::Endpoint> holder; ///< At most one.
+        std::vector<transport::Endpoint> near;
+        std::vector<transport::Endpoint> far;
+    };
+    Targets chooseTargets(Time now);
+    void sendTo(const std::vector<transport::Endpoint>& targets, const Beat& beat);
+    // The lock must be held for the next five.
+    /// Tells whether a peer is in this VM's group.
+    bool isNear(const Peer& peer) const;
+    size_t nearCount() const;
+    /// Pause between two beats to the group.
     milliseconds interval() const;
-    milliseconds silence() const;
+    /// Silence after which a peer is left out.
+    milliseconds silence(const Peer& peer) const;
+    bool isHeard(const Peer& peer, Time now) const;
     /// Least pause between two urgent beats.
     Time urgentInterval() const;
     void receive(std::string_view bytes);
--- a/edge/src/settings.cpp
+++ b/edge/src/settings.cpp
@@ -34,7 +34,11 @@
                 { { "lease_time", IniType::Duration, false, {} },
                     { "workers_check_tokens", IniType::Flag, false, {} } } },
             { "drain", false, false, false, IniType::Text, { { "grace", IniType::Duration, false, {} } } },
-            { "limits", false, false, false, IniType::Text, { { "connections", IniType::Integer, false, {} } } },
+            { "limits", false, false, false, IniType::Text,
+                { { "connections", IniType::Integer, false, {} },
+                    { "processor_share", IniType::Decimal, false, {} },
+                    { "processor_speed", IniType::Decimal, false, {} },
+                    { "link_megabits", IniType::Decimal, false, {} } } },
             { "log", false, false, true, IniType::Text, { { "level", IniType::Choice, false, levels } } },
         };
         return all;
@@ -42,6 +46,11 @@
 
 } // namespace
 
+double capacityOf(const Settings& settings)
+{
+    return std::min(settings.processorShare * settings.processorSpeed, settings.linkMegabits / linkMegabitsPerCore);
+}
+
 Result<Settings, std::vector<protocol::FileFault>> parseSettings(std::string_view file, std::string_view text)
 {
     auto document = protocol::parseIni(file, text);
@@ -69,7 +78,11 @@
     orders.duration("lease_time", settings.leaseTime, milliseconds { 100 }, hourLong);
     orders.flag("workers_check_tokens", settings.workersCheckTokens);
     SectionReader(document, "drain", faults).duration("grace", settings.grace, milliseconds { 500 }, hourLong);
-    SectionReader(document, "limits", faults).integer("connections", settings.connectionLimit, 1, 1000000);
+    SectionReader limits(document, "limits", faults);
+    limits.integer("connections", settings.connectionLimit, 1, 1000000);
+    limits.decimal("processor_share", settings.processorShare, 1000);
+    limits.decimal("processor_speed", settings.processorSpeed, 1000);
+    limits.decimal("link_megabits", settings.linkMegabits, 1e7);
     protocol::readLogLevels(document, settings.logLevel, settings.partLevels, faults);
     if (!faults.empty())
         return faults;
--- a/edge/src/store_duty.cpp
+++ b/edge/src/store_duty.cpp
@@ -197,10 +197,12 @@
     }
     bool restarted = false;
     this->vm.fleet.update(entry->id, [&](routing::Worker& worker) { restarted = worker.entry.startedAt != entry->startedAt; });
-    if (!this->vm.fleet.applyEntry(*entry, record.offset, now))
-        return false;
-    if (restarted)
+    auto news = this->vm.fleet.applyEntry(*entry, record.offset, now);
+    if (news != EntryNews::None && restarted)
         this->onWorkerGone(entry->id);
+    // The holder's order lines tell what a worker holds.
+    if (news != EntryNews::Standing)
+        return false;
     std::string models;
     for (const auto& model : entry->models)
         models += (models.empty() ? "" : ",") + model.name + ":" + std::to_string(model.adapters.size());
--- a/edge/src/store_duty.h
+++ b/edge/src/store_duty.h
@@ -16,7 +16,7 @@
     /// Hears of each configuration that comes into force.
     using ConfigurationListener = std::function<void(const routing::Configuration& configuration)>;
 
-    /// Hears of each record that says something new of a worker.
+    /// Hears of each record that says where a worker is or that it leaves.
     using EntryListener = std::function<void(const PassedEntry& entry)>;
     /// Tells whether others read the workers' stream and pass it on.
     using OthersRead = std::function<bool()>;
@@ -51,7 +51,7 @@
 
     void applyConfiguration(const platform::StoreRecord& record);
     void applyWorkers(const platform::StorePage& page, bool whole);
-    /// @return true if the record says something new.
+    /// @return true if the record is news that the other VMs need.
     bool applyWorker(const platform::StoreRecord& record, Time grace);
     void dropMissing();
     bool mayLeaveReading() const;
--- a/edge/src/vm_p.h
+++ b/edge/src/vm_p.h
@@ -13,6 +13,7 @@
     std::atomic<bool> leaving { false }; ///< The directory names others from now on.
     std::atomic<bool> refusing { false }; ///< New requests are sent away.
     std::atomic<bool> stopping { false }; ///< Duties end.
+    std::atomic<bool> strained { false }; ///< Timers fire late: the VM falls behind.
     std::atomic<bool> workersKnown { false }; ///< The workers' stream was read once.
 };
 
--- a/ownership/include/ownership/ownership.h
+++ b/ownership/include/ownership/ownership.h
@@ -77,6 +77,8 @@
     void noteClaim(uint64_t recordOffset, Time now);
     /// Gives the lease up: `mayOrder` is false from now on, and `proposal()` is a release if `holds()` was true.
     void release();
+    /// Takes part again after a release: to hand the lease over to another VM.
+    void rejoin();
 
     /// Tells whether this VM is the holder as far as it knows.
     bool holds() const;
@@ -111,4 +113,25 @@
     bool released = false;
 };
 
+/// Time for which a weak VM holds the lease although a stronger one is ready; it lets a start settle.
+constexpr Time handOverAfter = std::chrono::milliseconds { 4000 };
+/// Time that stronger VMs have to take a free lease over: some rounds of reading and appending.
+constexpr Time strongerTime = std::chrono::milliseconds { 2500 };
+
+/// When a VM leaves the lease to one with much more capacity. The load it answers: planning for hundreds of workers, which a
+/// weak VM could only do at the cost of its callers.
+class Deference {
+public:
+    /// Tells whether a free lease is left to others for now.
+    /// @param offset of the newest record. @param stronger whether a stronger VM is ready.
+    bool leavesFree(uint64_t offset, bool stronger, Time now);
+    /// Tells whether the holder hands the lease over now. To be asked regularly while this VM holds it.
+    bool handsOver(bool stronger, Time now);
+
+private:
+    std::optional<uint64_t> freeOffset;
+    Time freeSince { 0 };
+    std::optional<Time> strongerSince;
+};
+
 } // namespace comfreypier::ownership
--- a/ownership/src/lease.cpp
+++ b/ownership/src/lease.cpp
@@ -137,4 +137,37 @@
     this->released = true;
 }
 
+void Lease::rejoin()
+{
+    this->released = false;
+    this->held = 0;
+    this->known = false;
+    this->readAt = Time { 0 };
+}
+
+bool Deference::leavesFree(uint64_t offset, bool stronger, Time now)
+{
+    if (!stronger)
+        return false;
+    if (this->freeOffset != offset) {
+        this->freeOffset = offset;
+        this->freeSince = now;
+    }
+    return now - this->freeSince < strongerTime;
+}
+
+bool Deference::handsOver(bool stronger, Time now)
+{
+    if (!stronger) {
+        this->strongerSince.reset();
+        return false;
+    }
+    if (!this->strongerSince)
+        this->strongerSince = now;
+    if (now - *this->strongerSince < handOverAfter)
+        return false;
+    this->strongerSince.reset();
+    return true;
+}
+
 } // namespace comfreypier::ownership
--- a/tests/unit/ownership_test.cpp
+++ b/tests/unit/ownership_test.cpp
@@ -264,3 +264,51 @@
         }
     }));
 }
+
+Test(lease, a_weak_holder_hands_it_to_a_stronger_vm_and_keeps_off_it)
+{
+    Partition store;
+    Lease weak("weak", checkedWorkers());
+    Lease strong("strong", checkedWorkers());
+    Deference weakDefers;
+    std::optional<Time> handedOverAt;
+    std::optional<Time> takenAt;
+    bool heldByWeakAgain = false;
+    for (Time now = start; now < start + seconds { 20 }; now += milliseconds { 100 }) {
+        bool strongIsReady = now > start + seconds { 3 };
+        if (weak.holds() && weakDefers.handsOver(strongIsReady, now)) {
+            weak.release();
+            cr_assert_not(weak.mayOrder(now));
+            cr_assert(store.append(weak.proposal(), weak.appendAt()));
+            weak.rejoin();
+            handedOverAt = now;
+        }
+        bool defers = weak.next(now) == LeaseStep::TakeOver && weakDefers.leavesFree(weak.seenOffset(), strongIsReady, now);
+        if (!defers)
+            step(weak, store, now);
+        if (strongIsReady)
+            step(strong, store, now);
+        cr_assert_not(weak.mayOrder(now) && strong.mayOrder(now));
+        if (!takenAt && strong.holds())
+            takenAt = now;
+        heldByWeakAgain = heldByWeakAgain || (handedOverAt && weak.holds());
+    }
+    cr_assert(handedOverAt && takenAt);
+    cr_assert_lt(*takenAt - *handedOverAt, strongerTime);
+    cr_assert_not(heldByWeakAgain);
+    cr_assert_gt(strong.token(), 1U);
+}
+
+Test(lease, a_weak_vm_takes_a_free_lease_if_no_stronger_one_does)
+{
+    Partition store;
+    Lease weak("weak", checkedWorkers());
+    Deference defers;
+    Time now = start;
+    for (; now < start + seconds { 10 } && !weak.holds(); now += milliseconds { 100 }) {
+        if (weak.next(now) != LeaseStep::TakeOver || !defers.leavesFree(weak.seenOffset(), true, now))
+            step(weak, store, now);
+    }
+    cr_assert(weak.holds());
+    cr_assert_geq(now - start, strongerTime);
+}
