--- a/edge/src/beat.capnp
+++ b/edge/src/beat.capnp
@@ -46,6 +46,12 @@
   crashes @1 :UInt8;
 }
 
+struct Outcome {
+  worker @0 :UInt32;
+  failed @1 :Float32;
+  answered @2 :Float32;
+}
+
 struct Entry {
   worker @0 :Text;
   value @1 :Data;
@@ -72,4 +78,5 @@
   entries @16 :List(Entry);
   partial @17 :Bool;
   strained @18 :Bool;
+  outcomes @19 :List(Outcome);
 }
--- a/edge/src/beat.capnp.h
+++ b/edge/src/beat.capnp.h
@@ -23,6 +23,7 @@
 CAPNP_DECLARE_SCHEMA(d7003ec6739d697a);
 CAPNP_DECLARE_SCHEMA(f07145a02a2ed46c);
 CAPNP_DECLARE_SCHEMA(ab173b2e6cb73b5c);
+CAPNP_DECLARE_SCHEMA(a5a501a39d130684);
 CAPNP_DECLARE_SCHEMA(81e2ca8cdcaea04c);
 CAPNP_DECLARE_SCHEMA(ed1775a394c07423);
 
@@ -138,6 +139,21 @@
   };
 };
 
+struct Outcome {
+  Outcome() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a5a501a39d130684, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Entry {
   Entry() = delete;
 
@@ -161,7 +177,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ed1775a394c07423, 6, 9)
+    CAPNP_DECLARE_STRUCT_HEADER(ed1775a394c07423, 6, 10)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -818,6 +834,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class Outcome::Reader {
+public:
+  typedef Outcome Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getWorker() const;
+
+  inline float getFailed() const;
+
+  inline float getAnswered() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Outcome::Builder {
+public:
+  typedef Outcome Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getWorker();
+  inline void setWorker( ::uint32_t value);
+
+  inline float getFailed();
+  inline void setFailed(float value);
+
+  inline float getAnswered();
+  inline void setAnswered(float value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Outcome::Pipeline {
+public:
+  typedef Outcome Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Entry::Reader {
 public:
   typedef Entry Reads;
@@ -978,6 +1080,9 @@
 
   inline bool getStrained() const;
 
+  inline bool hasOutcomes() const;
+  inline  ::capnp::List< ::comfreypier::edge::wire::Outcome,  ::capnp::Kind::STRUCT>::Reader getOutcomes() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1099,6 +1204,13 @@
   inline bool getStrained();
   inline void setStrained(bool value);
 
+  inline bool hasOutcomes();
+  inline  ::capnp::List< ::comfreypier::edge::wire::Outcome,  ::capnp::Kind::STRUCT>::Builder getOutcomes();
+  inline void setOutcomes( ::capnp::List< ::comfreypier::edge::wire::Outcome,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::comfreypier::edge::wire::Outcome,  ::capnp::Kind::STRUCT>::Builder initOutcomes(unsigned int size);
+  inline void adoptOutcomes(::capnp::Orphan< ::capnp::List< ::comfreypier::edge::wire::Outcome,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::comfreypier::edge::wire::Outcome,  ::capnp::Kind::STRUCT>> disownOutcomes();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1605,6 +1717,48 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Outcome::Reader::getWorker() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Outcome::Builder::getWorker() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Outcome::Builder::setWorker( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline float Outcome::Reader::getFailed() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline float Outcome::Builder::getFailed() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Outcome::Builder::setFailed(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline float Outcome::Reader::getAnswered() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline float Outcome::Builder::getAnswered() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Outcome::Builder::setAnswered(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Entry::Reader::hasWorker() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2133,6 +2287,40 @@
       ::capnp::bounded<132>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Beat::Reader::hasOutcomes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline bool Beat::Builder::hasOutcomes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::comfreypier::edge::wire::Outcome,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getOutcomes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreypier::edge::wire::Outcome,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::comfreypier::edge::wire::Outcome,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getOutcomes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreypier::edge::wire::Outcome,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline void Beat::Builder::setOutcomes( ::capnp::List< ::comfreypier::edge::wire::Outcome,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::comfreypier::edge::wire::Outcome,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::comfreypier::edge::wire::Outcome,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initOutcomes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreypier::edge::wire::Outcome,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
+}
+inline void Beat::Builder::adoptOutcomes(
+    ::capnp::Orphan< ::capnp::List< ::comfreypier::edge::wire::Outcome,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::comfreypier::edge::wire::Outcome,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::comfreypier::edge::wire::Outcome,  ::capnp::Kind::STRUCT>> Beat::Builder::disownOutcomes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreypier::edge::wire::Outcome,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/edge/src/beat_codec_capnp.cpp
+++ b/edge/src/beat_codec_capnp.cpp
@@ -66,6 +66,14 @@
             item.setMemoryTokens(clampTokens(load.memoryTokens));
             item.setRequests(static_cast<uint16_t>(std::min(load.requests, 65535U)));
         }
+        auto outcomes = root.initOutcomes(static_cast<unsigned>(beat.outcomes.size()));
+        i = 0;
+        for (const auto& [worker, outcome] : beat.outcomes) {
+            auto item = outcomes[i++];
+            item.setWorker(worker);
+            item.setFailed(static_cast<float>(outcome.failed));
+            item.setAnswered(static_cast<float>(outcome.answered));
+        }
         auto sent = root.initSent(static_cast<unsigned>(beat.sent.size()));
         for (i = 0; i < beat.sent.size(); i++) {
             sent[i].setWorker(beat.sent[i].worker);
@@ -109,6 +117,8 @@
     {
         for (auto item : root.getLoads())
             beat.loads[item.getWorker()] = { static_cast<double>(item.getPrefillTokens()), static_cast<double>(item.getMemoryTokens()), item.getRequests() };
+        for (auto item : root.getOutcomes())
+            beat.outcomes[item.getWorker()] = { item.getFailed(), item.getAnswered(), {} };
         for (auto item : root.getSent())
             beat.sent.push_back({ item.getWorker(), item.getChain(), item.getTokens() });
         for (auto item : root.getDemand())
--- a/edge/src/edge.cpp
+++ b/edge/src/edge.cpp
@@ -194,7 +194,10 @@
 void Edge::reload(const Settings& settings)
 {
     auto& self = *this->impl;
-    self.vm.setStoreAddress(settings.store);
+    if (self.vm.store().address != settings.store) {
+        self.vm.setStoreAddress(settings.store);
+        self.runtime.spawn([&self] { self.store.noteMove(); });
+    }
     transport::setUpLogging(settings.logLevel, settings.partLevels);
     self.log.info("event=reload store=" + transport::toString(settings.store));
 }
--- a/edge/src/fleet.cpp
+++ b/edge/src/fleet.cpp
@@ -8,13 +8,16 @@
     constexpr milliseconds dataCentreRoundTrip { 3 };
     /// Most workers that are remembered after their end.
     constexpr size_t goneLimit = 4096;
+    /// Failures, faded, from which the other VMs are told.
+    constexpr double failuresLeast = 0.25;
     /// Most sent parts that wait for the next beat.
     constexpr size_t sentLimit = 256;
 
 } // namespace
 
-Fleet::Fleet(std::string dataCentre)
-    : dataCentre(std::move(dataCentre))
+Fleet::Fleet(std::string node, std::string dataCentre)
+    : node(std::move(node))
+    , dataCentre(std::move(dataCentre))
 {
 }
 
@@ -58,6 +61,8 @@
         worker.avoidUntil = Time { 0 };
         worker.connectFailures = 0;
         worker.runningStreams = 0;
+        worker.outcomes = {};
+        worker.peerOutcomes.clear();
     }
     worker.entry = entry;
     this->changeCount++;
@@ -126,6 +131,8 @@
     inputs.excluded = &excluded;
     inputs.targetLatency = targetLatency;
     inputs.distance = dataCentreRoundTrip;
+    inputs.newsAge = this->newsAge;
+    inputs.draw = routing::hashText(this->node, this->draws++);
     inputs.now = now;
     Picked picked;
     picked.choice = routing::chooseWorker(candidates, inputs);
@@ -193,16 +200,22 @@
 
 void Fleet::applyPeer(const std::string& peer, const Beat& beat)
 {
-    std::lock_guard lock(this->mutex);
-    double capacity = 0;
     if (beat.partial)
         return;
+    auto now = monotonicNow();
+    std::lock_guard lock(this->mutex);
+    double capacity = 0;
     for (auto& [id, known] : this->workers) {
         auto load = beat.loads.find(known.key);
         if (load == beat.loads.end())
             known.worker.peers.erase(peer);
         else
             known.worker.peers[peer] = load->second;
+        auto outcomes = beat.outcomes.find(known.key);
+        if (outcomes == beat.outcomes.end())
+            known.worker.peerOutcomes.erase(peer);
+        else
+            known.worker.peerOutcomes[peer] = { outcomes->second.failed, outcomes->second.answered, now };
     }
     for (const auto& part : beat.sent) {
         auto named = this->workerNames.find(part.worker);
@@ -219,8 +232,10 @@
 void Fleet::forgetPeer(const std::string& peer)
 {
     std::lock_guard lock(this->mutex);
-    for (auto& [id, known] : this->workers)
+    for (auto& [id, known] : this->workers) {
         known.worker.peers.erase(peer);
+        known.worker.peerOutcomes.erase(peer);
+    }
 }
 
 void Fleet::applyResident(const std::map<std::string, std::set<std::string>>& resident)
@@ -253,6 +268,18 @@
     return loads;
 }
 
+std::map<WorkerKey, routing::Outcomes> Fleet::ownFailures(Time now) const
+{
+    std::lock_guard lock(this->mutex);
+    std::map<WorkerKey, routing::Outcomes> failures;
+    for (const auto& [id, known] : this->workers) {
+        auto outcomes = routing::fadedTo(known.worker.outcomes, now);
+        if (outcomes.failed >= failuresLeast)
+            failures[known.key] = outcomes;
+    }
+    return failures;
+}
+
 std::vector<SentPart> Fleet::takeSent()
 {
     std::lock_guard lock(this->mutex);
--- a/edge/src/fleet.h
+++ b/edge/src/fleet.h
@@ -28,7 +28,7 @@
 /// Configuration and workers.
 class Fleet {
 public:
-    explicit Fleet(std::string dataCentre);
+    Fleet(std::string node, std::string dataCentre);
 
     /// The configuration in force, or null while none is known.
     ConfigurationPtr configuration() const;
@@ -80,6 +80,10 @@
 
     /// Own load by worker, for beats.
     std::map<WorkerKey, routing::WorkerLoad> ownLoads() const;
+    /// Answers of workers that failed requests of this VM lately, for beats.
+    std::map<WorkerKey, routing::Outcomes> ownFailures(Time now) const;
+    /// Notes how old the other VMs' news usually is.
+    void setNewsAge(Time age) { this->newsAge = age; }
     /// Parts sent since the last call, for beats.
     std::vector<SentPart> takeSent();
     /// Notes a request on its way to a worker.
@@ -97,6 +101,7 @@
     };
     void release(const std::string& id, const routing::WorkerLoad& load);
 
+    std::string node;
     std::string dataCentre;
     mutable std::mutex mutex;
     ConfigurationPtr current;
@@ -105,6 +110,8 @@
     std::map<WorkerKey, std::string> workerNames;
     std::vector<SentPart> sent;
     std::atomic<uint64_t> changeCount { 0 };
+    std::atomic<Time> newsAge { Time { 0 } };
+    uint64_t draws = 0; ///< Choices made.
 };
 
 class LoadTicket {
--- a/edge/src/peers.cpp
+++ b/edge/src/peers.cpp
@@ -86,6 +86,7 @@
             std::lock_guard lock(this->mutex);
             pause = this->interval();
         }
+        this->vm.fleet.setNewsAge(pause);
         sleepFor(pause);
     }
     // The publishing fiber refers to this frame.
@@ -170,6 +171,7 @@
     beat.configVersion = configuration ? configuration->version : 0;
     if (!partial) {
         beat.loads = this->vm.fleet.ownLoads();
+        beat.outcomes = this->vm.fleet.ownFailures(monotonicNow());
         beat.sent = this->vm.fleet.takeSent();
         std::lock_guard lock(this->suspectMutex);
         beat.suspects = this->suspects.counts();
--- a/edge/src/store_duty.cpp
+++ b/edge/src/store_duty.cpp
@@ -55,6 +55,26 @@
     });
 }
 
+void StoreDuty::noteMove()
+{
+    this->moves++;
+    // The followers' reads may wait at the old address for seconds.
+    transport::spawnHere([this] {
+        auto store = this->vm.store();
+        store.freshConnection = true;
+        auto read = [&](platform::Stream stream) {
+            add(this->vm.counters, Event::StoreCalls);
+            auto page = platform::readNewest(store, stream);
+            this->log.info(std::string("event=store_moved stream=") + name(stream) + " address=" + transport::toString(store.address) + " outcome=" + (page ? "read" : platform::name(page.error())));
+            return page;
+        };
+        if (auto page = read(platform::Stream::Configuration))
+            this->applyConfigurations(page.value());
+        if (auto page = read(platform::Stream::Workers))
+            this->applyWorkers(page.value(), true);
+    });
+}
+
 void StoreDuty::followWorkers()
 {
     this->follow({ platform::Stream::Workers, milliseconds { 0 }, [] { return workerReadInterval; }, [this](const auto& page, bool whole) { this->applyWorkers(page, whole); }, [this] { return this->mayLeaveReading(); } });
@@ -70,7 +90,11 @@
     std::optional<uint64_t> next;
     auto pause = storeRetryPause;
     bool good = true;
+    auto moves = this->moves;
     while (!this->vm.phase.stopping) {
+        // Offsets belong to the store that gave them.
+        if (std::exchange(moves, this->moves) != this->moves)
+            next.reset();
         if (good && next && follower.mayLeave && follower.mayLeave()) {
             sleepFor(follower.pause());
             continue;
--- a/edge/src/store_duty.h
+++ b/edge/src/store_duty.h
@@ -32,6 +32,8 @@
     void followMembers();
     /// Reads the configuration at once if `version`, which a peer has, is newer than the one in force.
     void hearVersion(uint64_t version);
+    /// Reads all anew because the store's address has changed. Must run on the I/O thread.
+    void noteMove();
     /// Takes over records of the workers' stream that a peer passes on.
     void hearEntries(const std::vector<PassedEntry>& entries);
 
@@ -65,6 +67,7 @@
     EntryListener onEntry;
     OthersRead othersRead;
     std::array<bool, static_cast<size_t>(platform::Stream::Count)> failing {};
+    uint64_t moves = 0; ///< Changes of the store's address.
     Time workersReadAt { -std::chrono::hours { 1 } };
     Time newerReadAt { 0 }; ///< When the configuration was last read because of a peer.
     Time workersRegainedAt { -std::chrono::hours { 1 } }; ///< When the workers' stream was readable again.
--- a/edge/src/vm_p.h
+++ b/edge/src/vm_p.h
@@ -23,7 +23,7 @@
         : settings(settings)
         , client(client)
         , storeAddress(settings.store)
-        , fleet(settings.dataCentre)
+        , fleet(settings.node, settings.dataCentre)
     {
     }
 
--- a/routing/include/routing/routing.h
+++ b/routing/include/routing/routing.h
@@ -31,8 +31,14 @@
 constexpr milliseconds firstTokenOverhead { 15 };
 /// Longer batch step for each stream that runs on the worker. From the engines' published step time a slot.
 constexpr std::chrono::microseconds stepTimePerStream { 400 };
-/// Weight of a new sample in a worker's speed and failure averages.
+/// Weight of a new sample in a worker's speed average.
 constexpr double sampleWeight = 0.2;
+/// Weight of an answer that another VM had: a worker may fail for some callers only.
+constexpr double peerEvidence = 0.5;
+/// Answers without a failure that are assumed for each worker, so that one failure does not count as a sure one.
+constexpr double priorAnswers = 0.5;
+/// Age of the other VMs' news up to which all may choose alike: above it they would all take the same worker meanwhile.
+constexpr Time freshNews = milliseconds { 200 };
 /// Time after which half of what is known of a worker's failures and slowness is forgotten.
 constexpr Time beliefHalfLife = std::chrono::seconds { 4 };
 /// A worker whose calls fail to connect is left alone for this long, doubled each time up to the most.
@@ -231,6 +237,16 @@
 
 WorkerLoad operator+(const WorkerLoad& a, const WorkerLoad& b);
 
+/// Answers of a worker in the last seconds; both counts fade by half in each `beliefHalfLife`.
+struct Outcomes {
+    double failed = 0;
+    double answered = 0; ///< Failed ones included.
+    Time at { 0 }; ///< To which the two are faded.
+};
+
+/// Returns `outcomes` faded to `now`.
+Outcomes fadedTo(const Outcomes& outcomes, Time now);
+
 /// What is believed of one worker.
 struct Worker {
     WorkerEntry entry;
@@ -240,8 +256,9 @@
     /// What the holder of the lease announced: `model`, `model/adapter`, `!model` for a model on its way out, or `orderingMark`.
     std::set<std::string> announced;
     double slowness = 1; ///< Measured time over expected time.
-    double failureRate = 0; ///< Share of recent requests that failed.
-    Time beliefAt { 0 }; ///< Time of the last correction of the two.
+    Time beliefAt { 0 }; ///< Time of its last correction.
+    Outcomes outcomes; ///< Of this VM's requests.
+    std::map<std::string, Outcomes> peerOutcomes; ///< Of other VMs' requests, by VM; only of those that saw failures.
     Time avoidUntil { 0 }; ///< It was full or could not be reached.
     uint32_t connectFailures = 0; ///< In a row.
     uint32_t runningStreams = 0; ///< Streams of this VM that have had their first event.
@@ -256,6 +273,9 @@
 /// All known load of a worker.
 WorkerLoad totalLoad(const Worker& worker);
 
+/// Share of requests that the worker is expected to fail, from this VM's answers and what others tell.
+double expectedFailure(const Worker& worker, Time now);
+
 /// Notes the outcome of a request for later choices.
 /// @param expected predicted time to the first byte; 0 leaves the speed as it is.
 /// @param measured time to the first byte.
@@ -297,6 +317,8 @@
     const std::set<std::string>* excluded = nullptr; ///< Workers that failed this request.
     milliseconds targetLatency { 0 };
     milliseconds distance { 0 }; ///< Round trip to another data centre.
+    Time newsAge { 0 }; ///< Usual age of what other VMs tell of their load.
+    uint64_t draw = 0; ///< Different for each request.
     Time now { 0 };
 };
 
--- a/routing/src/choice.cpp
+++ b/routing/src/choice.cpp
@@ -40,22 +40,31 @@
         return Time { static_cast<Time::rep>(static_cast<double>(time.count()) * factor) };
     }
 
-    /// Moves slowness and failures half-way back to normal for each half-life without news.
-    void fade(Worker& worker, Time now)
+    /// Share that is left of a belief after `age`.
+    double fading(Time age)
     {
-        if (worker.beliefAt == Time { 0 } || now <= worker.beliefAt)
-            return;
-        auto share = std::exp2(-Seconds(now - worker.beliefAt) / Seconds(beliefHalfLife));
-        worker.slowness = 1 + (worker.slowness - 1) * share;
-        worker.failureRate *= share;
-        worker.beliefAt = now;
+        return age <= Time { 0 } ? 1 : std::exp2(-Seconds(age) / Seconds(beliefHalfLife));
     }
 
-    double faded(double value, double normal, const Worker& worker, Time now)
+    double slownessOf(const Worker& worker, Time now)
     {
-        if (now <= worker.beliefAt)
-            return value;
-        return normal + (value - normal) * std::exp2(-Seconds(now - worker.beliefAt) / Seconds(beliefHalfLife));
+        return 1 + (worker.slowness - 1) * fading(now - worker.beliefAt);
+    }
+
+    void addOutcome(Worker& worker, bool failed, Time now)
+    {
+        worker.outcomes = fadedTo(worker.outcomes, now);
+        worker.outcomes.failed += failed ? 1 : 0;
+        worker.outcomes.answered += 1;
+    }
+
+    /// Spreads the choices that VMs make on news of the same age.
+    Time herdSpread(const Worker& worker, const ChoiceInputs& inputs)
+    {
+        if (inputs.newsAge <= freshNews)
+            return Time { 0 };
+        auto position = static_cast<double>(hashText(worker.entry.id, inputs.draw) >> 11) / static_cast<double>(1ULL << 53);
+        return scaled((inputs.newsAge - freshNews) / 2, position);
     }
 
     /// Position of a worker in the order in which all VMs prefer workers for `key`, from 0 to 1.
@@ -76,7 +85,7 @@
 
     Time failureTime(const Worker& worker, const ChoiceInputs& inputs)
     {
-        return scaled(inputs.targetLatency, failureCost * faded(worker.failureRate, 0, worker, inputs.now));
+        return scaled(inputs.targetLatency, failureCost * expectedFailure(worker, inputs.now));
     }
 
     Estimate estimateModel(const Worker& worker, const ChoiceInputs& inputs)
@@ -87,7 +96,7 @@
         auto load = totalLoad(worker);
         estimate.kept = keptTokens(worker.kept, shape, *inputs.chains);
         double unread = shape.promptTokens - estimate.kept;
-        double slowness = faded(worker.slowness, 1, worker, inputs.now);
+        double slowness = slownessOf(worker, inputs.now);
         auto reading = Seconds((load.prefillTokens + unread) / defaultPrefillRate / 1000 * slowness);
         auto steps = load.requests * std::chrono::duration_cast<Time>(stepTimePerStream);
         estimate.firstByte = firstTokenOverhead + std::chrono::duration_cast<Time>(reading) + steps;
@@ -95,7 +104,7 @@
         estimate.cost = estimate.firstByte + scaled(ownReading, rereadWeight - 1) + distanceCost(worker, inputs) + failureTime(worker, inputs);
         auto key = inputs.chains->empty() ? hashText(shape.adapter, hashText(shape.model)) : inputs.chains->size() > 1 ? (*inputs.chains)[inputs.chains->size() - 2]
                                                                                                                        : inputs.chains->front();
-        estimate.cost += scaled(affinitySpread, affinity(worker, key));
+        estimate.cost += scaled(affinitySpread, affinity(worker, key)) + herdSpread(worker, inputs);
         double need = unread + shape.outputTokens;
         estimate.room = load.requests < engine.slots && load.memoryTokens + need <= engine.promptMemoryTokens * memoryFillLimit;
         if (load.requests == 0)
@@ -109,7 +118,7 @@
         Estimate estimate;
         auto load = totalLoad(worker);
         auto slots = std::max(1U, worker.entry.slots);
-        double slowness = faded(worker.slowness, 1, worker, inputs.now);
+        double slowness = slownessOf(worker, inputs.now);
         auto answer = scaled(plainAnswerTime, slowness);
         double waiting = load.requests >= slots ? static_cast<double>(load.requests - slots + 1) / slots : 0;
         estimate.firstByte = answer + scaled(answer, waiting);
@@ -184,20 +193,38 @@
     return load;
 }
 
+Outcomes fadedTo(const Outcomes& outcomes, Time now)
+{
+    auto share = fading(now - outcomes.at);
+    return { outcomes.failed * share, outcomes.answered * share, now };
+}
+
+double expectedFailure(const Worker& worker, Time now)
+{
+    auto sum = fadedTo(worker.outcomes, now);
+    for (const auto& [vm, outcomes] : worker.peerOutcomes) {
+        auto theirs = fadedTo(outcomes, now);
+        sum.failed += peerEvidence * theirs.failed;
+        sum.answered += peerEvidence * theirs.answered;
+    }
+    return sum.failed / (sum.answered + priorAnswers);
+}
+
 void noteAnswer(Worker& worker, bool failed, Time expected, Time measured, Time now)
 {
-    fade(worker, now);
-    worker.beliefAt = now;
+    addOutcome(worker, failed, now);
     worker.connectFailures = 0;
-    worker.failureRate += sampleWeight * ((failed ? 1.0 : 0.0) - worker.failureRate);
     if (expected <= Time { 0 } || failed)
         return;
+    worker.slowness = slownessOf(worker, now);
+    worker.beliefAt = now;
     auto ratio = std::clamp(Seconds(measured) / Seconds(expected) * worker.slowness, slownessLeast, slownessMost);
     worker.slowness += sampleWeight * (ratio - worker.slowness);
 }
 
 void noteUnreachable(Worker& worker, Time now)
 {
+    addOutcome(worker, true, now);
     auto pause = std::min(downTimeMost, downTimeLeast * (1 << std::min(worker.connectFailures, 4U)));
     worker.connectFailures++;
     worker.avoidUntil = std::max(worker.avoidUntil, now + pause);
--- a/tests/unit/routing_test.cpp
+++ b/tests/unit/routing_test.cpp
@@ -221,6 +221,54 @@
     cr_assert_gt(second->slowness, 4);
 }
 
+Test(choice, what_other_vms_saw_fail_is_left_unless_this_vm_is_served)
+{
+    Chooser chooser;
+    std::vector<Worker> workers { makeWorker("a"), makeWorker("b") };
+    auto* first = chooser.choose(workers).worker;
+    first->peerOutcomes["vm2"] = { 2, 2, now };
+    first->peerOutcomes["vm3"] = { 1, 1, now };
+    cr_assert_neq(chooser.choose(workers).worker, first);
+    cr_assert_gt(expectedFailure(*first, now), 0.5);
+    for (int i = 0; i < 12; i++)
+        noteAnswer(*first, false, Time { 0 }, Time { 0 }, now);
+    cr_assert_lt(expectedFailure(*first, now), 0.12, "own answers count more");
+    cr_assert_lt(expectedFailure(*first, now + 10 * beliefHalfLife), 0.02);
+}
+
+Test(choice, many_vms_with_old_news_do_not_all_take_the_same_worker)
+{
+    // Each of 20 VMs chooses once before it hears of the others, on eight workers of which one is a little better.
+    auto mostOnOne = [](Time newsAge) {
+        Chooser chooser;
+        std::map<std::string, int> taken;
+        int most = 0;
+        for (uint64_t vm = 0; vm < 20; vm++) {
+            std::vector<Worker> workers;
+            std::vector<Worker*> pointers;
+            for (int i = 0; i < 8; i++)
+                workers.push_back(makeWorker("w" + std::to_string(i)));
+            for (auto& worker : workers) {
+                worker.own.requests = worker.entry.id == "w3" ? 0 : 6;
+                pointers.push_back(&worker);
+            }
+            auto chains = chainHashes(chooser.shape);
+            ChoiceInputs inputs;
+            inputs.service = &chooser.service;
+            inputs.shape = &chooser.shape;
+            inputs.chains = &chains;
+            inputs.dataCentre = "dc";
+            inputs.now = now;
+            inputs.newsAge = newsAge;
+            inputs.draw = hashText("vm", vm);
+            most = std::max(most, ++taken[chooseWorker(pointers, inputs).worker->entry.id]);
+        }
+        return most;
+    };
+    cr_assert_eq(mostOnOne(milliseconds { 200 }), 20, "with fresh news the better one is right for all");
+    cr_assert_leq(mostOnOne(milliseconds { 600 }), 8);
+}
+
 Test(choice, a_backup_is_another_worker_with_the_model)
 {
     Chooser chooser;
