Demand counts refused requests, busy models go before missing ones nobody asks for, spare copies

Requests refused for lack of room were no demand, so that its only worker looked moderately busy; two of its copies were unloaded for models that a crash had made missing and that nobody asked for. Ruled out: the weight store's rate (half used), late news of demand (first seen at once).

Change: refused requests are demand; the order of plans as the subject says; room is made where the least work is lost; models with a single copy get a second one in another data centre when loads are idle.

--- a/client/include/client/client.h
+++ b/client/include/client/client.h
@@ -42,4 +42,14 @@
 /// Compares two texts line by line.
 std::vector<DiffLine> diffLines(std::string_view before, std::string_view after);
 
+/// One line of a VM's log.
+struct LogLine {
+    std::string file; ///< Name of the log it stands in.
+    std::string text;
+};
+
+/// Joins what the VMs' logs tell of a request: its own lines, its cause, and what happened around it to its workers, its model
+/// and its VM. @return nothing if no line names the request.
+std::optional<std::string> explainRequest(const std::string& id, const std::vector<LogLine>& lines);
+
 } // namespace comfreypier::client
--- a/client/src/client_p.h
+++ b/client/src/client_p.h
@@ -48,6 +48,7 @@
 int runCheck(const Invocation& invocation);
 int runDiff(const Invocation& invocation, transport::HttpClient& client);
 int runPublish(const Invocation& invocation, transport::HttpClient& client);
+int runExplainRequest(const Invocation& invocation);
 int runShow(const Invocation& invocation, transport::HttpClient& client);
 
 /// Prints a comparison with the file's name.
--- a/client/src/main.cpp
+++ b/client/src/main.cpp
@@ -28,6 +28,7 @@
     CommandHelp { "placement", "", "shows what is on which worker", 0, 0 },
     CommandHelp { "history", "", "lists published changes and their verdicts", 0, 0 },
     CommandHelp { "explain", "MODEL", "shows the last placement decisions about a model or adapter", 1, 1 },
+    CommandHelp { "explain-request", "ID LOG...", "tells from the VMs' logs what became of a request and why", 2, anyNumber },
 };
 
 constexpr const char* exitHelp = "exit codes: 0 good, 1 faults or differences found, 2 wrong arguments, 3 no answer, 4 conflict with another change,\n"
@@ -87,7 +88,7 @@
             invocation.nodes.push_back(node.value());
         }
     }
-    if (invocation.nodes.empty() && invocation.command != "check")
+    if (invocation.nodes.empty() && invocation.command != "check" && invocation.command != "explain-request")
         return "--node is missing";
     return {};
 }
--- a/client/src/show.cpp
+++ b/client/src/show.cpp
@@ -123,6 +123,8 @@
 {
     if (invocation.command == "check")
         return runCheck(invocation);
+    if (invocation.command == "explain-request")
+        return runExplainRequest(invocation);
     if (invocation.command == "diff")
         return runDiff(invocation, client);
     if (invocation.command == "publish")
--- a/edge/include/edge/edge.h
+++ b/edge/include/edge/edge.h
@@ -29,7 +29,7 @@
 constexpr milliseconds silentPeerInterval { 2000 };
 /// Longest time a read waits for news of configuration and members. Beats tell of a newer configuration meanwhile, should
 /// the read's connection have gone silent.
-constexpr milliseconds newsWait { 8000 };
+constexpr milliseconds newsWait { 12000 };
 /// Longest time for which a VM leaves reading the workers' stream to others that pass it on.
 constexpr milliseconds lazyReadInterval { 4000 };
 /// VMs that read the workers' stream for their group.
@@ -38,12 +38,14 @@
 constexpr int passRepeats = 5;
 /// Pause between two reads of the workers' stream. Each worker writes there about every second.
 constexpr milliseconds workerReadInterval { 700 };
+/// Pause between two reads of the configuration: in a storm of changes only the newest matters.
+constexpr milliseconds configurationReadInterval { 250 };
 /// Pause between two reads of the members: many VMs that start at once are news once, not once each.
 constexpr milliseconds memberReadInterval { 700 };
 /// Pause after a failed call to the store, doubled after each further failure up to the most.
 constexpr milliseconds storeRetryPause { 250 };
 constexpr milliseconds storeRetryPauseMost { 1000 };
-/// Shortest time between two readings of the configuration because a peer has a newer one.
+/// Time that the follower has before the configuration is read because a peer has a newer one.
 constexpr milliseconds newerVersionPause { 300 };
 /// Time in which entries that lapsed while the store was away come back after its return, with some slack.
 constexpr milliseconds entryReturnTime { 2600 };
--- a/edge/src/order_duty.cpp
+++ b/edge/src/order_duty.cpp
@@ -283,6 +283,7 @@
         agent->entry = entry;
         auto& held = agent->account.held;
         held.id = entry.id;
+        held.dataCentre = entry.dataCentre;
         held.alive = !entry.leaving;
         held.cached.insert(entry.onDisk.begin(), entry.onDisk.end());
         held.usable = !entry.leaving && placement::mayOrderModel(agent->account);
--- a/edge/src/peers.cpp
+++ b/edge/src/peers.cpp
@@ -272,7 +272,7 @@
     add(this->vm.counters, Event::BeatBytesSent, targets.size() * bytes.size());
 }
 
-/// VMs that are told now. Those of other groups come in turn, some in each beat.
+/// VMs that are told now: the holder, as it plans by the demand, and the group. Those of other groups come in turn, some in each beat.
 Peers::Targets Peers::chooseTargets(Time now)
 {
     Targets targets;
@@ -281,16 +281,16 @@
     auto farInterval = this->leaseToken != 0 ? farHolderInterval : farBeatInterval;
     for (auto& [node, peer] : this->peers) {
         bool silent = now - peer.heardAt > std::max(silentPeerInterval, this->silence(peer));
+        bool holds = peer.leaseToken != 0 && this->isHeard(peer, now);
         bool near = this->isNear(peer);
-        if (now - peer.toldAt < (silent ? silentPeerInterval : near ? milliseconds { 0 }
-                                                                    : farInterval))
+        if (silent && now - peer.toldAt < silentPeerInterval)
             continue;
-        if (!near) {
-            far.push_back(&peer);
+        if (!near && !holds) {
+            if (now - peer.toldAt >= farInterval)
+                far.push_back(&peer);
             continue;
         }
         peer.toldAt = now;
-        bool holds = peer.leaseToken != 0 && this->isHeard(peer, now);
         (holds ? targets.holder : targets.near).push_back(peer.member.inner);
     }
     std::sort(far.begin(), far.end(), [](const Peer* a, const Peer* b) { return a->toldAt < b->toldAt; });
@@ -300,8 +300,7 @@
         far.resize(most);
     for (auto* peer : far) {
         peer->toldAt = now;
-        bool holds = peer->leaseToken != 0 && this->isHeard(*peer, now);
-        (holds ? targets.holder : targets.far).push_back(peer->member.inner);
+        targets.far.push_back(peer->member.inner);
     }
     return targets;
 }
--- a/edge/src/relay.cpp
+++ b/edge/src/relay.cpp
@@ -20,9 +20,10 @@
     constexpr double silentTargets = 2;
     /// but not before this time.
     constexpr milliseconds silentLeast { 200 };
-    /// A stream that may go on elsewhere does so after this silence, or after three of its target gaps.
+    /// A stream that may go on elsewhere does so after this silence, or after four of its target gaps: callers give up after
+    /// eight, and it takes a while to go on.
     constexpr milliseconds streamSilenceLeast { 700 };
-    constexpr int streamSilenceGaps = 3;
+    constexpr int streamSilenceGaps = 4;
     /// Retry-After for obstacles that pass soon.
     constexpr milliseconds soon { 200 };
     /// Retry-After while no configuration is known: the store is away, or this VM has just started.
@@ -48,6 +49,12 @@
         return std::min(route.priority, ranks) * 2 + (route.targetLatency > tight ? 1 : 0);
     }
 
+    /// Worker seconds that a request takes.
+    double workOf(const routing::RequestShape& shape, uint32_t kept)
+    {
+        return (shape.promptTokens - std::min(kept, shape.promptTokens)) / routing::defaultPrefillRate / 1000 + shape.outputTokens * secondsPerOutputToken;
+    }
+
     bool promisesNotRun(unsigned status)
     {
         return status == 408 || status == 421 || status == 429 || status == 503;
@@ -143,6 +150,10 @@
 void Relay::refuse(Exchange& x, unsigned status, Refusal refusal, std::optional<milliseconds> retryAfter)
 {
     add(this->vm.counters, refusal);
+    // What finds no place is demand too: without it a model whose workers are full would never get another copy.
+    bool crowded = refusal == Refusal::NoRoom || refusal == Refusal::Hopeless;
+    if (crowded && x.sends == 0 && x.service != nullptr && x.service->engine)
+        this->peers.noteWork(x.head.shape.model, workOf(x.head.shape, 0));
     x.outcome = name(refusal);
     x.status = status;
     if (x.gone()) {
@@ -382,7 +393,7 @@
     x.sends++;
     auto ticket = this->vm.fleet.reserve(picked.id, shape, x.chains, x.kept, capacity);
     if (x.service->engine) {
-        this->peers.noteWork(shape.model, (shape.promptTokens - x.kept) / routing::defaultPrefillRate / 1000 + shape.outputTokens * secondsPerOutputToken);
+        this->peers.noteWork(shape.model, workOf(shape, x.kept));
         if (!shape.adapter.empty())
             this->peers.noteUse({ picked.id, shape.model, shape.adapter });
     }
@@ -546,6 +557,22 @@
     return true;
 }
 
+/// Tells whether a stream that leaves `worker` now would find another place.
+bool Relay::couldGoOn(Exchange& x, const std::string& worker)
+{
+    {
+        std::lock_guard lock(this->mutex);
+        if (!this->repeatLimit(x.service->name).allows(monotonicNow(), this->peers.liveCount()))
+            return false;
+    }
+    if (x.backup && !x.excluded.contains(x.backup->id))
+        return true;
+    auto excluded = x.excluded;
+    excluded.insert(worker);
+    auto next = this->vm.fleet.choose(*x.service, x.head.shape, x.chains, excluded, x.route->targetLatency, monotonicNow());
+    return next.choice.obstacle == routing::Obstacle::None;
+}
+
 Relay::SendResult Relay::relayStream(Exchange& x, const Fleet::Picked& picked, transport::ResponseStream& stream, LoadTicket& ticket)
 {
     std::string buffer;
@@ -559,7 +586,7 @@
             wait = std::min(wait, patience);
         auto piece = stream.read(wait);
         bool pauses = !piece && piece.error() == IoError::Timeout && wait == patience;
-        if (pauses && !this->vm.fleet.isSilent(picked.id, patience, monotonicNow()))
+        if (pauses && !(this->vm.fleet.isSilent(picked.id, patience, monotonicNow()) && this->couldGoOn(x, picked.id)))
             continue;
         if (!piece) {
             auto result = this->noteSendError(x, picked, piece.error());
--- a/edge/src/relay.h
+++ b/edge/src/relay.h
@@ -45,6 +45,7 @@
     SendResult noteSendError(Exchange& x, const Fleet::Picked& picked, transport::IoError error);
     SendResult judgeNotRun(Exchange& x, const Fleet::Picked& picked, const platform::AnswerHead& head);
     bool mayRepeat(Exchange& x, SendResult result);
+    bool couldGoOn(Exchange& x, const std::string& worker);
     void finish(Exchange& x, SendResult result);
     void refuse(Exchange& x, unsigned status, Refusal refusal, std::optional<milliseconds> retryAfter);
     routing::RepeatLimit& repeatLimit(const std::string& service);
--- a/edge/src/store_duty.cpp
+++ b/edge/src/store_duty.cpp
@@ -24,7 +24,7 @@
 
 void StoreDuty::followConfiguration()
 {
-    this->follow({ platform::Stream::Configuration, newsWait, [] { return milliseconds { 0 }; }, [this](const auto& page, bool) { this->applyConfigurations(page); } });
+    this->follow({ platform::Stream::Configuration, newsWait, [] { return configurationReadInterval; }, [this](const auto& page, bool) { this->applyConfigurations(page); } });
 }
 
 void StoreDuty::applyConfigurations(const platform::StorePage& page)
@@ -42,8 +42,12 @@
     if (!configuration || version <= configuration->version || now - this->newerReadAt < newerVersionPause)
         return;
     this->newerReadAt = now;
-    // The follower's own read may hang on a connection that has gone silent, and so may pooled ones.
-    transport::spawnHere([this] {
+    // The follower usually reads it in this time; its read may hang on a connection that has gone silent, and so may pooled ones.
+    transport::spawnHere([this, version] {
+        sleepFor(newerVersionPause);
+        auto known = this->vm.fleet.configuration();
+        if (known && known->version >= version)
+            return;
         add(this->vm.counters, Event::StoreCalls);
         auto store = this->vm.store();
         store.freshConnection = true;
--- a/placement/include/placement/placement.h
+++ b/placement/include/placement/placement.h
@@ -32,6 +32,15 @@
 /// each drops what other requests were using, so that many at once do more harm than good.
 constexpr uint32_t workersPerRelief = 15;
 constexpr uint32_t reliefLeast = 3;
+/// Copies that a model should have where there is free room, so that the end of a worker leaves it answerable and a shift of
+/// demand does not meet a single copy.
+constexpr uint32_t spareCopies = 2;
+/// Share of the loads that the weight store allows at once above which no spare copy is loaded, and loads that are left to
+/// more urgent ones.
+constexpr double spareLoadUse = 0.34;
+constexpr double spareLoadReserve = 1.5;
+/// Work a copy, in worker seconds a second, below which a model is as good as unused: its spare copy may always be dropped.
+constexpr double idleWork = 0.01;
 /// Orders of one planning round at most.
 constexpr int ordersPerRound = 12;
 /// Share of the weight store's rate that is used.
@@ -44,6 +53,7 @@
 /// What the holder knows of one worker.
 struct HeldWorker {
     std::string id;
+    std::string dataCentre;
     bool usable = true; ///< Neither leaving nor unreachable, and no model order is in progress.
     bool alive = true; ///< Not leaving.
     std::set<std::string> models; ///< Resident or being loaded.
@@ -155,7 +165,8 @@
 /// Loads from the weight store that may run at once: those that its rate starts in the time of the longest load.
 uint32_t storeLoadsAtOnce(const routing::EngineSpec& engine);
 
-/// Decides the next model order, if any. A missing model goes before relief of a busy one.
+/// Decides the next model order, if any. A missing model that requests ask for goes before relief of a busy one, that before a
+/// missing model nobody asks for, and a spare copy comes last.
 std::optional<Order> planModel(const ModelInputs& inputs);
 
 /// Decides what makes an adapter resident on a worker: its load, or first an unload of the one that was used longest ago.
--- a/placement/src/plan_models.cpp
+++ b/placement/src/plan_models.cpp
@@ -1,6 +1,7 @@
 /// Which model goes where next.
 #include <algorithm>
 #include <cmath>
+#include <map>
 #include <placement/placement.h>
 #include <unordered_map>
 
@@ -8,12 +9,16 @@
 
 namespace {
 
+    /// Difference in work that makes one drop better than another, in worker seconds a second.
+    constexpr double lostStep = 0.05;
+
     /// What one round needs to know of a model.
     struct ModelFacts {
         double size = 0;
         double work = 0;
         uint32_t copies = 0; ///< On workers that stay.
         double perCopy = 0; ///< Work a copy.
+        std::map<std::string, uint32_t> copiesIn; ///< By data centre.
     };
 
     /// Figures of one round, worked out once: planning for hundreds of workers must leave the VM time for its callers.
@@ -40,10 +45,15 @@
         for (const auto& worker : inputs.workers) {
             if (!worker.alive)
                 continue;
+            auto count = [&](const std::string& model) {
+                auto& known = facts.models[model];
+                known.copies++;
+                known.copiesIn[worker.dataCentre]++;
+            };
             for (const auto& model : worker.models)
-                facts.models[model].copies++;
+                count(model);
             if (!worker.reserved.empty() && !worker.models.contains(worker.reserved))
-                facts.models[worker.reserved].copies++;
+                count(worker.reserved);
         }
         for (auto& [model, known] : facts.models)
             known.perCopy = known.work / std::max(1U, known.copies);
@@ -88,6 +98,8 @@
         std::vector<std::string> drop;
         bool cached = false;
         double work = 0;
+        uint32_t neighbours = 0; ///< Copies in the same data centre.
+        double lost = 0; ///< Work of the copies that are dropped.
     };
 
     /// @param position of the worker in the inputs.
@@ -95,15 +107,18 @@
     {
         if (!worker.usable || !worker.alive || !worker.reserved.empty() || worker.models.contains(model) || worker.unloading.contains(model))
             return std::nullopt;
-        Way way { &worker, {}, worker.cached.contains(model), facts.work[position] };
+        const auto& known = facts.of(model);
+        auto neighbours = known.copiesIn.find(worker.dataCentre);
+        Way way { &worker, {}, worker.cached.contains(model), facts.work[position], neighbours == known.copiesIn.end() ? 0 : neighbours->second };
         double room = facts.room[position];
-        double size = facts.of(model).size;
+        double size = known.size;
         if (room >= size)
             return way;
         for (const auto& victim : droppable(worker, inputs, facts, below)) {
             if (room >= size)
                 break;
             way.drop.push_back(victim);
+            way.lost += facts.of(victim).perCopy;
             room += facts.of(victim).size;
         }
         if (room < size)
@@ -111,13 +126,22 @@
         return way;
     }
 
-    /// Fewer drops first, then a cached copy, then the less busy worker.
+    /// What serves others least goes: no drops first, then drops that few requests miss, fewer drops, a cached copy, a data
+    /// centre with fewer copies, the less busy worker.
     bool isBetter(const Way& a, const Way& b)
     {
+        if (a.drop.empty() != b.drop.empty())
+            return a.drop.empty();
+        auto lostA = std::lround(a.lost / lostStep);
+        auto lostB = std::lround(b.lost / lostStep);
+        if (lostA != lostB)
+            return lostA < lostB;
         if (a.drop.size() != b.drop.size())
             return a.drop.size() < b.drop.size();
         if (a.cached != b.cached)
             return a.cached;
+        if (a.neighbours != b.neighbours)
+            return a.neighbours < b.neighbours;
         return a.work < b.work;
     }
 
@@ -163,11 +187,13 @@
         return std::nullopt;
     }
 
-    std::optional<Order> planMissing(const ModelInputs& inputs, const Facts& facts)
+    /// @param wanted chooses among models that requests ask for, or among the others.
+    std::optional<Order> planMissing(const ModelInputs& inputs, const Facts& facts, bool wanted)
     {
         std::vector<std::string> missing;
         for (const auto& spec : inputs.engine->models) {
-            if (facts.of(spec.name).copies == 0)
+            const auto& known = facts.of(spec.name);
+            if (known.copies == 0 && (known.work > 0) == wanted)
                 missing.push_back(spec.name);
         }
         std::stable_sort(missing.begin(), missing.end(), [&](const auto& a, const auto& b) { return facts.of(a).work > facts.of(b).work; });
@@ -198,8 +224,7 @@
         for (const auto& [work, model] : models) {
             const auto& known = facts.of(model);
             double share = known.work / (known.copies + 1);
-            // Nothing is dropped for less than no work.
-            auto way = bestWay(model, inputs, facts, mayDrop ? work * evictShare : -1, busiest * reliefShare - share);
+            auto way = bestWay(model, inputs, facts, mayDrop ? work * evictShare : idleWork, busiest * reliefShare - share);
             if (!way)
                 continue;
             if (auto order = firstStep(*way, model, inputs, "busy"))
@@ -208,6 +233,27 @@
         return std::nullopt;
     }
 
+    /// Loads a further copy of a model that has too few, into free room and with loads that nothing else needs.
+    std::optional<Order> planSpare(const ModelInputs& inputs, const Facts& facts)
+    {
+        bool idle = inputs.storeLoadsRunning < spareLoadUse * storeLoadsAtOnce(*inputs.engine) && inputs.storeLoadsAllowed >= spareLoadReserve;
+        if (!idle)
+            return std::nullopt;
+        std::vector<std::string> models;
+        for (const auto& spec : inputs.engine->models) {
+            if (facts.of(spec.name).copies < spareCopies)
+                models.push_back(spec.name);
+        }
+        std::stable_sort(models.begin(), models.end(), [&](const auto& a, const auto& b) { return facts.of(a).work > facts.of(b).work; });
+        for (const auto& model : models) {
+            auto way = bestWay(model, inputs, facts, -1, HUGE_VAL);
+            // Nothing is dropped for less than no work.
+            if (way && way->drop.empty())
+                return firstStep(*way, model, inputs, "spare");
+        }
+        return std::nullopt;
+    }
+
 } // namespace
 
 double modelRoom(const routing::EngineSpec& engine)
@@ -231,9 +277,13 @@
     auto facts = gatherFacts(inputs);
     if (auto order = planReserved(inputs, facts))
         return order;
-    if (auto order = planMissing(inputs, facts))
+    if (auto order = planMissing(inputs, facts, true))
+        return order;
+    if (auto order = planRelief(inputs, facts))
+        return order;
+    if (auto order = planMissing(inputs, facts, false))
         return order;
-    return planRelief(inputs, facts);
+    return planSpare(inputs, facts);
 }
 
 } // namespace comfreypier::placement
--- a/routing/include/routing/routing.h
+++ b/routing/include/routing/routing.h
@@ -371,6 +371,8 @@
     RepeatLimit(double ratio, double slack, Time window);
     /// Notes a first try.
     void noteFirst(Time now);
+    /// Tells whether one repeat is allowed now. @param vms as below.
+    bool allows(Time now, uint32_t vms);
     /// Takes one repeat if the limit allows it.
     /// @param vms number of VMs that share the slack, at least 1.
     bool take(Time now, uint32_t vms);
--- a/routing/src/repeats.cpp
+++ b/routing/src/repeats.cpp
@@ -38,11 +38,16 @@
     this->firsts.push_back(now);
 }
 
-bool RepeatLimit::take(Time now, uint32_t vms)
+bool RepeatLimit::allows(Time now, uint32_t vms)
 {
     this->forget(now);
     auto allowed = repeatUse * (this->ratio * static_cast<double>(this->firsts.size()) + this->slack / std::max(1U, vms));
-    if (static_cast<double>(this->repeats.size()) + 1 > allowed)
+    return static_cast<double>(this->repeats.size()) + 1 <= allowed;
+}
+
+bool RepeatLimit::take(Time now, uint32_t vms)
+{
+    if (!this->allows(now, vms))
         return false;
     this->repeats.push_back(now);
     return true;
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -141,6 +141,8 @@
     auto engine = threeModels();
     auto inputs = inputsOf(engine, { holding("w", { "a", "b" }), holding("v", { "c" }) });
     inputs.work = { { "a", 0.05 }, { "b", 0.05 }, { "c", 0.05 } };
+    // Too few for a spare copy.
+    inputs.storeLoadsAllowed = 1;
     cr_assert_not(planModel(inputs).has_value());
     inputs.work["a"] = 0.9;
     auto order = planModel(inputs);
@@ -152,14 +154,102 @@
 {
     auto engine = threeModels();
     auto inputs = inputsOf(engine, { holding("w", { "a", "b" }), holding("v", { "b", "c" }) });
-    inputs.work["a"] = 0.9;
+    inputs.work = { { "a", 0.9 }, { "b", 0.2 } };
     cr_assert(planModel(inputs).has_value());
     inputs.ordersRunning = reliefLeast;
     cr_assert_not(planModel(inputs).has_value());
+    inputs.work["b"] = 0;
+    auto order = planModel(inputs);
+    cr_assert_eq(order->kind, OrderKind::Unload);
+    cr_assert_eq(order->model, "b", "a spare copy of what nobody uses makes room all the same");
+    inputs.work["b"] = 0.2;
     inputs.workers.push_back(holding("empty", {}));
     cr_assert_eq(planModel(inputs)->worker, "empty", "an empty worker is filled all the same");
 }
 
+// Workers ended: models that nobody asks for are missing while a busy one needs copies.
+Test(models, a_busy_model_goes_before_missing_ones_that_nobody_asks_for)
+{
+    auto engine = threeModels();
+    auto inputs = inputsOf(engine, { holding("w", { "a" }), holding("v", {}) });
+    inputs.work["a"] = 0.9;
+    auto order = planModel(inputs);
+    cr_assert_eq(order->model, "a");
+    inputs.work["c"] = 0.01;
+    cr_assert_eq(planModel(inputs)->model, "c", "one that is asked for goes first");
+}
+
+Test(models, room_is_made_where_the_least_work_is_lost)
+{
+    auto engine = threeModels();
+    auto inputs = inputsOf(engine, { holding("w", { "a", "b" }), holding("v", { "a", "b" }), holding("u", { "a", "b" }) });
+    inputs.workers[0].cached = { "c" };
+    inputs.workers[0].loadedAt["b"] = now;
+    inputs.work = { { "a", 3 }, { "b", 0.1 }, { "c", 1 } };
+    auto order = planModel(inputs);
+    cr_assert_eq(order->kind, OrderKind::Unload);
+    cr_assert_eq(order->model, "b");
+    cr_assert_neq(order->worker, "w", "there only the busy model could go");
+}
+
+Test(models, single_copies_get_a_spare_in_another_data_centre_with_idle_loads)
+{
+    auto engine = threeModels();
+    engine.storeLoadsPerSecond = 3;
+    for (auto& model : engine.models)
+        model.storeLoad = seconds { 4 };
+    std::vector<HeldWorker> workers { holding("w", { "a", "b" }), holding("v", {}), holding("u", { "c" }), holding("t", { "c", "b" }) };
+    workers[0].dataCentre = workers[1].dataCentre = "east";
+    workers[2].dataCentre = workers[3].dataCentre = "west";
+    auto inputs = inputsOf(engine, workers);
+    auto order = planModel(inputs);
+    cr_assert_eq(order->model, "a");
+    cr_assert_eq(order->worker, "u", "the end of a data centre leaves a copy");
+    cr_assert_eq(order->reason, "spare");
+    inputs.storeLoadsRunning = storeLoadsAtOnce(engine) / 2;
+    cr_assert_not(planModel(inputs).has_value(), "loads that run go before spare copies");
+    inputs.storeLoadsRunning = 0;
+    for (auto& worker : inputs.workers)
+        worker.models = { "a", "b" };
+    inputs.workers[3].models = { "b", "c" };
+    cr_assert_not(planModel(inputs).has_value(), "nothing is dropped for a spare copy");
+}
+
+// A third of the workers ends at once; of the models that had a spare copy none is lost.
+Test(models, after_a_quiet_start_no_single_data_centre_holds_a_model_alone)
+{
+    auto engine = threeModels();
+    engine.models.clear();
+    for (int i = 0; i < 12; i++) {
+        routing::ModelSpec model;
+        model.name = "m" + std::to_string(i);
+        model.weightsMegabytes = 50;
+        model.storeLoad = seconds { 2 };
+        engine.models.push_back(model);
+    }
+    engine.storeLoadsPerSecond = 4;
+    std::vector<HeldWorker> workers;
+    for (int i = 0; i < 9; i++) {
+        workers.push_back(holding("w" + std::to_string(i), {}));
+        workers.back().dataCentre = "dc" + std::to_string(i % 3);
+    }
+    for (int step = 0; step < 60; step++) {
+        auto order = planModel(inputsOf(engine, workers));
+        if (!order)
+            break;
+        cr_assert_eq(order->kind, OrderKind::Load);
+        std::find_if(workers.begin(), workers.end(), [&](const auto& worker) { return worker.id == order->worker; })->models.insert(order->model);
+    }
+    for (const auto& model : engine.models) {
+        std::set<std::string> centres;
+        for (const auto& worker : workers) {
+            if (worker.models.contains(model.name))
+                centres.insert(worker.dataCentre);
+        }
+        cr_assert_geq(centres.size(), 2U, "%s", model.name.c_str());
+    }
+}
+
 Test(models, any_sequence_of_plans_stays_within_the_workers_room)
 {
     cr_assert(rc::check("models and those on their way out never exceed the room, and every model stays or comes", [] {
