--- a/placement/include/placement/placement.h
+++ b/placement/include/placement/placement.h
@@ -14,7 +14,8 @@
 
 /// Share of a worker's time that one model may take before another copy is worth a load.
 constexpr double copyWorkLimit = 0.22;
-/// A further copy must leave the receiving worker below this share of the busiest worker's work.
+/// A worker that gets a further copy of a model must have less than this share of the work of those that hold it, less the part
+/// that it takes over from each.
 constexpr double reliefShare = 0.85;
 /// A copy is only dropped for another if its model's work a copy stays below this share of the other's.
 constexpr double evictShare = 0.5;
@@ -30,7 +31,7 @@
 constexpr double storeAtOnceUse = 0.85;
 /// Workers for each of which one busy model may be given another copy at a time, and such orders that are always allowed:
 /// each drops what other requests were using, so that many at once do more harm than good.
-constexpr uint32_t workersPerRelief = 15;
+constexpr uint32_t workersPerRelief = 5;
 constexpr uint32_t reliefLeast = 3;
 /// Copies that a model should have where there is free room, so that the end of a worker leaves it answerable and a shift of
 /// demand does not meet a single copy.
--- a/placement/src/plan_models.cpp
+++ b/placement/src/plan_models.cpp
@@ -18,6 +18,7 @@
         double work = 0;
         uint32_t copies = 0; ///< On workers that stay.
         double perCopy = 0; ///< Work a copy.
+        double holderWork = 0; ///< Work of a worker that holds it, with its other models.
         std::map<std::string, uint32_t> copiesIn; ///< By data centre.
     };
 
@@ -70,6 +71,10 @@
                 room -= worker.models.contains(model) ? 0 : facts.of(model).size;
             facts.work.push_back(work);
             facts.room.push_back(room);
+            for (const auto& model : worker.models) {
+                auto& known = facts.models[model];
+                known.holderWork += worker.alive ? work / std::max(1U, known.copies) : 0;
+            }
         }
         return facts;
     }
@@ -209,11 +214,8 @@
 
     std::optional<Order> planRelief(const ModelInputs& inputs, const Facts& facts)
     {
-        double busiest = 0;
         auto limit = std::max(reliefLeast, static_cast<uint32_t>(inputs.workers.size()) / workersPerRelief);
         bool mayDrop = inputs.ordersRunning < limit;
-        for (size_t i = 0; i < inputs.workers.size(); i++)
-            busiest = std::max(busiest, inputs.workers[i].alive ? facts.work[i] : 0);
         std::vector<std::pair<double, std::string>> models;
         for (const auto& spec : inputs.engine->models) {
             auto work = facts.of(spec.name).perCopy;
@@ -223,8 +225,9 @@
         std::sort(models.rbegin(), models.rend());
         for (const auto& [work, model] : models) {
             const auto& known = facts.of(model);
-            double share = known.work / (known.copies + 1);
-            auto way = bestWay(model, inputs, facts, mayDrop ? work * evictShare : idleWork, busiest * reliefShare - share);
+            // A new holder takes from all others, so that it helps the more of them there are.
+            double mostWork = known.holderWork * (reliefShare - 1.0 / (known.copies + 1));
+            auto way = bestWay(model, inputs, facts, mayDrop ? work * evictShare : idleWork, mostWork);
             if (!way)
                 continue;
             if (auto order = firstStep(*way, model, inputs, "busy"))
--- a/routing/include/routing/routing.h
+++ b/routing/include/routing/routing.h
@@ -55,7 +55,7 @@
 /// Spread that makes all VMs prefer the same worker for a prompt part that nobody keeps yet.
 constexpr milliseconds affinitySpread { 40 };
 /// Cost of leaving the data centre, beyond the measured distance: traffic between data centres is paid for.
-constexpr milliseconds crossDataCentreCost { 25 };
+constexpr milliseconds crossDataCentreCost { 50 };
 /// Share of the first tries and the fixed number of repeats that this VM uses of what the deployment allows.
 constexpr double repeatUse = 0.7;
 /// A worker whose running streams are all silent for this long gets no new requests: it has stopped or is cut off.
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -179,6 +179,26 @@
     cr_assert_eq(planModel(inputs)->model, "c", "one that is asked for goes first");
 }
 
+// A model that many workers hold is overloaded on all of them while the demand for another one has ended.
+Test(models, a_model_with_many_busy_copies_gets_more)
+{
+    auto engine = threeModels();
+    std::vector<HeldWorker> workers;
+    for (int i = 0; i < 8; i++)
+        workers.push_back(holding("busy" + std::to_string(i), { "a", "b" }));
+    for (int i = 0; i < 8; i++)
+        workers.push_back(holding("idle" + std::to_string(i), { "b", "c" }));
+    auto inputs = inputsOf(engine, workers);
+    inputs.work = { { "a", 10 }, { "b", 0.4 }, { "c", 0.4 } };
+    auto order = planModel(inputs);
+    cr_assert(order.has_value());
+    cr_assert_eq(order->roomFor, "a");
+    cr_assert(order->worker.starts_with("idle"));
+    // Workers as busy as the holders would not help.
+    inputs.work["c"] = 10;
+    cr_assert_not(planModel(inputs).has_value() && planModel(inputs)->roomFor == "a");
+}
+
 Test(models, room_is_made_where_the_least_work_is_lost)
 {
     auto engine = threeModels();
