--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -25,6 +25,8 @@
     /// Time in which everything must be answered again after the last fault.
     constexpr std::chrono::seconds recoverTime { 15 };
     constexpr int eventsPerStream = 8;
+    /// A caller that knows no VM.
+    constexpr int nobody = -1;
 
     struct Script {
         Kind kind = Kind::Order;
@@ -100,8 +102,8 @@
             world.ledger.report("drain", attempt.id + " was cut off by the planned stop of vm" + std::to_string(attempt.vm));
     }
 
-    /// Asks a VM that runs for addresses and picks one.
-    std::optional<int> resolve(World& world, Random& random)
+    /// Asks a VM for addresses. @return the VMs that it names; none if it does not answer.
+    std::vector<int> resolve(World& world, Random& random)
     {
         auto asked = random() % world.daemons.size();
         auto& daemon = *world.daemons[asked];
@@ -109,9 +111,9 @@
         transport::CallLimits limits;
         limits.connect = limits.response = milliseconds { 500 };
         auto answer = world.client.call(daemon.directory(), { "GET", "/v1/resolve?name=h.example&region=r&zone=dc", {}, {} }, limits);
-        if (!answer || answer.value().status != 200)
-            return std::nullopt;
         std::vector<int> vms;
+        if (!answer || answer.value().status != 200)
+            return vms;
         auto body = boost::json::parse(answer.value().body);
         for (const auto& item : body.at("addrs").as_array()) {
             for (size_t i = 0; i < world.daemons.size(); i++) {
@@ -124,7 +126,7 @@
                     world.ledger.report("leaving", "vm" + std::to_string(asked) + " names vm" + std::to_string(i) + ", which leaves");
             }
         }
-        return vms.empty() ? std::nullopt : std::optional(vms[random() % vms.size()]);
+        return vms;
     }
 
     void callOnce(World& world, const Script& script, int vm, const std::string& id)
@@ -156,21 +158,22 @@
         Random random(world.options.seed * 1000 + static_cast<uint64_t>(number));
         // Some stay with a VM until it does not answer any more.
         bool stubborn = number % 3 == 0;
-        std::optional<int> vm;
+        int vm = nobody;
         Time resolvedAt { 0 };
         for (int i = 0; !world.stopping; i++) {
-            if (!vm || (!stubborn && world.ledger.now() - resolvedAt > directoryKeep)) {
-                vm = resolve(world, random);
+            if (vm == nobody || (!stubborn && world.ledger.now() - resolvedAt > directoryKeep)) {
+                auto named = resolve(world, random);
+                vm = named.empty() ? nobody : named[random() % named.size()];
                 resolvedAt = world.ledger.now();
             }
-            if (vm) {
+            if (vm != nobody) {
                 auto script = drawScript(random);
                 auto id = "c" + std::to_string(number) + "-" + std::to_string(i);
-                callOnce(world, script, *vm, id);
-                auto& daemon = *world.daemons[static_cast<size_t>(*vm)];
+                callOnce(world, script, vm, id);
+                auto& daemon = *world.daemons[static_cast<size_t>(vm)];
                 std::lock_guard lock(daemon.mutex);
                 if (!daemon.running)
-                    vm.reset();
+                    vm = nobody;
             }
             transport::sleepFor(milliseconds { 1 + static_cast<int>(random() % pauseMostMs) });
         }
