--- a/edge/src/peers.cpp
+++ b/edge/src/peers.cpp
@@ -29,26 +29,6 @@
 
 } // namespace
 
-std::vector<transport::Endpoint> chooseAddresses(const std::vector<Candidate>& near, const std::vector<Candidate>& far)
-{
-    std::vector<transport::Endpoint> addresses;
-    auto take = [&addresses](const std::vector<Candidate>& from, bool strained) {
-        for (const auto& candidate : from) {
-            if (candidate.strained == strained)
-                addresses.push_back(candidate.front);
-        }
-    };
-    take(near, false);
-    // Too few that keep up would be the next to fall behind.
-    if (static_cast<double>(addresses.size()) < addressesShare * static_cast<double>(near.size()))
-        take(near, true);
-    if (addresses.size() < addressesLeast)
-        take(far, false);
-    if (addresses.empty())
-        take(far, true);
-    return addresses;
-}
-
 Peers::Peers(Vm& vm, transport::Runtime& runtime)
     : vm(vm)
     , socket(runtime, vm.settings.inner, [this](std::string_view bytes) { this->receive(bytes); })
@@ -377,9 +357,9 @@
 
 std::vector<transport::Endpoint> Peers::addressesFor(const std::string& dataCentre) const
 {
-    std::vector<Candidate> near;
-    std::vector<Candidate> far;
-    auto sort = [&](const std::string& centre, const Candidate& candidate) { (centre == dataCentre ? near : far).push_back(candidate); };
+    std::vector<routing::Candidate> near;
+    std::vector<routing::Candidate> far;
+    auto sort = [&](const std::string& centre, const routing::Candidate& candidate) { (centre == dataCentre ? near : far).push_back(candidate); };
     if (this->vm.isReady())
         sort(this->vm.settings.dataCentre, { this->vm.settings.front, this->vm.phase.strained });
     auto now = monotonicNow();
@@ -390,7 +370,7 @@
                 sort(peer.member.dataCentre, { peer.member.front, peer.strained });
         }
     }
-    return chooseAddresses(near, far);
+    return routing::chooseAddresses(near, far);
 }
 
 bool Peers::hearsStronger() const
--- a/edge/src/peers.h
+++ b/edge/src/peers.h
@@ -20,22 +20,6 @@
     std::vector<Want> wants;
 };
 
-/// Share of a data centre's VMs that the directory names at least.
-constexpr double addressesShare = 0.5;
-/// Addresses below which those of other data centres are named too.
-constexpr size_t addressesLeast = 2;
-
-/// A VM that callers could be sent to.
-struct Candidate {
-    transport::Endpoint front;
-    bool strained = false;
-};
-
-/// Chooses the addresses that the directory names. It answers bursts that bring single weak VMs to their limit: those are left
-/// out while at least half of their data centre keeps up.
-/// @param near VMs of the caller's data centre that take requests. @param far those of the others.
-std::vector<transport::Endpoint> chooseAddresses(const std::vector<Candidate>& near, const std::vector<Candidate>& far);
-
 /// Exchanges beats with the other VMs.
 class Peers {
 public:
--- a/routing/include/routing/routing.h
+++ b/routing/include/routing/routing.h
@@ -336,6 +336,24 @@
 /// primary's data centre goes first. @return null if there is none.
 Worker* chooseBackup(const std::vector<Worker*>& workers, const ChoiceInputs& inputs, const WorkerEntry& primary);
 
+// ---------------------------------------------------------------- addresses for callers
+
+/// Share of a data centre's VMs that the directory names at least.
+constexpr double addressesShare = 0.5;
+/// Addresses below which those of other data centres are named too.
+constexpr size_t addressesLeast = 2;
+
+/// A VM that callers could be sent to.
+struct Candidate {
+    transport::Endpoint front;
+    bool strained = false;
+};
+
+/// Chooses the addresses that the directory names. It answers bursts that bring single weak VMs to their limit: those are left
+/// out while at least half of their data centre keeps up.
+/// @param near VMs of the caller's data centre that take requests. @param far those of the others.
+std::vector<transport::Endpoint> chooseAddresses(const std::vector<Candidate>& near, const std::vector<Candidate>& far);
+
 // ---------------------------------------------------------------- waiting and refusing
 
 /// Share of a caller's patience that its request waits for a worker at most. What is left serves its return elsewhere.
--- a/tests/unit/routing_test.cpp
+++ b/tests/unit/routing_test.cpp
@@ -269,6 +269,23 @@
     cr_assert_leq(mostOnOne(milliseconds { 600 }), 8);
 }
 
+// A burst brings single VMs to their limit.
+Test(addresses, strained_vms_are_left_out_while_half_keep_up)
+{
+    auto vm = [](uint16_t port, bool strained = false) { return Candidate { { "10.0.0.1", port }, strained }; };
+    auto ports = [](const std::vector<transport::Endpoint>& addresses) {
+        std::set<int> found;
+        for (const auto& address : addresses)
+            found.insert(address.port);
+        return found;
+    };
+    cr_assert(ports(chooseAddresses({ vm(1), vm(2, true), vm(3), vm(4) }, { vm(9) })) == std::set<int>({ 1, 3, 4 }));
+    cr_assert(ports(chooseAddresses({ vm(1), vm(2, true), vm(3, true), vm(4, true) }, { vm(9) })) == std::set<int>({ 1, 2, 3, 4 }), "one alone would be the next to fall behind");
+    cr_assert(ports(chooseAddresses({ vm(1) }, { vm(8, true), vm(9) })) == std::set<int>({ 1, 9 }), "a single VM gets help from other data centres");
+    cr_assert(ports(chooseAddresses({}, { vm(8, true) })) == std::set<int>({ 8 }));
+    cr_assert(chooseAddresses({}, {}).empty());
+}
+
 Test(choice, a_backup_is_another_worker_with_the_model)
 {
     Chooser chooser;
