--- a/edge/include/edge/edge.h
+++ b/edge/include/edge/edge.h
@@ -30,8 +30,9 @@
 /// Longest time a read waits for news of configuration and members. Beats tell of a newer configuration meanwhile, should
 /// the read's connection have gone silent.
 constexpr milliseconds newsWait { 12000 };
-/// Longest time for which a VM leaves reading the workers' stream to others that pass it on.
-constexpr milliseconds lazyReadInterval { 4000 };
+/// Longest time for which a VM leaves reading the workers' stream to others that pass it on: with one read and its pause it stays
+/// under the 3 s in which no VM may send to a leaving worker any more, should all datagrams about it be lost.
+constexpr milliseconds lazyReadInterval { 1500 };
 /// VMs that read the workers' stream for their group.
 constexpr size_t workerReaders = 3;
 /// Beats in which a passed record is repeated, as datagrams may be lost.
--- a/edge/src/fleet.cpp
+++ b/edge/src/fleet.cpp
@@ -241,19 +241,20 @@
 void Fleet::applyResident(const std::map<std::string, std::set<std::string>>& resident)
 {
     std::lock_guard lock(this->mutex);
-    for (const auto& [id, adapters] : resident) {
+    for (const auto& [id, items] : resident) {
+        const auto& held = items;
         auto found = this->workers.find(id);
         if (found == this->workers.end())
             continue;
         auto& worker = found->second.worker;
-        if (worker.announced == adapters)
+        if (worker.announced == held)
             continue;
         this->changeCount++;
-        worker.announced = adapters;
+        worker.announced = held;
         // What has gone since is no reason to send a request there. An entry that is read later goes before this.
         for (auto& model : worker.entry.models)
-            std::erase_if(model.adapters, [&](const auto& adapter) { return !adapters.contains(model.name + "/" + adapter); });
-        std::erase_if(worker.entry.models, [&adapters](const auto& model) { return !adapters.contains(model.name); });
+            std::erase_if(model.adapters, [&](const auto& adapter) { return !held.contains(model.name + "/" + adapter); });
+        std::erase_if(worker.entry.models, [&held](const auto& model) { return !held.contains(model.name); });
     }
 }
 
--- a/tests/unit/edge_test.cpp
+++ b/tests/unit/edge_test.cpp
@@ -573,6 +573,14 @@
     cr_assert(text.find("comfreypier_refusals_total{reason=\"no_route\"} 1") != std::string::npos);
 }
 
+// What peers pass on may all be lost; a leaving worker must get no request after three seconds.
+Test(edge, a_vm_reads_the_workers_itself_well_within_the_bound_for_leaving_ones)
+{
+    constexpr milliseconds bound { 3000 };
+    constexpr milliseconds slowRead { 500 };
+    cr_assert_leq((edge::lazyReadInterval + edge::workerReadInterval + slowRead).count(), bound.count());
+}
+
 Test(edge, vms_find_each_other_and_name_only_those_that_are_ready, .timeout = 40)
 {
     auto* world = new World(29200, 2);
