--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -14,6 +14,8 @@
     /// Calm time before the first fault and between the end of the last and the last checks.
     constexpr milliseconds startTime { 4000 };
     constexpr milliseconds healTime { 3000 };
+    /// For which a worker misbehaves in one way.
+    constexpr milliseconds moodTime { 350 };
     /// Most faults at a time.
     constexpr size_t faultsAtOnce = 3;
 
@@ -50,6 +52,12 @@
                 this->begin();
                 this->nextAt = now + milliseconds { 200 + static_cast<int>(this->random() % 1800) };
             }
+            for (auto& [number, until] : this->moodyUntil) {
+                if (now < until)
+                    continue;
+                until = now + moodTime;
+                this->world.workers[number]->mood = static_cast<standins::WorkerMood>(this->draw(1, static_cast<int>(standins::WorkerMood::Count) - 1));
+            }
             if (now >= this->beatAt) {
                 this->publishAll();
                 this->beatAt = now + beatInterval;
@@ -205,8 +213,9 @@
                     finish();
                 });
             }
-            worker.mood = static_cast<standins::WorkerMood>(this->draw(1, static_cast<int>(standins::WorkerMood::Count) - 1));
-            this->add(worker.id + " mood " + std::to_string(static_cast<int>(worker.mood.load())), this->draw(300, 5000), [&worker, finish] {
+            this->moodyUntil[number] = Time { 0 };
+            this->add(worker.id + " misbehaves", this->draw(300, 5000), [this, &worker, number, finish] {
+                this->moodyUntil.erase(number);
                 worker.mood = standins::WorkerMood::Sound;
                 finish();
             });
@@ -279,6 +288,7 @@
         Random random;
         std::vector<Fault> faults;
         std::map<size_t, bool> busy; ///< Workers with a fault of their own.
+        std::map<size_t, Time> moodyUntil; ///< Workers that misbehave, with the time at which they do so in another way.
         std::map<size_t, bool> gone; ///< Workers that publish nothing.
         Time nextAt { startTime };
         Time beatAt { 0 };
