Take out what nothing reads

Fields that the adapter decoded and no decision used (load time from host memory, tokens an event, a report's queue and used memory, a worker's time left), a count of opened connections, a map of waiting requests and two accessors. Behaviour stays; tests keep their assertions.

--- a/edge/src/relay.h
+++ b/edge/src/relay.h
@@ -55,7 +55,6 @@
     Peers& peers;
     std::mutex mutex;
     std::map<std::string, routing::RepeatLimit> limits;
-    std::map<std::string, uint32_t> waiting; ///< Requests that wait for a worker, by service.
     transport::Log log { "relay" };
 };
 
--- a/ownership/include/ownership/ownership.h
+++ b/ownership/include/ownership/ownership.h
@@ -91,8 +91,6 @@
     uint64_t seenOffset() const { return this->recordOffset; }
     /// Fencing token of this VM's orders. Only valid while `mayOrder`.
     uint64_t token() const { return this->held; }
-    /// Holder and token that were last seen.
-    const std::optional<LeaseRecord>& seen() const { return this->record; }
 
 private:
     std::string self;
--- a/placement/include/placement/placement.h
+++ b/placement/include/placement/placement.h
@@ -93,9 +93,6 @@
     std::set<std::string> cached; ///< Models on its disk or in its host memory.
     bool ordering = false; ///< A model order is in progress.
     uint64_t ordersAccepted = 0;
-    uint32_t waiting = 0;
-    uint32_t running = 0;
-    double usedTokens = 0; ///< Prompt memory that can't be freed.
 };
 
 /// What became of an order.
--- a/routing/include/routing/routing.h
+++ b/routing/include/routing/routing.h
@@ -100,8 +100,7 @@
     double adapterMegabytes = 0;
     uint32_t adapters = 0; ///< Named a1, a2 and so on.
     milliseconds storeLoad { 0 }; ///< Load time from the weight store,
-    milliseconds diskLoad { 0 }; ///< from the worker's own disk,
-    milliseconds memoryLoad { 0 }; ///< and from its host memory.
+    milliseconds diskLoad { 0 }; ///< and from the worker's own disk.
 };
 
 /// What all model workers of a service have in common.
@@ -111,7 +110,6 @@
     double weightsMegabytes = 0; ///< For models and adapters together.
     uint32_t adapterSlots = 0;
     double storeLoadsPerSecond = 0; ///< Over all workers of the service.
-    uint32_t tokensPerEvent = 1;
     bool backups = false; ///< Workers can copy a run's memory to another worker while it runs.
     std::vector<ModelSpec> models;
 };
@@ -167,7 +165,6 @@
     int64_t startedAt = 0; ///< Unix milliseconds of the worker's start.
     uint32_t slots = 1;
     bool leaving = false;
-    std::optional<milliseconds> timeLeft; ///< Until the worker is gone, if it said so.
     std::vector<ResidentModel> models;
     std::set<std::string> onDisk; ///< Models whose weights lie on the worker's disk or in its host memory.
     bool operator==(const WorkerEntry&) const = default;
--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -141,7 +141,6 @@
 
 void StoreStandin::serveAppend(const std::string& topic, const HttpRequest& request, ResponseWriter& writer)
 {
-    this->appends++;
     if (auto pause = this->appendPauseMs.load(); pause > 0)
         transport::sleepFor(milliseconds { pause });
     HttpResponse response;
--- a/tests/standins/platform_standin.h
+++ b/tests/standins/platform_standin.h
@@ -44,7 +44,6 @@
     std::atomic<bool> forgetful { false }; ///< The next read of old records is answered 410.
     std::atomic<bool> losesAnswers { false }; ///< Appends take effect and are not answered.
     std::atomic<int> appendPauseMs { 0 }; ///< Time after which an append takes effect.
-    std::atomic<int> appends { 0 };
 
 private:
     struct Record {
--- a/transport/include/transport/transport.h
+++ b/transport/include/transport/transport.h
@@ -321,9 +321,6 @@
     /// A `Host` field of the request goes before the endpoint's address.
     Result<std::unique_ptr<ResponseStream>, IoError> open(const Endpoint& endpoint, const HttpRequest& request, const CallLimits& limits);
 
-    /// Connections opened since the start.
-    uint64_t connectionsOpened() const;
-
 private:
     struct Impl;
     std::shared_ptr<Impl> impl;
--- a/transport/src/http_client_beast.cpp
+++ b/transport/src/http_client_beast.cpp
@@ -157,7 +157,6 @@
             idle.push_back(std::move(connection));
     }
 
-    std::atomic<uint64_t> opened { 0 };
     mutable std::mutex mutex;
     std::chrono::nanoseconds learnedLimit { 0 }; ///< Guarded by `mutex`, like the next.
     std::chrono::nanoseconds learnedUntil { 0 };
@@ -179,7 +178,6 @@
             return IoError::ConnectTimeout;
         if (outcome.error)
             return IoError::Refused;
-        this->opened++;
         connection->stream.socket().set_option(Tcp::no_delay(true), error);
         setLivenessOptions(connection->stream.socket());
         return connection;
@@ -321,11 +319,6 @@
     }
 }
 
-uint64_t HttpClient::connectionsOpened() const
-{
-    return this->impl->opened;
-}
-
 // ---------------------------------------------------------------- helpers of the public header
 
 const char* name(IoError error)
