Peers: groups are worked out when members change, not in each look at a peer

Each isHeard counted the group anew, so that a pass over 83 peers compared 6,900 names; every VM made such passes ten times a second for hearsStronger alone, whose answer matters only to a holder or where the lease is free, and the holder with each want. The group is now kept with the members, hearsStronger is asked only where its answer is used, three copies of 'is the holder' and of 'still lives' are one each, and a partial beat no longer carries the demand that its receiver ignores. Behaviour stays as it was.

--- a/edge/src/order_duty.cpp
+++ b/edge/src/order_duty.cpp
@@ -97,12 +97,11 @@
     auto now = transport::bootTimeNow();
     ownership::LeaseStep step;
     bool handsOver = false;
-    bool stronger = this->peers.hearsStronger();
     {
         std::lock_guard lock(this->mutex);
         step = this->lease.next(now);
-        handsOver = this->lease.holds() && this->deference.handsOver(stronger, now);
-        if (step == ownership::LeaseStep::TakeOver && this->deference.leavesFree(this->lease.seenOffset(), stronger, now))
+        handsOver = this->lease.holds() && this->deference.handsOver(this->peers.hearsStronger(), now);
+        if (step == ownership::LeaseStep::TakeOver && this->deference.leavesFree(this->lease.seenOffset(), this->peers.hearsStronger(), now))
             step = ownership::LeaseStep::Wait;
     }
     if (this->vm.phase.leaving)
--- a/edge/src/peers.cpp
+++ b/edge/src/peers.cpp
@@ -74,24 +74,23 @@
         sleepFor(beatInterval);
 }
 
-bool Peers::isNear(const Peer& peer) const
+void Peers::regroup()
 {
-    return this->peers.size() < groupMost || peer.member.dataCentre == this->vm.settings.dataCentre;
-}
-
-size_t Peers::nearCount() const
-{
-    return static_cast<size_t>(std::count_if(this->peers.begin(), this->peers.end(), [this](const auto& item) { return this->isNear(item.second); }));
+    this->nearCount = 0;
+    for (auto& [node, peer] : this->peers) {
+        peer.near = this->peers.size() < groupMost || peer.member.dataCentre == this->vm.settings.dataCentre;
+        this->nearCount += peer.near ? 1 : 0;
+    }
 }
 
 milliseconds Peers::interval() const
 {
-    return std::max(beatInterval, beatIntervalPerMember * static_cast<int>(this->nearCount() + 1));
+    return std::max(beatInterval, beatIntervalPerMember * static_cast<int>(this->nearCount + 1));
 }
 
 milliseconds Peers::silence(const Peer& peer) const
 {
-    if (this->isNear(peer))
+    if (peer.near)
         return std::max(peerSilence, peerSilenceBeats * this->interval());
     return peerSilenceBeats * (peer.leaseToken != 0 ? farHolderInterval : farBeatInterval);
 }
@@ -101,10 +100,20 @@
     return now - peer.heardAt < this->silence(peer);
 }
 
+bool Peers::isLive(const Peer& peer, Time now) const
+{
+    return now - peer.heardAt <= std::max(silentPeerInterval, this->silence(peer));
+}
+
+bool Peers::isHolder(const Peer& peer, Time now) const
+{
+    return peer.leaseToken != 0 && this->isHeard(peer, now);
+}
+
 Time Peers::urgentInterval() const
 {
     std::lock_guard lock(this->mutex);
-    return beatNowInterval + urgentPerMember * this->nearCount();
+    return beatNowInterval + urgentPerMember * this->nearCount;
 }
 
 void Peers::passOn(const PassedEntry& entry)
@@ -123,7 +132,7 @@
     std::lock_guard lock(this->mutex);
     size_t readers = 0;
     for (const auto& [node, peer] : this->peers) {
-        bool reads = peer.readsWorkers && !peer.leaving && this->isNear(peer) && this->isHeard(peer, now);
+        bool reads = peer.readsWorkers && !peer.leaving && peer.near && this->isHeard(peer, now);
         readers += reads && routing::hashText(node) < own ? 1 : 0;
     }
     return readers >= workerReaders;
@@ -157,16 +166,16 @@
         beat.suspects = this->suspects.counts();
     }
     std::lock_guard lock(this->mutex);
-    for (const auto& [model, rate] : this->work.rates(monotonicNow())) {
-        if (rate >= demandLeast)
-            beat.demand[model] = rate;
-    }
     for (const auto& [want, count] : this->wants)
         beat.wants.push_back(want);
     beat.leaseToken = this->leaseToken;
     beat.leaseOffset = this->leaseOffset;
     if (partial)
         return beat;
+    for (const auto& [model, rate] : this->work.rates(monotonicNow())) {
+        if (rate >= demandLeast)
+            beat.demand[model] = rate;
+    }
     for (auto& [entry, left] : this->passed) {
         beat.entries.push_back(entry);
         left--;
@@ -182,7 +191,7 @@
 void Peers::fillResident(Beat& beat)
 {
     auto now = monotonicNow();
-    auto pause = this->nearCount() < this->peers.size() ? farHolderInterval : this->interval();
+    auto pause = this->nearCount < this->peers.size() ? farHolderInterval : this->interval();
     auto news = std::max(residentNewsTime, pause + pause / 4);
     for (const auto& [worker, items] : this->resident) {
         if (now - this->residentChangedAt[worker] < news)
@@ -205,7 +214,7 @@
         auto now = monotonicNow();
         std::lock_guard lock(this->mutex);
         for (const auto& [node, peer] : this->peers) {
-            if (peer.leaseToken != 0 && this->isHeard(peer, now))
+            if (this->isHolder(peer, now))
                 holder = peer.member.inner;
         }
     }
@@ -260,12 +269,10 @@
     std::vector<Peer*> far;
     auto farInterval = this->leaseToken != 0 ? farHolderInterval : farBeatInterval;
     for (auto& [node, peer] : this->peers) {
-        bool silent = now - peer.heardAt > std::max(silentPeerInterval, this->silence(peer));
-        bool holds = peer.leaseToken != 0 && this->isHeard(peer, now);
-        bool near = this->isNear(peer);
-        if (silent && now - peer.toldAt < silentPeerInterval)
+        bool holds = this->isHolder(peer, now);
+        if (!this->isLive(peer, now) && now - peer.toldAt < silentPeerInterval)
             continue;
-        if (!near && !holds) {
+        if (!peer.near && !holds) {
             if (now - peer.toldAt >= farInterval)
                 far.push_back(&peer);
             continue;
@@ -274,7 +281,7 @@
         (holds ? targets.holder : targets.near).push_back(peer.member.inner);
     }
     std::sort(far.begin(), far.end(), [](const Peer* a, const Peer* b) { return a->toldAt < b->toldAt; });
-    auto farCount = this->peers.size() - this->nearCount();
+    auto farCount = this->peers.size() - this->nearCount;
     auto most = 1 + farCount * static_cast<size_t>(this->interval().count()) / static_cast<size_t>(farInterval.count());
     if (far.size() > most)
         far.resize(most);
@@ -345,13 +352,14 @@
     if (!member) {
         if (this->peers.erase(node) > 0)
             this->log.info("event=member_left node=" + node);
-        return;
+        return this->regroup();
     }
     auto& peer = this->peers[node];
     if (peer.member.incarnation == member->incarnation)
         return;
     peer = {};
     peer.member = *member;
+    this->regroup();
     this->log.info("event=member node=" + node + " inner=" + transport::toString(member->inner) + " data_centre=" + member->dataCentre);
 }
 
@@ -405,7 +413,7 @@
     std::lock_guard lock(this->mutex);
     uint32_t count = 1;
     for (const auto& [node, peer] : this->peers)
-        count += now - peer.heardAt < std::max(silentPeerInterval, this->silence(peer)) ? 1 : 0;
+        count += this->isLive(peer, now) ? 1 : 0;
     return count;
 }
 
@@ -415,7 +423,7 @@
     std::lock_guard lock(this->mutex);
     auto total = this->work.rates(now);
     for (const auto& [node, peer] : this->peers) {
-        if (now - peer.heardAt > std::max(silentPeerInterval, this->silence(peer)))
+        if (!this->isLive(peer, now))
             continue;
         for (const auto& [model, rate] : peer.demand)
             total[model] += rate;
@@ -540,7 +548,7 @@
     auto now = monotonicNow();
     std::lock_guard lock(this->mutex);
     return std::any_of(this->peers.begin(), this->peers.end(), [this, now](const auto& item) {
-        return item.second.leaseToken != 0 && this->isHeard(item.second, now);
+        return this->isHolder(item.second, now);
     });
 }
 
--- a/edge/src/peers.h
+++ b/edge/src/peers.h
@@ -8,6 +8,7 @@
 /// What this VM knows of a peer.
 struct Peer {
     Member member;
+    bool near = false; ///< In this VM's group.
     Time heardAt { -std::chrono::hours { 1 } };
     Time toldAt { 0 };
     uint64_t number = 0; ///< Of the newest beat.
@@ -103,15 +104,18 @@
     };
     Targets chooseTargets(Time now);
     void sendTo(const std::vector<transport::Endpoint>& targets, const Beat& beat);
-    // The lock must be held for the next five.
-    /// Tells whether a peer is in this VM's group.
-    bool isNear(const Peer& peer) const;
-    size_t nearCount() const;
+    // The lock must be held for the next six.
+    /// Works out which peers are in this VM's group, after the members have changed.
+    void regroup();
     /// Pause between two beats to the group.
     milliseconds interval() const;
     /// Silence after which a peer is left out.
     milliseconds silence(const Peer& peer) const;
     bool isHeard(const Peer& peer, Time now) const;
+    /// The same with more patience: a few lost beats do not change how many VMs there are and what they need.
+    bool isLive(const Peer& peer, Time now) const;
+    /// Tells whether a peer gives orders.
+    bool isHolder(const Peer& peer, Time now) const;
     /// Least pause between two urgent beats.
     Time urgentInterval() const;
     void receive(std::string_view bytes);
@@ -124,6 +128,7 @@
     Time beatenAt { 0 };
     mutable std::mutex mutex;
     std::map<std::string, Peer> peers;
+    size_t nearCount = 0; ///< Of them.
     placement::WorkAverage work;
     std::map<Want, uint32_t> wants; ///< With the number of requests that miss it.
     std::vector<std::pair<PassedEntry, int>> passed; ///< With the number of beats that still carry it.
