One piece for what stood twice

readingTime for three copies of the prompt's reading time, affinity for its copy in herdSpread, modelsByWork for the lists of missing and of single models (whose check for drops could never fail), hasOrderToSend, hasSoundCopy, the client's idle limit (looked up once a call, not once a pooled connection), readAside for the two reads beside a follower of the store, and the start of both daemons.

Behaviour stays, but for two signs of it: a failed read after the store's address changed now counts among store_failures as the other one did, and both kinds log event=store_read_aside in place of store_moved for one of them.

--- a/daemon/src/main.cpp
+++ b/daemon/src/main.cpp
@@ -49,18 +49,27 @@
     return values;
 }
 
+/// @return nothing if the file can't be read.
+std::optional<std::string> readText(const std::string& path)
+{
+    std::ifstream file(path);
+    if (!file)
+        return std::nullopt;
+    std::stringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
 /// Reads a settings file with `parse` and prints its faults.
 template <class Settings, class Parse>
 std::optional<Settings> readSettings(const std::string& path, Parse&& parse)
 {
-    std::ifstream file(path);
-    if (!file) {
+    auto text = readText(path);
+    if (!text) {
         std::cerr << path << ":0: the file can't be read\n";
         return std::nullopt;
     }
-    std::stringstream text;
-    text << file.rdbuf();
-    auto settings = parse(path, text.str());
+    auto settings = parse(path, *text);
     if (settings)
         return settings.value();
     for (const auto& fault : settings.error())
@@ -68,24 +77,29 @@
     return std::nullopt;
 }
 
-std::string readText(const std::string& path)
+/// Must run before any thread starts.
+template <class Settings>
+void prepareProcess(const Settings& settings)
 {
-    std::ifstream file(path);
-    std::stringstream text;
-    text << file.rdbuf();
-    return text.str();
+    transport::blockTerminationSignals();
+    transport::raiseDescriptorLimit();
+    transport::setUpLogging(settings.logLevel, settings.partLevels);
+}
+
+template <class Daemon>
+void startOrExit(Daemon& daemon)
+{
+    if (daemon.start())
+        return;
+    std::cerr << "comfreypierd: an address can't be bound\n";
+    std::_Exit(ExitAddress);
 }
 
 int runEdge(const std::string& path, const edge::Settings& settings)
 {
-    transport::blockTerminationSignals();
-    transport::raiseDescriptorLimit();
-    transport::setUpLogging(settings.logLevel, settings.partLevels);
+    prepareProcess(settings);
     edge::Edge daemon(settings);
-    if (!daemon.start()) {
-        std::cerr << "comfreypierd: an address can't be bound\n";
-        std::_Exit(ExitAddress);
-    }
+    startOrExit(daemon);
     auto text = readText(path);
     while (transport::waitForSignal(signalPoll) != transport::ProcessSignal::Terminate) {
         // The file may also change without a signal.
@@ -102,14 +116,9 @@
 
 int runDaemon(const protocol::NodeSettings& settings)
 {
-    transport::blockTerminationSignals();
-    transport::raiseDescriptorLimit();
-    transport::setUpLogging(settings.logLevel, settings.partLevels);
+    prepareProcess(settings);
     daemon::Daemon daemon(settings);
-    if (!daemon.start()) {
-        std::cerr << "comfreypierd: an address can't be bound\n";
-        std::_Exit(ExitAddress);
-    }
+    startOrExit(daemon);
     while (transport::waitForSignal(signalPoll) != transport::ProcessSignal::Terminate) { }
     auto code = daemon.drain() ? ExitOk : ExitCutOff;
     std::cerr.flush();
--- a/edge/src/fleet.cpp
+++ b/edge/src/fleet.cpp
@@ -241,9 +241,9 @@
 void Fleet::applyResident(const std::map<std::string, std::set<std::string>>& resident)
 {
     std::lock_guard lock(this->mutex);
-    for (const auto& [id, items] : resident) {
-        const auto& held = items;
-        auto found = this->workers.find(id);
+    for (const auto& told : resident) {
+        const auto& held = told.second;
+        auto found = this->workers.find(told.first);
         if (found == this->workers.end())
             continue;
         auto& worker = found->second.worker;
--- a/edge/src/order_duty.cpp
+++ b/edge/src/order_duty.cpp
@@ -236,8 +236,7 @@
     std::lock_guard lock(this->mutex);
     for (auto& [id, agent] : this->agents) {
         auto wants = wanted.find(id);
-        bool orders = agent->account.modelOrder && !agent->account.modelOrderSent;
-        bool needed = orders || agent->prefetch || wants != wanted.end() || placement::needsReport(agent->account, now);
+        bool needed = placement::hasOrderToSend(agent->account) || agent->prefetch || wants != wanted.end() || placement::needsReport(agent->account, now);
         if (!needed || std::exchange(agent->working, true))
             continue;
         transport::spawnHere([this, agent = agent, wants = wants == wanted.end() ? std::vector<Want> {} : std::move(wants->second)] { this->serveWorker(agent, wants); });
@@ -351,7 +350,7 @@
     {
         std::lock_guard lock(this->mutex);
         report = placement::needsReport(agent->account, monotonicNow());
-        order = agent->account.modelOrder && !agent->account.modelOrderSent;
+        order = placement::hasOrderToSend(agent->account);
     }
     if (report)
         this->sync(*agent);
--- a/edge/src/relay.cpp
+++ b/edge/src/relay.cpp
@@ -52,7 +52,7 @@
     /// Worker seconds that a request takes.
     double workOf(const routing::RequestShape& shape, uint32_t kept)
     {
-        return (shape.promptTokens - std::min(kept, shape.promptTokens)) / routing::defaultPrefillRate / 1000 + shape.outputTokens * secondsPerOutputToken;
+        return routing::readingTime(shape.promptTokens - std::min(kept, shape.promptTokens)).count() + shape.outputTokens * secondsPerOutputToken;
     }
 
     bool promisesNotRun(unsigned status)
@@ -111,6 +111,7 @@
 
     bool gone() const { return this->cancel.isCancelled(); }
     milliseconds left() const { return std::chrono::duration_cast<milliseconds>(this->until - monotonicNow()); }
+    bool hasSoundCopy() const { return this->backup && !this->excluded.contains(this->backup->id); }
     bool repeatable() const { return this->route->idempotent || this->route->resumable; }
 };
 
@@ -226,8 +227,7 @@
     if (x.left() <= returnTime)
         return false;
     // A run that goes on from its copy is still the same run; before its first event there may be no copy yet.
-    bool copyIsSound = x.backup && !x.excluded.contains(x.backup->id);
-    if (ran && !again && copyIsSound && x.streamStarted && result != SendResult::Failed)
+    if (ran && !again && x.hasSoundCopy() && x.streamStarted && result != SendResult::Failed)
         x.continueAt = std::exchange(x.backup, std::nullopt);
     if (ran && !again && !x.continueAt)
         return false;
@@ -565,7 +565,7 @@
         if (!this->repeatLimit(x.service->name).allows(monotonicNow(), this->peers.liveCount()))
             return false;
     }
-    if (x.backup && !x.excluded.contains(x.backup->id))
+    if (x.hasSoundCopy())
         return true;
     auto excluded = x.excluded;
     excluded.insert(worker);
--- a/edge/src/store_duty.cpp
+++ b/edge/src/store_duty.cpp
@@ -48,34 +48,32 @@
         auto known = this->vm.fleet.configuration();
         if (known && known->version >= version)
             return;
-        add(this->vm.counters, Event::StoreCalls);
-        auto store = this->vm.store();
-        store.freshConnection = true;
-        auto page = platform::readNewest(store, platform::Stream::Configuration);
-        if (page)
-            this->applyConfigurations(page.value());
-        else
-            add(this->vm.counters, Event::StoreFailures);
+        if (auto page = this->readAside(platform::Stream::Configuration))
+            this->applyConfigurations(*page);
     });
 }
 
+std::optional<platform::StorePage> StoreDuty::readAside(platform::Stream stream)
+{
+    auto store = this->vm.store();
+    store.freshConnection = true;
+    add(this->vm.counters, Event::StoreCalls);
+    auto page = platform::readNewest(store, stream);
+    if (!page)
+        add(this->vm.counters, Event::StoreFailures);
+    this->log.info(std::string("event=store_read_aside stream=") + name(stream) + " address=" + transport::toString(store.address) + " outcome=" + (page ? "read" : platform::name(page.error())));
+    return page ? std::optional(std::move(page.value())) : std::nullopt;
+}
+
 void StoreDuty::noteMove()
 {
     this->moves++;
     // The followers' reads may wait at the old address for seconds.
     transport::spawnHere([this] {
-        auto store = this->vm.store();
-        store.freshConnection = true;
-        auto read = [&](platform::Stream stream) {
-            add(this->vm.counters, Event::StoreCalls);
-            auto page = platform::readNewest(store, stream);
-            this->log.info(std::string("event=store_moved stream=") + name(stream) + " address=" + transport::toString(store.address) + " outcome=" + (page ? "read" : platform::name(page.error())));
-            return page;
-        };
-        if (auto page = read(platform::Stream::Configuration))
-            this->applyConfigurations(page.value());
-        if (auto page = read(platform::Stream::Workers))
-            this->applyWorkers(page.value(), true);
+        if (auto page = this->readAside(platform::Stream::Configuration))
+            this->applyConfigurations(*page);
+        if (auto page = this->readAside(platform::Stream::Workers))
+            this->applyWorkers(*page, true);
     });
 }
 
--- a/edge/src/store_duty.h
+++ b/edge/src/store_duty.h
@@ -48,6 +48,8 @@
     };
     void follow(const Follower& follower);
     bool readOnce(const Follower& follower, std::optional<uint64_t>& next, bool hurry);
+    /// Reads a stream's newest records beside its follower, on a new connection.
+    std::optional<platform::StorePage> readAside(platform::Stream stream);
     void applyConfigurations(const platform::StorePage& page);
     void noteOutcome(platform::Stream stream, bool good, const std::string& detail);
 
--- a/placement/include/placement/placement.h
+++ b/placement/include/placement/placement.h
@@ -133,6 +133,8 @@
     bool foreignOrder = false; ///< The worker carries out a model order that this VM did not give.
 };
 
+/// Tells whether a model order waits to be sent.
+bool hasOrderToSend(const WorkerAccount& account);
 /// Tells whether a report is needed now.
 bool needsReport(const WorkerAccount& account, Time now);
 /// Takes over a report. @param askedAt when it was asked for.
--- a/placement/src/plan_models.cpp
+++ b/placement/src/plan_models.cpp
@@ -12,7 +12,7 @@
     /// Difference in work that makes one drop better than another, in worker seconds a second.
     constexpr double lostStep = 0.05;
 
-    /// What one round needs to know of a model.
+    /// What one decision needs to know of a model.
     struct ModelFacts {
         double size = 0;
         double work = 0;
@@ -22,7 +22,7 @@
         std::map<std::string, uint32_t> copiesIn; ///< By data centre.
     };
 
-    /// Figures of one round, worked out once: planning for hundreds of workers must leave the VM time for its callers.
+    /// Figures of one decision, worked out once: planning for hundreds of workers must leave the VM time for its callers.
     struct Facts {
         std::unordered_map<std::string, ModelFacts> models;
         std::vector<double> work; ///< By position in the inputs.
@@ -192,17 +192,23 @@
         return std::nullopt;
     }
 
-    /// @param wanted chooses among models that requests ask for, or among the others.
-    std::optional<Order> planMissing(const ModelInputs& inputs, const Facts& facts, bool wanted)
+    /// Declared models for which `applies` holds, the one with the most work first.
+    template <class Applies>
+    std::vector<std::string> modelsByWork(const ModelInputs& inputs, const Facts& facts, Applies&& applies)
     {
-        std::vector<std::string> missing;
+        std::vector<std::string> models;
         for (const auto& spec : inputs.engine->models) {
-            const auto& known = facts.of(spec.name);
-            if (known.copies == 0 && (known.work > 0) == wanted)
-                missing.push_back(spec.name);
+            if (applies(facts.of(spec.name)))
+                models.push_back(spec.name);
         }
-        std::stable_sort(missing.begin(), missing.end(), [&](const auto& a, const auto& b) { return facts.of(a).work > facts.of(b).work; });
-        for (const auto& model : missing) {
+        std::stable_sort(models.begin(), models.end(), [&](const auto& a, const auto& b) { return facts.of(a).work > facts.of(b).work; });
+        return models;
+    }
+
+    /// @param wanted chooses among models that requests ask for, or among the others.
+    std::optional<Order> planMissing(const ModelInputs& inputs, const Facts& facts, bool wanted)
+    {
+        for (const auto& model : modelsByWork(inputs, facts, [wanted](const auto& known) { return known.copies == 0 && (known.work > 0) == wanted; })) {
             auto way = bestWay(model, inputs, facts, HUGE_VAL, HUGE_VAL);
             if (!way)
                 continue;
@@ -242,16 +248,9 @@
         bool idle = inputs.storeLoadsRunning < spareLoadUse * storeLoadsAtOnce(*inputs.engine) && inputs.storeLoadsAllowed >= spareLoadReserve;
         if (!idle)
             return std::nullopt;
-        std::vector<std::string> models;
-        for (const auto& spec : inputs.engine->models) {
-            if (facts.of(spec.name).copies < spareCopies)
-                models.push_back(spec.name);
-        }
-        std::stable_sort(models.begin(), models.end(), [&](const auto& a, const auto& b) { return facts.of(a).work > facts.of(b).work; });
-        for (const auto& model : models) {
-            auto way = bestWay(model, inputs, facts, -1, HUGE_VAL);
+        for (const auto& model : modelsByWork(inputs, facts, [](const auto& known) { return known.copies < spareCopies; })) {
             // Nothing is dropped for less than no work.
-            if (way && way->drop.empty())
+            if (auto way = bestWay(model, inputs, facts, -1, HUGE_VAL))
                 return firstStep(*way, model, inputs, "spare");
         }
         return std::nullopt;
--- a/placement/src/worker_account.cpp
+++ b/placement/src/worker_account.cpp
@@ -40,6 +40,11 @@
 
 } // namespace
 
+bool hasOrderToSend(const WorkerAccount& account)
+{
+    return account.modelOrder && !account.modelOrderSent;
+}
+
 bool needsReport(const WorkerAccount& account, Time now)
 {
     bool wanted = !account.synced || account.foreignOrder || (account.modelOrder && account.modelOrderSent);
--- a/routing/include/routing/routing.h
+++ b/routing/include/routing/routing.h
@@ -154,6 +154,7 @@
     std::string name;
     uint64_t version = 0;
     std::set<std::string> adapters;
+    bool operator==(const ResidentModel&) const = default;
 };
 
 /// What a worker last published of itself.
@@ -170,8 +171,6 @@
     bool operator==(const WorkerEntry&) const = default;
 };
 
-bool operator==(const ResidentModel& a, const ResidentModel& b);
-
 // ---------------------------------------------------------------- requests
 
 /// One part of a prompt. Requests that name the same parts in the same order share what a worker keeps of them.
@@ -244,6 +243,9 @@
 /// Returns `outcomes` faded to `now`.
 Outcomes fadedTo(const Outcomes& outcomes, Time now);
 
+/// Time in which a worker of usual speed reads prompt tokens.
+std::chrono::duration<double> readingTime(double tokens);
+
 /// What is believed of one worker.
 struct Worker {
     WorkerEntry entry;
--- a/routing/src/choice.cpp
+++ b/routing/src/choice.cpp
@@ -58,21 +58,18 @@
         worker.outcomes.answered += 1;
     }
 
-    /// Spreads the choices that VMs make on news of the same age.
-    Time herdSpread(const Worker& worker, const ChoiceInputs& inputs)
-    {
-        if (inputs.newsAge <= freshNews)
-            return Time { 0 };
-        auto position = static_cast<double>(hashText(worker.entry.id, inputs.draw) >> 11) / static_cast<double>(1ULL << 53);
-        return scaled((inputs.newsAge - freshNews) / 2, position);
-    }
-
     /// Position of a worker in the order in which all VMs prefer workers for `key`, from 0 to 1.
     double affinity(const Worker& worker, uint64_t key)
     {
         return static_cast<double>(hashText(worker.entry.id, key) >> 11) / static_cast<double>(1ULL << 53);
     }
 
+    /// Spreads the choices that VMs make on news of the same age.
+    Time herdSpread(const Worker& worker, const ChoiceInputs& inputs)
+    {
+        return inputs.newsAge <= freshNews ? Time { 0 } : scaled((inputs.newsAge - freshNews) / 2, affinity(worker, inputs.draw));
+    }
+
     bool isStalled(const Worker& worker, Time now)
     {
         return worker.runningStreams > 0 && now - worker.lastByteAt > stallTime;
@@ -97,10 +94,10 @@
         estimate.kept = keptTokens(worker.kept, shape, *inputs.chains);
         double unread = shape.promptTokens - estimate.kept;
         double slowness = slownessOf(worker, inputs.now);
-        auto reading = Seconds((load.prefillTokens + unread) / defaultPrefillRate / 1000 * slowness);
+        auto reading = readingTime(load.prefillTokens + unread) * slowness;
         auto steps = load.requests * std::chrono::duration_cast<Time>(stepTimePerStream);
         estimate.firstByte = firstTokenOverhead + std::chrono::duration_cast<Time>(reading) + steps;
-        auto ownReading = std::chrono::duration_cast<Time>(Seconds(unread / defaultPrefillRate / 1000));
+        auto ownReading = std::chrono::duration_cast<Time>(readingTime(unread));
         estimate.cost = estimate.firstByte + scaled(ownReading, rereadWeight - 1) + distanceCost(worker, inputs) + failureTime(worker, inputs);
         auto key = inputs.chains->empty() ? hashText(shape.adapter, hashText(shape.model)) : inputs.chains->size() > 1 ? (*inputs.chains)[inputs.chains->size() - 2]
                                                                                                                        : inputs.chains->front();
@@ -193,6 +190,11 @@
     return load;
 }
 
+std::chrono::duration<double> readingTime(double tokens)
+{
+    return Seconds(tokens / defaultPrefillRate / 1000);
+}
+
 Outcomes fadedTo(const Outcomes& outcomes, Time now)
 {
     auto share = fading(now - outcomes.at);
--- a/routing/src/route_table.cpp
+++ b/routing/src/route_table.cpp
@@ -65,9 +65,4 @@
     return nullptr;
 }
 
-bool operator==(const ResidentModel& a, const ResidentModel& b)
-{
-    return a.name == b.name && a.version == b.version && a.adapters == b.adapters;
-}
-
 } // namespace comfreypier::routing
--- a/transport/src/http_client_beast.cpp
+++ b/transport/src/http_client_beast.cpp
@@ -107,11 +107,12 @@
     ConnectionPtr takeIdle(const Endpoint& endpoint) const
     {
         auto& idle = threadPools[this].idle[endpoint];
+        auto now = monotonicNow();
+        auto limit = this->idleLimit(now);
         while (!idle.empty()) {
             auto connection = std::move(idle.back());
             idle.pop_back();
-            auto now = monotonicNow();
-            if (now < connection->idleUntil && now - connection->idleSince < this->idleLimit(now) && this->isUsable(*connection))
+            if (now < connection->idleUntil && now - connection->idleSince < limit && this->isUsable(*connection))
                 return connection;
         }
         return nullptr;
@@ -129,9 +130,9 @@
     void noteDroppedIdle(std::chrono::nanoseconds rested)
     {
         auto now = monotonicNow();
+        auto limit = std::min(this->idleLimit(now), rested / 2);
         std::lock_guard lock(this->mutex);
-        auto current = now < this->learnedUntil ? this->learnedLimit : clientIdleTimeout;
-        this->learnedLimit = std::max<std::chrono::nanoseconds>(learnedIdleLeast, std::min(current, rested / 2));
+        this->learnedLimit = std::max<std::chrono::nanoseconds>(learnedIdleLeast, limit);
         this->learnedUntil = now + learnedIdleTime;
     }
 
