--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -31,8 +31,7 @@
         this->addWorker("app" + std::to_string(i), "app");
     for (int i = 0; i < modelWorkers; i++) {
         auto& worker = this->addWorker("llm" + std::to_string(i), "llm");
-        worker.memory = 100;
-        worker.sizes = { { "m1", 40 }, { "m2", 40 }, { "m3", 40 } };
+        standins::giveModelMemory(worker);
         worker.models = { { "m" + std::to_string(i % 2 + 1), 40 } };
         worker.orderMs = 100;
     }
--- a/tests/standins/platform_main.cpp
+++ b/tests/standins/platform_main.cpp
@@ -46,8 +46,7 @@
             this->add("app" + std::to_string(i), "app");
         for (int i = 0; i < modelWorkers; i++) {
             auto& worker = this->add("llm" + std::to_string(i), "llm");
-            worker.memory = 100;
-            worker.sizes = { { "m1", 40 }, { "m2", 40 }, { "m3", 40 } };
+            standins::giveModelMemory(worker);
             worker.orderMs = orderMs;
         }
         bool started = this->store.start() && this->control.start();
--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -17,6 +17,7 @@
     constexpr milliseconds waitStep { 10 };
     /// Longest time a silent stand-in holds a call.
     constexpr milliseconds silence { 4000 };
+    constexpr const char* workerTopic = "keyed.servers";
     /// Most requests of callers that are kept.
     constexpr size_t seenLimit = 1000;
 
@@ -129,6 +130,7 @@
     }
     auto topic = transport::queryValue(request.target, "topic");
     auto path = transport::targetPath(request.target);
+    this->workerReads += topic == workerTopic && path != "/v1/log-append" ? 1 : 0;
     if (path == "/v1/log-append")
         this->serveAppend(topic, request, writer);
     else if (path == "/v1/log-read")
@@ -233,6 +235,12 @@
 {
 }
 
+void giveModelMemory(WorkerStandin& worker)
+{
+    worker.memory = 100;
+    worker.sizes = { { "m1", 40 }, { "m2", 40 }, { "m3", 40 } };
+}
+
 std::string WorkerStandin::modelsJson()
 {
     json::array list;
@@ -251,14 +259,14 @@
 {
     std::lock_guard lock(this->mutex);
     this->finishOrder(false);
-    this->store.write("keyed.servers", this->id,
+    this->store.write(workerTopic, this->id,
         R"({"service":")" + this->service + R"(","addr":")" + transport::toString(this->published) + R"(","zone":"dc","version":"v1","slots":8,"state":")"
             + (this->leaving ? "draining" : "ready") + R"(","cold-left-ms":0,"born":)" + std::to_string(this->startedAt) + R"(,"stage":"unified","models":)" + this->modelsJson() + R"(,"seq":)" + std::to_string(++this->beats) + "}");
 }
 
 void WorkerStandin::withdraw()
 {
-    this->store.write("keyed.servers", this->id, "");
+    this->store.write(workerTopic, this->id, "");
 }
 
 void WorkerStandin::serve(const HttpRequest& request, ResponseWriter& writer)
--- a/tests/standins/platform_standin.h
+++ b/tests/standins/platform_standin.h
@@ -44,6 +44,7 @@
     std::atomic<bool> forgetful { false }; ///< The next read of old records is answered 410.
     std::atomic<bool> losesAnswers { false }; ///< Appends take effect and are not answered.
     std::atomic<int> appendPauseMs { 0 }; ///< Time after which an append takes effect.
+    std::atomic<int> workerReads { 0 }; ///< Reads of the workers' topic.
 
 private:
     struct Record {
@@ -60,6 +61,10 @@
     transport::HttpServer server;
 };
 
+class WorkerStandin;
+/// Gives a worker the memory and the model sizes that `makePlatformConfiguration` declares.
+void giveModelMemory(WorkerStandin& worker);
+
 /// How a worker answers the requests of callers.
 enum class WorkerMood {
     Sound,
--- /dev/null
+++ b/tests/unit/edge_world.h
@@ -0,0 +1,178 @@
+/// Shared by the tests of the daemon on the platform: VMs in this process against stand-ins on loopback.
+#pragma once
+
+#include "platform_standin.h"
+
+#include <criterion/criterion.h>
+#include <edge/edge.h>
+#include <thread>
+
+namespace comfreypier::testing {
+
+using standins::StoreStandin;
+using standins::WorkerMood;
+using standins::WorkerStandin;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using transport::Endpoint;
+using transport::findHeader;
+using transport::HttpRequest;
+using transport::HttpResponse;
+
+inline Endpoint local(uint16_t port)
+{
+    return { "127.0.0.1", port };
+}
+
+/// A store, four workers and some VMs. Tests run side by side in processes of their own: each has a first port of its own,
+/// above those of the failure tests (20000 to 26600) and below those that the system gives out.
+struct World {
+    explicit World(uint16_t base, int vms = 1)
+        : base(base)
+        , store(this->runtime, local(base))
+    {
+        transport::raiseDescriptorLimit();
+        transport::setUpLogging(transport::LogLevel::Error, {});
+        cr_assert(this->store.start());
+        for (int i = 0; i < 2; i++)
+            this->addWorker("app" + std::to_string(i), "app");
+        for (int i = 0; i < 2; i++) {
+            auto& worker = this->addWorker("llm" + std::to_string(i), "llm");
+            standins::giveModelMemory(worker);
+            worker.models = { { "m1", 40 } };
+        }
+        for (auto& worker : this->workers)
+            worker->publish();
+        for (int i = 0; i < vms; i++)
+            this->startVm(i);
+    }
+
+    WorkerStandin& addWorker(const std::string& id, const std::string& service)
+    {
+        auto port = static_cast<uint16_t>(this->base + 1 + this->workers.size());
+        this->workers.push_back(std::make_unique<WorkerStandin>(this->runtime, this->store, local(port), id, service));
+        cr_assert(this->workers.back()->start());
+        return *this->workers.back();
+    }
+
+    /// @param processorShare tells how strong the VM is.
+    void startVm(int number, double processorShare = 1)
+    {
+        edge::Settings settings;
+        auto port = static_cast<uint16_t>(this->base + 20 + 10 * number);
+        settings.node = "vm" + std::to_string(number);
+        settings.region = "r";
+        settings.dataCentre = "dc";
+        settings.front = local(port);
+        settings.directory = local(port + 1);
+        settings.readiness = local(port + 2);
+        settings.inner = local(port + 3);
+        settings.metrics = local(port + 4);
+        settings.store = local(this->base);
+        settings.processorShare = processorShare;
+        settings.grace = milliseconds { 4000 };
+        settings.logLevel = transport::LogLevel::Error;
+        this->vms.push_back(std::make_unique<edge::Edge>(settings));
+        cr_assert(this->vms.back()->start());
+    }
+
+    Endpoint front(int vm = 0) const { return local(static_cast<uint16_t>(this->base + 20 + 10 * vm)); }
+    Endpoint directory(int vm = 0) const { return local(static_cast<uint16_t>(this->base + 21 + 10 * vm)); }
+    Endpoint readiness(int vm = 0) const { return local(static_cast<uint16_t>(this->base + 22 + 10 * vm)); }
+    Endpoint metrics(int vm = 0) const { return local(static_cast<uint16_t>(this->base + 24 + 10 * vm)); }
+    WorkerStandin& app(int i) { return *this->workers[static_cast<size_t>(i)]; }
+    WorkerStandin& llm(int i) { return *this->workers[static_cast<size_t>(2 + i)]; }
+
+    /// Runs `task` on a fiber and waits for it.
+    template <class Task>
+    void onFiber(Task&& task)
+    {
+        std::atomic<bool> done { false };
+        this->runtime.spawn([&] {
+            task();
+            done = true;
+        });
+        while (!done)
+            std::this_thread::sleep_for(milliseconds { 1 });
+    }
+
+    Result<HttpResponse, transport::IoError> call(const Endpoint& to, HttpRequest request, milliseconds limit = milliseconds { 8000 }, transport::CallCancel* cancel = nullptr)
+    {
+        std::optional<Result<HttpResponse, transport::IoError>> answer;
+        this->onFiber([&] {
+            transport::CallLimits limits;
+            limits.response = limit;
+            limits.cancel = cancel;
+            answer = this->client.call(to, request, limits);
+        });
+        return std::move(*answer);
+    }
+
+    HttpResponse ask(const std::string& path, const std::string& id, std::vector<transport::Header> more = {}, int vm = 0)
+    {
+        HttpRequest request { path.starts_with("/status") ? "GET" : "POST", path, { { "Host", "h.example" }, { "Attempt-Id", id }, { "Deadline-Ms", "3000" } }, path.starts_with("/status") ? "" : "the body" };
+        request.headers.insert(request.headers.end(), more.begin(), more.end());
+        auto answer = this->call(this->front(vm), request);
+        return answer ? answer.value() : HttpResponse { 0, {}, transport::name(answer.error()) };
+    }
+
+    HttpResponse askChat(const std::string& id, const std::string& path = "/chat/x", const std::string& model = "m1", int vm = 0)
+    {
+        return this->ask(path, id, { { "Model", model }, { "Token-Count", "500,100" }, { "Prompt-Prefix", "a1:300,b2:200" } }, vm);
+    }
+
+    bool eventually(const std::function<bool()>& holds, milliseconds limit = milliseconds { 5000 })
+    {
+        auto end = transport::monotonicNow() + limit;
+        while (transport::monotonicNow() < end) {
+            if (holds())
+                return true;
+            std::this_thread::sleep_for(milliseconds { 10 });
+        }
+        return false;
+    }
+
+    bool isReady(int vm = 0)
+    {
+        auto answer = this->call(this->readiness(vm), { "GET", "/v1/ready", {}, {} }, milliseconds { 500 });
+        return answer && answer.value().status == 200;
+    }
+
+    void configure(int version, const std::string& moreRoutes = "")
+    {
+        this->store.write("keyed.op", "config", standins::makePlatformConfiguration(version, moreRoutes));
+    }
+
+    void configureAndWait(int vms = 1)
+    {
+        this->configure(1);
+        for (int i = 0; i < vms; i++)
+            cr_assert(this->eventually([this, i] { return this->isReady(i); }), "the VM is not ready");
+    }
+
+    uint16_t base;
+    transport::Runtime runtime { 1 };
+    transport::HttpClient client;
+    StoreStandin store;
+    std::vector<std::unique_ptr<WorkerStandin>> workers;
+    std::vector<std::unique_ptr<edge::Edge>> vms;
+};
+
+/// Leaves without waiting for daemons' fibers.
+inline void leave()
+{
+    std::_Exit(0);
+}
+
+} // namespace comfreypier::testing
+
+/// A test with a world of one VM.
+#define WORLD_TEST(name, port)            \
+    static void run_##name(World& world); \
+    Test(edge, name, .timeout = 40)       \
+    {                                     \
+        auto* world = new World(port);    \
+        run_##name(*world);               \
+        leave();                          \
+    }                                     \
+    static void run_##name([[maybe_unused]] World& world)
