Retry budget: a restarted VM uses no slack for a window, members share it whether reachable or not

Change: the slack is divided by the highest number of member records in the window, reachable or not; it is unused until the records have been read and, unless the whole system starts for the first time, for one window after a start.

--- a/edge/include/edge/edge.h
+++ b/edge/include/edge/edge.h
@@ -74,6 +74,9 @@
     double retryRatio = 0.2; ///< Retries per request that all VMs together may send to a worker service.
     uint32_t retrySlack = 50; ///< Additional retries of all VMs in one window.
     milliseconds retryWindow { 10000 }; ///< Length of the sliding window.
+    /// This VM can't have sent retries before: the whole system starts for the first time. Otherwise it uses none of the slack for
+    /// the first window.
+    bool firstStart = true;
     milliseconds grace { 8000 }; ///< Time from SIGTERM to the end of the process.
     milliseconds leaseTime { 3000 }; ///< Minimum time between orders of two different lease holders.
     bool workersCheckTokens = true; ///< Workers reject orders with a fencing token lower than the highest they have seen.
--- a/edge/src/peers.cpp
+++ b/edge/src/peers.cpp
@@ -413,14 +413,12 @@
         this->vm.fleet.forgetPeerLoad(node);
 }
 
-uint32_t Peers::aliveVmCount() const
+uint32_t Peers::memberCount() const
 {
-    auto now = monotonicNow();
+    if (!this->vm.status.membersKnown)
+        return 0;
     std::lock_guard lock(this->mutex);
-    uint32_t count = 1;
-    for (const auto& [node, peer] : this->peers)
-        count += this->isAlive(peer, now) ? 1 : 0;
-    return count;
+    return static_cast<uint32_t>(this->peers.size()) + 1;
 }
 
 std::map<std::string, double> Peers::totalDemand() const
--- a/edge/src/peers.h
+++ b/edge/src/peers.h
@@ -52,8 +52,8 @@
     bool hasStrongerPeer() const;
     /// Discards the load of unreachable peers.
     void forgetUnreachablePeers();
-    /// Returns the number of VMs that are alive, this one included.
-    uint32_t aliveVmCount() const;
+    /// Returns the number of VMs with a member record, reachable or not, this one included; 0 until the records have been read.
+    uint32_t memberCount() const;
 
     /// Returns the demand of all VMs that are alive by model, in worker seconds per second.
     std::map<std::string, double> totalDemand() const;
--- a/edge/src/relay.cpp
+++ b/edge/src/relay.cpp
@@ -123,6 +123,7 @@
 Relay::Relay(Vm& vm, Peers& peers)
     : vm(vm)
     , peers(peers)
+    , slackFrom(vm.settings.firstStart ? Time { 0 } : monotonicNow() + vm.settings.retryWindow)
 {
 }
 
@@ -223,7 +224,7 @@
 routing::RetryBudget& Relay::retryBudget(const std::string& service)
 {
     const auto& settings = this->vm.settings;
-    auto [found, added] = this->retryBudgets.try_emplace(service, settings.retryRatio, settings.retrySlack, settings.retryWindow);
+    auto [found, added] = this->retryBudgets.try_emplace(service, settings.retryRatio, settings.retrySlack, settings.retryWindow, this->slackFrom);
     return found->second;
 }
 
@@ -242,7 +243,7 @@
     if (!mayHaveRun && context.possibleRuns > 0 && !canRunAgain)
         return false;
     std::lock_guard lock(this->mutex);
-    return this->retryBudget(context.service->name).tryAcquire(monotonicNow(), this->peers.aliveVmCount());
+    return this->retryBudget(context.service->name).tryAcquire(monotonicNow(), this->peers.memberCount());
 }
 
 /// Reports to the lease holder what a request waits for, and withdraws the report when it goes out of scope.
@@ -586,7 +587,7 @@
 {
     {
         std::lock_guard lock(this->mutex);
-        if (!this->retryBudget(context.service->name).allowsRetry(monotonicNow(), this->peers.aliveVmCount()))
+        if (!this->retryBudget(context.service->name).allowsRetry(monotonicNow(), this->peers.memberCount()))
             return false;
     }
     if (context.hasUsableBackup())
--- a/edge/src/relay.h
+++ b/edge/src/relay.h
@@ -70,6 +70,7 @@
 
     Vm& vm;
     Peers& peers;
+    Time slackFrom; ///< When the retry budgets may use their share of the slack, see `routing::RetryBudget`.
     std::mutex mutex;
     std::map<std::string, routing::RetryBudget> retryBudgets; ///< By service. Protected by `mutex`.
     transport::Log log { "relay" };
--- a/edge/src/settings.cpp
+++ b/edge/src/settings.cpp
@@ -31,7 +31,8 @@
             { "repeats", false, false, false, IniType::Text,
                 { { "ratio", IniType::Decimal, false, {} },
                     { "slack", IniType::Integer, false, {} },
-                    { "window", IniType::Duration, false, {} } } },
+                    { "window", IniType::Duration, false, {} },
+                    { "first_start", IniType::Flag, false, {} } } },
             { "orders", false, false, false, IniType::Text,
                 { { "lease_time", IniType::Duration, false, {} },
                     { "workers_check_tokens", IniType::Flag, false, {} } } },
@@ -77,6 +78,7 @@
     retries.decimal("ratio", settings.retryRatio, 10);
     retries.integer("slack", settings.retrySlack, 0, 1000000);
     retries.duration("window", settings.retryWindow, milliseconds { 100 }, maxDuration);
+    retries.flag("first_start", settings.firstStart);
     SectionReader orders(document, "orders", errors);
     orders.duration("lease_time", settings.leaseTime, milliseconds { 100 }, maxDuration);
     orders.flag("workers_check_tokens", settings.workersCheckTokens);
--- a/edge/src/store_task.cpp
+++ b/edge/src/store_task.cpp
@@ -252,6 +252,7 @@
             this->log.warn("event=member_unreadable node=" + record.key + " offset=" + std::to_string(record.offset));
         this->onMember(record.key, member);
     }
+    this->vm.status.membersKnown = true;
 }
 
 } // namespace comfreypier::edge
--- a/edge/src/vm_p.h
+++ b/edge/src/vm_p.h
@@ -15,6 +15,7 @@
     std::atomic<bool> stopping { false }; ///< Background tasks end.
     std::atomic<bool> overloaded { false }; ///< Timers fire late: the VM can't keep up with its load.
     std::atomic<bool> workersKnown { false }; ///< The worker stream has been read at least once.
+    std::atomic<bool> membersKnown { false }; ///< The members' stream has been read at least once.
 };
 
 /// State and services that all background tasks share.
--- a/routing/include/routing/routing.h
+++ b/routing/include/routing/routing.h
@@ -398,30 +398,42 @@
 /// @param remaining time until the caller gives up.
 AdmissionDecision decideSend(const Choice& choice, Time remaining);
 
-/// Limits the retries of this VM to its share of what the deployment allows in a sliding window.
+/// Limits the retries of this VM to its share of what the deployment allows in a sliding window. The shares of all VMs together
+/// stay within the limit while VMs restart, join, leave or lose sight of each other.
 class RetryBudget {
 public:
     /// @param ratio retries allowed for each request of this VM in the window.
     /// @param slack additional retries allowed in the window, shared by all VMs.
     /// @param window length of the sliding window.
-    RetryBudget(double ratio, double slack, Time window);
+    /// @param slackFrom time from which this VM uses its share of the slack. A VM that restarts does not know how much of its
+    /// share it has used before; after a whole window that no longer counts.
+    RetryBudget(double ratio, double slack, Time window, Time slackFrom);
     /// Records the first attempt of a request.
     void recordRequest(Time now);
     /// Returns true if a retry is allowed now, without using it up.
-    /// @param vmCount number of VMs that share the slack, at least 1.
-    bool allowsRetry(Time now, uint32_t vmCount);
+    /// @param memberCount number of VMs that share the slack, reachable or not; 0 if unknown, which allows no use of the slack.
+    bool allowsRetry(Time now, uint32_t memberCount);
     /// Uses up one retry if it is allowed. @return whether it was allowed.
-    /// @param vmCount number of VMs that share the slack, at least 1.
-    bool tryAcquire(Time now, uint32_t vmCount);
+    /// @param memberCount as for `allowsRetry`.
+    bool tryAcquire(Time now, uint32_t memberCount);
 
 private:
+    struct CountSample {
+        Time at { 0 };
+        uint32_t count = 0;
+    };
+
     /// Removes the times that are older than the window.
     void removeExpired(Time now);
+    /// Returns the highest member count of the window: a VM that has left may have used its share shortly before.
+    uint32_t highestMemberCount(uint32_t memberCount, Time now);
     double ratio;
     double slack;
     Time window;
+    Time slackFrom;
     std::deque<Time> requestTimes; ///< First attempts in the window, oldest first.
     std::deque<Time> retryTimes; ///< Retries in the window, oldest first.
+    std::deque<CountSample> memberCounts; ///< Counts in the window that no later one exceeds, oldest first.
 };
 
 /// Counts worker crashes by the content of the requests that ran there, to find requests that crash workers. A content is known
--- a/routing/src/retries.cpp
+++ b/routing/src/retries.cpp
@@ -20,10 +20,11 @@
 
 } // namespace
 
-RetryBudget::RetryBudget(double ratio, double slack, Time window)
+RetryBudget::RetryBudget(double ratio, double slack, Time window, Time slackFrom)
     : ratio(ratio)
     , slack(slack)
     , window(window)
+    , slackFrom(slackFrom)
 {
 }
 
@@ -39,16 +40,28 @@
     this->requestTimes.push_back(now);
 }
 
-bool RetryBudget::allowsRetry(Time now, uint32_t vmCount)
+uint32_t RetryBudget::highestMemberCount(uint32_t memberCount, Time now)
+{
+    while (!this->memberCounts.empty() && this->memberCounts.front().at < now - this->window)
+        this->memberCounts.pop_front();
+    while (!this->memberCounts.empty() && this->memberCounts.back().count <= memberCount)
+        this->memberCounts.pop_back();
+    this->memberCounts.push_back({ now, memberCount });
+    return this->memberCounts.front().count;
+}
+
+bool RetryBudget::allowsRetry(Time now, uint32_t memberCount)
 {
     this->removeExpired(now);
-    auto allowedRetries = retryBudgetShare * (this->ratio * static_cast<double>(this->requestTimes.size()) + this->slack / std::max(1U, vmCount));
+    auto sharers = this->highestMemberCount(memberCount, now);
+    double slackShare = memberCount == 0 || now < this->slackFrom ? 0 : this->slack / sharers;
+    auto allowedRetries = retryBudgetShare * (this->ratio * static_cast<double>(this->requestTimes.size()) + slackShare);
     return static_cast<double>(this->retryTimes.size()) + 1 <= allowedRetries;
 }
 
-bool RetryBudget::tryAcquire(Time now, uint32_t vmCount)
+bool RetryBudget::tryAcquire(Time now, uint32_t memberCount)
 {
-    if (!this->allowsRetry(now, vmCount))
+    if (!this->allowsRetry(now, memberCount))
         return false;
     this->retryTimes.push_back(now);
     return true;
--- a/tests/unit/routing_test.cpp
+++ b/tests/unit/routing_test.cpp
@@ -371,7 +371,7 @@
     cr_assert(rc::check("", [] {
         auto vmCount = *rc::gen::inRange<uint32_t>(1, 12);
         auto requests = *rc::gen::inRange(0, 400);
-        std::vector<RetryBudget> budgets(vmCount, RetryBudget(0.2, 56, seconds { 10 }));
+        std::vector<RetryBudget> budgets(vmCount, RetryBudget(0.2, 56, seconds { 10 }, Time { 0 }));
         int retries = 0;
         for (int i = 0; i < requests; i++)
             budgets[i % vmCount].recordRequest(now);
@@ -384,12 +384,111 @@
 Test(retries, retries_expire_with_the_window)
 {
     // The VM uses only `retryBudgetShare` of the slack of 2: one retry.
-    RetryBudget budget(0, 2, seconds { 10 });
+    RetryBudget budget(0, 2, seconds { 10 }, Time { 0 });
     cr_assert(budget.tryAcquire(now, 1));
     cr_assert_not(budget.tryAcquire(now + seconds { 9 }, 1));
     cr_assert(budget.tryAcquire(now + seconds { 11 }, 1));
 }
 
+namespace {
+
+/// Entry VMs that retry as often as their budgets allow, while some of them restart or leave and lose sight of each other.
+struct RetryingFleet {
+    static constexpr auto window = seconds { 10 };
+    static constexpr double ratio = 0.2;
+    static constexpr double slack = 100;
+
+    struct Vm {
+        RetryBudget budget;
+        Time membersReadAt { 0 }; ///< When the VM knows the members after a start.
+        bool left = false;
+    };
+
+    explicit RetryingFleet(uint32_t count)
+    {
+        for (uint32_t i = 0; i < count; i++)
+            this->vms.push_back({ RetryBudget(ratio, slack, window, Time { 0 }) });
+    }
+
+    /// Restarts a VM, which then reads the members after `delay`.
+    void restart(Vm& vm, Time at, Time delay)
+    {
+        vm.budget = RetryBudget(ratio, slack, window, at + window);
+        vm.membersReadAt = at + delay;
+    }
+
+    void step(Time at, bool sendRequests)
+    {
+        auto members = static_cast<uint32_t>(std::count_if(this->vms.begin(), this->vms.end(), [](const Vm& vm) { return !vm.left; }));
+        for (auto& vm : this->vms) {
+            if (vm.left)
+                continue;
+            if (sendRequests) {
+                vm.budget.recordRequest(at);
+                this->requests.push_back(at);
+            }
+            while (vm.budget.tryAcquire(at, at < vm.membersReadAt ? 0 : members))
+                this->retries.push_back(at);
+        }
+    }
+
+    /// Returns the number of `times` from `start` to the end of the window that begins there.
+    static double countFrom(const std::vector<Time>& times, Time start)
+    {
+        return static_cast<double>(std::count_if(times.begin(), times.end(), [start](Time at) { return at >= start && at <= start + window; }));
+    }
+
+    /// Returns true if no window has more retries than the deployment allows: the requests are those of the window, of the one
+    /// before or of the one half a window earlier, whichever has most.
+    bool isWithinBudget() const
+    {
+        return std::all_of(this->retries.begin(), this->retries.end(), [this](Time start) {
+            auto most = std::max({ countFrom(this->requests, start), countFrom(this->requests, start - window), countFrom(this->requests, start - window / 2) });
+            return countFrom(this->retries, start) <= ratio * most + slack;
+        });
+    }
+
+    std::vector<Vm> vms;
+    std::vector<Time> requests;
+    std::vector<Time> retries;
+};
+
+} // namespace
+
+// When all VMs lose power each comes back without its record of earlier retries, and knows no other VM at first. If each then took
+// the slack once more, or the whole of it, together they would retry more than the deployment allows.
+Test(retries, any_window_stays_within_the_budget_while_vms_restart_and_leave)
+{
+    cr_assert(rc::check("", [] {
+        RetryingFleet fleet(*rc::gen::inRange<uint32_t>(1, 40));
+        auto eventTime = milliseconds { *rc::gen::inRange(11000, 25000) };
+        auto affected = *rc::gen::inRange<size_t>(0, fleet.vms.size() + 1);
+        bool leave = *rc::gen::arbitrary<bool>();
+        auto delay = milliseconds { *rc::gen::inRange(0, 15000) };
+        auto requestsUntil = milliseconds { *rc::gen::inRange(0, 40000) };
+        for (milliseconds at { 0 }; at < seconds { 40 }; at += milliseconds { 500 }) {
+            if (at <= eventTime && eventTime < at + milliseconds { 500 }) {
+                for (size_t i = 0; i < affected; i++) {
+                    if (leave)
+                        fleet.vms[i].left = true;
+                    else
+                        fleet.restart(fleet.vms[i], now + at, delay);
+                }
+            }
+            fleet.step(now + at, at < requestsUntil);
+        }
+        RC_ASSERT(fleet.isWithinBudget());
+    }));
+}
+
+Test(retries, a_restarted_vm_uses_no_slack_for_a_window_and_none_while_the_members_are_unknown)
+{
+    RetryBudget budget(0, 20, seconds { 10 }, now + seconds { 10 });
+    cr_assert_not(budget.tryAcquire(now + seconds { 9 }, 2));
+    cr_assert(budget.tryAcquire(now + seconds { 11 }, 2));
+    cr_assert_not(budget.tryAcquire(now + seconds { 11 }, 0));
+}
+
 // Guards against a request that crashes its worker, is retried, and crashes one worker after another.
 Test(poison_requests, content_is_poison_after_two_crashes)
 {
