Placement: spread work over copies as requests do, plan ahead of the demand, keep copies that are needed

Change: the work of a model is spread up to a common level; a copy is added where that level is above the mean; demand is extrapolated to the time at which a copy would be ready; a missing model waits for memory that is missed less; with no work known, the models with most copies give one up. One log line a second tells the plan.

--- a/edge/src/order_task.cpp
+++ b/edge/src/order_task.cpp
@@ -1,6 +1,8 @@
 #include "order_task.h"
 
+#include <iomanip>
 #include <random>
+#include <sstream>
 
 namespace comfreypier::edge {
 
@@ -21,6 +23,10 @@
     /// Time for which the lease holder may continue to issue orders without the store if workers check fencing tokens. The
     /// store's longest outages are shorter.
     constexpr std::chrono::seconds leaseExtension { 30 };
+    /// Interval between two log lines about the load of the models.
+    constexpr std::chrono::seconds planLogInterval { 1 };
+    /// Number of models, the busiest ones, in such a line.
+    constexpr size_t loggedModels = 6;
     /// Key of the lease record in the store.
     constexpr const char* leaseKey = "orders";
 
@@ -308,7 +314,9 @@
         placement::ModelPlanInputs inputs;
         inputs.engine = &*service.engine;
         inputs.now = now;
-        inputs.work = this->peers.totalDemand();
+        auto& forecast = this->forecasts[name];
+        forecast.record(this->peers.totalDemand(), now);
+        inputs.work = forecast.after(placement::planLookahead(*service.engine));
         for (const auto& item : this->peers.allMissingItems()) {
             // The demand for a missing model counts as at least one worker's time.
             if (item.worker.empty())
@@ -331,6 +339,7 @@
                 inputs.modelOrdersRunning++;
         }
         inputs.availableStoreLoads = this->storeRate.availableLoads(service.engine->storeLoadsPerSecond, now);
+        this->logPlan(name, inputs);
         for (int i = 0; i < placement::maxOrdersPerRound; i++) {
             auto order = placement::planModelOrder(inputs);
             if (!order)
@@ -347,6 +356,21 @@
     }
 }
 
+void OrderTask::logPlan(const std::string& service, const placement::ModelPlanInputs& inputs)
+{
+    if (inputs.now - this->planLoggedAt[service] < planLogInterval)
+        return;
+    this->planLoggedAt[service] = inputs.now;
+    auto accepting = std::count_if(inputs.workers.begin(), inputs.workers.end(), [](const auto& worker) { return worker.acceptsModelOrders; });
+    std::ostringstream line;
+    line << std::fixed << std::setprecision(2) << "event=plan service=" << service << " workers=" << inputs.workers.size() << " accepting=" << accepting
+         << " orders_running=" << inputs.modelOrdersRunning << " store_loads=" << inputs.storeLoadsRunning << " store_tokens=" << inputs.availableStoreLoads << " busiest=";
+    auto pressures = placement::modelPressures(inputs);
+    for (size_t i = 0; i < std::min(pressures.size(), loggedModels); i++)
+        line << (i == 0 ? "" : ",") << pressures[i].model << ':' << pressures[i].work << '/' << pressures[i].copies << '@' << pressures[i].level;
+    this->log.info(line.str());
+}
+
 void OrderTask::recordPlannedOrder(const placement::Order& order)
 {
     auto& worker = this->managedWorkers[order.worker];
--- a/edge/src/order_task.h
+++ b/edge/src/order_task.h
@@ -44,6 +44,8 @@
     void planPrefetches();
     /// Starts a fiber for each worker with a pending order, a missing adapter, a planned prefetch or a report that is due.
     void startWorkerCalls();
+    /// Logs the busiest models of a service, at most once per `planLogInterval`. `mutex` must be held.
+    void logPlan(const std::string& service, const placement::ModelPlanInputs& inputs);
     /// Makes an order the next one of its worker and counts it against the rate of loads from the store. `mutex` must be held.
     void recordPlannedOrder(const placement::Order& order);
     /// Calls one worker: fetches its report if that is due, then sends the pending orders.
@@ -69,8 +71,10 @@
     ownership::Lease lease;
     ownership::HandoverPolicy handoverPolicy;
     std::map<std::string, ManagedWorkerPtr> managedWorkers; ///< By worker id.
+    std::map<std::string, placement::DemandForecast> forecasts; ///< By service.
     placement::StoreRateLimiter storeRate; ///< Limits the rate of loads from the weight store.
     placement::AdapterUses adapterUses; ///< Last use of each adapter, by `model/adapter`.
+    std::map<std::string, Time> planLoggedAt; ///< When the load of the models was last logged, by service.
     bool publishDue = false; ///< An order was carried out since the last publication.
     transport::Event wakeUp; ///< Makes `run` go on before its interval ends.
     transport::Log log { "orders" };
--- a/placement/include/placement/placement.h
+++ b/placement/include/placement/placement.h
@@ -11,14 +11,18 @@
 
 using routing::Time;
 
-/// Share of a worker's time that one copy of a model may use before another copy is worth a load.
-constexpr double maxWorkPerCopy = 0.22;
-/// A worker may get another copy of a busy model only if its work is below this share of the average work of the workers that
-/// already hold the model. The share that the new copy takes over from each of them is subtracted from this share first.
-constexpr double maxReliefWorkShare = 0.85;
+/// Load of the least busy worker with a copy of a model, in worker seconds per second, from which another copy is worth a load.
+constexpr double minReliefLevel = 0.22;
+/// The same relative to the mean load of all workers: where all are busy, moving work between them gains nothing.
+constexpr double minReliefLevelToMean = 1.15;
+/// A worker may get another copy of a busy model only if its load is below this share of the load of the workers that hold it.
+constexpr double maxReliefLoadShare = 0.75;
 /// A copy may be evicted for a busy model only if its model's work per remaining copy stays within this share of the busy
-/// model's work per copy.
-constexpr double maxEvictWorkShare = 0.5;
+/// model's work per copy, with the new one.
+constexpr double maxEvictWorkShare = 0.6;
+/// A missing model takes the memory of copies in use only if their work is within this ratio of the least that any worker could
+/// give up.
+constexpr double maxMissingLossRatio = 1.5;
 /// A model that this VM loaded is not evicted earlier than this after the load: a shorter stay would not pay for the load.
 constexpr Time minResidence = std::chrono::seconds { 5 };
 /// Number of workers that should hold an adapter in use, so that requests for it are still served while one of them loads a model
@@ -28,11 +32,9 @@
 constexpr size_t prefetchReservedSlots = 1;
 /// Lower bound of `maxConcurrentStoreLoads()`, for services with a low load rate or short loads.
 constexpr uint32_t minConcurrentStoreLoads = 2;
-/// Used share of the concurrent loads that the weight store's rate and load time allow. More loads would share its bandwidth.
-constexpr double storeConcurrencyShare = 0.85;
 /// Copies in use are evicted for busy models only while fewer than one model order per this number of workers is in progress.
 /// Each such eviction takes a copy from other requests, so too many at once do more harm than good.
-constexpr uint32_t workersPerReliefOrder = 5;
+constexpr uint32_t workersPerReliefOrder = 2;
 /// Lower bound of that limit on model orders in progress, for services with few workers.
 constexpr uint32_t minReliefOrderLimit = 3;
 /// Number of copies that a model should have where memory is free, so that it stays available when a worker ends and a shift of
@@ -175,10 +177,21 @@
     double availableStoreLoads = 0; ///< Loads from the weight store that the rate limit allows to start now.
 };
 
-/// Returns how many loads from the weight store may run at once: `storeConcurrencyShare` of those that its rate starts during the
-/// longest load, but at least `minConcurrentStoreLoads`.
+/// Returns how many loads from the weight store may run at once: as many as its rate starts during a load of average length, but
+/// at least `minConcurrentStoreLoads`. More loads would share its bandwidth.
 uint32_t maxConcurrentStoreLoads(const routing::EngineSpec& engine);
 
+/// How busy the copies of a model are.
+struct ModelPressure {
+    std::string model;
+    double work = 0; ///< In worker seconds per second.
+    size_t copies = 0; ///< On active workers, including copies for which memory is still being freed.
+    double level = 0; ///< Load of the least busy worker with a copy, in worker seconds per second.
+};
+
+/// Returns the models that requests ask for, those on the busiest workers first.
+std::vector<ModelPressure> modelPressures(const ModelPlanInputs& inputs);
+
 /// Returns the next model order, if there is one. In order of priority: the next step on workers where memory is being freed
 /// for a model, missing models that requests ask for, further copies of busy models, other missing models, spare copies.
 /// For the next order the caller updates the inputs as if this one was sent, and calls again.
@@ -228,6 +241,36 @@
     Time filledAt { 0 }; ///< Time of the last refill; 0 before the first call, which adds nothing.
 };
 
+/// Time constant of `WorkAverage`: short enough to follow a shift of demand that takes five seconds, long enough that a few requests
+/// make no model busy.
+constexpr Time workAverageTime = std::chrono::milliseconds { 1500 };
+/// Time constant with which `DemandForecast` smooths the slope of the demand.
+constexpr Time demandSlopeTime = std::chrono::milliseconds { 1000 };
+/// Share of its current demand below which no model is forecast to fall.
+constexpr double minForecastShare = 0.2;
+
+/// Extrapolates the demand of each model. A new copy of a model is ready only seconds after it was planned; a plan for the current
+/// demand would stay behind a shift all the time that it lasts.
+class DemandForecast {
+public:
+    /// Records the demand of all models.
+    /// @param work sums of `WorkAverage::rates` of all VMs, in worker seconds per second by model.
+    void record(const std::map<std::string, double>& work, Time now);
+    /// Returns the expected demand after `lookahead`, at least `minForecastShare` of the recorded one.
+    std::map<std::string, double> after(Time lookahead) const;
+
+private:
+    struct Trend {
+        double work = 0;
+        double slope = 0; ///< Per second.
+    };
+    std::map<std::string, Trend> trends; ///< By model.
+    Time recordedAt { 0 }; ///< 0 before the first record, which gives no slope.
+};
+
+/// Returns how far ahead model orders are planned: the delay of the demand's average, and the time of a load.
+Time planLookahead(const routing::EngineSpec& engine);
+
 /// Exponentially decaying average of the work of each model, as a rate in worker seconds per second.
 class WorkAverage {
 public:
--- a/placement/src/plan_adapters.cpp
+++ b/placement/src/plan_adapters.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-    /// Time constant of the work average: short enough to follow a shift of demand that takes five seconds.
-    constexpr Time workAverageTime = std::chrono::milliseconds { 2500 };
+    /// Upper bound of the load time that is planned ahead: a slope seldom lasts longer.
+    constexpr std::chrono::milliseconds maxLoadLookahead { 2500 };
 
     double toSeconds(Time time)
     {
@@ -85,6 +85,40 @@
     return this->tokens;
 }
 
+void DemandForecast::record(const std::map<std::string, double>& work, Time now)
+{
+    auto elapsed = toSeconds(now - std::exchange(this->recordedAt, now));
+    bool first = this->trends.empty();
+    auto weight = 1 - std::exp(-elapsed / toSeconds(demandSlopeTime));
+    for (const auto& [model, rate] : work)
+        this->trends.try_emplace(model, Trend { first ? rate : 0, 0 });
+    for (auto& [model, trend] : this->trends) {
+        auto found = work.find(model);
+        auto rate = found == work.end() ? 0 : found->second;
+        if (elapsed > 0)
+            trend.slope += weight * ((rate - trend.work) / elapsed - trend.slope);
+        trend.work = rate;
+    }
+}
+
+std::map<std::string, double> DemandForecast::after(Time lookahead) const
+{
+    std::map<std::string, double> work;
+    for (const auto& [model, trend] : this->trends) {
+        if (trend.work > 0)
+            work[model] = std::max(minForecastShare * trend.work, trend.work + trend.slope * toSeconds(lookahead));
+    }
+    return work;
+}
+
+Time planLookahead(const routing::EngineSpec& engine)
+{
+    Time sum { 0 };
+    for (const auto& model : engine.models)
+        sum += std::min(model.storeLoadTime, maxLoadLookahead);
+    return workAverageTime + sum / std::max<Time::rep>(1, static_cast<Time::rep>(engine.models.size()));
+}
+
 void WorkAverage::add(const std::string& model, double seconds, Time now)
 {
     auto& sum = this->sums[model];
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -83,6 +83,196 @@
     cr_assert_eq(order->kind, OrderKind::Load);
 }
 
+namespace {
+
+/// Workers of one service that carry out the plan for a load that changes, with a manual clock. A model is unloaded in 300 ms and
+/// loaded in 1.2 s; each worker serves one worker second per second.
+class PlannedFleet {
+public:
+    static constexpr auto step = milliseconds { 100 };
+    static constexpr auto unloadTime = milliseconds { 300 };
+    static constexpr auto loadTime = milliseconds { 1200 };
+
+    /// @param models number of models, three of which fit on a worker.
+    PlannedFleet(int workers, int models, double storeLoadsPerSecond)
+    {
+        this->engine.weightsMegabytes = 230;
+        this->engine.storeLoadsPerSecond = storeLoadsPerSecond;
+        for (int i = 0; i < models; i++) {
+            routing::ModelSpec model;
+            model.name = "m" + std::to_string(i);
+            model.weightsMegabytes = 70;
+            model.storeLoadTime = loadTime;
+            this->engine.models.push_back(model);
+        }
+        for (int i = 0; i < workers; i++)
+            this->workers.push_back({ workerWith("w" + std::to_string(i), {}) });
+    }
+
+    /// Places the models in turn on the workers until all memory is used, `hot` on every second worker.
+    void place(const std::string& hot)
+    {
+        size_t next = 0;
+        for (size_t i = 0; i < this->workers.size(); i++) {
+            auto& models = this->workers[i].inventory.models;
+            if (i % 2 == 0)
+                models.insert(hot);
+            while (models.size() < 3)
+                models.insert(this->engine.models[next++ % this->engine.models.size()].name);
+        }
+    }
+
+    /// Plays one step of the load and plans. @param work demand of each model, in worker seconds per second.
+    void play(const std::map<std::string, double>& work)
+    {
+        this->at += step;
+        for (auto& worker : this->workers)
+            this->finishOrder(worker);
+        // Each VM reports an average that lags behind.
+        for (const auto& [model, rate] : work)
+            this->average.add(model, rate * std::chrono::duration<double>(step).count(), this->at);
+        this->forecast.record(this->average.rates(this->at), this->at);
+        auto inputs = makeInputs(this->engine, {});
+        inputs.now = this->at;
+        inputs.work = this->forecast.after(planLookahead(this->engine));
+        inputs.availableStoreLoads = this->storeRate.availableLoads(this->engine.storeLoadsPerSecond, this->at);
+        for (const auto& worker : this->workers) {
+            inputs.workers.push_back(worker.inventory);
+            inputs.storeLoadsRunning += worker.order && worker.order->fromStore ? 1 : 0;
+            inputs.modelOrdersRunning += worker.order || !worker.inventory.reservedModel.empty() ? 1 : 0;
+        }
+        for (int i = 0; i < maxOrdersPerRound; i++) {
+            auto order = planModelOrder(inputs);
+            if (!order)
+                break;
+            auto position = static_cast<size_t>(std::find_if(this->workers.begin(), this->workers.end(), [&](const auto& worker) { return worker.inventory.id == order->worker; }) - this->workers.begin());
+            inputs.workers[position] = this->start(this->workers[position], *order);
+            inputs.modelOrdersRunning++;
+            inputs.storeLoadsRunning += order->fromStore ? 1 : 0;
+            inputs.availableStoreLoads -= order->fromStore ? 1 : 0;
+            if (order->fromStore)
+                this->storeRate.recordLoad();
+        }
+    }
+
+    /// Returns the part of `work` that the loaded copies can't serve, if each request goes to the least busy worker.
+    double unserved(const std::map<std::string, double>& work) const
+    {
+        // Small portions in turn, so that no model takes all of a worker that another needs.
+        constexpr int portions = 50;
+        std::vector<double> load(this->workers.size());
+        double sum = 0;
+        for (int portion = 0; portion < portions; portion++) {
+            for (const auto& [model, rate] : work) {
+                size_t best = this->workers.size();
+                for (size_t i = 0; i < this->workers.size(); i++) {
+                    if (this->serves(i, model) && (best == this->workers.size() || load[i] < load[best]))
+                        best = i;
+                }
+                if (best == this->workers.size() || load[best] + rate / portions > 1)
+                    sum += rate / portions;
+                else
+                    load[best] += rate / portions;
+            }
+        }
+        return sum;
+    }
+
+    routing::EngineSpec engine;
+    Time at = now;
+
+private:
+    struct Worker {
+        WorkerInventory inventory;
+        std::optional<Order> order;
+        Time doneAt { 0 };
+    };
+
+    bool serves(size_t worker, const std::string& model) const
+    {
+        const auto& item = this->workers[worker];
+        return item.inventory.models.contains(model) && !(item.order && item.order->model == model);
+    }
+
+    const WorkerInventory& start(Worker& worker, const Order& order)
+    {
+        TrackedWorker tracked;
+        tracked.inventory = worker.inventory;
+        scheduleModelOrder(tracked, order);
+        worker.inventory = tracked.inventory;
+        worker.inventory.acceptsModelOrders = false;
+        worker.order = order;
+        worker.doneAt = this->at + (order.kind == OrderKind::Load ? loadTime : unloadTime);
+        return worker.inventory;
+    }
+
+    void finishOrder(Worker& worker)
+    {
+        if (!worker.order || this->at < worker.doneAt)
+            return;
+        if (worker.order->kind == OrderKind::Load) {
+            worker.inventory.loadedAt[worker.order->model] = this->at;
+            worker.inventory.cachedModels.insert(worker.order->model);
+        }
+        worker.inventory.unloading.clear();
+        worker.inventory.acceptsModelOrders = true;
+        worker.order.reset();
+    }
+
+    std::vector<Worker> workers;
+    WorkAverage average;
+    DemandForecast forecast;
+    StoreRateLimiter storeRate;
+};
+
+} // namespace
+
+// Three fifths of the demand move from one model to another within six seconds, as callers' habits change during a day. The risen
+// model has one copy and needs half of the workers. A plan for the current demand is late all the time that the shift lasts.
+Test(models, shift_of_demand_leaves_less_than_one_request_in_40_unserved)
+{
+    PlannedFleet fleet(12, 21, 2.2);
+    fleet.place("m0");
+    constexpr double total = 7;
+    constexpr auto shiftTime = seconds { 6 };
+    double asked = 0;
+    double unserved = 0;
+    for (Time elapsed { 0 }; elapsed < seconds { 20 }; elapsed += PlannedFleet::step) {
+        auto moved = std::clamp(std::chrono::duration<double>(elapsed - seconds { 8 }) / shiftTime, 0.0, 1.0);
+        std::map<std::string, double> work { { "m0", total * 0.6 * (1 - moved) }, { "m20", total * 0.6 * moved } };
+        for (int i = 1; i < 20; i++)
+            work["m" + std::to_string(i)] = total * 0.4 / 19;
+        fleet.play(work);
+        if (elapsed < seconds { 8 })
+            continue;
+        for (const auto& [model, rate] : work)
+            asked += rate;
+        unserved += fleet.unserved(work);
+    }
+    cr_assert_lt(unserved, asked / 40, "%.1f of %.1f", unserved, asked);
+}
+
+// A model without a copy must not take the memory of the copies that are needed most because their worker is the only one that
+// executes no order at the moment.
+Test(models, missing_model_waits_for_memory_that_is_missed_less)
+{
+    auto engine = threeModels();
+    auto inputs = makeInputs(engine, { workerWith("w", { "a" }), workerWith("v", { "a" }), workerWith("u", { "a", "b" }), workerWith("t", { "b" }) });
+    for (auto& worker : inputs.workers)
+        worker.models.insert("d");
+    engine.models.push_back(engine.models.back());
+    engine.models.back().name = "d";
+    for (auto i : { 2U, 3U })
+        inputs.workers[i].acceptsModelOrders = false;
+    inputs.workers[2].models = { "a", "b" };
+    inputs.work = { { "a", 9 }, { "b", 0.1 }, { "c", 1 }, { "d", 9 } };
+    cr_assert_not(planModelOrder(inputs).has_value());
+    inputs.workers[2].acceptsModelOrders = true;
+    auto order = planModelOrder(inputs);
+    cr_assert_eq(order->model, "b");
+    cr_assert_eq(order->worker, "u");
+}
+
 // While a worker unloads a model to free memory for `c`, no worker holds `c` yet. That must not look as if it was not planned.
 Test(models, memory_is_freed_on_only_one_worker)
 {
