HTTP client: a crash of one peer no longer shortens the idle timeout of all connections

Cause: a worker that crashed reset connections in use; the client took that for a dropped idle connection and for 60 s reused none that had been idle for more than half as long, at the least 50 ms, at any worker. Change: a reset teaches nothing while connections that were idle for longer serve requests; connections rest until 200 ms before the announced timeout instead of 500 ms. Measured: the new test opens 6 connections before, 1 after.

--- a/tests/unit/transport_test.cpp
+++ b/tests/unit/transport_test.cpp
@@ -102,3 +102,48 @@
     cr_assert_eq(failedRequests, 1, "%d requests failed instead of 1", failedRequests.load());
     cr_assert(runtime.stop(std::chrono::seconds { 5 }));
 }
+
+// A peer that crashes resets its connections while they are in use. That says nothing about the idle timeout of other peers, whose
+// connections must stay in use: opening new ones costs time and slots there.
+Test(http_client, crash_of_one_peer_does_not_close_connections_to_others)
+{
+    signal(SIGPIPE, SIG_IGN);
+    constexpr uint16_t crashingPort = 26996;
+    constexpr uint16_t soundPort = 26997;
+    constexpr std::chrono::milliseconds pause { 80 }; // Between two requests to the sound peer.
+    std::atomic<int> soundConnections { 0 };
+    standins::RawPeer sound(soundPort, [&soundConnections](int connection) {
+        soundConnections++;
+        while (!standins::RawPeer::readRequest(connection).empty())
+            standins::RawPeer::write(connection, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    });
+    standins::RawPeer crashing(crashingPort, [](int connection) {
+        standins::RawPeer::readRequest(connection);
+        standins::RawPeer::write(connection, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        standins::RawPeer::readRequest(connection);
+        standins::RawPeer::resetOnClose(connection);
+    });
+    Runtime runtime(1);
+    HttpClient client;
+    std::atomic<bool> done { false };
+    runtime.spawn([&] {
+        auto call = [&client](uint16_t port) { return client.call({ "127.0.0.1", port }, { "POST", "/", {}, "b" }, {}).has_value(); };
+        for (int i = 0; i < 3; i++) {
+            cr_assert(call(soundPort));
+            sleepFor(pause);
+        }
+        cr_assert(call(crashingPort));
+        sleepFor(pause / 4);
+        cr_assert(call(soundPort));
+        cr_assert_not(call(crashingPort));
+        for (int i = 0; i < 5; i++) {
+            sleepFor(pause);
+            cr_assert(call(soundPort));
+        }
+        done = true;
+    });
+    while (!done)
+        std::this_thread::sleep_for(std::chrono::milliseconds { 10 });
+    cr_assert_eq(soundConnections, 1, "%d connections", soundConnections.load());
+    cr_assert(runtime.stop(std::chrono::seconds { 5 }));
+}
--- a/transport/include/transport/transport.h
+++ b/transport/include/transport/transport.h
@@ -47,13 +47,16 @@
 /// Lower bound of the learned idle timeout. When a peer has dropped a pooled connection, the client learns half of the time
 /// that this connection was idle as the idle timeout of all pooled connections.
 constexpr std::chrono::milliseconds minLearnedIdleTimeout { 50 };
+/// Time for which a reuse shows that peers keep connections that are idle as long. Shorter than the shortest disturbance in which
+/// peers drop them sooner.
+constexpr std::chrono::milliseconds provenIdleLifetime { 1000 };
 /// Time for which a learned idle timeout applies; `clientIdleTimeout` applies again afterwards.
 constexpr std::chrono::seconds learnedIdleTimeoutLifetime { 60 };
 /// Time limit for establishing a TCP connection.
 constexpr std::chrono::milliseconds defaultConnectTimeout { 1000 };
 /// A pooled connection is retired this long before the idle timeout that the peer announced in its Keep-Alive header, to allow
 /// for network latency and timer inaccuracy.
-constexpr std::chrono::milliseconds idleTimeoutMargin { 500 };
+constexpr std::chrono::milliseconds idleTimeoutMargin { 200 };
 /// TCP_USER_TIMEOUT: the kernel closes a connection whose sent bytes stay unacknowledged for this long.
 constexpr std::chrono::milliseconds tcpUserTimeout { 3000 };
 /// TCP_KEEPIDLE, TCP_KEEPINTVL and TCP_KEEPCNT: idle time before the kernel probes a connection, time between probes, and
--- a/transport/src/http_client_beast.cpp
+++ b/transport/src/http_client_beast.cpp
@@ -128,14 +128,28 @@
         return now < this->learnedIdleTimeoutEnd ? this->learnedIdleTimeout : clientIdleTimeout;
     }
 
+    /// Records that a pooled connection which had been idle for `idleDuration` still served a request.
+    void recordReuse(std::chrono::nanoseconds idleDuration)
+    {
+        auto now = monotonicNow();
+        std::lock_guard lock(this->mutex);
+        if (now - this->provenIdleAt < provenIdleLifetime && idleDuration < this->provenIdle)
+            return;
+        this->provenIdle = idleDuration;
+        this->provenIdleAt = now;
+    }
+
     /// Shortens the idle timeout of pooled connections after one of them was closed before the first byte of the response. A
-    /// peer may drop idle connections without closing them, and the next request on such a connection is lost.
+    /// peer may drop idle connections without closing them, and the next request on such a connection is lost. While connections
+    /// that were idle for longer serve requests, the cause is another one, such as a crash of the peer.
     /// @param idleDuration how long the connection had been idle.
     void learnIdleTimeout(std::chrono::nanoseconds idleDuration)
     {
         auto now = monotonicNow();
         auto limit = std::min(this->currentIdleTimeout(now), idleDuration / 2);
         std::lock_guard lock(this->mutex);
+        if (now - this->provenIdleAt < provenIdleLifetime && idleDuration <= this->provenIdle)
+            return;
         this->learnedIdleTimeout = std::max<std::chrono::nanoseconds>(minLearnedIdleTimeout, limit);
         this->learnedIdleTimeoutEnd = now + learnedIdleTimeoutLifetime;
     }
@@ -166,6 +180,8 @@
     mutable std::mutex mutex;
     std::chrono::nanoseconds learnedIdleTimeout { 0 }; ///< Guarded by `mutex`. Applies before `learnedIdleTimeoutEnd`.
     std::chrono::nanoseconds learnedIdleTimeoutEnd { 0 }; ///< Monotonic time; 0 if none was learned. Guarded by `mutex`.
+    std::chrono::nanoseconds provenIdle { 0 }; ///< Longest recent idle time after which a connection served. Guarded by `mutex`.
+    std::chrono::nanoseconds provenIdleAt { -std::chrono::hours { 1 } }; ///< When it served. Guarded by `mutex`.
 
     /// Opens a new connection.
     /// @return `IoError::Refused` for every failure that is neither a timeout nor a cancellation.
@@ -305,6 +321,8 @@
             this->impl->learnIdleTimeout(sentAt - idleSince);
         return error;
     }
+    if (idleSince.count() > 0)
+        this->impl->recordReuse(sentAt - idleSince);
     stream->storeHeaders();
     return std::unique_ptr<ResponseStream>(std::move(stream));
 }
