Placement: fewer relief orders at once and a bound on the forecast

Change: relief only where a level is 1.3 times the mean, one order for five workers at once (at least five), the forecast between a fifth and four times the present demand.

--- a/placement/include/placement/placement.h
+++ b/placement/include/placement/placement.h
@@ -14,7 +14,7 @@
 /// Load of the least busy worker with a copy of a model, in worker seconds per second, from which another copy is worth a load.
 constexpr double minReliefLevel = 0.22;
 /// The same relative to the mean load of all workers: where all are busy, moving work between them gains nothing.
-constexpr double minReliefLevelToMean = 1.15;
+constexpr double minReliefLevelToMean = 1.3;
 /// A worker may get another copy of a busy model only if its load is below this share of the load of the workers that hold it.
 constexpr double maxReliefLoadShare = 0.75;
 /// A copy may be evicted for a busy model only if its model's work per remaining copy stays within this share of the busy
@@ -34,9 +34,9 @@
 constexpr uint32_t minConcurrentStoreLoads = 2;
 /// Copies in use are evicted for busy models only while fewer than one model order per this number of workers is in progress.
 /// Each such eviction takes a copy from other requests, so too many at once do more harm than good.
-constexpr uint32_t workersPerReliefOrder = 2;
+constexpr uint32_t workersPerReliefOrder = 5;
 /// Lower bound of that limit on model orders in progress, for services with few workers.
-constexpr uint32_t minReliefOrderLimit = 3;
+constexpr uint32_t minReliefOrderLimit = 5;
 /// Number of copies that a model should have where memory is free, so that it stays available when a worker ends and a shift of
 /// demand does not hit a single copy.
 constexpr uint32_t targetModelCopies = 2;
@@ -246,8 +246,9 @@
 constexpr Time workAverageTime = std::chrono::milliseconds { 1500 };
 /// Time constant with which `DemandForecast` smooths the slope of the demand.
 constexpr Time demandSlopeTime = std::chrono::milliseconds { 1000 };
-/// Share of its current demand below which no model is forecast to fall.
+/// Bounds of the forecast, as shares of the current demand. Single bursts of requests give steep slopes that do not last.
 constexpr double minForecastShare = 0.2;
+constexpr double maxForecastShare = 4;
 
 /// Extrapolates the demand of each model. A new copy of a model is ready only seconds after it was planned; a plan for the current
 /// demand would stay behind a shift all the time that it lasts.
@@ -256,7 +257,7 @@
     /// Records the demand of all models.
     /// @param work sums of `WorkAverage::rates` of all VMs, in worker seconds per second by model.
     void record(const std::map<std::string, double>& work, Time now);
-    /// Returns the expected demand after `lookahead`, at least `minForecastShare` of the recorded one.
+    /// Returns the expected demand after `lookahead`, from `minForecastShare` to `maxForecastShare` of the recorded one.
     std::map<std::string, double> after(Time lookahead) const;
 
 private:
--- a/placement/src/plan_adapters.cpp
+++ b/placement/src/plan_adapters.cpp
@@ -106,7 +106,7 @@
     std::map<std::string, double> work;
     for (const auto& [model, trend] : this->trends) {
         if (trend.work > 0)
-            work[model] = std::max(minForecastShare * trend.work, trend.work + trend.slope * toSeconds(lookahead));
+            work[model] = std::clamp(trend.work + trend.slope * toSeconds(lookahead), minForecastShare * trend.work, maxForecastShare * trend.work);
     }
     return work;
 }
