Split fleets: loads go between data centres as sums, forwarded worker records are counted

At 300 machines the reads fill the store: configurations come into force after 10 to 19 s. Change: heartbeats count the records that a reader has forwarded; a VM reads the stream itself only if one is missing, if it does not hear enough readers, and every 15 s. Two readers in each of several groups. One VM of a group sends the summed loads to two VMs of each other group with each heartbeat, one of which passes them on. Long polls last 28 s.

--- a/edge/include/edge/edge.h
+++ b/edge/include/edge/edge.h
@@ -34,14 +34,22 @@
 /// Interval between heartbeats to a peer that no longer counts as alive, and the shortest time without a heartbeat
 /// after which this is so.
 constexpr milliseconds unreachablePeerInterval { 2000 };
-/// Maximum time that a read of the configuration or member stream waits for a new record. If the read's connection has gone
-/// silent, heartbeats still report a newer configuration version.
-constexpr milliseconds longPollTimeout { 12000 };
-/// Maximum time without an own read of the worker stream while other VMs read and forward it. Together with one read and its
+/// Maximum time that a read of the configuration or member stream waits for a new record; the store allows 30 s. If the read's
+/// connection has gone silent, heartbeats still report a newer configuration version.
+constexpr milliseconds longPollTimeout { 28000 };
+/// Maximum time without an own read of the worker stream while other VMs read and forward it without a loss. Refreshes what is not
+/// forwarded, such as the copies of weights on a worker's disk.
+constexpr milliseconds delegatedReadInterval { 15000 };
+/// A VM that has not been heard from for this long does not count as a reader of the worker stream. Together with one read and its
 /// interval it stays below the 3 s after which no VM may send to a draining worker, even if all datagrams about it are lost.
-constexpr milliseconds delegatedReadInterval { 1500 };
-/// Number of VMs that read the worker stream for their group.
+constexpr milliseconds maxReaderSilence { 1500 };
+/// Number of VMs that read the worker stream for their group: if there is one group, and if there are more.
 constexpr size_t workerReaderCount = 3;
+constexpr size_t splitGroupReaderCount = 2;
+/// Number of VMs of each other group that receive the summary of a group's loads; one of them passes it on.
+constexpr size_t summaryReceiverCount = 2;
+/// Time without a summary of a data centre after which its loads are forgotten.
+constexpr milliseconds summaryTimeout { 4000 };
 /// Number of heartbeats that carry a forwarded record, because datagrams may be lost.
 constexpr int forwardRepeats = 5;
 /// Interval between reads of the worker stream. Each worker writes to it about once a second.
--- a/edge/src/beat.capnp
+++ b/edge/src/beat.capnp
@@ -61,6 +61,7 @@
   worker @0 :Text;
   value @1 :Data;
   offset @2 :UInt64;
+  number @3 :UInt64;
 }
 
 # A heartbeat. `heartbeat_codec.h` describes the fields. Some have other names there: `number` is `sequence`, `leaving` `draining`,
@@ -87,4 +88,7 @@
   partial @17 :Bool;
   strained @18 :Bool;
   outcomes @19 :List(Outcome);
+  forwardedCount @20 :UInt64;
+  summaryOf @21 :Text;
+  relayed @22 :Bool;
 }
--- a/edge/src/beat.capnp.h
+++ b/edge/src/beat.capnp.h
@@ -162,7 +162,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(81e2ca8cdcaea04c, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(81e2ca8cdcaea04c, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -177,7 +177,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ed1775a394c07423, 6, 10)
+    CAPNP_DECLARE_STRUCT_HEADER(ed1775a394c07423, 7, 11)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -945,6 +945,8 @@
 
   inline  ::uint64_t getOffset() const;
 
+  inline  ::uint64_t getNumber() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -990,6 +992,9 @@
   inline  ::uint64_t getOffset();
   inline void setOffset( ::uint64_t value);
 
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1083,6 +1088,13 @@
   inline bool hasOutcomes() const;
   inline  ::capnp::List< ::comfreypier::edge::wire::Outcome,  ::capnp::Kind::STRUCT>::Reader getOutcomes() const;
 
+  inline  ::uint64_t getForwardedCount() const;
+
+  inline bool hasSummaryOf() const;
+  inline  ::capnp::Text::Reader getSummaryOf() const;
+
+  inline bool getRelayed() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1211,6 +1223,19 @@
   inline void adoptOutcomes(::capnp::Orphan< ::capnp::List< ::comfreypier::edge::wire::Outcome,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::comfreypier::edge::wire::Outcome,  ::capnp::Kind::STRUCT>> disownOutcomes();
 
+  inline  ::uint64_t getForwardedCount();
+  inline void setForwardedCount( ::uint64_t value);
+
+  inline bool hasSummaryOf();
+  inline  ::capnp::Text::Builder getSummaryOf();
+  inline void setSummaryOf( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSummaryOf(unsigned int size);
+  inline void adoptSummaryOf(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSummaryOf();
+
+  inline bool getRelayed();
+  inline void setRelayed(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1841,6 +1866,20 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Entry::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Entry::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Entry::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Beat::Reader::hasNode() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2321,6 +2360,68 @@
       ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Beat::Reader::getForwardedCount() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Beat::Builder::getForwardedCount() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void Beat::Builder::setForwardedCount( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Beat::Reader::hasSummaryOf() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline bool Beat::Builder::hasSummaryOf() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Beat::Reader::getSummaryOf() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Beat::Builder::getSummaryOf() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline void Beat::Builder::setSummaryOf( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Beat::Builder::initSummaryOf(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), size);
+}
+inline void Beat::Builder::adoptSummaryOf(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Beat::Builder::disownSummaryOf() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+
+inline bool Beat::Reader::getRelayed() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<133>() * ::capnp::ELEMENTS);
+}
+
+inline bool Beat::Builder::getRelayed() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<133>() * ::capnp::ELEMENTS);
+}
+inline void Beat::Builder::setRelayed(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<133>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/edge/src/edge.cpp
+++ b/edge/src/edge.cpp
@@ -63,7 +63,7 @@
               this->vm, [this](const auto& node, const auto& member) { this->peers.applyMember(node, member); },
               [this](const auto& worker) { this->recordWorkerCrash(worker); },
               [this](const auto& configuration) { this->callerServer.setLimits(callerServerLimits(this->settings, configuration.limits)); },
-              [this](const auto& entry) { this->peers.forwardEntry(entry); }, [this] { return this->peers.enoughPeersReadWorkers(); })
+              [this](const auto& entry) { this->peers.forwardEntry(entry); }, [this](Time ownReadAt) { return this->peers.enoughPeersReadWorkers(ownReadAt); })
         , orders(this->vm, this->peers)
         , relay(this->vm, this->peers)
         , callerServer(
@@ -123,6 +123,7 @@
         while (!this->vm.status.stopping) {
             sleepFor(peerTimeout);
             this->peers.forgetUnreachablePeers();
+            this->vm.fleet.forgetOldSummaries(monotonicNow() - summaryTimeout);
             auto suspended = transport::bootTimeNow() - monotonicNow();
             if (suspended - suspendedBefore > minSuspension)
                 this->log.warn("event=suspended ms=" + formatMilliseconds(suspended - suspendedBefore));
--- a/edge/src/fleet.cpp
+++ b/edge/src/fleet.cpp
@@ -205,26 +205,14 @@
 {
     if (heartbeat.partial)
         return;
-    auto now = monotonicNow();
     std::lock_guard lock(this->mutex);
-    double cacheCapacity = 0; // Capacity of a worker's estimated prefix cache, in tokens.
-    for (auto& [id, known] : this->workers) {
-        auto load = heartbeat.loads.find(known.key);
-        if (load == heartbeat.loads.end())
-            known.worker.peerLoads.erase(peer);
-        else
-            known.worker.peerLoads[peer] = load->second;
-        auto outcomes = heartbeat.outcomes.find(known.key);
-        if (outcomes == heartbeat.outcomes.end())
-            known.worker.peerOutcomes.erase(peer);
-        else
-            known.worker.peerOutcomes[peer] = { outcomes->second.failures, outcomes->second.total, now };
-    }
+    this->replacePeerLoad(peer, heartbeat, monotonicNow());
     for (const auto& prefix : heartbeat.sentPrefixes) {
         auto workerId = this->workerIds.find(prefix.worker);
         auto found = workerId == this->workerIds.end() ? this->workers.end() : this->workers.find(workerId->second);
         if (found == this->workers.end() || !this->current)
             continue;
+        double cacheCapacity = 0; // Capacity of the worker's estimated prefix cache, in tokens.
         auto service = this->current->services.find(found->second.worker.entry.service);
         if (service != this->current->services.end() && service->second.engine)
             cacheCapacity = service->second.engine->kvCacheTokens * routing::prefixCacheShare;
@@ -232,6 +220,71 @@
     }
 }
 
+void Fleet::replacePeerLoad(const std::string& source, const Heartbeat& heartbeat, Time now)
+{
+    for (auto& [id, known] : this->workers) {
+        auto load = heartbeat.loads.find(known.key);
+        if (load == heartbeat.loads.end())
+            known.worker.peerLoads.erase(source);
+        else
+            known.worker.peerLoads[source] = load->second;
+        auto outcomes = heartbeat.outcomes.find(known.key);
+        if (outcomes == heartbeat.outcomes.end())
+            known.worker.peerOutcomes.erase(source);
+        else
+            known.worker.peerOutcomes[source] = { outcomes->second.failures, outcomes->second.total, now };
+    }
+}
+
+Heartbeat Fleet::summarizeGroup(Time now) const
+{
+    Heartbeat summary;
+    std::lock_guard lock(this->mutex);
+    for (const auto& [id, known] : this->workers) {
+        auto load = known.worker.ownLoad;
+        for (const auto& [source, peerLoad] : known.worker.peerLoads)
+            load = this->summaries.contains(source) ? load : load + peerLoad;
+        if (load.requests > 0)
+            summary.loads[known.key] = load;
+        auto outcomes = routing::decayedTo(known.worker.outcomes, now);
+        for (const auto& [source, peerOutcomes] : known.worker.peerOutcomes) {
+            auto decayed = routing::decayedTo(peerOutcomes, now);
+            outcomes.failures += this->summaries.contains(source) ? 0 : decayed.failures;
+            outcomes.total += this->summaries.contains(source) ? 0 : decayed.total;
+        }
+        if (outcomes.failures >= minReportedFailures)
+            summary.outcomes[known.key] = outcomes;
+    }
+    return summary;
+}
+
+bool Fleet::applySummary(const Heartbeat& summary, Time now)
+{
+    std::lock_guard lock(this->mutex);
+    auto& source = this->summaries[summary.summaryOf];
+    if (source.node == summary.node && source.incarnation == summary.incarnation && source.sequence >= summary.sequence)
+        return false;
+    source = { summary.node, summary.incarnation, summary.sequence, now };
+    this->replacePeerLoad(summary.summaryOf, summary, now);
+    return true;
+}
+
+void Fleet::forgetOldSummaries(Time oldest)
+{
+    std::vector<std::string> old;
+    {
+        std::lock_guard lock(this->mutex);
+        for (const auto& [dataCentre, source] : this->summaries) {
+            if (source.receivedAt < oldest)
+                old.push_back(dataCentre);
+        }
+        for (const auto& dataCentre : old)
+            this->summaries.erase(dataCentre);
+    }
+    for (const auto& dataCentre : old)
+        this->forgetPeerLoad(dataCentre);
+}
+
 void Fleet::forgetPeerLoad(const std::string& peer)
 {
     std::lock_guard lock(this->mutex);
--- a/edge/src/fleet.h
+++ b/edge/src/fleet.h
@@ -80,6 +80,13 @@
 
     /// Applies a peer's load, its failure counts and the prefixes it sent. Ignores partial heartbeats.
     void applyHeartbeat(const std::string& peer, const Heartbeat& heartbeat);
+    /// Returns the loads and recent outcomes that this VM and the VMs of its group have put on the workers, added up.
+    Heartbeat summarizeGroup(Time now) const;
+    /// Applies the summary of another group.
+    /// @return false if a newer one was applied before.
+    bool applySummary(const Heartbeat& summary, Time now);
+    /// Discards the summaries that were received before `oldest`.
+    void forgetOldSummaries(Time oldest);
     /// Discards the load and failure counts of an unreachable peer.
     void forgetPeerLoad(const std::string& peer);
     /// Applies the models and adapters that the lease holder reports as resident, by worker.
@@ -111,6 +118,15 @@
         Time removedAt { 0 }; ///< When its entry was removed; 0 while it is present.
         Time grace { 0 }; ///< Time after `removedAt` within which the entry may come back.
     };
+    /// Source and time of the last summary of a data centre.
+    struct SummarySource {
+        std::string node;
+        uint64_t incarnation = 0;
+        uint64_t sequence = 0;
+        Time receivedAt { 0 };
+    };
+    /// Replaces the load and the outcomes that `source` (a VM or a data centre) reports. The caller must hold the lock.
+    void replacePeerLoad(const std::string& source, const Heartbeat& heartbeat, Time now);
     /// Subtracts a load of this VM from a worker.
     void release(const std::string& id, const routing::WorkerLoad& load);
 
@@ -119,6 +135,7 @@
     mutable std::mutex mutex;
     ConfigurationPtr current; ///< Configuration in force, or null.
     std::map<std::string, KnownWorker> workers;
+    std::map<std::string, SummarySource> summaries; ///< By data centre.
     std::map<std::string, uint64_t> dropOffsets; ///< Offsets up to which records of dropped workers are outdated.
     std::map<WorkerKey, std::string> workerIds; ///< Ids of the known workers, by the key that heartbeats use.
     std::vector<SentPrefix> sentPrefixes; ///< Prefixes for the next heartbeat.
--- a/edge/src/heartbeat_codec.h
+++ b/edge/src/heartbeat_codec.h
@@ -30,6 +30,7 @@
     std::string worker;
     std::string value; ///< Empty if the record deletes its key.
     uint64_t offset = 0; ///< Offset of the record in the stream.
+    uint64_t number = 0; ///< Counts the records that the sender has forwarded, from 1.
 };
 
 /// A prompt prefix that a VM has just sent to a worker, which now has it in its prefix cache.
@@ -64,6 +65,11 @@
     bool partial = false;
     bool readsWorkers = false; ///< The VM has recently read the worker stream and forwards its new records.
     std::vector<ForwardedEntry> forwardedEntries; ///< Records of the worker stream, each in `forwardRepeats` heartbeats.
+    uint64_t forwardedCount = 0; ///< Number of records that the VM has forwarded to its group.
+    /// Data centre whose VMs' loads and outcomes the heartbeat sums up; empty if it tells of one VM. Of a summary only `node`,
+    /// `incarnation`, `sequence`, `loads`, `outcomes` and `relayed` are used.
+    std::string summaryOf;
+    bool relayed = false; ///< A summary that a VM of the receiver's own group passes on.
     std::map<WorkerKey, routing::WorkerLoad> loads; ///< Load from this VM, by worker. Workers without any are left out.
     std::map<WorkerKey, routing::RecentOutcomes> outcomes; ///< Of workers that recently failed requests. `at` is left out.
     std::vector<SentPrefix> sentPrefixes;
--- a/edge/src/heartbeat_codec_capnp.cpp
+++ b/edge/src/heartbeat_codec_capnp.cpp
@@ -108,6 +108,7 @@
             entries[i].setWorker(entry.worker);
             entries[i].setValue(kj::arrayPtr(reinterpret_cast<const kj::byte*>(entry.value.data()), entry.value.size()));
             entries[i].setOffset(entry.offset);
+            entries[i].setNumber(entry.number);
         }
         auto suspects = root.initSuspects(static_cast<unsigned>(heartbeat.crashesByContent.size()));
         i = 0;
@@ -137,7 +138,7 @@
         }
         for (auto item : root.getEntries()) {
             auto value = item.getValue();
-            heartbeat.forwardedEntries.push_back({ toStdString(item.getWorker()), std::string(reinterpret_cast<const char*>(value.begin()), value.size()), item.getOffset() });
+            heartbeat.forwardedEntries.push_back({ toStdString(item.getWorker()), std::string(reinterpret_cast<const char*>(value.begin()), value.size()), item.getOffset(), item.getNumber() });
         }
         for (auto item : root.getSuspects())
             heartbeat.crashesByContent[item.getContent()] = item.getCrashes();
@@ -192,6 +193,9 @@
     root.setReadsWorkers(heartbeat.readsWorkers);
     root.setLeaseOffset(heartbeat.leaseOffset);
     root.setConfigVersion(heartbeat.configVersion);
+    root.setForwardedCount(heartbeat.forwardedCount);
+    root.setSummaryOf(heartbeat.summaryOf);
+    root.setRelayed(heartbeat.relayed);
     fillLists(root, heartbeat);
     return encodeMessage(message);
 }
@@ -211,6 +215,9 @@
         heartbeat.readsWorkers = root.getReadsWorkers();
         heartbeat.leaseOffset = root.getLeaseOffset();
         heartbeat.configVersion = root.getConfigVersion();
+        heartbeat.forwardedCount = root.getForwardedCount();
+        heartbeat.summaryOf = toStdString(root.getSummaryOf());
+        heartbeat.relayed = root.getRelayed();
         readLists(root, heartbeat);
     });
     return decoded && !heartbeat.node.empty() ? std::optional(std::move(heartbeat)) : std::nullopt;
--- a/edge/src/peers.cpp
+++ b/edge/src/peers.cpp
@@ -124,21 +124,22 @@
     {
         std::lock_guard lock(this->mutex);
         this->forwardQueue.emplace_back(entry, forwardRepeats);
+        this->forwardQueue.back().first.number = ++this->forwardedCount;
     }
     this->sendHeartbeat();
 }
 
-bool Peers::enoughPeersReadWorkers() const
+bool Peers::enoughPeersReadWorkers(Time ownReadAt) const
 {
     auto now = monotonicNow();
     auto ownHash = routing::hashText(this->vm.settings.node);
     std::lock_guard lock(this->mutex);
     size_t readers = 0;
     for (const auto& [node, peer] : this->peers) {
-        bool reads = peer.readsWorkers && !peer.draining && peer.inGroup && this->isReachable(peer, now);
+        bool reads = peer.readsWorkers && !peer.draining && peer.inGroup && now - peer.lastHeartbeatAt < maxReaderSilence && peer.forwards.isComplete(ownReadAt);
         readers += reads && routing::hashText(node) < ownHash ? 1 : 0;
     }
-    return readers >= workerReaderCount;
+    return readers >= (this->groupPeerCount < this->peers.size() ? splitGroupReaderCount : workerReaderCount);
 }
 
 void Peers::unregister()
@@ -183,6 +184,7 @@
         heartbeat.forwardedEntries.push_back(entry);
         remaining--;
     }
+    heartbeat.forwardedCount = this->forwardedCount;
     std::erase_if(this->forwardQueue, [](const auto& item) { return item.second <= 0; });
     heartbeat.usedAdapters.assign(this->usedAdapters.begin(), this->usedAdapters.end());
     this->usedAdapters.clear();
@@ -247,10 +249,67 @@
     heartbeat.demand.clear();
     heartbeat.usedAdapters.clear();
     this->sendTo(targets.group, heartbeat);
-    // The prompt prefixes that workers have cached and the forwarded worker records matter only within the group.
+    // The prompt prefixes that workers have cached and the forwarded worker records matter only within the group. The loads of a
+    // whole group reach the others as a summary.
     heartbeat.sentPrefixes.clear();
     heartbeat.forwardedEntries.clear();
+    heartbeat.loads.clear();
+    heartbeat.outcomes.clear();
     this->sendTo(targets.crossGroup, heartbeat);
+    this->sendSummary();
+}
+
+bool Peers::isGroupLeader(Time now) const
+{
+    auto ownHash = routing::hashText(this->vm.settings.node);
+    return std::none_of(this->peers.begin(), this->peers.end(), [&](const auto& item) {
+        const auto& [node, peer] = item;
+        return peer.inGroup && !peer.draining && this->isReachable(peer, now) && routing::hashText(node) < ownHash;
+    });
+}
+
+void Peers::sendSummary()
+{
+    auto now = monotonicNow();
+    std::vector<transport::Endpoint> targets;
+    {
+        std::lock_guard lock(this->mutex);
+        if (this->groupPeerCount == this->peers.size() || !this->isGroupLeader(now))
+            return;
+        std::map<std::string, std::map<uint64_t, transport::Endpoint>> others; // By data centre and hash.
+        for (const auto& [node, peer] : this->peers) {
+            if (!peer.inGroup && !peer.draining && this->isReachable(peer, now))
+                others[peer.member.dataCentre].emplace(routing::hashText(node), peer.member.inner);
+        }
+        for (const auto& [dataCentre, vms] : others) {
+            auto end = std::next(vms.begin(), static_cast<std::ptrdiff_t>(std::min(summaryReceiverCount, vms.size())));
+            std::transform(vms.begin(), end, std::back_inserter(targets), [](const auto& vm) { return vm.second; });
+        }
+    }
+    auto heartbeat = this->vm.fleet.summarizeGroup(now);
+    heartbeat.node = this->vm.settings.node;
+    heartbeat.incarnation = this->incarnation;
+    heartbeat.sequence = this->sequence;
+    heartbeat.summaryOf = this->vm.settings.dataCentre;
+    this->sendTo(targets, heartbeat);
+}
+
+void Peers::receiveSummary(Heartbeat summary)
+{
+    if (summary.summaryOf == this->vm.settings.dataCentre || !this->vm.fleet.applySummary(summary, monotonicNow()) || std::exchange(summary.relayed, true))
+        return;
+    std::vector<transport::Endpoint> targets;
+    {
+        auto now = monotonicNow();
+        std::lock_guard lock(this->mutex);
+        if (!this->isGroupLeader(now))
+            return;
+        for (const auto& [node, peer] : this->peers) {
+            if (peer.inGroup && this->isReachable(peer, now))
+                targets.push_back(peer.member.inner);
+        }
+    }
+    this->sendTo(targets, summary);
 }
 
 void Peers::sendTo(const std::vector<transport::Endpoint>& targets, const Heartbeat& heartbeat)
@@ -302,6 +361,8 @@
     if (!heartbeat)
         return;
     increment(this->vm.counters, CountedEvent::BeatsReceived);
+    if (!heartbeat->summaryOf.empty())
+        return this->receiveSummary(std::move(*heartbeat));
     bool hasMissingItems = !heartbeat->missingItems.empty();
     {
         std::lock_guard lock(this->mutex);
@@ -323,6 +384,8 @@
         // A partial heartbeat carries no demand.
         if (!heartbeat->partial)
             peer.demand = heartbeat->demand;
+        if (!heartbeat->partial && peer.inGroup)
+            peer.forwards.record(*heartbeat, monotonicNow());
         peer.missingItems = std::move(heartbeat->missingItems);
     }
     this->vm.fleet.applyHeartbeat(heartbeat->node, *heartbeat);
--- a/edge/src/peers.h
+++ b/edge/src/peers.h
@@ -1,6 +1,7 @@
 /// Membership of the entry VMs and the heartbeats between them.
 #pragma once
 
+#include "forward_tracker.h"
 #include "vm_p.h"
 
 namespace comfreypier::edge {
@@ -20,6 +21,7 @@
     uint64_t leaseToken = 0;
     std::map<std::string, double> demand;
     std::vector<MissingItem> missingItems;
+    ForwardTracker forwards; ///< Of a peer in the group: the worker records that it forwards.
 };
 
 /// Exchanges heartbeats with the other VMs.
@@ -86,9 +88,10 @@
     std::function<void()> onMissingItems;
     /// Forwards a record of the worker stream to the other VMs of the group.
     void forwardEntry(const ForwardedEntry& entry);
-    /// Returns whether at least `workerReaderCount` other VMs of the group read the worker stream and forward it. Only VMs whose
-    /// name has a lower hash than this VM's count, so that the VMs with the lowest hashes are the readers.
-    bool enoughPeersReadWorkers() const;
+    /// Returns whether enough other VMs of the group read the worker stream and forward it without a loss. Only VMs whose name has a
+    /// lower hash than this VM's count, so that the VMs with the lowest hashes are the readers.
+    /// @param ownReadAt when this VM's last complete read of the stream began.
+    bool enoughPeersReadWorkers(Time ownReadAt) const;
     /// Returns whether this VM has recently read the worker stream.
     std::function<bool()> readsWorkers;
     /// Called with the worker records of each heartbeat; there may be none.
@@ -138,6 +141,12 @@
     bool isLeaseHolder(const Peer& peer, Time now) const;
     /// Returns the minimum gap between two full heartbeats. Takes the lock itself.
     Time minHeartbeatGap() const;
+    /// Returns whether this VM exchanges the summaries for its group: no reachable peer of the group has a lower hash.
+    bool isGroupLeader(Time now) const;
+    /// Sends the summed loads of this VM's group to the other groups, if there are any and this VM is the one that does it.
+    void sendSummary();
+    /// Applies a summary of another group, and passes it on to this VM's group if it came from there.
+    void receiveSummary(Heartbeat summary);
     /// Applies a heartbeat datagram. Ignores heartbeats of unknown VMs or earlier incarnations, and those that arrive late.
     void receive(std::string_view bytes);
     /// Writes this VM's member record to the store.
@@ -155,6 +164,7 @@
     size_t groupPeerCount = 0; ///< Number of peers in this VM's group.
     placement::WorkAverage averageWork; ///< This VM's demand.
     std::map<MissingItem, uint32_t> missingItems; ///< With the number of requests that wait for each.
+    uint64_t forwardedCount = 0; ///< Number of records that were queued.
     std::vector<std::pair<ForwardedEntry, int>> forwardQueue; ///< With the number of heartbeats that still carry each.
     std::set<MissingItem> usedAdapters; ///< Since the last full heartbeat.
     // The next three are set by `setLeaseState`.
--- a/edge/src/store_task.cpp
+++ b/edge/src/store_task.cpp
@@ -116,6 +116,7 @@
     // A read after a failure does not wait for new records, so that its answer shows at once whether the store is back.
     auto maxWait = immediate ? milliseconds { 0 } : reader.maxWait;
     bool fullRead = !next;
+    auto beganAt = monotonicNow();
     increment(this->vm.counters, CountedEvent::StoreCalls);
     auto page = fullRead ? platform::readLatest(this->vm.store(), reader.stream) : platform::readFrom(this->vm.store(), reader.stream, *next, maxWait);
     if (!page) {
@@ -130,6 +131,8 @@
     this->updateStreamState(reader.stream, true, "");
     next = page.value().nextOffset;
     reader.apply(page.value(), fullRead);
+    if (reader.stream == platform::Stream::Workers)
+        this->workersReadBeganAt = beganAt;
     return true;
 }
 
@@ -174,7 +177,7 @@
 
 bool StoreTask::canSkipWorkerRead() const
 {
-    return this->vm.status.workersKnown && this->peersReadWorkers() && monotonicNow() - this->workersReadAt < delegatedReadInterval;
+    return this->vm.status.workersKnown && this->peersReadWorkers(this->workersReadBeganAt) && monotonicNow() - this->workersReadAt < delegatedReadInterval;
 }
 
 void StoreTask::applyForwardedEntries(const std::vector<ForwardedEntry>& entries)
--- a/edge/src/store_task.h
+++ b/edge/src/store_task.h
@@ -17,7 +17,7 @@
     /// Called with each record of a worker that the other VMs need: it is new, gone, restarted, at another address or draining.
     using EntryListener = std::function<void(const ForwardedEntry& entry)>;
     /// Returns whether enough other VMs read the worker stream and forward its records, see `Peers::enoughPeersReadWorkers`.
-    using PeersReadWorkers = std::function<bool()>;
+    using PeersReadWorkers = std::function<bool(Time ownReadAt)>;
 
     StoreTask(Vm& vm, MemberListener onMember, WorkerListener onWorkerGone, ConfigurationListener onConfiguration, EntryListener onEntry, PeersReadWorkers peersReadWorkers);
 
@@ -85,6 +85,7 @@
     uint64_t addressChanges = 0; ///< Number of changes of the store's address.
     // An initial value of an hour ago means that it has not happened yet.
     Time workersReadAt { -std::chrono::hours { 1 } }; ///< When this VM last read the worker stream itself.
+    Time workersReadBeganAt { -std::chrono::hours { 1 } }; ///< When that read began.
     Time newerVersionReadAt { 0 }; ///< When the configuration was last read because of a peer's newer version.
     Time workersStreamRegainedAt { -std::chrono::hours { 1 } }; ///< When the worker stream became readable again.
     transport::Log log { "store" };
