Bytes without end: bounded buffers, a limit on the whole body, progress measured by events

Cause: a server in trouble may send bytes that are no answer until the caller closes. A chunk head without end was buffered without bound (64 MB in the test), a body of which a byte came now and then kept a call to the store or a worker's report alive, an event without end was kept whole, and a stream past its time limit went on as long as bytes came. Bytes that complete no event counted as progress, so that a stalled stream never moved to another worker. Change: unparsed bytes are limited to 512 KiB on both sides, an event to 1 MiB; HttpClient::call limits the time of the whole body; streams end at their time limit; idle times count from the last complete event. Measured: both new tests fail without the change (67,108,864 bytes accepted; a stream of 8 s instead of 3) and pass with it.

--- a/edge/src/relay.cpp
+++ b/edge/src/relay.cpp
@@ -39,6 +39,8 @@
 
     /// Callers give up on a stream that is silent for this time, four target latencies or eight target gaps, whichever is longest.
     constexpr milliseconds minFirstEventTimeout { 2000 };
+    /// Largest event of a stream; more bytes without the end of an event are no answer.
+    constexpr size_t maxEventBytes = 1024 * 1024;
     /// Largest answer that is buffered whole before it is forwarded: several at the same time must fit a VM's memory.
     constexpr uint64_t maxBufferedAnswerBytes = 16ULL * 1024 * 1024;
 
@@ -524,6 +526,8 @@
     response.status = stream.status();
     response.headers = platform::endToEndHeaders(stream.headers());
     while (true) {
+        if (context.remaining() <= milliseconds { 0 })
+            return this->handleSendError(context, selection, IoError::Timeout);
         auto chunk = stream.read(std::max(context.remaining(), milliseconds { 1 }));
         if (!chunk)
             return this->handleSendError(context, selection, chunk.error());
@@ -603,19 +607,29 @@
     std::string buffer; // Received bytes that are not yet forwarded.
     auto headReceivedAt = monotonicNow();
     bool awaitsFirstEvent = true;
+    auto progressAt = headReceivedAt; // Bytes that complete no event are no progress.
     while (true) {
         auto wait = std::max(context.remaining(), milliseconds { 1 });
+        // Bytes may arrive without end, so that no read ever times out.
+        bool endless = context.remaining() <= milliseconds { 0 } || buffer.size() > maxEventBytes;
+        if (endless) {
+            auto result = this->handleSendError(context, selection, buffer.size() > maxEventBytes ? IoError::TooLarge : IoError::Timeout);
+            return result == SendResult::CallerGone || !context.streamStarted ? result : SendResult::Resumable;
+        }
         // `possibleRuns` does not count the current attempt yet.
         bool canResume = context.backupWorker || (context.route->resumable && context.possibleRuns + 1 < context.route->maxAttempts);
         auto idleTimeout = std::max(minStreamIdleTimeout, streamIdleTargetGaps * context.route->targetGap);
-        if (canResume && context.streamStarted)
-            wait = std::min(wait, idleTimeout);
+        bool awaitsProgress = canResume && context.streamStarted && wait > idleTimeout;
+        if (awaitsProgress)
+            wait = std::max(milliseconds { 1 }, std::chrono::ceil<milliseconds>(progressAt + idleTimeout - monotonicNow()));
         auto chunk = stream.read(wait);
         // The read ended at the idle timeout, not at the request's deadline.
-        bool idle = !chunk && chunk.error() == IoError::Timeout && wait == idleTimeout;
+        bool idle = !chunk && chunk.error() == IoError::Timeout && awaitsProgress;
         // The stream is given up only if all streams at the worker are silent and another worker can resume it.
-        if (idle && !(this->vm.fleet.isSilent(selection.id, idleTimeout, monotonicNow()) && this->canResumeElsewhere(context, selection.id)))
+        if (idle && !(this->vm.fleet.isSilent(selection.id, idleTimeout, monotonicNow()) && this->canResumeElsewhere(context, selection.id))) {
+            progressAt = monotonicNow();
             continue;
+        }
         if (!chunk) {
             auto result = this->handleSendError(context, selection, chunk.error());
             if (result == SendResult::CallerGone || !context.streamStarted)
@@ -625,12 +639,16 @@
         if (chunk.value().empty())
             break;
         buffer.append(chunk.value());
-        if (!awaitsFirstEvent)
-            reservation.recordStreamData();
+        auto received = buffer.size();
         if (!this->forwardEvents(context, stream, buffer)) {
             context.outcome = name(RefusalReason::CallerGone);
             return SendResult::CallerGone;
         }
+        if (buffer.size() < received) {
+            progressAt = monotonicNow();
+            if (!awaitsFirstEvent)
+                reservation.recordStreamData();
+        }
         if (awaitsFirstEvent && context.streamStarted) {
             awaitsFirstEvent = false;
             this->log.info("event=streaming id=" + context.head.id + " worker=" + selection.id + " backup=" + (context.backupWorker ? context.backupWorker->id : "-") + " sends=" + std::to_string(context.sendCount) + " first_ms=" + formatMilliseconds(monotonicNow() - context.startedAt));
--- a/tests/unit/edge_test.cpp
+++ b/tests/unit/edge_test.cpp
@@ -3,6 +3,8 @@
 #include "edge_world.h"
 #include "raw_peer.h"
 
+#include <sys/socket.h>
+
 using namespace comfreypier;
 using namespace comfreypier::testing;
 
@@ -155,6 +157,50 @@
     cr_assert_geq(completeAnswers, 4, "only %d requests were answered", completeAnswers);
 }
 
+// A worker in trouble sends bytes that complete no event, or events, without end. The caller must be told by the route's time limit that
+// its stream is not complete, and the VM must not keep the bytes.
+CLUSTER_TEST(stream_without_end_is_cut_at_its_time_limit, 29800)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nAttempt-Id: id-1\r\nServer-Seal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    struct Case {
+        std::string repeated; ///< Chunk that the worker sends until the connection is closed.
+        milliseconds pause;
+    };
+    const std::vector<Case> cases {
+        { "1000\r\n" + std::string(0x1000, 'a') + "\r\n", milliseconds { 0 } },
+        { "a\r\nid: 1\nx\n\n\n\r\n", milliseconds { 5 } },
+        { "2\r\n:\n\r\n", milliseconds { 100 } },
+    };
+    std::atomic<size_t> current { 0 };
+    std::atomic<size_t> sent { 0 };
+    auto serve = [&](int connection) {
+        standins::RawPeer::readRequest(connection);
+        standins::RawPeer::write(connection, head);
+        const auto& item = cases[current];
+        size_t sum = 0;
+        for (ssize_t count = 0; (count = ::send(connection, item.repeated.data(), item.repeated.size(), MSG_NOSIGNAL)) > 0; sum += static_cast<size_t>(count))
+            std::this_thread::sleep_for(item.pause);
+        sent += sum;
+    };
+    for (int i = 0; i < 2; i++)
+        cluster.llm(i).unpublish();
+    auto port = static_cast<uint16_t>(cluster.base + 10);
+    new standins::RawPeer(port, serve);
+    cluster.store.write("keyed.servers", "raw", R"({"service":"llm","addr":"127.0.0.1:)" + std::to_string(port) + R"(","zone":"dc","version":"v1","slots":8,"state":"ready","born":1,"models":[{"name":"m1","version":1,"adapters":[]}]})");
+    cluster.configureAndWait();
+    for (; current < cases.size(); current++) {
+        sent = 0;
+        auto start = transport::monotonicNow();
+        auto answer = cluster.sendChat("id-1");
+        auto elapsed = transport::monotonicNow() - start;
+        cr_assert_neq(answer.status, 200U, "case %zu looks complete", current.load());
+        // `sendChat` allows 3 s; half a second more for the answer.
+        cr_assert_lt(elapsed, milliseconds { 3500 }, "case %zu", current.load());
+        cr_assert(cluster.waitUntil([&] { return sent > 0; }), "case %zu: the connection to the worker stays open", current.load());
+        cr_assert_lt(sent, 16U * 1024 * 1024, "case %zu", current.load());
+    }
+}
+
 CLUSTER_TEST(unanswered_request_times_out_and_runs_once, 27400)
 {
     cluster.configureAndWait();
--- a/tests/unit/transport_test.cpp
+++ b/tests/unit/transport_test.cpp
@@ -103,6 +103,87 @@
     cr_assert(runtime.stop(std::chrono::seconds { 5 }));
 }
 
+namespace {
+
+/// Sends `bytes` again and again with `pause` between, until the caller closes the connection or `limit` bytes are sent.
+/// @return number of bytes sent.
+size_t sendWithoutEnd(int connection, const std::string& bytes, std::chrono::milliseconds pause, size_t limit)
+{
+    size_t sum = 0;
+    while (sum < limit) {
+        auto count = ::send(connection, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        if (count <= 0)
+            break;
+        sum += static_cast<size_t>(count);
+        if (pause.count() > 0)
+            std::this_thread::sleep_for(pause);
+    }
+    return sum;
+}
+
+} // namespace
+
+// Servers in trouble send bytes that are no answer, without end, until the caller closes. They must cost the caller neither memory nor
+// time without bound, wherever in the answer they come.
+Test(http_client, answers_without_end_are_given_up)
+{
+    signal(SIGPIPE, SIG_IGN);
+    constexpr uint16_t peerPort = 26994;
+    constexpr std::chrono::milliseconds limit { 800 };
+    constexpr size_t maxBytes = 64 * 1024 * 1024;
+    struct Case {
+        std::string head;
+        std::string repeated;
+        std::chrono::milliseconds pause;
+    };
+    const std::string chunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::vector<Case> cases {
+        { "HTTP/1.1 200 OK\r\nX: ", std::string(4096, 'a'), {} },
+        { "", std::string(4096, 'a'), {} },
+        { "HTTP/1.1 200 OK\r\n", "X: a\r\n", {} },
+        { chunkedHead, std::string(4096, '0'), {} },
+        { chunkedHead + "2;", std::string(4096, 'a'), {} },
+        { chunkedHead + "2\r\nok\r\n0\r\n", "X: a\r\n", {} },
+        { chunkedHead, "2\r\nok\r\n", {} },
+        { "HTTP/1.1 200 OK\r\n\r\n", std::string(4096, 'a'), {} },
+        // A byte now and then is no progress either.
+        { chunkedHead, "1\r\na\r\n", std::chrono::milliseconds { 100 } },
+        { "HTTP/1.1 200 OK\r\nX: ", "a", std::chrono::milliseconds { 100 } },
+    };
+    std::atomic<size_t> current { 0 };
+    std::atomic<size_t> sent { 0 };
+    standins::RawPeer peer(peerPort, [&](int connection) {
+        standins::RawPeer::readRequest(connection);
+        const auto& item = cases[current];
+        standins::RawPeer::write(connection, item.head);
+        sent = sendWithoutEnd(connection, item.repeated, item.pause, maxBytes);
+    });
+    Runtime runtime(1);
+    HttpClient client;
+    std::atomic<bool> done { false };
+    runtime.spawn([&] {
+        for (; current < cases.size(); current++) {
+            sent = 0;
+            CallLimits limits;
+            limits.response = limit;
+            limits.maxBodyBytes = 1024 * 1024;
+            auto start = monotonicNow();
+            auto response = client.call({ "127.0.0.1", peerPort }, { "GET", "/", {}, "" }, limits);
+            auto elapsed = monotonicNow() - start;
+            cr_assert_not(response.has_value(), "case %zu", current.load());
+            cr_assert_lt(elapsed, 2 * limit + limit / 2, "case %zu", current.load());
+            // The peer notices the close when it sends again.
+            for (int i = 0; i < 200 && sent == 0; i++)
+                sleepFor(std::chrono::milliseconds { 10 });
+            cr_assert(sent > 0 && sent < maxBytes, "case %zu: %zu bytes were accepted", current.load(), sent.load());
+        }
+        done = true;
+    });
+    while (!done)
+        std::this_thread::sleep_for(std::chrono::milliseconds { 10 });
+    cr_assert(runtime.stop(std::chrono::seconds { 5 }));
+}
+
 // A peer that crashes resets its connections while they are in use. That says nothing about the idle timeout of other peers, whose
 // connections must stay in use: opening new ones costs time and slots there.
 Test(http_client, crash_of_one_peer_does_not_close_connections_to_others)
--- a/transport/include/transport/transport.h
+++ b/transport/include/transport/transport.h
@@ -38,6 +38,9 @@
 constexpr std::chrono::milliseconds defaultIdleTimeout { 60000 };
 /// Maximum number of open connections of one server.
 constexpr uint32_t defaultMaxConnections = 8192;
+/// Maximum number of bytes of a head, a chunk's head or trailers that are buffered before they are complete. Larger than any limit
+/// of a head.
+constexpr size_t maxUnparsedBytes = 512 * 1024;
 /// Time limit for one write to a peer that reads slowly.
 constexpr std::chrono::milliseconds defaultWriteTimeout { 20000 };
 /// Maximum number of idle connections that the client pools per thread and endpoint.
@@ -303,7 +306,8 @@
 /// Limits and options of one client call.
 struct CallLimits {
     std::chrono::milliseconds connect = defaultConnectTimeout; ///< Time to establish a connection.
-    std::chrono::milliseconds response { 10000 }; ///< Time to send the request and receive the response head.
+    /// Time to send the request and receive the response head; `HttpClient::call` allows the same again for the whole body.
+    std::chrono::milliseconds response { 10000 };
     uint64_t maxBodyBytes = defaultMaxBodyBytes; ///< A larger response body fails with `IoError::TooLarge`.
     CancelToken* cancel = nullptr; ///< Optional. Must outlive the call and its response stream.
     bool freshConnection = false; ///< Opens a new connection instead of a pooled one, whose peer may have become unreachable.
--- a/transport/src/http_client_beast.cpp
+++ b/transport/src/http_client_beast.cpp
@@ -19,7 +19,8 @@
         {
         }
         Stream stream;
-        beast::flat_buffer buffer; ///< Bytes that were received but not parsed yet.
+        /// Bytes that were received but not parsed yet. A peer that sends a chunk head or trailers without end fills it.
+        beast::flat_buffer buffer { maxUnparsedBytes };
         std::chrono::nanoseconds reusableUntil { 0 }; ///< Monotonic time after which a pooled connection is not used.
         std::chrono::nanoseconds idleSince { 0 }; ///< Monotonic time at which the last response was complete; 0 until the first is.
     };
@@ -336,8 +337,13 @@
     HttpResponse response;
     response.status = stream->status();
     response.headers = stream->headers();
+    // For the body as a whole: a peer that sends a byte now and then must not keep the caller waiting.
+    auto end = monotonicNow() + limits.response;
     while (true) {
-        auto bytes = stream->read(limits.response);
+        auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(end - monotonicNow());
+        if (remaining <= std::chrono::milliseconds { 0 })
+            return IoError::Timeout;
+        auto bytes = stream->read(remaining);
         if (!bytes)
             return bytes.error();
         if (bytes.value().empty())
--- a/transport/src/http_server_beast.cpp
+++ b/transport/src/http_server_beast.cpp
@@ -22,7 +22,7 @@
         {
         }
         Stream stream;
-        beast::flat_buffer buffer; ///< Bytes that were received but not parsed yet.
+        beast::flat_buffer buffer { maxUnparsedBytes }; ///< Bytes that were received but not parsed yet.
         bool idle = true; ///< No request is being read or handled.
     };
 
