One malformed message ends nothing else; a worker that left before a restart is not used again

Also tested, without a fault: a second copy of an answer at four moments, a running stream whose worker loses its entry.

--- a/edge/src/store_task.cpp
+++ b/edge/src/store_task.cpp
@@ -183,6 +183,9 @@
 void StoreTask::applyForwardedEntries(const std::vector<ForwardedEntry>& entries)
 {
     for (const auto& entry : entries) {
+        // A peer may still forward an old record of a worker that has left before this VM started.
+        if (entry.offset < this->workersFullReadEnd)
+            continue;
         auto value = entry.value.empty() ? std::nullopt : std::optional(entry.value);
         this->applyWorker({ entry.worker, value, entry.offset }, this->entryGracePeriod());
     }
@@ -210,6 +213,7 @@
             this->onEntry({ record.key, record.value.value_or(""), record.offset });
     }
     if (fullRead) {
+        this->workersFullReadEnd = page.nextOffset;
         for (const auto& id : this->vm.fleet.markRemovedExcept(present, page.nextOffset, monotonicNow(), grace))
             this->onEntry({ id, "", page.nextOffset });
     }
--- a/edge/src/store_task.h
+++ b/edge/src/store_task.h
@@ -86,6 +86,7 @@
     // An initial value of an hour ago means that it has not happened yet.
     Time workersReadAt { -std::chrono::hours { 1 } }; ///< When this VM last read the worker stream itself.
     Time workersReadBeganAt { -std::chrono::hours { 1 } }; ///< When that read began.
+    uint64_t workersFullReadEnd = 0; ///< Offset up to which the last full read of the worker stream covers all records.
     Time newerVersionReadAt { 0 }; ///< When the configuration was last read because of a peer's newer version.
     Time workersStreamRegainedAt { -std::chrono::hours { 1 } }; ///< When the worker stream became readable again.
     transport::Log log { "store" };
--- a/tests/unit/edge_test.cpp
+++ b/tests/unit/edge_test.cpp
@@ -157,6 +157,69 @@
     cr_assert_geq(completeAnswers, 4, "only %d requests were answered", completeAnswers);
 }
 
+// A worker sends its answer twice. The second copy arrives before the next request is sent, when it has been sent, or as the answer to
+// it; the next caller must never get it.
+CLUSTER_TEST(second_copy_of_an_answer_reaches_no_other_caller, 29900)
+{
+    auto answerTo = [](const std::string& id) { return "HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nServer-Seal: s\r\nContent-Length: " + std::to_string(id.size()) + "\r\n\r\n" + id; };
+    std::atomic<int> copyDelay { 0 }; // Milliseconds; negative: the copy is sent when the next request has arrived.
+    auto serve = [&](int connection) {
+        std::string last;
+        while (true) {
+            auto request = standins::RawPeer::readRequest(connection);
+            auto start = request.find("id-");
+            if (start == std::string::npos)
+                return;
+            if (!last.empty() && copyDelay < 0)
+                standins::RawPeer::write(connection, answerTo(last));
+            last = request.substr(start, request.find('\r', start) - start);
+            standins::RawPeer::write(connection, answerTo(last));
+            if (copyDelay >= 0) {
+                std::this_thread::sleep_for(milliseconds { copyDelay });
+                standins::RawPeer::write(connection, answerTo(last));
+            }
+        }
+    };
+    for (int i = 0; i < 2; i++)
+        cluster.app(i).unpublish();
+    auto port = static_cast<uint16_t>(cluster.base + 10);
+    new standins::RawPeer(port, serve);
+    cluster.store.write("keyed.servers", "raw", R"({"service":"app","addr":"127.0.0.1:)" + std::to_string(port) + R"(","zone":"dc","version":"v1","slots":8,"state":"ready","born":1,"models":[]})");
+    cluster.configureAndWait();
+    int answered = 0;
+    for (int delay : { 0, 1, 3, -1 }) {
+        copyDelay = delay;
+        for (int i = 0; i < 20; i++) {
+            auto id = "id-" + std::to_string(delay) + "-" + std::to_string(i);
+            auto answer = cluster.sendRequest(i % 2 == 0 ? "/order/1" : "/status/1", id);
+            cr_assert(answer.status != 200 || answer.body == id, "%s got the answer %s", id.c_str(), answer.body.c_str());
+            answered += answer.status == 200 ? 1 : 0;
+            std::this_thread::sleep_for(milliseconds { i % 4 });
+        }
+    }
+    cr_assert_gt(answered, 40);
+}
+
+// A worker that is silent for a while loses its entry in the store. What runs there must go on, and must run nowhere else.
+CLUSTER_TEST(running_stream_survives_the_silence_of_its_worker, 30000)
+{
+    cluster.configureAndWait();
+    for (int i = 0; i < 2; i++) {
+        cluster.llm(i).eventsPerStream = 60;
+        cluster.llm(i).eventDelayMs = 25;
+    }
+    auto before = cluster.llm(0).runs + cluster.llm(1).runs;
+    HttpResponse answer;
+    std::thread caller([&] { answer = cluster.sendChat("id-1"); });
+    cr_assert(cluster.waitUntil([&] { return cluster.llm(0).runs + cluster.llm(1).runs > before; }));
+    for (int i = 0; i < 2; i++)
+        cluster.llm(i).unpublish();
+    caller.join();
+    cr_assert_eq(answer.status, 200U);
+    cr_assert_eq(answer.body, expectedEvents(60, "id-1"));
+    cr_assert_eq(cluster.llm(0).runs + cluster.llm(1).runs, before + 1);
+}
+
 // A worker in trouble sends bytes that complete no event, or events, without end. The caller must be told by the route's time limit that
 // its stream is not complete, and the VM must not keep the bytes.
 CLUSTER_TEST(stream_without_end_is_cut_at_its_time_limit, 29800)
--- a/tests/unit/peers_test.cpp
+++ b/tests/unit/peers_test.cpp
@@ -177,6 +177,29 @@
     }));
 }
 
+// After a restart a VM knows the workers from the store only. A peer may still forward the record of a worker that has left since; the
+// worker must not be used again.
+Test(edge, worker_that_left_before_a_restart_is_not_used_again, .timeout = 40)
+{
+    auto& cluster = *new TestCluster(31150, 0);
+    std::string staleEntry = R"({"service":"app","addr":"127.0.0.1:)" + std::to_string(cluster.base + 1) + R"(","zone":"dc","version":"v1","slots":8,"state":"ready","born":1,"models":[]})";
+    cluster.app(0).unpublish();
+    cluster.configure(1);
+    SimulatedPeers peers(cluster, 31200, readerNames(), "dc");
+    for (const auto& name : readerNames()) {
+        peers.changeHeartbeat(name, [&staleEntry](edge::Heartbeat& heartbeat) {
+            heartbeat.readsWorkers = true;
+            heartbeat.forwardedCount = 1;
+            heartbeat.forwardedEntries = { { "app0", staleEntry, 0, 1 } };
+        });
+    }
+    cluster.startVm(0);
+    cr_assert(cluster.waitUntil([&] { return cluster.isReady(0); }));
+    std::this_thread::sleep_for(milliseconds { 1000 });
+    cr_assert_eq(countRuns(cluster, 0, 12, "after-"), 0);
+    exitProcess();
+}
+
 // Guards against requests to a worker that fails only requests of other VMs: their heartbeats report the failures.
 CLUSTER_TEST(worker_failing_for_other_vms_is_avoided, 30700)
 {
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -56,6 +56,26 @@
     }));
 }
 
+// Other writers may put any bytes into the entries. Numbers of any size must neither end the process nor become other numbers.
+Test(entries, numbers_of_any_size_are_handled)
+{
+    auto entry = [](const std::string& born, const std::string& slots) {
+        return decodeWorkerEntry("i-1", R"({"service":"s","addr":"10.0.0.1:80","zone":"z","state":"ready","slots":)" + slots + R"(,"born":)" + born + R"(,"models":[{"name":"m","version":)" + born + "}]}");
+    };
+    cr_assert(entry("1700000000000", "8").has_value());
+    for (const auto* number : { "18446744073709551615", "9223372036854775808", "1e300", "-1e300", "1.5", "99999999999999999999999999" })
+        cr_assert_not(entry(number, "8").has_value(), "born %s", number);
+    for (const auto* number : { "-1", "1e300", "18446744073709551615" })
+        cr_assert_not(entry("1", number).has_value(), "slots %s", number);
+    std::string error;
+    for (const auto* number : { "1e300", "18446744073709551615", "1e18" }) {
+        auto configuration = decodeConfiguration(std::string(R"({"version":1,"routes":[{"host":"h","path-prefix":"/","kind":"idempotent","service":"s","timeout-ms":)") + number + R"(,"priority":)" + number + R"(}],"services":[{"name":"s","max-conns":)" + number + "}]}", error);
+        cr_assert(configuration.has_value());
+        cr_assert_gt(configuration->routes[0].timeout.count(), 0);
+        cr_assert_gt(configuration->services["s"].connectionLimit, 0U);
+    }
+}
+
 Test(configurations, valid_configuration_is_decoded)
 {
     std::string error;
--- a/tests/unit/transport_test.cpp
+++ b/tests/unit/transport_test.cpp
@@ -123,6 +123,45 @@
 
 } // namespace
 
+// An unexpected error in the handling of one request or datagram must not take the process, and with it all others, down.
+Test(http_server, unexpected_error_ends_one_request_only)
+{
+    signal(SIGPIPE, SIG_IGN);
+    constexpr uint16_t port = 26990;
+    Runtime runtime(1);
+    HttpServer server(
+        runtime, { "127.0.0.1", port }, {},
+        [](const HttpRequest& request, ResponseWriter& writer) {
+            if (request.target == "/bad")
+                throw std::out_of_range("planted");
+            writer.send({ 200, {}, "ok" });
+        },
+        [](unsigned status, std::string_view) { return HttpResponse { status, {}, {} }; });
+    cr_assert(server.start());
+    std::atomic<int> datagrams { 0 };
+    DatagramSocket socket(runtime, { "127.0.0.1", port }, [&datagrams](std::string_view bytes) {
+        datagrams++;
+        if (bytes == "bad")
+            throw std::out_of_range("planted");
+    });
+    cr_assert(socket.start());
+    HttpClient client;
+    std::atomic<bool> done { false };
+    runtime.spawn([&] {
+        cr_assert_not(client.call({ "127.0.0.1", port }, { "GET", "/bad", {}, "" }, {}).has_value());
+        cr_assert_eq(client.call({ "127.0.0.1", port }, { "GET", "/good", {}, "" }, {}).value().status, 200U);
+        for (const auto* bytes : { "bad", "good" }) {
+            socket.send({ "127.0.0.1", port }, bytes);
+            sleepFor(std::chrono::milliseconds { 50 });
+        }
+        done = true;
+    });
+    while (!done)
+        std::this_thread::sleep_for(std::chrono::milliseconds { 10 });
+    cr_assert_eq(datagrams, 2);
+    std::_Exit(0);
+}
+
 // Servers in trouble send bytes that are no answer, without end, until the caller closes. They must cost the caller neither memory nor
 // time without bound, wherever in the answer they come.
 Test(http_client, answers_without_end_are_given_up)
--- a/transport/src/datagram_asio.cpp
+++ b/transport/src/datagram_asio.cpp
@@ -43,8 +43,13 @@
         Udp::endpoint sender;
         while (!this->stopping) {
             auto received = awaitIo([&](auto handler) { this->socket->async_receive_from(asio::buffer(buffer), sender, std::move(handler)); });
-            if (!received.error)
+            if (received.error)
+                continue;
+            try {
                 this->receiver(std::string_view(buffer.data(), received.bytes));
+            } catch (const std::exception& exception) {
+                this->log.error("event=unexpected_error datagram_bytes=" + std::to_string(received.bytes) + " error=\"" + exception.what() + "\"");
+            }
         }
     }
 
@@ -53,6 +58,7 @@
     Receiver receiver;
     std::unique_ptr<Udp::socket> socket; ///< Null until `open`.
     std::atomic<bool> stopping { false };
+    Log log { "datagrams" };
 };
 
 DatagramSocket::DatagramSocket(Runtime& runtime, Endpoint listen, Receiver receiver)
--- a/transport/src/http_server_beast.cpp
+++ b/transport/src/http_server_beast.cpp
@@ -215,6 +215,7 @@
     std::atomic<bool> closeAnnounced { false }; ///< Set by `announceClose`.
     std::atomic<uint64_t> connectionCount { 0 };
     std::atomic<uint64_t> activeRequests { 0 };
+    Log log { "http" };
     std::atomic<uint64_t> requests { 0 };
     std::atomic<uint64_t> malformed { 0 };
     std::atomic<uint64_t> overLimit { 0 };
@@ -325,10 +326,24 @@
         this->activeRequests++;
         this->requests++;
         auto request = toRequest(parser.release());
-        this->handler(request, writer);
+        bool handled = this->callHandler(request, writer);
         this->activeRequests--;
         connection.idle = true;
-        return writer.canReuseConnection() && this->accepting;
+        return handled && writer.canReuseConnection() && this->accepting;
+    }
+
+    /// Calls the handler. An unexpected error closes the connection of this request, not those of others.
+    /// @return false if the handler ended with an exception.
+    bool callHandler(const HttpRequest& request, BeastWriter& writer)
+    {
+        try {
+            this->handler(request, writer);
+            return true;
+        } catch (const std::exception& exception) {
+            this->log.error(std::string("event=unexpected_error method=") + request.method + " path=" + std::string(targetPath(request.target)) + " error=\"" + exception.what() + "\"");
+            writer.abort();
+            return false;
+        }
     }
 
     /// Waits for the first bytes of the next request, unless some were received with the last one. Reads up to 2 KiB; `serveRequest`
