Placement: one relief order for five workers again, and only idle copies beyond it

Cause: nearly idle copies that gave way at once and one order for four workers took copies that demand came back to.

--- a/placement/include/placement/placement.h
+++ b/placement/include/placement/placement.h
@@ -34,7 +34,7 @@
 constexpr uint32_t minConcurrentStoreLoads = 2;
 /// Copies in use are evicted for busy models only while fewer than one model order per this number of workers is in progress.
 /// Each such eviction takes a copy from other requests, so too many at once do more harm than good.
-constexpr uint32_t workersPerReliefOrder = 4;
+constexpr uint32_t workersPerReliefOrder = 5;
 /// Lower bound of that limit on model orders in progress, for services with few workers.
 constexpr uint32_t minReliefOrderLimit = 5;
 /// Number of copies that a model should have where memory is free, so that it stays available when a worker ends and a shift of
@@ -47,7 +47,7 @@
 constexpr double minSpareLoadTokens = 1.5;
 /// Work per remaining copy, in worker seconds per second, up to which a model counts as unused. Its spare copies may be evicted
 /// for a busy model even while too many model orders are in progress to evict copies in use.
-constexpr double maxIdleWork = 0.1;
+constexpr double maxIdleWork = 0.01;
 /// Maximum number of model orders in one planning round of a service.
 constexpr int maxOrdersPerRound = 12;
 /// Share of the weight store's load rate at which `StoreRateLimiter` refills.
