--- a/edge/src/edge.cpp
+++ b/edge/src/edge.cpp
@@ -232,8 +232,12 @@
             break;
         std::this_thread::sleep_for(drainPollInterval);
     }
-    auto open = self.callerServer.stats().activeRequests;
     self.callerServer.stopAccepting();
+    // Requests that had just been accepted get their refusal, and open ones the rest of the time.
+    auto lastAnswers = monotonicNow() + shutdownReserve / 2;
+    while (monotonicNow() < lastAnswers && self.callerServer.stats().connections > 0)
+        std::this_thread::sleep_for(drainPollInterval);
+    auto open = self.callerServer.stats().activeRequests;
     self.vm.status.stopping = true;
     self.log.info("event=stopped open_requests=" + std::to_string(open));
     return open == 0;
--- a/tests/unit/edge_test.cpp
+++ b/tests/unit/edge_test.cpp
@@ -592,6 +592,40 @@
 }
 
 // If both VMs competed for the lease all the time, its record would change while the lease holder is alive.
+// Callers keep sending requests, each on a connection of its own, until the VM no longer accepts any. Each request that was accepted must
+// get an answer, be it a refusal, up to the end.
+Test(edge, planned_stop_under_load_answers_every_accepted_request, .timeout = 40)
+{
+    auto* cluster = new TestCluster(30100);
+    cluster->configureAndWait();
+    std::atomic<bool> stopped { false };
+    std::atomic<int> answered { 0 };
+    std::atomic<int> refused { 0 };
+    std::atomic<int> cut { 0 };
+    std::vector<std::thread> callers;
+    for (int i = 0; i < 8; i++) {
+        callers.emplace_back([&, i] {
+            for (int number = 0; !stopped; number++) {
+                auto answer = cluster->sendRequest("/order/1", "id-" + std::to_string(i) + "-" + std::to_string(number), { { "Connection", "close" } });
+                if (answer.status == 0 && answer.body == transport::name(transport::IoError::Refused))
+                    return;
+                (answer.status == 200 ? answered : answer.status == 503 ? refused
+                                                                        : cut)++;
+            }
+        });
+    }
+    std::this_thread::sleep_for(milliseconds { 300 });
+    cr_assert(cluster->vms[0]->drain());
+    std::this_thread::sleep_for(milliseconds { 200 });
+    stopped = true;
+    for (auto& caller : callers)
+        caller.join();
+    cr_assert_gt(answered, 100);
+    cr_assert_gt(refused, 0);
+    cr_assert_eq(cut, 0, "%d requests were cut off, %d answered, %d refused", cut.load(), answered.load(), refused.load());
+    exitProcess();
+}
+
 Test(edge, only_one_of_two_vms_holds_the_lease, .timeout = 40)
 {
     auto* cluster = new TestCluster(29400, 2);
--- a/transport/src/http_server_beast.cpp
+++ b/transport/src/http_server_beast.cpp
@@ -24,6 +24,7 @@
         Stream stream;
         beast::flat_buffer buffer { maxUnparsedBytes }; ///< Bytes that were received but not parsed yet.
         bool idle = true; ///< No request is being read or handled.
+        bool served = false; ///< A request has been received.
     };
 
     /// State of a server on one I/O thread. `acceptor` and `connections` are used only on that thread.
@@ -266,10 +267,9 @@
         while (this->accepting) {
             auto connection = std::make_shared<Connection>(thread->context);
             auto accepted = awaitIo([&](auto handler) { thread->acceptor.async_accept(connection->stream.socket(), std::move(handler)); });
-            if (!this->accepting)
-                return;
             if (accepted.error) {
-                sleepFor(acceptRetryDelay);
+                if (this->accepting)
+                    sleepFor(acceptRetryDelay);
                 continue;
             }
             if (this->connectionCount >= this->currentLimits().connectionLimit) {
@@ -280,6 +280,19 @@
         }
     }
 
+    /// Accepts the connections that wait in the listening socket: closing it would reset them, with the requests they carry.
+    void acceptWaiting(const std::shared_ptr<ServerThread>& thread)
+    {
+        while (thread->acceptor.is_open()) {
+            ErrorCode error;
+            auto connection = std::make_shared<Connection>(thread->context);
+            thread->acceptor.accept(connection->stream.socket(), error);
+            if (error)
+                return;
+            this->startConnection(thread, connection);
+        }
+    }
+
     /// Starts the fiber that serves the requests of a connection one after the other, and then closes it.
     void startConnection(const std::shared_ptr<ServerThread>& thread, const std::shared_ptr<Connection>& connection)
     {
@@ -306,6 +319,7 @@
         if (!this->waitForRequest(connection))
             return false;
         connection.idle = false;
+        connection.served = true;
         auto limits = this->currentLimits();
         http::request_parser<http::string_body> parser;
         parser.header_limit(limits.maxHeaderBytes);
@@ -451,11 +465,14 @@
     this->impl->accepting = false;
     std::lock_guard lock(this->impl->mutex);
     for (auto& thread : this->impl->threads) {
-        asio::post(thread->context, [thread] {
+        asio::post(thread->context, [thread, impl = this->impl] {
+            impl->acceptWaiting(thread);
             ErrorCode ignored;
             thread->acceptor.close(ignored);
             for (auto* connection : thread->connections) {
-                if (connection->idle)
+                // The request of a connection that has just been accepted may still be on its way.
+                bool mayHaveRequest = !connection->served || connection->stream.socket().available(ignored) > 0;
+                if (connection->idle && !mayHaveRequest)
                     connection->stream.cancel();
             }
         });
