--- a/tests/unit/edge_test.cpp
+++ b/tests/unit/edge_test.cpp
@@ -201,7 +201,7 @@
 }
 
 // A worker that is silent for a while loses its entry in the store. What runs there must go on, and must run nowhere else.
-CLUSTER_TEST(running_stream_survives_the_silence_of_its_worker, 30000)
+CLUSTER_TEST(running_stream_survives_the_silence_of_its_worker, 31400)
 {
     cluster.configureAndWait();
     for (int i = 0; i < 2; i++) {
@@ -222,7 +222,7 @@
 
 // A worker in trouble sends bytes that complete no event, or events, without end. The caller must be told by the route's time limit that
 // its stream is not complete, and the VM must not keep the bytes.
-CLUSTER_TEST(stream_without_end_is_cut_at_its_time_limit, 29800)
+CLUSTER_TEST(stream_without_end_is_cut_at_its_time_limit, 31300)
 {
     const std::string head = "HTTP/1.1 200 OK\r\nAttempt-Id: id-1\r\nServer-Seal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
     struct Case {
@@ -596,7 +596,7 @@
 // get an answer, be it a refusal, up to the end.
 Test(edge, planned_stop_under_load_answers_every_accepted_request, .timeout = 40)
 {
-    auto* cluster = new TestCluster(30100);
+    auto* cluster = new TestCluster(31500);
     cluster->configureAndWait();
     std::atomic<bool> stopped { false };
     std::atomic<int> answered { 0 };
