Summaries: the lease holder does not count the loads of other groups twice

Cause: all VMs send the lease holder full heartbeats, so that it counted the loads of other groups beside their summaries, and passed them on in the summary of its own group. Change: loads and outcomes of a VM of another group are taken from its group's summary only. Measured: the new test fails without the change (0 of 20 requests on a worker that another group's VM loads) and passes with it.

--- a/edge/src/peers.cpp
+++ b/edge/src/peers.cpp
@@ -386,6 +386,11 @@
             peer.demand = heartbeat->demand;
         if (!heartbeat->partial && peer.inGroup)
             peer.forwards.record(*heartbeat, monotonicNow());
+        // The lease holder gets full heartbeats of all VMs. The loads of other groups are in their summaries already.
+        if (!peer.inGroup) {
+            heartbeat->loads.clear();
+            heartbeat->outcomes.clear();
+        }
         peer.missingItems = std::move(heartbeat->missingItems);
     }
     this->vm.fleet.applyHeartbeat(heartbeat->node, *heartbeat);
--- a/tests/unit/peers_test.cpp
+++ b/tests/unit/peers_test.cpp
@@ -255,6 +255,24 @@
     cr_assert_eq(otherGroup.receivedEntries(), 0);
 }
 
+// A VM of another group counts in the summary of its group. If its own heartbeat counted as well, as the lease holder gets it, its load
+// would count twice, and again in the summary of this group.
+CLUSTER_TEST(loads_of_other_groups_count_only_in_their_summaries, 31600)
+{
+    constexpr int vmsPerGroup = 13;
+    SimulatedPeers group(cluster, 31650, numberedNames("near", vmsPerGroup), "dc");
+    SimulatedPeers otherGroup(cluster, 31700, numberedNames("far", vmsPerGroup), "elsewhere");
+    cluster.configureAndWait();
+    std::this_thread::sleep_for(milliseconds { 1000 });
+    auto loaded = [](edge::Heartbeat& heartbeat) { heartbeat.loads[edge::workerKey("app0")] = { 0, 0, 100 }; };
+    otherGroup.changeHeartbeat("far1", loaded);
+    std::this_thread::sleep_for(milliseconds { 500 });
+    cr_assert_gt(countRuns(cluster, 0, 20, "direct-"), 0);
+    otherGroup.changeHeartbeat("far1", [](edge::Heartbeat& heartbeat) { heartbeat.summaryOf = "elsewhere"; });
+    std::this_thread::sleep_for(milliseconds { 500 });
+    cr_assert_eq(countRuns(cluster, 0, 20, "summary-"), 0);
+}
+
 // Guards against a model that never gets a second copy. If refused requests did not count as demand, a model whose only worker
 // is full would seem to need no more than that worker.
 CLUSTER_TEST(refused_requests_count_as_demand, 31050)
