--- a/edge/src/peers.h
+++ b/edge/src/peers.h
@@ -135,7 +135,7 @@
     /// Returns whether the last heartbeat of a peer is younger than its timeout.
     bool isReachable(const Peer& peer, Time now) const;
     /// Returns whether a peer counts as running. Uses a longer timeout than `isReachable`, so that a few lost heartbeats do not
-    /// change the number of VMs and their demand.
+    /// change the total demand.
     bool isAlive(const Peer& peer, Time now) const;
     /// Returns whether a peer is reachable and reports that it holds the lease.
     bool isLeaseHolder(const Peer& peer, Time now) const;
