Log the parts of a prompt and each crash of a worker with the number of requests blamed

A request's line now names up to eight parts of its prompt, and each detected crash of a worker writes one line with its evidence and the number of broken requests it was attributed to. No decision changed.

--- a/edge/src/edge.cpp
+++ b/edge/src/edge.cpp
@@ -61,7 +61,7 @@
         , peers(this->vm, this->runtime)
         , store(
               this->vm, [this](const auto& node, const auto& member) { this->peers.applyMember(node, member); },
-              [this](const auto& worker) { this->recordWorkerCrash(worker); },
+              [this](const auto& worker) { this->peers.recordWorkerCrash(worker, "entry"); },
               [this](const auto& configuration) { this->callerServer.setLimits(callerServerLimits(this->settings, configuration.limits)); },
               [this](const auto& entry) { this->peers.forwardEntry(entry); }, [this](Time ownReadAt) { return this->peers.enoughPeersReadWorkers(ownReadAt); })
         , orders(this->vm, this->peers)
@@ -86,13 +86,6 @@
         this->peers.onConfigurationVersion = [this](uint64_t version) { this->store.refreshIfOlderThan(version); };
     }
 
-    /// Counts a crash of a worker that has restarted or is gone, to detect the poison requests that cause crashes.
-    void recordWorkerCrash(const std::string& worker)
-    {
-        std::lock_guard lock(this->peers.poisonRequestsMutex);
-        this->peers.poisonRequests.recordCrash(worker, monotonicNow());
-    }
-
     /// Answers a request for the addresses to which callers may connect; 503 if no VM is ready.
     void serveDirectory(const transport::HttpRequest& request, transport::ResponseWriter& writer)
     {
--- a/edge/src/peers.cpp
+++ b/edge/src/peers.cpp
@@ -543,6 +543,18 @@
         this->missingItems.erase(found);
 }
 
+void Peers::recordWorkerCrash(const std::string& worker, const char* evidence)
+{
+    size_t blamed = 0;
+    size_t known = 0;
+    {
+        std::lock_guard lock(this->poisonRequestsMutex);
+        blamed = this->poisonRequests.recordCrash(worker, monotonicNow());
+        known = this->poisonRequests.crashCounts().size();
+    }
+    this->log.info("event=worker_crash worker=" + worker + " evidence=" + evidence + " blamed_requests=" + std::to_string(blamed) + " known_contents=" + std::to_string(known));
+}
+
 void Peers::recordAdapterUse(const MissingItem& adapter)
 {
     {
--- a/edge/src/peers.h
+++ b/edge/src/peers.h
@@ -102,6 +102,9 @@
     std::function<void(uint64_t)> onConfigurationVersion;
     /// Called for each use of an adapter by any VM, this one included.
     std::function<void(const MissingItem&)> onAdapterUse;
+    /// Counts a crash of a worker, to detect the poison requests that cause crashes.
+    /// @param evidence how the crash was detected, for the log.
+    void recordWorkerCrash(const std::string& worker, const char* evidence);
     /// Request contents that crash workers, with their counts. Protected by `poisonRequestsMutex`.
     routing::PoisonRequests poisonRequests;
     std::mutex poisonRequestsMutex;
--- a/edge/src/relay.cpp
+++ b/edge/src/relay.cpp
@@ -44,6 +44,9 @@
     /// Largest answer that is buffered whole before it is forwarded: several at the same time must fit a VM's memory.
     constexpr uint64_t maxBufferedAnswerBytes = 16ULL * 1024 * 1024;
 
+    /// Maximum number of prompt parts whose ids a log line names.
+    constexpr size_t maxLoggedParts = 8;
+
     /// Returns the urgency that is sent to the workers, from 0 for the most urgent requests to 9: the route's priority, subdivided
     /// by how tight its latency target is.
     uint32_t computeUrgency(const routing::Route& route)
@@ -59,6 +62,18 @@
         return routing::prefillTime(shape.promptTokens - std::min(cachedTokens, shape.promptTokens)).count() + shape.outputTokens * workerSecondsPerOutputToken;
     }
 
+    /// Formats the ids of the parts of a prompt for log lines, joined by plus signs; "-" if there are none.
+    std::string formatParts(const std::vector<routing::PromptPart>& parts)
+    {
+        std::string text;
+        for (size_t i = 0; i < std::min(parts.size(), maxLoggedParts); i++) {
+            std::array<char, 20> id {};
+            std::snprintf(id.data(), id.size(), "%s%llx", i == 0 ? "" : "+", static_cast<unsigned long long>(parts[i].id));
+            text += id.data();
+        }
+        return text.empty() ? "-" : text;
+    }
+
     /// Returns whether callers understand `status` as a statement that the request did not run.
     bool impliesNotRun(unsigned status)
     {
@@ -150,7 +165,7 @@
 {
     this->log.info("event=request id=" + context.head.id + " route=" + (context.route ? context.route->name : "-") + " version=" + (context.configuration ? std::to_string(context.configuration->version) : "-")
         + " model=" + context.head.shape.model + (context.head.shape.adapter.empty() ? "" : "/" + context.head.shape.adapter)
-        + " tokens=" + std::to_string(context.head.shape.promptTokens) + " kept=" + std::to_string(context.cachedTokens)
+        + " parts=" + formatParts(context.head.shape.parts) + " tokens=" + std::to_string(context.head.shape.promptTokens) + " kept=" + std::to_string(context.cachedTokens)
         + " worker=" + (context.workerId.empty() ? "-" : context.workerId) + " entry_age_ms=" + formatMilliseconds(context.entryAge) + " sends=" + std::to_string(context.sendCount)
         + " waited_ms=" + formatMilliseconds(context.waitTime) + " expected_ms=" + formatMilliseconds(context.expectedFirstByte) + " first_ms=" + formatMilliseconds(context.timeToFirstByte)
         + " total_ms=" + formatMilliseconds(monotonicNow() - context.startedAt) + " status=" + std::to_string(context.status) + " outcome=" + context.outcome);
@@ -481,10 +496,9 @@
     context.excludedWorkers.insert(selection.id);
     if (transport::isConnectError(error)) {
         this->vm.fleet.updateWorker(selection.id, [now](routing::Worker& worker) { routing::recordUnreachable(worker, now); });
-        std::lock_guard lock(this->peers.poisonRequestsMutex);
         // A refused connection, unlike one that times out, counts as a crash of the worker.
         if (error == IoError::Refused)
-            this->peers.poisonRequests.recordCrash(selection.id, now);
+            this->peers.recordWorkerCrash(selection.id, "refused");
         return SendResult::NotSent;
     }
     this->vm.fleet.updateWorker(selection.id, [now](routing::Worker& worker) { routing::recordAnswer(worker, true, Time { 0 }, Time { 0 }, now); });
--- a/routing/include/routing/routing.h
+++ b/routing/include/routing/routing.h
@@ -444,7 +444,8 @@
     void recordBroken(const std::string& worker, uint64_t contentHash, Time now);
     /// Records that a worker crashed: it refuses connections, has restarted or is gone. Counts one crash for each request that broke
     /// off there in the seconds before. A crash that is reported again counts only once.
-    void recordCrash(const std::string& worker, Time now);
+    /// @return number of requests that were counted.
+    size_t recordCrash(const std::string& worker, Time now);
     /// Raises the crash count of a content to the count that another VM reports.
     void merge(uint64_t contentHash, uint32_t crashes);
     /// Returns true if the content has crashed at least `poisonCrashLimit` workers.
--- a/routing/src/retries.cpp
+++ b/routing/src/retries.cpp
@@ -74,17 +74,20 @@
     this->brokenRequests.push_back({ worker, contentHash, now });
 }
 
-void PoisonRequests::recordCrash(const std::string& worker, Time now)
+size_t PoisonRequests::recordCrash(const std::string& worker, Time now)
 {
+    size_t counted = 0;
     for (auto& request : this->brokenRequests) {
         if (request.worker != worker || request.at < now - crashAttributionWindow)
             continue;
         this->crashesByContent[request.contentHash]++;
+        counted++;
         request.worker.clear(); // A second report of the same crash must not count again.
     }
     // Counts have no time, so any may go: that of the lowest hash.
     while (this->crashesByContent.size() > maxCrashCounts)
         this->crashesByContent.erase(this->crashesByContent.begin());
+    return counted;
 }
 
 void PoisonRequests::merge(uint64_t contentHash, uint32_t crashes)
