--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -230,14 +230,41 @@
 WorkerStandin::WorkerStandin(transport::Runtime& runtime, StoreStandin& store, transport::Endpoint address, std::string id, std::string service)
     : publishedAddress(address)
     , id(std::move(id))
+    , runtime(runtime)
     , store(store)
-    , address(address)
+    , address(std::move(address))
     , service(std::move(service))
-    , server(
-          runtime, std::move(address), {}, [this](const auto& request, auto& writer) { this->serve(request, writer); }, emptyErrorBody())
+    , server(this->makeServer())
 {
 }
 
+std::unique_ptr<transport::HttpServer> WorkerStandin::makeServer()
+{
+    return std::make_unique<transport::HttpServer>(
+        this->runtime, this->address, transport::ServerLimits {}, [this](const auto& request, auto& writer) { this->serve(request, writer); }, emptyErrorBody());
+}
+
+void WorkerStandin::crash()
+{
+    this->down = true;
+    this->server->closeAll();
+}
+
+bool WorkerStandin::restart()
+{
+    {
+        std::lock_guard lock(this->mutex);
+        this->ordersAccepted = 0;
+        this->highestToken = 0;
+        this->runningOrder.reset();
+    }
+    this->startedAtMs++;
+    this->server = this->makeServer();
+    this->down = !this->server->start();
+    this->publish();
+    return !this->down;
+}
+
 void setModelMemory(WorkerStandin& worker)
 {
     worker.memoryMegabytes = 100;
@@ -275,6 +302,8 @@
 void WorkerStandin::serve(const HttpRequest& request, ResponseWriter& writer)
 {
     auto expected = findHeader(request.headers, "Expect-Instance");
+    if (this->down)
+        return writer.abort();
     if (!expected.empty() && expected != this->id) {
         writer.send({ 421, { { "Instance-Id", this->id } }, "" });
         return;
@@ -403,6 +432,12 @@
         else
             this->resumedRuns++;
     }
+    if (!this->crashingPart.empty() && findHeader(request.headers, "Prompt-Prefix").find(this->crashingPart + ":") != std::string_view::npos) {
+        this->crashingRequests++;
+        transport::sleepFor(milliseconds { this->responseDelayMs });
+        this->crash();
+        return writer.abort();
+    }
     if (fault == WorkerFault::ClosedConnection)
         return writer.abort();
     if (fault == WorkerFault::NoResponse) {
--- a/tests/standins/platform_standin.h
+++ b/tests/standins/platform_standin.h
@@ -99,7 +99,13 @@
     WorkerStandin(transport::Runtime& runtime, StoreStandin& store, transport::Endpoint address, std::string id, std::string service);
 
     /// @return false if the address can't be bound.
-    bool start() { return this->server.start(); }
+    bool start() { return this->server->start(); }
+    /// Ends the worker as a crash does: closes its listener and breaks off all connections. The models are lost.
+    void crash();
+    /// Starts the worker again after a crash, as a new process under the same id, with the models that it held before, and publishes
+    /// its entry. Must not be called on an I/O thread.
+    /// @return false if the address can't be bound.
+    bool restart();
     /// Writes the worker's entry to the store.
     void publish();
     /// Deletes the worker's entry from the store.
@@ -112,6 +118,11 @@
     std::atomic<int> resumedRuns { 0 }; ///< Runs that resumed from a copy of another worker's KV cache.
     /// Load orders beyond the memory or the adapter slots. Models being unloaded still count as loaded.
     std::atomic<int> overcommits { 0 };
+    /// Id of a prompt part, as in the header. The worker crashes when it begins to answer a request with this part. Empty for none; set
+    /// before the first request.
+    std::string crashingPart;
+    std::atomic<int> crashingRequests { 0 }; ///< Number of requests with `crashingPart` that arrived.
+    std::atomic<bool> down { false }; ///< The worker has crashed and not restarted yet.
     std::atomic<int> orderDurationMs { 0 }; ///< Time to carry out a model order.
     std::atomic<int64_t> startedAtMs { 1700000000000 }; ///< Start time in the worker's entry, in Unix milliseconds.
     std::atomic<int> eventsPerStream { 8 }; ///< Number of the last event of each stream.
@@ -148,6 +159,7 @@
     void completeOrderIfDue(bool force);
     double usedMegabytes() const;
 
+    transport::Runtime& runtime;
     StoreStandin& store;
     transport::Endpoint address;
     std::string service;
@@ -161,7 +173,8 @@
     uint64_t ordersAccepted = 0; ///< Sent in reports. Orders that expect another number are refused with 409.
     uint64_t highestToken = 0; ///< Orders with a lower fencing token are refused with 412.
     uint64_t publishCount = 0; ///< Sent as `seq` in the worker's entry.
-    transport::HttpServer server;
+    std::unique_ptr<transport::HttpServer> makeServer();
+    std::unique_ptr<transport::HttpServer> server; ///< Replaced at a restart.
 };
 
 } // namespace comfreypier::standins
