Crashes of workers are detected at once and attributed however late they become known

Callers lost one stream after the other to workers that crash under the same requests, and no crash was blamed on any request. The other evidence, a refused connection, needs a request that is sent to the dead worker.

When an answer breaks off, the VM now asks the worker for its report, on a new connection and once for all answers that broke off there: a refused connection or another process at the address is a crash, an answer discharges the requests. The worker is avoided from then on, before a request is spent on it. Broken answers count for 10 s. What is known is also checked again before each attempt, not only when the request arrives.

One test's raw worker answers requests without an id, as reports have none, by closing.

--- a/edge/src/counters.h
+++ b/edge/src/counters.h
@@ -52,6 +52,7 @@
     BeatsReceived, ///< Decodable heartbeats received from other VMs.
     Orders, ///< Load and unload orders sent to workers.
     ConfigurationsApplied,
+    BlamedCrashes, ///< Crashes of workers that requests of this VM are blamed for.
     Count
 };
 
--- a/edge/src/edge.cpp
+++ b/edge/src/edge.cpp
@@ -58,14 +58,15 @@
         : settings(std::move(given))
         , runtime(ioThreads)
         , vm(this->settings, this->client)
-        , peers(this->vm, this->runtime)
+        , crashes(this->vm)
+        , peers(this->vm, this->runtime, this->crashes)
         , store(
               this->vm, [this](const auto& node, const auto& member) { this->peers.applyMember(node, member); },
-              [this](const auto& worker) { this->peers.recordWorkerCrash(worker, "entry"); },
+              [this](const auto& worker) { this->crashes.recordCrash(worker, "entry"); },
               [this](const auto& configuration) { this->callerServer.setLimits(callerServerLimits(this->settings, configuration.limits)); },
               [this](const auto& entry) { this->peers.forwardEntry(entry); }, [this](Time ownReadAt) { return this->peers.enoughPeersReadWorkers(ownReadAt); })
         , orders(this->vm, this->peers)
-        , relay(this->vm, this->peers)
+        , relay(this->vm, this->peers, this->crashes)
         , callerServer(
               this->runtime, this->settings.front, callerServerLimits(this->settings, {}), [this](const auto& request, auto& writer) { this->relay.serve(request, writer); },
               Relay::refuseMalformed)
@@ -78,11 +79,12 @@
     {
     }
 
-    /// Passes what peers report about the store's streams to the store task.
+    /// Passes what peers report about the store's streams to the store task, and news of crashes to the peers.
     void connectPeerCallbacks()
     {
         this->peers.readsWorkers = [this] { return this->store.hasReadWorkersRecently(); };
         this->peers.onForwardedEntries = [this](const auto& entries) { this->store.applyForwardedEntries(entries); };
+        this->crashes.onCrash = [this] { this->peers.sendHeartbeat(); };
         this->peers.onConfigurationVersion = [this](uint64_t version) { this->store.refreshIfOlderThan(version); };
     }
 
@@ -167,6 +169,7 @@
     transport::Runtime runtime;
     transport::HttpClient client;
     Vm vm;
+    CrashTracker crashes;
     Peers peers;
     StoreTask store;
     OrderTask orders;
--- a/edge/src/peers.cpp
+++ b/edge/src/peers.cpp
@@ -31,8 +31,9 @@
 
 } // namespace
 
-Peers::Peers(Vm& vm, transport::Runtime& runtime)
+Peers::Peers(Vm& vm, transport::Runtime& runtime, CrashTracker& crashes)
     : vm(vm)
+    , crashes(crashes)
     , socket(runtime, vm.settings.inner, [this](std::string_view bytes) { this->receive(bytes); })
     , incarnation(drawIncarnation())
 {
@@ -166,8 +167,7 @@
         heartbeat.loads = this->vm.fleet.ownLoads();
         heartbeat.outcomes = this->vm.fleet.ownFailures(monotonicNow());
         heartbeat.sentPrefixes = this->vm.fleet.takeSentPrefixes();
-        std::lock_guard lock(this->poisonRequestsMutex);
-        heartbeat.crashesByContent = this->poisonRequests.crashCounts();
+        heartbeat.crashesByContent = this->crashes.crashCounts();
     }
     std::lock_guard lock(this->mutex);
     for (const auto& [item, count] : this->missingItems)
@@ -399,11 +399,7 @@
         if (this->onLeaseClaim)
             this->onLeaseClaim(heartbeat->leaseOffset);
     }
-    if (!heartbeat->crashesByContent.empty()) {
-        std::lock_guard lock(this->poisonRequestsMutex);
-        for (const auto& [content, crashes] : heartbeat->crashesByContent)
-            this->poisonRequests.merge(content, crashes);
-    }
+    this->crashes.applyCrashCounts(heartbeat->crashesByContent);
     if (hasMissingItems && this->onMissingItems)
         this->onMissingItems();
     if (this->onForwardedEntries)
@@ -543,18 +539,6 @@
         this->missingItems.erase(found);
 }
 
-void Peers::recordWorkerCrash(const std::string& worker, const char* evidence)
-{
-    size_t blamed = 0;
-    size_t known = 0;
-    {
-        std::lock_guard lock(this->poisonRequestsMutex);
-        blamed = this->poisonRequests.recordCrash(worker, monotonicNow());
-        known = this->poisonRequests.crashCounts().size();
-    }
-    this->log.info("event=worker_crash worker=" + worker + " evidence=" + evidence + " blamed_requests=" + std::to_string(blamed) + " known_contents=" + std::to_string(known));
-}
-
 void Peers::recordAdapterUse(const MissingItem& adapter)
 {
     {
--- a/edge/src/peers.h
+++ b/edge/src/peers.h
@@ -1,8 +1,8 @@
 /// Membership of the entry VMs and the heartbeats between them.
 #pragma once
 
+#include "crash_tracker.h"
 #include "forward_tracker.h"
-#include "vm_p.h"
 
 namespace comfreypier::edge {
 
@@ -27,7 +27,7 @@
 /// Exchanges heartbeats with the other VMs.
 class Peers {
 public:
-    Peers(Vm& vm, transport::Runtime& runtime);
+    Peers(Vm& vm, transport::Runtime& runtime, CrashTracker& crashes);
 
     /// Binds the socket.
     /// @return false if the address can't be bound.
@@ -102,12 +102,6 @@
     std::function<void(uint64_t)> onConfigurationVersion;
     /// Called for each use of an adapter by any VM, this one included.
     std::function<void(const MissingItem&)> onAdapterUse;
-    /// Counts a crash of a worker, to detect the poison requests that cause crashes.
-    /// @param evidence how the crash was detected, for the log.
-    void recordWorkerCrash(const std::string& worker, const char* evidence);
-    /// Request contents that crash workers, with their counts. Protected by `poisonRequestsMutex`.
-    routing::PoisonRequests poisonRequests;
-    std::mutex poisonRequestsMutex;
 
 private:
     /// Builds this VM's next heartbeat.
@@ -157,6 +151,7 @@
     bool publishMember();
 
     Vm& vm;
+    CrashTracker& crashes;
     transport::DatagramSocket socket;
     uint64_t incarnation; ///< See `Member::incarnation`.
     // These two and `heartbeatPending` are used only on the I/O thread.
--- a/edge/src/relay.cpp
+++ b/edge/src/relay.cpp
@@ -137,9 +137,10 @@
     bool isRetryable() const { return this->route->idempotent || this->route->resumable; }
 };
 
-Relay::Relay(Vm& vm, Peers& peers)
+Relay::Relay(Vm& vm, Peers& peers, CrashTracker& crashes)
     : vm(vm)
     , peers(peers)
+    , crashes(crashes)
     , slackFrom(vm.settings.firstStart ? Time { 0 } : monotonicNow() + vm.settings.retryWindow)
 {
 }
@@ -225,19 +226,9 @@
                 context.head.shape.promptTokens += part.tokens;
         }
     }
-    if (this->isPoisonRequest(context)) {
-        this->refuse(context, 503, RefusalReason::CrashesWorkers, std::nullopt);
-        return false;
-    }
     return true;
 }
 
-bool Relay::isPoisonRequest(const RequestContext& context)
-{
-    std::lock_guard lock(this->peers.poisonRequestsMutex);
-    return this->peers.poisonRequests.isPoison(context.head.shape.contentHash);
-}
-
 routing::RetryBudget& Relay::retryBudget(const std::string& service)
 {
     const auto& settings = this->vm.settings;
@@ -302,6 +293,9 @@
     ScopedMissingItem missingItem(this->peers);
     auto lastChoiceAt = monotonicNow();
     while (!context.isCallerGone()) {
+        // What crashes workers may become known while the request waits.
+        if (this->endIfHeldOff(context))
+            return false;
         auto now = monotonicNow();
         selection = this->vm.fleet.chooseWorker(*context.service, shape, context.prefixHashes, context.excludedWorkers, context.route->targetLatency, now);
         auto blockReason = selection.choice.blockReason;
@@ -329,6 +323,17 @@
     return false;
 }
 
+bool Relay::endIfHeldOff(RequestContext& context)
+{
+    if (context.streamStarted || !this->crashes.isHeldOff(context.head.shape.contentHash))
+        return false;
+    if (context.possibleRuns > 0)
+        this->finish(context, context.lastResult);
+    else
+        this->refuse(context, 503, RefusalReason::CrashesWorkers, std::nullopt);
+    return true;
+}
+
 /// Waits until the worker that resumes a run holds its adapter, but no longer than `resumeAdapterTimeout`.
 void Relay::waitForAdapter(RequestContext& context, const routing::WorkerEntry& worker)
 {
@@ -349,7 +354,7 @@
         std::lock_guard lock(this->mutex);
         this->retryBudget(context.service->name).recordRequest(monotonicNow());
     }
-    while (true) {
+    while (!this->endIfHeldOff(context)) {
         Fleet::Selection selection;
         if (context.resumeWorker) {
             this->waitForAdapter(context, *context.resumeWorker);
@@ -498,14 +503,13 @@
         this->vm.fleet.updateWorker(selection.id, [now](routing::Worker& worker) { routing::recordUnreachable(worker, now); });
         // A refused connection, unlike one that times out, counts as a crash of the worker.
         if (error == IoError::Refused)
-            this->peers.recordWorkerCrash(selection.id, "refused");
+            this->crashes.recordCrash(selection.id, "refused");
         return SendResult::NotSent;
     }
     this->vm.fleet.updateWorker(selection.id, [now](routing::Worker& worker) { routing::recordAnswer(worker, true, Time { 0 }, Time { 0 }, now); });
     if (error == IoError::Timeout)
         return SendResult::TimedOut;
-    std::lock_guard lock(this->peers.poisonRequestsMutex);
-    this->peers.poisonRequests.recordBroken(selection.id, context.head.shape.contentHash, now);
+    this->crashes.recordBroken(selection.entry, context.head.shape.contentHash);
     return SendResult::ConnectionLost;
 }
 
--- a/edge/src/relay.h
+++ b/edge/src/relay.h
@@ -8,7 +8,7 @@
 /// Serves the requests that arrive on the callers' address.
 class Relay {
 public:
-    Relay(Vm& vm, Peers& peers);
+    Relay(Vm& vm, Peers& peers, CrashTracker& crashes);
 
     /// Serves one request until its answer is complete. Runs on the request's own fiber.
     void serve(const transport::HttpRequest& request, transport::ResponseWriter& writer);
@@ -34,11 +34,12 @@
 
     /// Sends a request to workers until it is answered, refused or can't be retried.
     void run(RequestContext& context);
-    /// Finds the route and the service of a request, sets its deadlines and refuses poison requests.
+    /// Finds the route and the service of a request, sets its deadlines.
     /// @return false if the request was refused.
     bool resolveRoute(RequestContext& context);
-    /// Returns whether the content of a request has crashed several workers.
-    bool isPoisonRequest(const RequestContext& context);
+    /// Ends a request that crashes workers.
+    /// @return whether it was ended.
+    bool endIfHeldOff(RequestContext& context);
     void waitForAdapter(RequestContext& context, const routing::WorkerEntry& worker);
     bool waitForWorker(RequestContext& context, Fleet::Selection& selection);
     /// Makes one attempt to send the request to the selected worker.
@@ -70,6 +71,7 @@
 
     Vm& vm;
     Peers& peers;
+    CrashTracker& crashes;
     Time slackFrom; ///< When the retry budgets may use their share of the slack, see `routing::RetryBudget`.
     std::mutex mutex;
     std::map<std::string, routing::RetryBudget> retryBudgets; ///< By service. Protected by `mutex`.
--- a/routing/include/routing/routing.h
+++ b/routing/include/routing/routing.h
@@ -446,6 +446,8 @@
     /// off there in the seconds before. A crash that is reported again counts only once.
     /// @return number of requests that were counted.
     size_t recordCrash(const std::string& worker, Time now);
+    /// Records that a worker still runs although answers broke off there: they are not counted for a later crash.
+    void recordAlive(const std::string& worker);
     /// Raises the crash count of a content to the count that another VM reports.
     void merge(uint64_t contentHash, uint32_t crashes);
     /// Returns true if the content has crashed at least `poisonCrashLimit` workers.
--- a/routing/src/retries.cpp
+++ b/routing/src/retries.cpp
@@ -6,8 +6,9 @@
 
 namespace {
 
-    /// A worker crash is attributed to the requests that broke off there within this time before it.
-    constexpr Time crashAttributionWindow = std::chrono::seconds { 3 };
+    /// A worker crash is attributed to the requests that broke off there within this time before it became known. Workers publish a new
+    /// entry when they are back, after some seconds.
+    constexpr Time crashAttributionWindow = std::chrono::seconds { 10 };
     /// Number of contents to which `recordCrash` reduces the crash counts. Reports of other VMs may exceed it until then.
     constexpr size_t maxCrashCounts = 4096;
 
@@ -90,6 +91,11 @@
     return counted;
 }
 
+void PoisonRequests::recordAlive(const std::string& worker)
+{
+    std::erase_if(this->brokenRequests, [&worker](const auto& request) { return request.worker == worker; });
+}
+
 void PoisonRequests::merge(uint64_t contentHash, uint32_t crashes)
 {
     auto& knownCount = this->crashesByContent[contentHash];
--- a/tests/unit/edge_test.cpp
+++ b/tests/unit/edge_test.cpp
@@ -103,9 +103,10 @@
         auto request = standins::RawPeer::readRequest(connection, current.readBytes);
         if (current.reset)
             standins::RawPeer::resetOnClose(connection);
-        if (!standins::RawPeer::isCompleteRequest(request))
-            return;
         auto start = request.find("id-");
+        // Reports, which VMs request after a broken answer, have no id.
+        if (!standins::RawPeer::isCompleteRequest(request) || start == std::string::npos)
+            return;
         auto id = request.substr(start, request.find('\r', start) - start);
         {
             std::lock_guard lock(mutex);
--- a/tests/unit/edge_world.h
+++ b/tests/unit/edge_world.h
@@ -132,6 +132,15 @@
         return this->sendRequest(path, id, { { "Model", model }, { "Token-Count", "500,100" }, { "Prompt-Prefix", "a1:300,b2:200" } }, vm);
     }
 
+    /// Sends a streaming request with a prompt of 500 tokens in the given parts and a body of its own.
+    /// @param parts `ID:TOKENS` of each part, separated by commas.
+    HttpResponse sendPrompt(const std::string& id, const std::string& parts, const std::string& body, int vm = 0)
+    {
+        HttpRequest request { "POST", "/chat/x", { { "Host", "h.example" }, { "Attempt-Id", id }, { "Deadline-Ms", "3000" }, { "Model", "m1" }, { "Token-Count", "500,100" }, { "Prompt-Prefix", parts } }, body };
+        auto response = this->call(this->front(vm), request);
+        return response ? response.value() : HttpResponse { 0, {}, transport::name(response.error()) };
+    }
+
     /// Checks a condition every 10 ms until it is true.
     /// @return false if it was still false after `timeout`.
     bool waitUntil(const std::function<bool()>& condition, milliseconds timeout = milliseconds { 5000 })
--- a/tests/unit/routing_test.cpp
+++ b/tests/unit/routing_test.cpp
@@ -515,6 +515,17 @@
     cr_assert_not(poison.isPoison(7), "the worker crashed much later");
 }
 
+// Guards against crashes that are attributed to no request because a worker's new entry comes seconds after its crash.
+Test(poison_requests, crash_that_becomes_known_by_the_next_start_of_the_worker_is_attributed)
+{
+    PoisonRequests poison;
+    poison.recordBroken("w", 7, now);
+    cr_assert_eq(poison.recordCrash("w", now + milliseconds { 4500 }), 1U);
+    poison.recordBroken("v", 7, now + seconds { 5 });
+    poison.recordAlive("v");
+    cr_assert_eq(poison.recordCrash("v", now + seconds { 6 }), 0U, "the worker ran on after the answer had broken off");
+}
+
 Test(admission, request_that_cannot_be_served_in_time_is_refused)
 {
     Choice choice;
--- a/tests/unit/tainted_prompts_test.cpp
+++ b/tests/unit/tainted_prompts_test.cpp
@@ -31,9 +31,7 @@
 {
     static int count = 0;
     auto number = std::to_string(++count);
-    HttpRequest request { "POST", "/chat/x", { { "Host", "h.example" }, { "Attempt-Id", "p" + number }, { "Deadline-Ms", "3000" }, { "Model", "m1" }, { "Token-Count", "500,100" }, { "Prompt-Prefix", "a1:300," + middle + ":100,ff" + number + ":100" } }, "body " + number };
-    auto response = cluster.call(cluster.front(vm), request);
-    return response ? response.value() : HttpResponse { 0, {}, transport::name(response.error()) };
+    return cluster.sendPrompt("p" + number, "a1:300," + middle + ":100,ff" + number + ":100", "body " + number, vm);
 }
 
 /// Returns the number of requests with the crashing part that arrived at workers.
