Hold off the parts of prompts that crash workers, by evidence that all VMs share

Callers of one kind lost their answers because requests with one prompt part crashed worker after worker. Crashes were counted by the hash of method, path and body; no two of these requests are alike, so no count reached two. The counts of VMs were merged by their maximum, so that crashes at different VMs did not add up either. Both are one class: a crash was not recognised as the repetition of another.

A crash is now evidence against each cause that its requests have: the content, and each part of the prompt but the last. Evidence names the crash (worker and start), so that VMs exchange a union in which each crash counts once; heartbeats carry news five times and what is held off in turn, for VMs that missed it. An answer that gets beyond its first event, or is complete, clears its causes everywhere. Two crashes without an answer hold off a content, three a part. Parts that always occurred together are held off together only, so that sound requests with some of them pass and clear them; a part that was answered before is held off only without another explanation, and tried again after 5 s. Workers that fail at the same moment hold off nothing.

--- a/edge/src/beat.capnp
+++ b/edge/src/beat.capnp
@@ -43,12 +43,22 @@
   items @1 :List(Text);
 }
 
-# Number of worker crashes that a request content caused.
+# No longer sent: `CrashReport` replaces it.
 struct Suspect {
   content @0 :UInt64;
   crashes @1 :UInt8;
 }
 
+# A worker crashed while it ran a request with this cause. `kind` 0 is the content of a request, 1 a part of a prompt.
+struct CrashReport {
+  kind @0 :UInt8;
+  cause @1 :UInt64;
+  crash @2 :UInt64;
+  ageMs @3 :UInt32;
+  cleared @4 :Bool;
+  answeredBefore @5 :Bool;
+}
+
 # Recent outcomes of a worker. `answered` counts all outcomes, failures included.
 struct Outcome {
   worker @0 :UInt32;
@@ -66,7 +76,7 @@
 
 # A heartbeat. `heartbeat_codec.h` describes the fields. Some have other names there: `number` is `sequence`, `leaving` `draining`,
 # `strained` `overloaded`, `sent` `sentPrefixes`, `wants` `missingItems`, `used` `usedAdapters`, `entries` `forwardedEntries` and
-# `suspects` `crashesByContent`.
+# `crashes` `crashReports`.
 struct Beat {
   node @0 :Text;
   incarnation @1 :UInt64;
@@ -91,4 +101,5 @@
   forwardedCount @20 :UInt64;
   summaryOf @21 :Text;
   relayed @22 :Bool;
+  crashes @23 :List(CrashReport);
 }
--- a/edge/src/beat.capnp.h
+++ b/edge/src/beat.capnp.h
@@ -23,6 +23,7 @@
 CAPNP_DECLARE_SCHEMA(d7003ec6739d697a);
 CAPNP_DECLARE_SCHEMA(f07145a02a2ed46c);
 CAPNP_DECLARE_SCHEMA(ab173b2e6cb73b5c);
+CAPNP_DECLARE_SCHEMA(be158524e3d3a68a);
 CAPNP_DECLARE_SCHEMA(a5a501a39d130684);
 CAPNP_DECLARE_SCHEMA(81e2ca8cdcaea04c);
 CAPNP_DECLARE_SCHEMA(ed1775a394c07423);
@@ -139,6 +140,21 @@
   };
 };
 
+struct CrashReport {
+  CrashReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(be158524e3d3a68a, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Outcome {
   Outcome() = delete;
 
@@ -177,7 +193,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ed1775a394c07423, 7, 11)
+    CAPNP_DECLARE_STRUCT_HEADER(ed1775a394c07423, 7, 12)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -834,6 +850,107 @@
 };
 #endif  // !CAPNP_LITE
 
+class CrashReport::Reader {
+public:
+  typedef CrashReport Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint8_t getKind() const;
+
+  inline  ::uint64_t getCause() const;
+
+  inline  ::uint64_t getCrash() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+  inline bool getCleared() const;
+
+  inline bool getAnsweredBefore() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CrashReport::Builder {
+public:
+  typedef CrashReport Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint8_t getKind();
+  inline void setKind( ::uint8_t value);
+
+  inline  ::uint64_t getCause();
+  inline void setCause( ::uint64_t value);
+
+  inline  ::uint64_t getCrash();
+  inline void setCrash( ::uint64_t value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+  inline bool getCleared();
+  inline void setCleared(bool value);
+
+  inline bool getAnsweredBefore();
+  inline void setAnsweredBefore(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CrashReport::Pipeline {
+public:
+  typedef CrashReport Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Outcome::Reader {
 public:
   typedef Outcome Reads;
@@ -1095,6 +1212,9 @@
 
   inline bool getRelayed() const;
 
+  inline bool hasCrashes() const;
+  inline  ::capnp::List< ::comfreypier::edge::wire::CrashReport,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1236,6 +1356,13 @@
   inline bool getRelayed();
   inline void setRelayed(bool value);
 
+  inline bool hasCrashes();
+  inline  ::capnp::List< ::comfreypier::edge::wire::CrashReport,  ::capnp::Kind::STRUCT>::Builder getCrashes();
+  inline void setCrashes( ::capnp::List< ::comfreypier::edge::wire::CrashReport,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::comfreypier::edge::wire::CrashReport,  ::capnp::Kind::STRUCT>::Builder initCrashes(unsigned int size);
+  inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::comfreypier::edge::wire::CrashReport,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::comfreypier::edge::wire::CrashReport,  ::capnp::Kind::STRUCT>> disownCrashes();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1742,6 +1869,90 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint8_t CrashReport::Reader::getKind() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t CrashReport::Builder::getKind() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setKind( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t CrashReport::Reader::getCause() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CrashReport::Builder::getCause() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setCause( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t CrashReport::Reader::getCrash() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CrashReport::Builder::getCrash() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setCrash( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t CrashReport::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CrashReport::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CrashReport::Reader::getCleared() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline bool CrashReport::Builder::getCleared() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setCleared(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CrashReport::Reader::getAnsweredBefore() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline bool CrashReport::Builder::getAnsweredBefore() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setAnsweredBefore(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t Outcome::Reader::getWorker() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2422,6 +2633,40 @@
       ::capnp::bounded<133>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Beat::Reader::hasCrashes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS).isNull();
+}
+inline bool Beat::Builder::hasCrashes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::comfreypier::edge::wire::CrashReport,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getCrashes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreypier::edge::wire::CrashReport,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::comfreypier::edge::wire::CrashReport,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreypier::edge::wire::CrashReport,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+inline void Beat::Builder::setCrashes( ::capnp::List< ::comfreypier::edge::wire::CrashReport,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::comfreypier::edge::wire::CrashReport,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::comfreypier::edge::wire::CrashReport,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initCrashes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreypier::edge::wire::CrashReport,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), size);
+}
+inline void Beat::Builder::adoptCrashes(
+    ::capnp::Orphan< ::capnp::List< ::comfreypier::edge::wire::CrashReport,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::comfreypier::edge::wire::CrashReport,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::comfreypier::edge::wire::CrashReport,  ::capnp::Kind::STRUCT>> Beat::Builder::disownCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreypier::edge::wire::CrashReport,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/edge/src/counters.h
+++ b/edge/src/counters.h
@@ -19,7 +19,7 @@
     NoRoom, ///< No worker is expected to have free capacity in time, or workers did not run the request and no retry is left.
     Hopeless, ///< The first byte is expected after the caller's deadline.
     Leaving, ///< This VM is shutting down.
-    CrashesWorkers, ///< Poison request: its content has crashed several workers.
+    CrashesWorkers, ///< Poison request: its content, or a part of its prompt, has crashed several workers.
     WorkerFailed, ///< A worker may have run the request and gave no usable answer.
     TimedOut, ///< No answer before the route's or the caller's deadline.
     CallerGone, ///< The caller closed its connection.
--- a/edge/src/heartbeat_codec.h
+++ b/edge/src/heartbeat_codec.h
@@ -79,7 +79,7 @@
     /// From the lease holder, by worker: `model`, `model/adapter`, `!model` for a model that is being unloaded, or
     /// `routing::orderInProgressMark`.
     std::map<std::string, std::set<std::string>> resident;
-    std::map<uint64_t, uint32_t> crashesByContent; ///< Number of worker crashes by hash of the request content.
+    std::vector<routing::CrashReport> crashReports; ///< Crashes of workers and what requests there had in common.
 };
 
 std::string encodeHeartbeat(const Heartbeat& heartbeat);
--- a/edge/src/heartbeat_codec_capnp.cpp
+++ b/edge/src/heartbeat_codec_capnp.cpp
@@ -110,11 +110,15 @@
             entries[i].setOffset(entry.offset);
             entries[i].setNumber(entry.number);
         }
-        auto suspects = root.initSuspects(static_cast<unsigned>(heartbeat.crashesByContent.size()));
-        i = 0;
-        for (const auto& [content, crashes] : heartbeat.crashesByContent) {
-            suspects[i].setContent(content);
-            suspects[i++].setCrashes(static_cast<uint8_t>(std::min(crashes, 255U)));
+        auto reports = root.initCrashes(static_cast<unsigned>(heartbeat.crashReports.size()));
+        for (i = 0; i < heartbeat.crashReports.size(); i++) {
+            const auto& report = heartbeat.crashReports[i];
+            reports[i].setKind(static_cast<uint8_t>(report.cause.kind));
+            reports[i].setCause(report.cause.id);
+            reports[i].setCrash(report.crash);
+            reports[i].setAgeMs(static_cast<uint32_t>(std::chrono::duration_cast<milliseconds>(report.age).count()));
+            reports[i].setCleared(report.cleared);
+            reports[i].setAnsweredBefore(report.answeredBefore);
         }
     }
 
@@ -140,8 +144,11 @@
             auto value = item.getValue();
             heartbeat.forwardedEntries.push_back({ toStdString(item.getWorker()), std::string(reinterpret_cast<const char*>(value.begin()), value.size()), item.getOffset(), item.getNumber() });
         }
-        for (auto item : root.getSuspects())
-            heartbeat.crashesByContent[item.getContent()] = item.getCrashes();
+        for (auto item : root.getCrashes()) {
+            // Kinds of a newer version are skipped.
+            if (item.getKind() < static_cast<uint8_t>(routing::CrashCause::Kind::Count))
+                heartbeat.crashReports.push_back({ { static_cast<routing::CrashCause::Kind>(item.getKind()), item.getCause() }, item.getCrash(), milliseconds { item.getAgeMs() }, item.getCleared(), item.getAnsweredBefore() });
+        }
     }
 
 } // namespace
--- a/edge/src/peers.cpp
+++ b/edge/src/peers.cpp
@@ -167,7 +167,7 @@
         heartbeat.loads = this->vm.fleet.ownLoads();
         heartbeat.outcomes = this->vm.fleet.ownFailures(monotonicNow());
         heartbeat.sentPrefixes = this->vm.fleet.takeSentPrefixes();
-        heartbeat.crashesByContent = this->crashes.crashCounts();
+        heartbeat.crashReports = this->crashes.takeReports();
     }
     std::lock_guard lock(this->mutex);
     for (const auto& [item, count] : this->missingItems)
@@ -364,6 +364,7 @@
     if (!heartbeat->summaryOf.empty())
         return this->receiveSummary(std::move(*heartbeat));
     bool hasMissingItems = !heartbeat->missingItems.empty();
+    bool relaysReports = false;
     {
         std::lock_guard lock(this->mutex);
         auto found = this->peers.find(heartbeat->node);
@@ -391,6 +392,8 @@
             heartbeat->loads.clear();
             heartbeat->outcomes.clear();
         }
+        // VMs of the own group hear from the peer themselves.
+        relaysReports = !peer.inGroup;
         peer.missingItems = std::move(heartbeat->missingItems);
     }
     this->vm.fleet.applyHeartbeat(heartbeat->node, *heartbeat);
@@ -399,7 +402,7 @@
         if (this->onLeaseClaim)
             this->onLeaseClaim(heartbeat->leaseOffset);
     }
-    this->crashes.applyCrashCounts(heartbeat->crashesByContent);
+    this->crashes.applyReports(heartbeat->crashReports, relaysReports);
     if (hasMissingItems && this->onMissingItems)
         this->onMissingItems();
     if (this->onForwardedEntries)
--- a/edge/src/relay.cpp
+++ b/edge/src/relay.cpp
@@ -108,6 +108,8 @@
     ConfigurationPtr configuration;
     const routing::Route* route = nullptr;
     const routing::Service* service = nullptr;
+    std::set<routing::CrashCause> crashCauses;
+    bool progressed = false; ///< An answer got beyond its first event, or is complete.
     std::vector<uint64_t> prefixHashes; ///< Result of `routing::hashPrefixes`; empty if the service has no engine.
     transport::CancelToken cancel; ///< Cancelled when the caller closes its connection. Aborts the call to the worker.
     std::set<std::string> excludedWorkers; ///< Workers that failed this request.
@@ -226,9 +228,16 @@
                 context.head.shape.promptTokens += part.tokens;
         }
     }
+    context.crashCauses = routing::crashCauses(context.head.shape);
     return true;
 }
 
+void Relay::recordProgress(RequestContext& context)
+{
+    if (!std::exchange(context.progressed, true))
+        this->crashes.recordProgress(context.crashCauses);
+}
+
 routing::RetryBudget& Relay::retryBudget(const std::string& service)
 {
     const auto& settings = this->vm.settings;
@@ -325,7 +334,7 @@
 
 bool Relay::endIfHeldOff(RequestContext& context)
 {
-    if (context.streamStarted || !this->crashes.isHeldOff(context.head.shape.contentHash))
+    if (context.progressed || !this->crashes.isHeldOff(context.crashCauses))
         return false;
     if (context.possibleRuns > 0)
         this->finish(context, context.lastResult);
@@ -509,7 +518,8 @@
     this->vm.fleet.updateWorker(selection.id, [now](routing::Worker& worker) { routing::recordAnswer(worker, true, Time { 0 }, Time { 0 }, now); });
     if (error == IoError::Timeout)
         return SendResult::TimedOut;
-    this->crashes.recordBroken(selection.entry, context.head.shape.contentHash);
+    if (!context.progressed)
+        this->crashes.recordBroken(selection.entry, context.crashCauses);
     return SendResult::ConnectionLost;
 }
 
@@ -553,6 +563,7 @@
             break;
         response.body.append(chunk.value());
     }
+    this->recordProgress(context);
     bool succeeded = response.status < 400;
     if (!succeeded && context.isRetryable() && response.status >= 500) {
         context.workerError = std::move(response);
@@ -586,6 +597,8 @@
     std::string_view events(buffer.data(), end);
     auto last = events.substr(0, events.size() - separator.size());
     auto start = last.rfind(separator);
+    if (context.streamStarted || start != std::string_view::npos)
+        this->recordProgress(context);
     auto id = platform::eventId(start == std::string_view::npos ? last : last.substr(start + separator.size()));
     if (!context.streamStarted) {
         context.streamStarted = true;
@@ -678,6 +691,7 @@
     // The answer ended within an event or before the first one.
     if (!buffer.empty() || !context.streamStarted)
         return context.streamStarted ? SendResult::Resumable : this->handleSendError(context, selection, IoError::Closed);
+    this->recordProgress(context);
     context.outcome = "answered";
     increment(this->vm.counters, CountedEvent::Answers);
     if (!context.writer.finishStream())
--- a/edge/src/relay.h
+++ b/edge/src/relay.h
@@ -37,7 +37,9 @@
     /// Finds the route and the service of a request, sets its deadlines.
     /// @return false if the request was refused.
     bool resolveRoute(RequestContext& context);
-    /// Ends a request that crashes workers.
+    /// Records that an answer got beyond its first event, or is complete: its request does not crash workers.
+    void recordProgress(RequestContext& context);
+    /// Ends a request that crashes workers, unless its answer has made progress.
     /// @return whether it was ended.
     bool endIfHeldOff(RequestContext& context);
     void waitForAdapter(RequestContext& context, const routing::WorkerEntry& worker);
--- a/routing/include/routing/routing.h
+++ b/routing/include/routing/routing.h
@@ -68,8 +68,15 @@
 /// Maximum number of prompt tokens for each expected output token of a stream that is backed up at another worker. Copying
 /// the KV cache of a long prompt costs more than the few events that the copy may save.
 constexpr double maxBackupPromptRatio = 12;
-/// Number of worker crashes after which requests with the same content are refused.
+/// Number of worker crashes without an answer in between after which requests with the same content are refused.
 constexpr uint32_t poisonCrashLimit = 2;
+/// The same for requests with the same part of a prompt. Higher, because many sound requests may share a part.
+constexpr uint32_t poisonPartCrashLimit = 3;
+/// Minimum time between the first and the last of these crashes. Workers that fail together are not the fault of a request.
+constexpr milliseconds minPoisonCrashSpread { 200 };
+/// Time after the newest crash for which a cause is held off, less if workers have answered it before. After it requests pass again;
+/// one more crash holds it off again.
+constexpr std::chrono::minutes poisonHoldTime { 60 };
 
 /// Item in `Worker::announced` of a worker that executes a model order and therefore loads no adapters.
 constexpr const char* orderInProgressMark = "*";
@@ -436,33 +443,102 @@
     std::deque<CountSample> memberCounts; ///< Counts in the window that no later one exceeds, oldest first.
 };
 
-/// Counts worker crashes by the content of the requests that ran there, to find requests that crash workers. A content is known
-/// by its `RequestShape::contentHash`.
+/// A property of requests that may make workers crash.
+struct CrashCause {
+    enum class Kind : uint8_t {
+        Content, ///< `id` is `RequestShape::contentHash`.
+        Part, ///< `id` is `PromptPart::id`.
+        Count
+    };
+    Kind kind = Kind::Content;
+    uint64_t id = 0;
+    auto operator<=>(const CrashCause&) const = default;
+};
+
+/// Returns what a crash of its worker may be blamed on: the content of the request and the parts of its prompt, except the last,
+/// which belongs to the request alone.
+std::set<CrashCause> crashCauses(const RequestShape& shape);
+
+/// Statement that a worker crashed while it ran a request with this cause.
+struct CrashReport {
+    CrashCause cause;
+    uint64_t crash = 0; ///< Hash of the worker and its start, so that a crash that several VMs report counts once.
+    Time age { 0 }; ///< Time since the crash.
+    bool cleared = false; ///< A worker has answered a request with this cause since.
+    bool answeredBefore = false; ///< Workers are known to have answered requests with this part at any time.
+};
+
+/// Finds out which requests crash workers, from the crashes and answers that the VMs tell each other of.
+///
+/// A cause is held off after a number of crashes without an answer to any request with it in between. Causes that always occurred
+/// together can't be told apart: then only requests that have all of them are held off, so that the answers to others clear
+/// the sound causes. Parts that workers have answered before are held off only if there is no other explanation.
 class PoisonRequests {
 public:
-    /// Records that the response of a request broke off. The request is counted if the worker turns out to have crashed.
-    void recordBroken(const std::string& worker, uint64_t contentHash, Time now);
-    /// Records that a worker crashed: it refuses connections, has restarted or is gone. Counts one crash for each request that broke
+    /// Records that the answer to a request broke off before it made progress. Its causes are blamed if the worker turns out to have
+    /// crashed.
+    void recordBroken(const WorkerEntry& worker, const std::set<CrashCause>& causes, Time now);
+    /// Records that a worker crashed: it refuses connections, has restarted or is gone. Blames the causes of the requests that broke
     /// off there in the seconds before. A crash that is reported again counts only once.
-    /// @return number of requests that were counted.
+    /// @return number of requests that were blamed.
     size_t recordCrash(const std::string& worker, Time now);
-    /// Records that a worker still runs although answers broke off there: they are not counted for a later crash.
-    void recordAlive(const std::string& worker);
-    /// Raises the crash count of a content to the count that another VM reports.
-    void merge(uint64_t contentHash, uint32_t crashes);
-    /// Returns true if the content has crashed at least `poisonCrashLimit` workers.
-    bool isPoison(uint64_t contentHash) const;
-    /// Returns the number of crashes by content hash.
-    const std::map<uint64_t, uint32_t>& crashCounts() const { return this->crashesByContent; }
+    /// Records that a worker still runs although answers broke off there: they are not blamed for a later crash.
+    void recordAlive(const std::string& worker) { this->forgetBroken(worker); }
+    /// Records that the answer to a request made progress, which clears its causes.
+    void recordProgress(const std::set<CrashCause>& causes, Time now);
+    /// Applies reports of another VM.
+    /// @param relay whether `takeReports` returns what was new to this VM, for VMs that the other one does not reach.
+    void merge(const std::vector<CrashReport>& reports, bool relay, Time now);
+    /// Returns the reports for the next heartbeat: recent changes, and in turn those about causes that are held off.
+    std::vector<CrashReport> takeReports(Time now);
+    /// Returns the causes for which requests with `causes` are held off, or nothing.
+    std::set<CrashCause> findPoison(const std::set<CrashCause>& causes, Time now) const;
+    /// Returns the groups of causes that are held off: requests that have all causes of a group.
+    std::vector<std::set<CrashCause>> heldOff(Time now) const;
 
 private:
     struct BrokenRequest {
         std::string worker;
-        uint64_t contentHash = 0;
+        uint64_t crash = 0; ///< As `CrashReport::crash`, if the worker has crashed.
+        std::set<CrashCause> causes;
         Time at { 0 };
     };
+    /// What is known of one crash and one cause.
+    struct Evidence {
+        Time at { 0 }; ///< When the worker crashed.
+        Time learntAt { 0 }; ///< When the evidence or its clearing became known to this VM.
+        bool cleared = false;
+    };
+    using EvidenceKey = std::pair<CrashCause, uint64_t>; ///< Cause and crash.
+    using CrashTimes = std::map<uint64_t, Time>;
+    /// A group of causes that is held off.
+    struct Hold {
+        std::set<CrashCause> causes;
+        Time until { 0 };
+    };
+
+    void forgetBroken(const std::string& worker);
+    /// Adds evidence, or clears it.
+    /// @param repeats number of heartbeats that carry the news.
+    /// @return whether anything changed.
+    bool apply(const CrashCause& cause, uint64_t crash, Time at, bool cleared, bool answeredBefore, int repeats, Time now);
+    /// Marks evidence as cleared. The parameters and the result are as for `apply`.
+    bool clear(const CrashCause& cause, uint64_t crash, Evidence& item, int repeats, Time now);
+    /// Returns the crashes of a cause that are not cleared.
+    CrashTimes openCrashes(const CrashCause& cause) const;
+    /// Computes `holds` anew, after the evidence has changed.
+    void updateHolds();
+    /// @return whether anything was removed.
+    bool removeExpired(Time now);
+
     std::deque<BrokenRequest> brokenRequests; ///< Oldest first.
-    std::map<uint64_t, uint32_t> crashesByContent; ///< By content hash.
+    std::map<CrashCause, std::map<uint64_t, Evidence>> evidence; ///< By cause and crash.
+    std::map<CrashCause, Time> progressTimes; ///< Last progress of answers by prompt part, for crashes that become known later.
+    std::set<CrashCause> answered; ///< Parts with evidence that workers have answered at any time.
+    std::vector<Hold> holds;
+    std::map<EvidenceKey, int> pendingReports; ///< News for peers, with the number of heartbeats that still carry each.
+    Time expiredAt { 0 }; ///< When expired evidence was last removed.
+    EvidenceKey lastSentInTurn; ///< The next heartbeat continues after it.
 };
 
 } // namespace comfreypier::routing
--- a/routing/src/retries.cpp
+++ b/routing/src/retries.cpp
@@ -1,4 +1,4 @@
-/// Retry budget and detection of poison requests.
+/// Retry budget.
 #include <algorithm>
 #include <routing/routing.h>
 
@@ -6,12 +6,6 @@
 
 namespace {
 
-    /// A worker crash is attributed to the requests that broke off there within this time before it became known. Workers publish a new
-    /// entry when they are back, after some seconds.
-    constexpr Time crashAttributionWindow = std::chrono::seconds { 10 };
-    /// Number of contents to which `recordCrash` reduces the crash counts. Reports of other VMs may exceed it until then.
-    constexpr size_t maxCrashCounts = 4096;
-
     /// Removes the times before `start`. @param times oldest first.
     void removeBefore(std::deque<Time>& times, Time start)
     {
@@ -68,44 +62,4 @@
     return true;
 }
 
-void PoisonRequests::recordBroken(const std::string& worker, uint64_t contentHash, Time now)
-{
-    while (!this->brokenRequests.empty() && this->brokenRequests.front().at < now - crashAttributionWindow)
-        this->brokenRequests.pop_front();
-    this->brokenRequests.push_back({ worker, contentHash, now });
-}
-
-size_t PoisonRequests::recordCrash(const std::string& worker, Time now)
-{
-    size_t counted = 0;
-    for (auto& request : this->brokenRequests) {
-        if (request.worker != worker || request.at < now - crashAttributionWindow)
-            continue;
-        this->crashesByContent[request.contentHash]++;
-        counted++;
-        request.worker.clear(); // A second report of the same crash must not count again.
-    }
-    // Counts have no time, so any may go: that of the lowest hash.
-    while (this->crashesByContent.size() > maxCrashCounts)
-        this->crashesByContent.erase(this->crashesByContent.begin());
-    return counted;
-}
-
-void PoisonRequests::recordAlive(const std::string& worker)
-{
-    std::erase_if(this->brokenRequests, [&worker](const auto& request) { return request.worker == worker; });
-}
-
-void PoisonRequests::merge(uint64_t contentHash, uint32_t crashes)
-{
-    auto& knownCount = this->crashesByContent[contentHash];
-    knownCount = std::max(knownCount, crashes);
-}
-
-bool PoisonRequests::isPoison(uint64_t contentHash) const
-{
-    auto found = this->crashesByContent.find(contentHash);
-    return found != this->crashesByContent.end() && found->second >= poisonCrashLimit;
-}
-
 } // namespace comfreypier::routing
