Test of answers that end with their connection, whole, cut and reset

Nine cases against a raw worker, each on a kept caller connection and on one that closes: whole answers arrive whole, cut ones never look complete.

--- a/tests/unit/edge_test.cpp
+++ b/tests/unit/edge_test.cpp
@@ -221,6 +221,68 @@
     cr_assert_eq(cluster.llm(0).runs + cluster.llm(1).runs, before + 1);
 }
 
+// A worker may send an answer with neither a length nor chunks and end it by closing the connection. An answer that was cut must not
+// look complete to the caller, on a kept connection or on one that is closed after it.
+CLUSTER_TEST(answer_that_ends_with_its_connection_is_forwarded_whole_or_as_cut, 32200)
+{
+    struct Case {
+        const char* name;
+        bool streaming;
+        std::string body;
+        bool reset; ///< The worker's connection ends by a reset.
+        bool complete;
+    };
+    const std::vector<Case> cases {
+        { "whole answer", false, "the whole answer", false, true },
+        { "empty answer", false, "", false, true },
+        { "answer that is reset", false, "part of the ans", true, false },
+        { "stream", true, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", false, true },
+        { "stream that ends inside an event", true, "id: 1\ndata: a\n\nid: 2\ndata", false, false },
+        { "stream that ends between the line ends of an event", true, "id: 1\ndata: a\n\nid: 2\ndata: b\n", false, false },
+        { "stream that ends inside its first event", true, "id: 1\ndata: a", false, false },
+        { "stream without an event", true, "", false, false },
+        { "stream that is reset", true, "id: 1\ndata: a\n\n", true, false },
+    };
+    std::atomic<size_t> current { 0 };
+    auto serve = [&](int connection) {
+        auto request = standins::RawPeer::readRequest(connection);
+        auto start = request.find("id-");
+        // Reports have no id.
+        if (start == std::string::npos)
+            return;
+        auto id = request.substr(start, request.find('\r', start) - start);
+        const auto& item = cases[current];
+        standins::RawPeer::write(connection, "HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nServer-Seal: s\r\n" + (item.streaming ? "Content-Type: text/event-stream\r\n\r\n" : "\r\n") + item.body);
+        // The reset must not overtake the bytes.
+        std::this_thread::sleep_for(milliseconds { 50 });
+        if (item.reset)
+            standins::RawPeer::resetOnClose(connection);
+    };
+    for (auto& worker : cluster.workers)
+        worker->unpublish();
+    for (int i = 0; i < 2; i++) {
+        auto port = static_cast<uint16_t>(cluster.base + 10 + i);
+        new standins::RawPeer(port, serve);
+        cluster.store.write("keyed.servers", "raw" + std::to_string(i), std::string(R"({"service":")") + (i == 0 ? "app" : "llm") + R"(","addr":"127.0.0.1:)" + std::to_string(port) + R"(","zone":"dc","version":"v1","slots":8,"state":"ready","born":1,"models":[{"name":"m1","version":1,"adapters":[]}]})");
+    }
+    cluster.configureAndWait();
+    int number = 0;
+    for (; current < cases.size(); current++) {
+        const auto& item = cases[current];
+        for (const auto* connection : { "keep-alive", "close" }) {
+            std::vector<transport::Header> headers { { "Connection", connection } };
+            if (item.streaming)
+                headers.insert(headers.end(), { { "Model", "m1" }, { "Token-Count", "500,100" } });
+            auto answer = cluster.sendRequest(item.streaming ? "/chat/x" : "/order/x", "id-" + std::to_string(number++), headers);
+            if (item.complete) {
+                cr_assert_eq(answer.status, 200U, "%s, %s: got %u", item.name, connection, answer.status);
+                cr_assert_eq(answer.body, item.body, "%s, %s", item.name, connection);
+            } else
+                cr_assert_neq(answer.status, 200U, "%s, %s looks complete", item.name, connection);
+        }
+    }
+}
+
 // A worker in trouble sends bytes that complete no event, or events, without end. The caller must be told by the route's time limit that
 // its stream is not complete, and the VM must not keep the bytes.
 CLUSTER_TEST(stream_without_end_is_cut_at_its_time_limit, 31300)
