--- a/edge/src/relay.cpp
+++ b/edge/src/relay.cpp
@@ -74,6 +74,15 @@
         return text.empty() ? "-" : text;
     }
 
+    /// Formats a worker's limit for log lines; "-" if it named none.
+    std::string formatLimit(std::optional<double> limit)
+    {
+        std::array<char, 32> text { "-" };
+        if (limit)
+            std::snprintf(text.data(), text.size(), "%.3g", *limit);
+        return text.data();
+    }
+
     /// Returns whether callers understand `status` as a statement that the request did not run.
     bool impliesNotRun(unsigned status)
     {
@@ -130,6 +139,7 @@
     Time waitTime { 0 }; ///< Time for which the request waited for a worker.
     Time timeToFirstByte { 0 }; ///< Time from the request's arrival to the first byte sent to the caller.
     Time entryAge { 0 }; ///< See `Fleet::Selection`.
+    std::optional<double> requestLimit; ///< Limit that the worker named in its answer, in requests per second.
 
     bool isCallerGone() const { return this->cancel.isCancelled(); }
     /// Returns the time until the deadline; negative after it.
@@ -171,7 +181,7 @@
         + " parts=" + formatParts(context.head.shape.parts) + " tokens=" + std::to_string(context.head.shape.promptTokens) + " kept=" + std::to_string(context.cachedTokens)
         + " worker=" + (context.workerId.empty() ? "-" : context.workerId) + " entry_age_ms=" + formatMilliseconds(context.entryAge) + " sends=" + std::to_string(context.sendCount)
         + " waited_ms=" + formatMilliseconds(context.waitTime) + " expected_ms=" + formatMilliseconds(context.expectedFirstByte) + " first_ms=" + formatMilliseconds(context.timeToFirstByte)
-        + " total_ms=" + formatMilliseconds(monotonicNow() - context.startedAt) + " status=" + std::to_string(context.status) + " outcome=" + context.outcome);
+        + " total_ms=" + formatMilliseconds(monotonicNow() - context.startedAt) + " limit=" + formatLimit(context.requestLimit) + " status=" + std::to_string(context.status) + " outcome=" + context.outcome);
 }
 
 void Relay::refuse(RequestContext& context, unsigned status, RefusalReason refusal, std::optional<milliseconds> retryAfter)
@@ -470,6 +480,7 @@
         return this->handleSendError(context, selection, opened.error());
     auto stream = std::move(opened.value());
     auto head = platform::decodeResponseHead(stream->status(), stream->headers());
+    context.requestLimit = head.requestLimit;
     // A worker that did not run the request may leave its id out.
     if (head.requestId != context.head.id && !(head.notExecuted && head.requestId.empty()))
         return this->handleInvalidAnswer(context, selection);
