--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -408,10 +408,13 @@
     auto fault = this->fault.load();
     std::string requestId(findHeader(request.headers, "Attempt-Id"));
     std::vector<Header> headers { { "Attempt-Id", requestId }, { "Server-Seal", "seal-" + this->id } };
+    if (auto limit = this->requestLimit.load(); limit > 0)
+        headers.push_back({ "Server-Limit", std::to_string(limit) });
     auto model = std::string(findHeader(request.headers, "Model"));
     {
         std::lock_guard lock(this->mutex);
         this->completeOrderIfDue(false);
+        this->arrivalTimes.push_back(transport::monotonicNow());
         this->recentRequests.push_back(request);
         while (this->recentRequests.size() > maxRecentRequests)
             this->recentRequests.pop_front();
@@ -420,7 +423,7 @@
             loaded = loaded && this->adapters.contains(model);
         if (!loaded || fault == WorkerFault::Full) {
             // The response states that the request did not run and has no signature.
-            headers.pop_back();
+            std::erase_if(headers, [](const auto& header) { return header.name == "Server-Seal"; });
             headers.push_back({ "Not-Executed", "1" });
             writer.send({ loaded ? 503U : 421U, headers, "" });
             return;
@@ -448,7 +451,7 @@
     if (fault == WorkerFault::WrongRequestId)
         headers[0].value = "another-request";
     if (fault == WorkerFault::MissingSignature)
-        headers.pop_back(); // Server-Seal
+        std::erase_if(headers, [](const auto& header) { return header.name == "Server-Seal"; });
     for (auto waited = milliseconds { 0 }; waited < milliseconds { this->responseDelayMs }; waited += pollInterval) {
         transport::sleepFor(pollInterval);
         if (writer.isCallerGone()) {
--- a/tests/standins/platform_standin.h
+++ b/tests/standins/platform_standin.h
@@ -124,6 +124,7 @@
     std::atomic<int> crashingRequests { 0 }; ///< Number of requests with `crashingPart` that arrived.
     std::atomic<bool> down { false }; ///< The worker has crashed and not restarted yet.
     std::atomic<int> orderDurationMs { 0 }; ///< Time to carry out a model order.
+    std::atomic<double> requestLimit { 0 }; ///< Requests per second that the worker names in its answers; 0 for no limit.
     std::atomic<int64_t> startedAtMs { 1700000000000 }; ///< Start time in the worker's entry, in Unix milliseconds.
     std::atomic<int> eventsPerStream { 8 }; ///< Number of the last event of each stream.
     std::atomic<int> eventDelayMs { 5 }; ///< Delay after each event of a stream.
@@ -133,6 +134,7 @@
 
     std::mutex mutex;
     std::map<std::string, int> runsByRequestId; ///< Without resumed runs. Guarded by `mutex`.
+    std::vector<std::chrono::nanoseconds> arrivalTimes; ///< When each request of a caller arrived. Guarded by `mutex`.
     std::deque<transport::HttpRequest> recentRequests; ///< Newest requests of callers. Guarded by `mutex`.
     std::map<std::string, double> models; ///< Loaded models and their sizes in megabytes. Guarded by `mutex`.
     std::map<std::string, double> modelMegabytes; ///< Sizes of all models that may be loaded. Set before the first order.
