--- a/edge/src/fleet.cpp
+++ b/edge/src/fleet.cpp
@@ -322,7 +322,7 @@
 void Fleet::updateLimits(const std::vector<routing::Worker*>& workers, Time now) const
 {
     for (auto* worker : workers)
-        worker->limitedUntil = this->limits.nextSendAt(routing::workerStart(worker->entry), now);
+        worker->limitedUntil = this->limits.isEmpty() ? Time { 0 } : this->limits.nextSendAt(routing::workerStart(worker->entry), now);
 }
 
 void Fleet::setMembers(std::vector<std::string> names)
@@ -334,13 +334,13 @@
 bool Fleet::recordLimit(const routing::WorkerEntry& worker, std::optional<double> limit, Time now)
 {
     std::lock_guard lock(this->mutex);
-    return this->limits.recordAnswer(routing::workerStart(worker), limit, now);
+    return (limit || !this->limits.isEmpty()) && this->limits.recordAnswer(routing::workerStart(worker), limit, now);
 }
 
 bool Fleet::isLimited(const routing::WorkerEntry& worker, Time now) const
 {
     std::lock_guard lock(this->mutex);
-    return this->limits.nextSendAt(routing::workerStart(worker), now) > now;
+    return !this->limits.isEmpty() && this->limits.nextSendAt(routing::workerStart(worker), now) > now;
 }
 
 std::vector<routing::LimitReport> Fleet::takeLimitReports(Time now)
@@ -393,7 +393,8 @@
     if (found != this->workers.end()) {
         auto& worker = found->second.worker;
         worker.ownLoad = worker.ownLoad + load;
-        this->limits.recordSend(routing::workerStart(worker.entry), monotonicNow());
+        if (!this->limits.isEmpty())
+            this->limits.recordSend(routing::workerStart(worker.entry), monotonicNow());
         for (size_t i = 0; i < prefixHashes.size(); i++) {
             bool alreadyCached = worker.prefixCache.contains(prefixHashes[i]);
             worker.prefixCache.add(prefixHashes[i], shape.parts[i].tokens, kvCacheTokens * routing::prefixCacheShare);
--- a/routing/include/routing/routing.h
+++ b/routing/include/routing/routing.h
@@ -489,10 +489,13 @@
     Time nextSendAt(uint64_t worker, Time now) const;
     /// Records that a request is sent to the worker.
     void recordSend(uint64_t worker, Time now);
+    /// Returns whether no worker is known to have named a limit lately.
+    bool isEmpty() const { return this->limits.empty(); }
     /// Returns the limit of a worker that is in force, or 0.
     double limitOf(uint64_t worker) const;
 
 private:
+    /// What is known of one worker.
     struct Limit {
         double limit = 0; ///< 0 if the worker no longer names one.
         Time answeredAt { 0 }; ///< When the newest known answer arrived.
