Peers that restart are heard although the own reads of the members hang

Its long polls of the configuration and of the members hung on connections that had fallen silent; meanwhile both peers restarted. Heartbeats of a start without a member record are ignored, so the VM heard nobody, and nothing told it of newer versions. Cause: the way around a silent connection, news from peers, depended on another stream that may be silent as well.

Heartbeats of an unknown member that go on for 1.5 s, unless their sender is shutting down, now make the VM read the members on a new connection, at most once in that time for each sender. edge.restarted_peers_are_heard_although_the_reads_of_the_members_hang failed before (not within 3 s) and passes. peers_test and edge_test pass.

--- a/edge/src/edge.cpp
+++ b/edge/src/edge.cpp
@@ -84,6 +84,7 @@
     {
         this->peers.readsWorkers = [this] { return this->store.hasReadWorkersRecently(); };
         this->peers.onForwardedEntries = [this](const auto& entries) { this->store.applyForwardedEntries(entries); };
+        this->peers.onUnknownMember = [this] { this->store.refreshMembers(); };
         this->crashes.onCrash = [this] { this->peers.sendHeartbeat(); };
         this->peers.onConfigurationVersion = [this](uint64_t version) { this->store.refreshIfOlderThan(version); };
     }
--- a/edge/src/peers.cpp
+++ b/edge/src/peers.cpp
@@ -22,6 +22,12 @@
     /// Minimum demand for a model that is sent to other VMs, in worker seconds per second.
     constexpr double minSentDemand = 0.005;
 
+    /// Time for which heartbeats of an unknown member come before the members are read on a new connection. Longer than a read usually
+    /// takes to learn of it.
+    constexpr milliseconds unknownMemberDelay { 1500 };
+    /// Maximum number of unknown senders that are remembered.
+    constexpr size_t maxUnknownSenders = 512;
+
     /// Returns a random number that identifies this start of the daemon.
     uint64_t drawIncarnation()
     {
@@ -389,10 +395,24 @@
         return this->receiveSummary(std::move(*heartbeat));
     bool hasMissingItems = !heartbeat->missingItems.empty();
     bool relaysReports = false;
+    bool isKnown = false;
+    bool membersOutdated = false;
+    {
+        std::lock_guard lock(this->mutex);
+        auto found = this->peers.find(heartbeat->node);
+        isKnown = found != this->peers.end() && found->second.member.incarnation == heartbeat->incarnation;
+        if (!isKnown)
+            membersOutdated = this->recordUnknownSender(*heartbeat, monotonicNow());
+    }
+    if (!isKnown) {
+        if (membersOutdated && this->onUnknownMember)
+            this->onUnknownMember();
+        return;
+    }
     {
         std::lock_guard lock(this->mutex);
         auto found = this->peers.find(heartbeat->node);
-        if (found == this->peers.end() || found->second.member.incarnation != heartbeat->incarnation)
+        if (found == this->peers.end())
             return;
         auto& peer = found->second;
         if (heartbeat->sequence <= peer.sequence)
@@ -441,6 +461,22 @@
     }
 }
 
+bool Peers::recordUnknownSender(const Heartbeat& heartbeat, Time now)
+{
+    // A VM that shuts down has deleted its record.
+    if (heartbeat.draining)
+        return false;
+    if (this->unknownSenders.size() >= maxUnknownSenders)
+        this->unknownSenders.clear();
+    auto& sender = this->unknownSenders[heartbeat.node];
+    if (sender.incarnation != heartbeat.incarnation)
+        sender = { heartbeat.incarnation, now };
+    if (now - sender.since < unknownMemberDelay)
+        return false;
+    sender.since = now;
+    return true;
+}
+
 void Peers::applyMember(const std::string& node, const std::optional<Member>& member)
 {
     if (node == this->vm.settings.node)
@@ -457,6 +493,7 @@
     // A new incarnation starts with new sequence numbers.
     peer = {};
     peer.member = *member;
+    this->unknownSenders.erase(node);
     this->updateGroup();
     this->log.info("event=member node=" + node + " inner=" + transport::toString(member->inner) + " data_centre=" + member->dataCentre);
 }
--- a/edge/src/peers.h
+++ b/edge/src/peers.h
@@ -100,6 +100,8 @@
     std::function<void(uint64_t)> onLeaseClaim;
     /// Called with the configuration version of each heartbeat.
     std::function<void(uint64_t)> onConfigurationVersion;
+    /// Called when heartbeats of a VM without a member record of that start have come for some time: the own read of the members may hang.
+    std::function<void()> onUnknownMember;
     /// Called for each use of an adapter by any VM, this one included.
     std::function<void(const MissingItem&)> onAdapterUse;
 
@@ -148,6 +150,9 @@
     void receiveSummary(Heartbeat summary);
     /// Applies a heartbeat datagram. Ignores heartbeats of unknown VMs or earlier incarnations, and those that arrive late.
     void receive(std::string_view bytes);
+    /// Records a heartbeat of an unknown member. The caller must hold the lock.
+    /// @return whether `onUnknownMember` is to be called.
+    bool recordUnknownSender(const Heartbeat& heartbeat, Time now);
     /// Writes this VM's member record to the store.
     /// @return false if the store failed.
     bool publishMember();
@@ -161,6 +166,12 @@
     Time lastFullHeartbeatAt { 0 }; ///< When the last full heartbeat was sent.
     mutable std::mutex mutex;
     std::map<std::string, Peer> peers; ///< By VM name; without this VM.
+    /// Heartbeats of a VM or of a start of it that is not known as a member.
+    struct UnknownSender {
+        uint64_t incarnation = 0;
+        Time since { 0 }; ///< When the first came, or `onUnknownMember` was last called for it.
+    };
+    std::map<std::string, UnknownSender> unknownSenders; ///< By VM name.
     bool membersChanged = true; ///< The VMs that share the limits of workers are to be set anew.
     size_t groupPeerCount = 0; ///< Number of peers in this VM's group.
     placement::WorkAverage averageWork; ///< This VM's demand.
--- a/edge/src/store_task.cpp
+++ b/edge/src/store_task.cpp
@@ -54,6 +54,17 @@
     });
 }
 
+void StoreTask::refreshMembers()
+{
+    if (std::exchange(this->readsMembersAside, true))
+        return;
+    transport::spawnOnCurrentThread([this] {
+        if (auto page = this->readOnNewConnection(platform::Stream::Members))
+            this->applyMembers(*page);
+        this->readsMembersAside = false;
+    });
+}
+
 std::optional<platform::StorePage> StoreTask::readOnNewConnection(platform::Stream stream)
 {
     auto store = this->vm.store();
--- a/edge/src/store_task.h
+++ b/edge/src/store_task.h
@@ -30,6 +30,8 @@
     void followMembers();
     /// Reads the configuration on a new connection if the one in force stays older than `version`, which a peer has.
     void refreshIfOlderThan(uint64_t version);
+    /// Reads the members on a new connection, unless such a read is under way. Called if a peer's record seems to be missing.
+    void refreshMembers();
     /// Reads all streams anew after the store's address has changed. Must run on the I/O thread.
     void onStoreAddressChanged();
     /// Applies records of the worker stream that a peer forwards.
@@ -87,6 +89,7 @@
     Time workersReadAt { -std::chrono::hours { 1 } }; ///< When this VM last read the worker stream itself.
     Time workersReadBeganAt { -std::chrono::hours { 1 } }; ///< When that read began.
     uint64_t workersFullReadEnd = 0; ///< Offset up to which the last full read of the worker stream covers all records.
+    bool readsMembersAside = false; ///< `refreshMembers` is reading.
     Time newerVersionReadAt { 0 }; ///< When the configuration was last read because of a peer's newer version.
     Time workersStreamRegainedAt { -std::chrono::hours { 1 } }; ///< When the worker stream became readable again.
     transport::Log log { "store" };
--- a/tests/unit/peers_test.cpp
+++ b/tests/unit/peers_test.cpp
@@ -37,6 +37,8 @@
         std::lock_guard lock(this->mutex);
         change(this->heartbeats[name]);
     }
+    /// Lets the peers send the heartbeats of another start, without a member record of it.
+    void setIncarnation(uint64_t value) { this->incarnation = value; }
     /// Returns the number of heartbeats that all peers together received.
     int receivedHeartbeats() const { return this->heartbeatCount; }
     /// Returns the number of worker records that these heartbeats forwarded; one that arrives several times counts each time.
@@ -51,7 +53,7 @@
                 std::lock_guard lock(this->mutex);
                 auto& heartbeat = this->heartbeats[name];
                 heartbeat.node = name;
-                heartbeat.incarnation = 1;
+                heartbeat.incarnation = this->incarnation;
                 heartbeat.sequence = sequence;
                 heartbeat.ready = true;
                 this->socket.send(loopback(this->cluster.base + 23), edge::encodeHeartbeat(heartbeat));
@@ -72,6 +74,7 @@
     std::vector<std::string> names;
     std::mutex mutex;
     std::map<std::string, edge::Heartbeat> heartbeats; ///< What each peer sends. Guarded by `mutex`.
+    std::atomic<uint64_t> incarnation { 1 };
     std::atomic<int> heartbeatCount { 0 };
     std::atomic<int> entryCount { 0 };
     transport::DatagramSocket socket;
@@ -308,6 +311,32 @@
 }
 
 // Guards against a weak VM that keeps the lease after a VM with more capacity has started.
+// Guards against a VM that hears no other VM for half a minute because its reads of the members and of the configuration hang on silent
+// connections while the others restart.
+Test(edge, restarted_peers_are_heard_although_the_reads_of_the_members_hang, .timeout = 40)
+{
+    auto* cluster = new TestCluster(32500);
+    cluster->configureAndWait();
+    auto* peers = new SimulatedPeers(*cluster, 32560, { "peer0" }, "dc");
+    auto knowsPeer = [&] {
+        auto response = cluster->call(cluster->directory(), { "GET", "/v1/resolve?name=h.example&region=r&zone=dc", {}, {} });
+        return response && response.value().body.find("32561") != std::string::npos;
+    };
+    cr_assert(cluster->waitUntil(knowsPeer));
+    // Reads that wait at this time, as both streams' do soon after their last record, never get a response.
+    std::this_thread::sleep_for(milliseconds { 1500 });
+    cluster->store.unresponsive = true;
+    std::this_thread::sleep_for(milliseconds { 300 });
+    cluster->store.unresponsive = false;
+    peers->setIncarnation(2);
+    cluster->store.write("keyed.comfreypier-members", "peer0", edge::encodeMember({ 2, loopback(32560), loopback(32561), "dc", 0 }));
+    cluster->configure(2, standins::makePlatformRoute("late", "/late/"));
+    peers->changeHeartbeat("peer0", [](edge::Heartbeat& heartbeat) { heartbeat.configVersion = 2; });
+    cr_assert(cluster->waitUntil([&] { return cluster->sendRequest("/late/x", "id-1").status == 200; }, milliseconds { 3000 }), "the configuration that the restarted peer reports was not read");
+    cr_assert(cluster->waitUntil(knowsPeer, milliseconds { 3000 }), "the restarted peer is not known");
+    exitProcess();
+}
+
 Test(edge, lease_moves_to_stronger_vm, .timeout = 40)
 {
     auto* cluster = new TestCluster(31100, 0);
