--- a/tests/unit/edge_test.cpp
+++ b/tests/unit/edge_test.cpp
@@ -266,6 +266,8 @@
         cluster.store.write("keyed.servers", "raw" + std::to_string(i), std::string(R"({"service":")") + (i == 0 ? "app" : "llm") + R"(","addr":"127.0.0.1:)" + std::to_string(port) + R"(","zone":"dc","version":"v1","slots":8,"state":"ready","born":1,"models":[{"name":"m1","version":1,"adapters":[]}]})");
     }
     cluster.configureAndWait();
+    // The VM may read the entries of the two raw workers one after the other.
+    cr_assert(cluster.waitUntil([&] { return cluster.sendRequest("/order/x", "id-a").status != 503 && cluster.sendChat("id-b").status != 503; }));
     int number = 0;
     for (; current < cases.size(); current++) {
         const auto& item = cases[current];
