--- a/edge/src/peers.cpp
+++ b/edge/src/peers.cpp
@@ -394,52 +394,41 @@
     if (!heartbeat->summaryOf.empty())
         return this->receiveSummary(std::move(*heartbeat));
     bool hasMissingItems = !heartbeat->missingItems.empty();
-    bool relaysReports = false;
-    bool isKnown = false;
-    bool membersOutdated = false;
-    {
-        std::lock_guard lock(this->mutex);
-        auto found = this->peers.find(heartbeat->node);
-        isKnown = found != this->peers.end() && found->second.member.incarnation == heartbeat->incarnation;
-        if (!isKnown)
-            membersOutdated = this->recordUnknownSender(*heartbeat, monotonicNow());
-    }
-    if (!isKnown) {
+    std::unique_lock lock(this->mutex);
+    auto found = this->peers.find(heartbeat->node);
+    if (found == this->peers.end() || found->second.member.incarnation != heartbeat->incarnation) {
+        bool membersOutdated = this->recordUnknownSender(*heartbeat, monotonicNow());
+        lock.unlock();
         if (membersOutdated && this->onUnknownMember)
             this->onUnknownMember();
         return;
     }
-    {
-        std::lock_guard lock(this->mutex);
-        auto found = this->peers.find(heartbeat->node);
-        if (found == this->peers.end())
-            return;
-        auto& peer = found->second;
-        if (heartbeat->sequence <= peer.sequence)
-            return;
-        if (!this->isReachable(peer, monotonicNow()))
-            this->log.info("event=peer_heard node=" + heartbeat->node);
-        peer.sequence = heartbeat->sequence;
-        peer.lastHeartbeatAt = monotonicNow();
-        peer.ready = heartbeat->ready;
-        peer.draining = heartbeat->draining;
-        peer.overloaded = heartbeat->overloaded;
-        peer.readsWorkers = heartbeat->readsWorkers;
-        peer.leaseToken = heartbeat->leaseToken;
-        // A partial heartbeat carries no demand.
-        if (!heartbeat->partial)
-            peer.demand = heartbeat->demand;
-        if (!heartbeat->partial && peer.inGroup)
-            peer.forwards.record(*heartbeat, monotonicNow());
-        // The lease holder gets full heartbeats of all VMs. The loads of other groups are in their summaries already.
-        if (!peer.inGroup) {
-            heartbeat->loads.clear();
-            heartbeat->outcomes.clear();
-        }
-        // VMs of the own group hear from the peer themselves.
-        relaysReports = !peer.inGroup;
-        peer.missingItems = std::move(heartbeat->missingItems);
-    }
+    auto& peer = found->second;
+    if (heartbeat->sequence <= peer.sequence)
+        return;
+    if (!this->isReachable(peer, monotonicNow()))
+        this->log.info("event=peer_heard node=" + heartbeat->node);
+    peer.sequence = heartbeat->sequence;
+    peer.lastHeartbeatAt = monotonicNow();
+    peer.ready = heartbeat->ready;
+    peer.draining = heartbeat->draining;
+    peer.overloaded = heartbeat->overloaded;
+    peer.readsWorkers = heartbeat->readsWorkers;
+    peer.leaseToken = heartbeat->leaseToken;
+    // A partial heartbeat carries no demand.
+    if (!heartbeat->partial)
+        peer.demand = heartbeat->demand;
+    if (!heartbeat->partial && peer.inGroup)
+        peer.forwards.record(*heartbeat, monotonicNow());
+    // The lease holder gets full heartbeats of all VMs. The loads of other groups are in their summaries already.
+    if (!peer.inGroup) {
+        heartbeat->loads.clear();
+        heartbeat->outcomes.clear();
+    }
+    // VMs of the own group hear from the peer themselves.
+    bool relaysReports = !peer.inGroup;
+    peer.missingItems = std::move(heartbeat->missingItems);
+    lock.unlock();
     this->vm.fleet.applyHeartbeat(heartbeat->node, *heartbeat);
     if (heartbeat->leaseToken != 0) {
         this->vm.fleet.applyResident(heartbeat->resident);
--- a/routing/include/routing/routing.h
+++ b/routing/include/routing/routing.h
@@ -586,8 +586,8 @@
     /// What is known of one crash and one cause.
     struct Evidence {
         Time at { 0 }; ///< When the worker crashed.
-        Time learntAt { 0 }; ///< When the evidence or its clearing became known to this VM.
         bool cleared = false;
+        Time clearedAt { 0 }; ///< When its clearing became known to this VM; without meaning before.
     };
     using EvidenceKey = std::pair<CrashCause, uint64_t>; ///< Cause and crash.
     using CrashTimes = std::map<uint64_t, Time>;
--- a/routing/src/poison_requests.cpp
+++ b/routing/src/poison_requests.cpp
@@ -147,14 +147,14 @@
     if (item.cleared)
         return false;
     item.cleared = true;
-    item.learntAt = now;
+    item.clearedAt = now;
     this->pendingReports[{ cause, crash }] = repeats;
     return true;
 }
 
 bool PoisonRequests::apply(const CrashCause& cause, uint64_t crash, Time at, bool cleared, bool answeredBefore, int repeats, Time now)
 {
-    auto [found, added] = this->evidence[cause].try_emplace(crash, Evidence { at, now, cleared });
+    auto [found, added] = this->evidence[cause].try_emplace(crash, Evidence { at, cleared, now });
     auto& item = found->second;
     if (added)
         this->pendingReports[{ cause, crash }] = repeats;
@@ -280,7 +280,7 @@
         auto& crashes = it->second;
         auto openLifetime = this->openCrashes(it->first).size() >= crashLimit(it->first.kind) ? heldEvidenceLifetime : openEvidenceLifetime;
         auto removed = std::erase_if(crashes, [&](const auto& item) {
-            return item.second.cleared ? now - item.second.learntAt > clearedEvidenceLifetime : now - item.second.at > openLifetime;
+            return item.second.cleared ? now - item.second.clearedAt > clearedEvidenceLifetime : now - item.second.at > openLifetime;
         });
         changed = changed || removed > 0;
         it = crashes.empty() ? this->evidence.erase(it) : std::next(it);
--- a/tests/unit/edge_world.h
+++ b/tests/unit/edge_world.h
@@ -118,9 +118,9 @@
     /// Sends a request of a caller whose time limit is three seconds: a GET below `/status`, whose route is idempotent, otherwise a
     /// POST.
     /// @return the answer. If the call failed, its status is 0 and its body the name of the error.
-    HttpResponse sendRequest(const std::string& path, const std::string& id, std::vector<transport::Header> extraHeaders = {}, int vm = 0)
+    HttpResponse sendRequest(const std::string& path, const std::string& id, std::vector<transport::Header> extraHeaders = {}, int vm = 0, const std::string& body = "the body")
     {
-        HttpRequest request { path.starts_with("/status") ? "GET" : "POST", path, { { "Host", "h.example" }, { "Attempt-Id", id }, { "Deadline-Ms", "3000" } }, path.starts_with("/status") ? "" : "the body" };
+        HttpRequest request { path.starts_with("/status") ? "GET" : "POST", path, { { "Host", "h.example" }, { "Attempt-Id", id }, { "Deadline-Ms", "3000" } }, path.starts_with("/status") ? "" : body };
         request.headers.insert(request.headers.end(), extraHeaders.begin(), extraHeaders.end());
         auto response = this->call(this->front(vm), request);
         return response ? response.value() : HttpResponse { 0, {}, transport::name(response.error()) };
@@ -136,9 +136,7 @@
     /// @param parts `ID:TOKENS` of each part, separated by commas.
     HttpResponse sendPrompt(const std::string& id, const std::string& parts, const std::string& body, int vm = 0)
     {
-        HttpRequest request { "POST", "/chat/x", { { "Host", "h.example" }, { "Attempt-Id", id }, { "Deadline-Ms", "3000" }, { "Model", "m1" }, { "Token-Count", "500,100" }, { "Prompt-Prefix", parts } }, body };
-        auto response = this->call(this->front(vm), request);
-        return response ? response.value() : HttpResponse { 0, {}, transport::name(response.error()) };
+        return this->sendRequest("/chat/x", id, { { "Model", "m1" }, { "Token-Count", "500,100" }, { "Prompt-Prefix", parts } }, vm, body);
     }
 
     /// Checks a condition every 10 ms until it is true.
