--- a/review/standins/standin.hpp
+++ b/review/standins/standin.hpp
@@ -497,7 +497,15 @@
         ::waitpid(this->pid, nullptr, 0);
         this->pid = -1;
     }
-    bool isRunning() { return this->pid > 0 && ::waitpid(this->pid, nullptr, WNOHANG) == 0; }
+    /// Sends SIGTERM, as before planned work on the machine.
+    void terminate() const { ::kill(this->pid, SIGTERM); }
+    /// Returns whether the process runs; false from the first call after its end.
+    bool isRunning()
+    {
+        if (this->pid > 0 && ::waitpid(this->pid, nullptr, WNOHANG) != 0)
+            this->pid = -1;
+        return this->pid > 0;
+    }
     /// Returns the resident memory in megabytes.
     double residentMegabytes() const
     {
