Review case: a silent store leaves all machines deaf to new configs

Rule: CONFIG. "A request sent later than `config-apply-ms` after the ack of a version is handled as only an older version allows [...] by machines in touch."; DENIED breaks as well.

Seen: the store is silent for 4.5 s right after a change of the config. The pending read that each machine begins meanwhile is never answered and ends after 29 s. Until then no machine takes notice of the configs that follow: requests run at the old service, and new routes are answered 404.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# A worker preempts a stream and goes on with it; see claim.txt. About 50 seconds.
+# The store is silent right after a change of the config; see claim.txt. About 30 seconds.
 # Exit codes: 0 the rule held, 1 it was broken, 2 the case could not run. With TROUBLE=0 the disruption is left out.
 folder=$(cd "$(dirname "$0")" && pwd)
-exec "$folder/../run-case" "$folder" paused_stream
+exec "$folder/../run-case" "$folder" silent_store
--- a/review/standins/standin.hpp
+++ b/review/standins/standin.hpp
@@ -301,6 +301,8 @@
     }
 
     uint16_t port() const { return this->listener.port; }
+    /// Sets whether the store is silent: it never answers the calls that arrive meanwhile. It answers those that wait already.
+    void setSilent(bool value) { this->silent = value; }
     /// Appends a record, as the operator and the workers do. An empty value drops the key.
     void write(const std::string& topic, const std::string& key, const std::string& value)
     {
@@ -345,6 +347,12 @@
     {
         Message request;
         while (connection.read(request, false, noDeadline) && request.complete) {
+            if (this->silent) {
+                // The channel returns nothing further.
+                while (!connection.isClosedByPeer())
+                    sleepFor(milliseconds { 50 });
+                return;
+            }
             auto topic = request.query("topic");
             std::string response;
             if (request.path() == "/v1/log-append")
@@ -414,6 +422,7 @@
         return makeResponse(200, "Content-Type: application/json\r\n", "{\"items\":[" + items + "],\"has-more\":false,\"end\":" + std::to_string(entries.size()) + "}");
     }
 
+    std::atomic<bool> silent { false };
     std::mutex mutex;
     std::condition_variable changed;
     std::map<std::string, std::vector<Entry>> topics;
