--- a/review/standins/long_trailer.cc
+++ b/review/standins/long_trailer.cc
@@ -2,8 +2,8 @@
 ///
 /// Six machines and three workers of one plain service. One worker spoils five of its answers, each at another moment: after the last
 /// chunk it sends more bytes than a field can hold. The other workers are sound. The case stands in for the platform, which starts a
-/// process again after it has ended. It counts the processes that end by themselves, and the requests on kept channels that ran at a sound
-/// worker and whose channel ended without an answer.
+/// process again after it has ended. It counts the processes that end by themselves, and the requests on kept channels that were passed on
+/// to a sound worker and whose channel ended without an answer.
 #include "standin.hpp"
 
 #include <array>
@@ -13,7 +13,9 @@
 namespace {
 
 constexpr milliseconds workTime { 60 };
-constexpr int clientsPerMachine = 6;
+constexpr int clientsPerMachine = 12;
+/// Requests that a worker runs at once; further ones wait there.
+constexpr int workerSlots = 6;
 /// Largest pause of a client between an answer and its next request.
 constexpr int maxPauseMs = 40;
 constexpr int seconds = 26;
@@ -30,7 +32,7 @@
     std::mutex mutex;
     int sent = 0;
     int served = 0;
-    std::set<std::string> runsAtSoundWorkers;
+    std::set<std::string> passedToSoundWorkers;
     std::vector<std::string> lost;
     int answersOfFaultyWorker = 0;
     size_t spoilt = 0;
@@ -48,17 +50,41 @@
     return true;
 }
 
-void serveWorker(Connection& connection, const std::string& id, bool faulty, bool trouble, Results& results, Record& record)
+/// Slots of one worker.
+class Slots {
+public:
+    void take()
+    {
+        std::unique_lock lock(this->mutex);
+        this->changed.wait(lock, [this] { return this->taken < workerSlots; });
+        this->taken++;
+    }
+    void release()
+    {
+        std::lock_guard lock(this->mutex);
+        this->taken--;
+        this->changed.notify_one();
+    }
+
+private:
+    std::mutex mutex;
+    std::condition_variable changed;
+    int taken = 0;
+};
+
+void serveWorker(Connection& connection, const std::string& id, Slots& slots, bool faulty, bool trouble, Results& results, Record& record)
 {
     Message request;
     while (connection.read(request, false, noDeadline) && request.complete) {
         auto attempt = request.header("Attempt-Id");
-        record.line(id + " runs " + attempt);
         if (!faulty) {
             std::lock_guard lock(results.mutex);
-            results.runsAtSoundWorkers.insert(attempt);
+            results.passedToSoundWorkers.insert(attempt);
         }
+        slots.take();
+        record.line(id + " runs " + attempt);
         sleepFor(workTime);
+        slots.release();
         auto headers = "Attempt-Id: " + attempt + "\r\nServer-Seal: s-" + id + "\r\n";
         if (faulty && trouble && drawSpoilt(results, record)) {
             record.line(id + " spoils its answer to " + attempt + ": " + std::to_string(trailerBytes) + " bytes in the trailer");
@@ -95,7 +121,7 @@
             std::lock_guard lock(results.mutex);
             results.sent += written ? 1 : 0;
             results.served += answered && response.status() == 200 ? 1 : 0;
-            if (written && !answered && answeredOnChannel > 0 && results.runsAtSoundWorkers.contains(attempt))
+            if (written && !answered && answeredOnChannel > 0 && results.passedToSoundWorkers.contains(attempt))
                 results.lost.push_back(attempt);
         }
         answeredOnChannel = answered ? answeredOnChannel + 1 : 0;
@@ -116,12 +142,13 @@
     Results results;
     Store store;
     const std::vector<std::string> zones { "delta-tanta", "delta-mansoura", "delta-zagazig" };
+    std::vector<Slots> slots(zones.size());
     std::vector<std::unique_ptr<Listener>> workers;
     for (size_t i = 0; i < zones.size(); i++) {
         auto id = "i-ledger" + std::to_string(i);
         bool faulty = i == 0;
-        workers.push_back(std::make_unique<Listener>([id, faulty, &arguments, &results, &record](Connection& connection) { serveWorker(connection, id, faulty, arguments.trouble, results, record); }));
-        Registration(store, id, "archive-ledger", workers.back()->port, zones[i], 6, "");
+        workers.push_back(std::make_unique<Listener>([id, faulty, ownSlots = &slots[i], &arguments, &results, &record](Connection& connection) { serveWorker(connection, id, *ownSlots, faulty, arguments.trouble, results, record); }));
+        Registration(store, id, "archive-ledger", workers.back()->port, zones[i], workerSlots, "");
     }
     store.write("keyed.op", "config", makeConfiguration());
     std::vector<std::unique_ptr<Daemon>> daemons;
@@ -150,7 +177,7 @@
         client.join();
     std::lock_guard lock(results.mutex);
     for (const auto& attempt : results.lost)
-        record.line("LOST: " + attempt + " ran at a sound worker and its channel ended without an answer");
+        record.line("LOST: " + attempt + " was passed on to a sound worker and its channel ended without an answer");
     auto verdict = "sent=" + std::to_string(results.sent) + " served=" + std::to_string(results.served) + " spoilt_answers=" + std::to_string(results.spoilt) + " processes_ended_by_themselves=" + std::to_string(ended)
         + " run_and_never_answered=" + std::to_string(results.lost.size());
     if (results.served == 0)
--- a/review/standins/standin.hpp
+++ b/review/standins/standin.hpp
@@ -447,24 +447,34 @@
     }
 };
 
-/// Returns a port that was free just now. Each port is returned once.
-inline uint16_t freePort()
+/// Returns whether a TCP and a UDP socket can be bound to the port.
+inline bool isPortFree(uint16_t port)
 {
-    static std::set<uint16_t> given;
-    while (true) {
-        int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        int datagrams = ::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+    bool free = true;
+    for (int type : { SOCK_STREAM, SOCK_DGRAM }) {
+        int descriptor = ::socket(AF_INET, type | SOCK_CLOEXEC, 0);
         sockaddr_in address {};
         address.sin_family = AF_INET;
+        address.sin_port = htons(port);
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t length = sizeof address;
-        bool bound = ::bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0;
-        ::getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &length);
-        bound = bound && ::bind(datagrams, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0;
+        free = free && ::bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0;
         ::close(descriptor);
-        ::close(datagrams);
-        if (bound && given.insert(ntohs(address.sin_port)).second)
-            return ntohs(address.sin_port);
+    }
+    return free;
+}
+
+/// Returns a port that was free just now. Each port is returned once. The ports lie below those that the kernel gives to outgoing
+/// connections, so that none takes the port of a daemon while that starts again.
+inline uint16_t freePort()
+{
+    constexpr int firstPort = 10000;
+    constexpr int portCount = 9000;
+    static int next = static_cast<int>(::getpid()) * 37 % portCount;
+    while (true) {
+        auto port = static_cast<uint16_t>(firstPort + next);
+        next = (next + 1) % portCount;
+        if (isPortFree(port))
+            return port;
     }
 }
 
