A request that can't be sent no longer ends the process

Callers saw: when a worker reset its connection while a request was being written to it, the process of the VM could end, and with it every request that it had accepted, without an answer (LOST).

Cause: ~BeastResponseStream asks the parser whether the response is complete, to keep the connection for the next request. The parser is an optional that is set when the head is read; if sending fails, it is empty, and its memory holds what a response before it left there: mostly nothing that matters, at times a complete parser with freed fields. The class of the fault: a destructor that assumes a later step of the construction.

Change: a connection is reusable only if there is a parser.

--- a/tests/unit/transport_test.cpp
+++ b/tests/unit/transport_test.cpp
@@ -305,6 +305,39 @@
     cr_assert(runtime.stop(std::chrono::seconds { 5 }));
 }
 
+// A peer that resets its connection while a request is written must not end the process.
+Test(http_client, peers_that_reset_while_a_request_is_written_end_no_process)
+{
+    signal(SIGPIPE, SIG_IGN);
+    constexpr uint16_t soundPort = 26986;
+    constexpr uint16_t resettingPort = 26987;
+    constexpr int rounds = 20;
+    standins::RawPeer sound(soundPort, [](int connection) {
+        standins::RawPeer::readRequest(connection);
+        standins::RawPeer::write(connection, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    });
+    standins::RawPeer resetting(resettingPort, [](int connection) {
+        standins::RawPeer::readRequest(connection, 1000);
+        standins::RawPeer::resetOnClose(connection);
+    });
+    Runtime runtime(1);
+    HttpClient client;
+    std::atomic<bool> done { false };
+    runtime.spawn([&] {
+        HttpRequest large { "POST", "/", {}, std::string(16 * 1024 * 1024, 'a') };
+        for (int i = 0; i < rounds; i++) {
+            auto answered = client.call({ "127.0.0.1", soundPort }, { "GET", "/", {}, "" }, {});
+            cr_assert(answered.has_value(), "round %d", i);
+            auto reset = client.call({ "127.0.0.1", resettingPort }, large, {});
+            cr_assert_not(reset.has_value(), "round %d", i);
+        }
+        done = true;
+    });
+    while (!done)
+        std::this_thread::sleep_for(std::chrono::milliseconds { 10 });
+    cr_assert(runtime.stop(std::chrono::seconds { 5 }));
+}
+
 // A peer that crashes resets its connections while they are in use. That says nothing about the idle timeout of other peers, whose
 // connections must stay in use: opening new ones costs time and slots there.
 Test(http_client, crash_of_one_peer_does_not_close_connections_to_others)
--- a/transport/src/http_client_beast.cpp
+++ b/transport/src/http_client_beast.cpp
@@ -240,9 +240,7 @@
         ~BeastResponseStream() override
         {
             this->cancelRegistration.release();
-            // Bytes after a complete response belong to no request, so the connection is not reused.
-            bool clean = this->connection->buffer.size() == 0 && !this->isCancelled();
-            if (!clean || !this->returnToPool || !this->parser->is_done() || !this->parser->get().keep_alive())
+            if (!this->isReusable())
                 return;
             this->connection->idleSince = monotonicNow();
             this->connection->reusableUntil = this->connection->idleSince + pooledIdleTime(this->parser->get()[http::field::keep_alive]);
@@ -313,6 +311,16 @@
         }
 
     private:
+        /// Returns whether the connection can serve another request.
+        bool isReusable() const
+        {
+            // There is no parser if the request could not be sent.
+            if (!this->returnToPool || !this->parser || this->isCancelled())
+                return false;
+            // Bytes after a complete response belong to no request.
+            return this->parser->is_done() && this->parser->get().keep_alive() && this->connection->buffer.size() == 0;
+        }
+
         IoResult readHead()
         {
             this->parser.emplace();
