--- a/edge/src/relay.cpp
+++ b/edge/src/relay.cpp
@@ -702,6 +702,8 @@
             progressAt = monotonicNow();
             continue;
         }
+        if (idle)
+            this->log.info("event=stream_silent id=" + context.head.id + " worker=" + selection.id + " silent_ms=" + formatMilliseconds(monotonicNow() - progressAt) + " last_event=" + context.lastEventId.value_or("-"));
         if (!chunk) {
             auto result = this->handleSendError(context, selection, chunk.error());
             if (result == SendResult::CallerGone || !context.streamStarted)
