A stream leaves a silent worker only once another has its run

Cause: silence was taken for the end of a run. After four target gaps without an event the VM closed its connection to the worker, which ends the run there, and then asked the backup worker. The request that a copy be kept was taken for the copy; a worker without one refuses, and the stream was cut.

Change: platform::probeRun asks the silent worker whether it still has the run, routing::silenceBeforeResume decides from the answer, and the silent stream stays open until another worker has sent an event that continues it. Then its connection is closed at once. If the other worker refuses, the stream goes on waiting. CancelToken cancels all calls that use it.

--- a/edge/src/relay.cpp
+++ b/edge/src/relay.cpp
@@ -22,8 +22,8 @@
     constexpr double attemptTimeoutTargetLatencies = 2;
     /// Minimum timeout of one attempt, both for connecting and for the response.
     constexpr milliseconds minAttemptTimeout { 200 };
-    /// A resumable stream moves to another worker after it has been idle for this time or for `streamIdleTargetGaps` target
-    /// gaps, whichever is longer: callers give up after eight gaps, and resuming takes time.
+    /// A stream that can go on elsewhere counts as silent after this time without an event, or after `streamIdleTargetGaps` target gaps,
+    /// whichever is longer: callers give up after eight gaps, and resuming takes time.
     constexpr milliseconds minStreamIdleTimeout { 700 };
     constexpr int streamIdleTargetGaps = 4;
     /// Retry-After for conditions that usually pass soon.
@@ -38,7 +38,7 @@
     constexpr uint32_t maxEstimatedOutputTokens = 1200;
 
     /// Callers give up on a stream that is silent for this time, four target latencies or eight target gaps, whichever is longest.
-    constexpr milliseconds minFirstEventTimeout { 2000 };
+    constexpr milliseconds minCallerPatience { 2000 };
     /// Largest event of a stream; more bytes without the end of an event are no answer.
     constexpr size_t maxEventBytes = 1024 * 1024;
 
@@ -81,6 +81,18 @@
         return text.data();
     }
 
+    /// Returns the time without an event after which a stream counts as silent.
+    Time streamIdleTimeout(const routing::Route& route)
+    {
+        return std::max(minStreamIdleTimeout, streamIdleTargetGaps * route.targetGap);
+    }
+
+    /// Returns the silence after which the caller of a stream leaves.
+    Time callerPatience(const routing::Route& route)
+    {
+        return std::max({ minCallerPatience, 4 * route.targetLatency, 8 * route.targetGap });
+    }
+
     /// Returns whether callers understand `status` as a statement that the request did not run.
     bool impliesNotRun(unsigned status)
     {
@@ -128,7 +140,7 @@
     uint32_t possibleRuns = 0; ///< Number of attempts in which a worker may have run the request.
     bool streamStarted = false; ///< The head of the stream was sent to the caller.
     std::optional<std::string> lastEventId; ///< ID of the last event forwarded to the caller.
-    std::optional<routing::WorkerEntry> backupWorker; ///< Worker that receives a backup copy of the run.
+    std::optional<routing::WorkerEntry> backupWorker; ///< Worker that receives a backup copy of the run of the current attempt.
     std::optional<routing::WorkerEntry> resumeWorker; ///< Worker that resumes the run from its backup copy.
     std::optional<transport::HttpResponse> workerError; ///< Error answer of a worker, forwarded if no later attempt succeeds.
     SendResult lastResult = SendResult::NotSent; ///< Result of the last attempt.
@@ -152,6 +164,28 @@
     bool isRetryable() const { return this->route->idempotent || this->route->resumable; }
 };
 
+/// An attempt whose worker has begun to answer.
+struct Relay::Attempt {
+    Attempt(Fleet::Selection selection, LoadReservation reservation, std::unique_ptr<transport::ResponseStream> stream)
+        : selection(std::move(selection))
+        , reservation(std::move(reservation))
+        , stream(std::move(stream))
+        , headReceivedAt(monotonicNow())
+        , lastEventAt(this->headReceivedAt)
+    {
+    }
+
+    Fleet::Selection selection;
+    LoadReservation reservation; ///< Updated when the prefill is done and when data arrives.
+    std::unique_ptr<transport::ResponseStream> stream;
+    std::string buffer; ///< Received bytes of a stream that are not yet forwarded.
+    Time headReceivedAt;
+    Time lastEventAt; ///< Of a stream. Bytes that complete no event are no progress.
+    Time nextSilenceCheckAt { 0 }; ///< Not before the stream counts as silent.
+    std::optional<routing::RunEvidence> evidence; ///< Found since the last event; the stream was not read since.
+    bool awaitsFirstEvent = true;
+};
+
 Relay::Relay(Vm& vm, Peers& peers, CrashTracker& crashes)
     : vm(vm)
     , peers(peers)
@@ -232,7 +266,7 @@
     context.deadline = context.startedAt + timeout;
     context.firstByteDeadline = context.deadline;
     if (context.route->streaming)
-        context.firstByteDeadline = std::min<Time>(context.deadline, context.startedAt + std::max({ minFirstEventTimeout, 4 * context.route->targetLatency, 8 * context.route->targetGap }));
+        context.firstByteDeadline = std::min<Time>(context.deadline, context.startedAt + callerPatience(*context.route));
     context.head.shape.outputTokens = std::min(context.head.shape.outputTokens, maxEstimatedOutputTokens);
     if (context.service->engine) {
         context.prefixHashes = routing::hashPrefixes(context.head.shape);
@@ -447,6 +481,31 @@
     auto remaining = context.remaining();
     if (remaining <= replyReserve)
         return SendResult::NotRun;
+    // `possibleRuns` does not count the current attempt yet.
+    bool canRetry = context.isRetryable() && context.possibleRuns + 1 < context.route->maxAttempts;
+    auto timeLimit = remaining;
+    if (canRetry && !context.route->streaming)
+        timeLimit = std::min(remaining, std::max(minAttemptTimeout, std::chrono::duration_cast<milliseconds>(context.route->targetLatency * attemptTimeoutTargetLatencies)));
+    auto sentAt = monotonicNow();
+    auto started = this->startAttempt(context, selection, timeLimit);
+    if (!started)
+        return started.error();
+    auto& stream = *started.value()->stream;
+    if (context.route->streaming && stream.status() == 200)
+        return this->relayStream(context, std::move(started.value()));
+    auto result = this->relayWholeAnswer(context, selection, stream);
+    auto elapsed = monotonicNow() - sentAt;
+    bool failed = (result != SendResult::Answered && result != SendResult::CallerGone) || stream.status() >= 500;
+    // On a streaming route an answer that is read whole is no stream: its time says nothing about the time to the first event.
+    auto expected = context.route->streaming ? Time { 0 } : context.expectedFirstByte;
+    if (result != SendResult::CallerGone)
+        this->vm.fleet.updateWorker(selection.id, [&](routing::Worker& worker) { routing::recordAnswer(worker, failed, expected, elapsed, monotonicNow()); });
+    return result;
+}
+
+Result<std::unique_ptr<Relay::Attempt>, Relay::SendResult> Relay::startAttempt(RequestContext& context, const Fleet::Selection& selection, milliseconds timeLimit)
+{
+    auto remaining = context.remaining();
     const auto& shape = context.head.shape;
     double kvCacheTokens = context.service->engine ? context.service->engine->kvCacheTokens : 0;
     context.workerId = selection.id;
@@ -474,17 +533,12 @@
     transport::CallLimits limits;
     // Connecting may use only a part of the remaining time, so that another worker can still be tried.
     limits.connect = std::min<milliseconds>(remaining, std::max(minAttemptTimeout, remaining / 4));
-    limits.response = remaining;
+    limits.response = timeLimit;
     // Streams have no size. Everything else is bounded by the buffer memory while it is read.
     limits.maxBodyBytes = UINT64_MAX;
     limits.cancel = &context.cancel;
     limits.idHeader = platform::requestIdHeader;
     limits.avoidedConnections = &context.usedConnections;
-    // `possibleRuns` does not count the current attempt yet.
-    bool canRetry = context.isRetryable() && context.possibleRuns + 1 < context.route->maxAttempts;
-    if (canRetry && !context.route->streaming)
-        limits.response = std::min(remaining, std::max(minAttemptTimeout, std::chrono::duration_cast<milliseconds>(context.route->targetLatency * attemptTimeoutTargetLatencies)));
-    auto sentAt = monotonicNow();
     auto opened = this->vm.client.open(selection.entry.address, request, limits);
     if (!opened)
         return this->handleSendError(context, selection, opened.error());
@@ -510,16 +564,7 @@
     // The caller has already received the head of a stream: only further events of it can follow.
     if (context.streamStarted && (stream->status() != 200 || !head.isEventStream))
         return this->handleInvalidAnswer(context, selection);
-    if (context.route->streaming && stream->status() == 200)
-        return this->relayStream(context, selection, *stream, reservation);
-    auto result = this->relayWholeAnswer(context, selection, *stream);
-    auto elapsed = monotonicNow() - sentAt;
-    bool failed = (result != SendResult::Answered && result != SendResult::CallerGone) || stream->status() >= 500;
-    // On a streaming route an answer that is read whole is no stream: its time says nothing about the time to the first event.
-    auto expected = context.route->streaming ? Time { 0 } : context.expectedFirstByte;
-    if (result != SendResult::CallerGone)
-        this->vm.fleet.updateWorker(selection.id, [&](routing::Worker& worker) { routing::recordAnswer(worker, failed, expected, elapsed, monotonicNow()); });
-    return result;
+    return std::make_unique<Attempt>(selection, std::move(reservation), std::move(stream));
 }
 
 void Relay::recordLimit(const routing::WorkerEntry& worker, std::optional<double> limit)
@@ -530,10 +575,15 @@
     this->peers.sendHeartbeat();
 }
 
+void Relay::recordFailedWorker(RequestContext& context, const std::string& worker)
+{
+    this->vm.fleet.updateWorker(worker, [](routing::Worker& known) { routing::recordAnswer(known, true, Time { 0 }, Time { 0 }, monotonicNow()); });
+    context.excludedWorkers.insert(worker);
+}
+
 Relay::SendResult Relay::handleInvalidAnswer(RequestContext& context, const Fleet::Selection& selection)
 {
-    this->vm.fleet.updateWorker(selection.id, [](routing::Worker& worker) { routing::recordAnswer(worker, true, Time { 0 }, Time { 0 }, monotonicNow()); });
-    context.excludedWorkers.insert(selection.id);
+    this->recordFailedWorker(context, selection.id);
     return SendResult::InvalidAnswer;
 }
 
@@ -633,112 +683,195 @@
     return SendResult::Answered;
 }
 
-bool Relay::forwardEvents(RequestContext& context, transport::ResponseStream& stream, std::string& buffer, const platform::EventPrefix& events)
+std::optional<Relay::SendResult> Relay::forwardEvents(RequestContext& context, Attempt& attempt)
 {
+    auto events = platform::findEvents(attempt.buffer, context.lastEventId);
+    if (events.count > 0) {
+        if (context.streamStarted || events.count > 1)
+            this->recordProgress(context);
+        if (!context.streamStarted) {
+            context.streamStarted = true;
+            context.status = attempt.stream->status();
+            context.timeToFirstByte = monotonicNow() - context.startedAt;
+            this->vm.counters.timeToFirstByte.record(context.timeToFirstByte);
+            context.writer.startStream(attempt.stream->status(), platform::endToEndHeaders(attempt.stream->headers()));
+        }
+        increment(this->vm.counters, CountedEvent::StreamEvents);
+        if (!context.writer.writeChunk(std::string_view(attempt.buffer).substr(0, events.length))) {
+            context.outcome = name(RefusalReason::CallerGone);
+            return SendResult::CallerGone;
+        }
+        context.lastEventId = events.lastId;
+        attempt.buffer.erase(0, events.length);
+    }
+    if (events.ended) {
+        this->log.warn("event=stream_unmatched id=" + context.head.id + " worker=" + attempt.selection.id + " sends=" + std::to_string(context.sendCount) + " last_event=" + context.lastEventId.value_or("-"));
+        this->handleInvalidAnswer(context, attempt.selection);
+        return SendResult::Resumable;
+    }
     if (events.count == 0)
-        return true;
-    if (context.streamStarted || events.count > 1)
-        this->recordProgress(context);
-    if (!context.streamStarted) {
-        context.streamStarted = true;
-        context.status = stream.status();
-        context.timeToFirstByte = monotonicNow() - context.startedAt;
-        this->vm.counters.timeToFirstByte.record(context.timeToFirstByte);
-        if (!context.writer.startStream(stream.status(), platform::endToEndHeaders(stream.headers())))
-            return false;
+        return std::nullopt;
+    attempt.lastEventAt = monotonicNow();
+    attempt.evidence.reset();
+    if (!std::exchange(attempt.awaitsFirstEvent, false)) {
+        attempt.reservation.recordStreamData();
+        return std::nullopt;
     }
-    increment(this->vm.counters, CountedEvent::StreamEvents);
-    if (!context.writer.writeChunk(std::string_view(buffer).substr(0, events.length)))
-        return false;
-    context.lastEventId = events.lastId;
-    buffer.erase(0, events.length);
-    return true;
+    this->log.info("event=streaming id=" + context.head.id + " worker=" + attempt.selection.id + " backup=" + (context.backupWorker ? context.backupWorker->id : "-") + " sends=" + std::to_string(context.sendCount) + " first_ms=" + formatMilliseconds(monotonicNow() - context.startedAt));
+    attempt.reservation.markPrefilled();
+    // Only a first attempt updates the worker's slowness: a later one may resume a run.
+    auto expected = context.sendCount == 1 ? context.expectedFirstByte : Time { 0 };
+    this->vm.fleet.updateWorker(attempt.selection.id, [&](routing::Worker& worker) { routing::recordAnswer(worker, false, expected, attempt.lastEventAt - attempt.headReceivedAt, attempt.lastEventAt); });
+    return std::nullopt;
 }
 
-/// Returns whether a stream that stops at `worker` now could resume on another worker. Does not use up a retry.
-bool Relay::canResumeElsewhere(RequestContext& context, const std::string& worker)
+std::optional<Fleet::Selection> Relay::chooseResumeWorker(RequestContext& context, const std::string& worker)
 {
-    {
-        std::lock_guard lock(this->mutex);
-        if (!this->retryBudget(context.service->name).allowsRetry(monotonicNow(), this->peers.memberCount()))
-            return false;
+    Fleet::Selection selection;
+    if (context.hasUsableBackup()) {
+        selection.id = context.backupWorker->id;
+        selection.entry = *context.backupWorker;
+        // The backup copy contains the KV cache of the prompt.
+        selection.choice.cachedTokens = context.head.shape.promptTokens;
+        if (this->vm.fleet.isLimited(selection.entry, monotonicNow()))
+            return std::nullopt;
+    } else {
+        auto excludedWorkers = context.excludedWorkers;
+        excludedWorkers.insert(worker);
+        selection = this->vm.fleet.chooseWorker(*context.service, context.head.shape, context.prefixHashes, excludedWorkers, context.route->targetLatency, monotonicNow());
+        if (selection.choice.blockReason != routing::BlockReason::None)
+            return std::nullopt;
     }
-    if (context.hasUsableBackup())
-        return true;
-    auto excludedWorkers = context.excludedWorkers;
-    excludedWorkers.insert(worker);
-    auto next = this->vm.fleet.chooseWorker(*context.service, context.head.shape, context.prefixHashes, excludedWorkers, context.route->targetLatency, monotonicNow());
-    return next.choice.blockReason == routing::BlockReason::None;
+    std::lock_guard lock(this->mutex);
+    if (!this->retryBudget(context.service->name).tryAcquire(monotonicNow(), this->peers.memberCount()))
+        return std::nullopt;
+    return selection;
 }
 
-Relay::SendResult Relay::relayStream(RequestContext& context, const Fleet::Selection& selection, transport::ResponseStream& stream, LoadReservation& reservation)
+Result<std::unique_ptr<Relay::Attempt>, Relay::SendResult> Relay::resumeElsewhere(RequestContext& context, const Attempt& silent, milliseconds timeLimit)
+{
+    auto selection = this->chooseResumeWorker(context, silent.selection.id);
+    if (!selection)
+        return SendResult::NotSent;
+    if (context.hasUsableBackup()) {
+        context.resumeWorker = std::exchange(context.backupWorker, std::nullopt);
+        this->waitForAdapter(context, *context.resumeWorker);
+    }
+    increment(this->vm.counters, RetryReason::Resumed);
+    auto started = this->startAttempt(context, *selection, timeLimit);
+    context.resumeWorker.reset();
+    auto failure = started ? this->awaitEvent(context, *started.value(), timeLimit) : started.error();
+    if (!failure)
+        return started;
+    // It was chosen for the attempt that failed.
+    context.backupWorker.reset();
+    return *failure;
+}
+
+std::optional<Relay::SendResult> Relay::awaitEvent(RequestContext& context, Attempt& attempt, milliseconds timeLimit)
+{
+    auto deadline = attempt.headReceivedAt + timeLimit;
+    while (monotonicNow() < deadline) {
+        auto chunk = attempt.stream->read(std::chrono::ceil<milliseconds>(deadline - monotonicNow()));
+        if (!chunk)
+            return this->handleSendError(context, attempt.selection, chunk.error());
+        attempt.buffer.append(chunk.value());
+        auto events = platform::findEvents(attempt.buffer, context.lastEventId);
+        if (events.count > 0)
+            return std::nullopt;
+        if (events.ended || chunk.value().empty() || attempt.buffer.size() > maxEventBytes)
+            break;
+    }
+    return this->handleInvalidAnswer(context, attempt.selection);
+}
+
+Result<std::unique_ptr<Relay::Attempt>, Relay::SendResult> Relay::handleSilence(RequestContext& context, Attempt& attempt)
+{
+    std::unique_ptr<Attempt> staysHere;
+    auto now = monotonicNow();
+    auto idleTimeout = streamIdleTimeout(*context.route);
+    const auto& worker = attempt.selection;
+    attempt.nextSilenceCheckAt = now + idleTimeout;
+    if (!this->vm.fleet.isSilent(worker.id, idleTimeout, now))
+        return staysHere;
+    if (!attempt.evidence) {
+        attempt.evidence = platform::probeRun(this->vm.controlClient, worker.entry, context.head.id);
+        // Events may have arrived in the meantime.
+        attempt.nextSilenceCheckAt = monotonicNow();
+        return staysHere;
+    }
+    auto evidence = *attempt.evidence;
+    auto patience = callerPatience(*context.route);
+    auto silenceBeforeResume = routing::silenceBeforeResume(evidence, patience);
+    auto silentFor = now - attempt.lastEventAt;
+    if (silenceBeforeResume && silentFor < *silenceBeforeResume) {
+        attempt.nextSilenceCheckAt = attempt.lastEventAt + *silenceBeforeResume;
+        return staysHere;
+    }
+    attempt.evidence.reset();
+    Result<std::unique_ptr<Attempt>, SendResult> next = SendResult::NotSent;
+    if (silenceBeforeResume)
+        next = this->resumeElsewhere(context, attempt, std::max(minAttemptTimeout, std::chrono::duration_cast<milliseconds>(patience - silentFor)));
+    this->log.info("event=stream_silent id=" + context.head.id + " worker=" + worker.id + " silent_ms=" + formatMilliseconds(silentFor) + " evidence=" + routing::name(evidence)
+        + " last_event=" + context.lastEventId.value_or("-") + " resumed_on=" + (next ? next.value()->selection.id : "-"));
+    if (next) {
+        // The run at the silent worker ends with its connection.
+        context.possibleRuns++;
+        this->recordFailedWorker(context, worker.id);
+        return next;
+    }
+    if (next.error() == SendResult::CallerGone)
+        return next;
+    context.workerId = worker.id;
+    return staysHere;
+}
+
+Relay::SendResult Relay::relayStream(RequestContext& context, std::unique_ptr<Attempt> attempt)
 {
-    std::string buffer; // Received bytes that are not yet forwarded.
-    auto headReceivedAt = monotonicNow();
-    bool awaitsFirstEvent = true;
-    auto progressAt = headReceivedAt; // Bytes that complete no event are no progress.
     while (true) {
         auto wait = std::max(context.remaining(), milliseconds { 1 });
         // Bytes may arrive without end, so that no read ever times out.
         if (context.remaining() <= milliseconds { 0 }) {
-            auto result = this->handleSendError(context, selection, IoError::Timeout);
+            auto result = this->handleSendError(context, attempt->selection, IoError::Timeout);
             return result == SendResult::CallerGone || !context.streamStarted ? result : SendResult::Resumable;
         }
-        if (buffer.size() > maxEventBytes || !context.buffered.tryHold(buffer.size())) {
-            auto result = this->handleOversizedAnswer(context, selection, buffer.size());
+        if (attempt->buffer.size() > maxEventBytes || !context.buffered.tryHold(attempt->buffer.size())) {
+            auto result = this->handleOversizedAnswer(context, attempt->selection, attempt->buffer.size());
             return context.streamStarted ? SendResult::Resumable : result;
         }
         // `possibleRuns` does not count the current attempt yet.
-        bool canResume = context.backupWorker || (context.route->resumable && context.possibleRuns + 1 < context.route->maxAttempts);
-        auto idleTimeout = std::max(minStreamIdleTimeout, streamIdleTargetGaps * context.route->targetGap);
-        bool awaitsProgress = canResume && context.streamStarted && wait > idleTimeout;
-        if (awaitsProgress)
-            wait = std::max(milliseconds { 1 }, std::chrono::ceil<milliseconds>(progressAt + idleTimeout - monotonicNow()));
-        auto chunk = stream.read(wait);
-        // The read ended at the idle timeout, not at the request's deadline.
-        bool idle = !chunk && chunk.error() == IoError::Timeout && awaitsProgress;
-        // The stream is given up only if all streams at the worker are silent and another worker can resume it.
-        if (idle && !(this->vm.fleet.isSilent(selection.id, idleTimeout, monotonicNow()) && this->canResumeElsewhere(context, selection.id))) {
-            progressAt = monotonicNow();
+        bool canResume = context.hasUsableBackup() || (context.route->resumable && context.possibleRuns + 1 < context.route->maxAttempts);
+        auto silenceCheckAt = std::max(attempt->lastEventAt + streamIdleTimeout(*context.route), attempt->nextSilenceCheckAt);
+        bool checksSilence = canResume && context.streamStarted && silenceCheckAt < context.deadline;
+        if (checksSilence)
+            wait = std::max(milliseconds { 1 }, std::chrono::ceil<milliseconds>(silenceCheckAt - monotonicNow()));
+        auto chunk = attempt->stream->read(wait);
+        if (!chunk && chunk.error() == IoError::Timeout && checksSilence) {
+            auto next = this->handleSilence(context, *attempt);
+            if (!next)
+                return next.error();
+            if (next.value()) {
+                attempt = std::move(next.value());
+                if (auto result = this->forwardEvents(context, *attempt))
+                    return *result;
+            }
             continue;
         }
-        if (idle)
-            this->log.info("event=stream_silent id=" + context.head.id + " worker=" + selection.id + " silent_ms=" + formatMilliseconds(monotonicNow() - progressAt) + " last_event=" + context.lastEventId.value_or("-"));
         if (!chunk) {
-            auto result = this->handleSendError(context, selection, chunk.error());
+            auto result = this->handleSendError(context, attempt->selection, chunk.error());
             if (result == SendResult::CallerGone || !context.streamStarted)
                 return result;
             return SendResult::Resumable;
         }
         if (chunk.value().empty())
             break;
-        buffer.append(chunk.value());
-        auto events = platform::findEvents(buffer, context.lastEventId);
-        if (!this->forwardEvents(context, stream, buffer, events)) {
-            context.outcome = name(RefusalReason::CallerGone);
-            return SendResult::CallerGone;
-        }
-        if (events.ended) {
-            this->log.warn("event=stream_unmatched id=" + context.head.id + " worker=" + selection.id + " sends=" + std::to_string(context.sendCount) + " last_event=" + context.lastEventId.value_or("-"));
-            this->handleInvalidAnswer(context, selection);
-            return SendResult::Resumable;
-        }
-        if (events.count > 0) {
-            progressAt = monotonicNow();
-            if (!awaitsFirstEvent)
-                reservation.recordStreamData();
-        }
-        if (awaitsFirstEvent && events.count > 0) {
-            awaitsFirstEvent = false;
-            this->log.info("event=streaming id=" + context.head.id + " worker=" + selection.id + " backup=" + (context.backupWorker ? context.backupWorker->id : "-") + " sends=" + std::to_string(context.sendCount) + " first_ms=" + formatMilliseconds(monotonicNow() - context.startedAt));
-            reservation.markPrefilled();
-            // Only a first attempt updates the worker's slowness: a later one may resume a run.
-            this->vm.fleet.updateWorker(selection.id, [&](routing::Worker& worker) { routing::recordAnswer(worker, false, context.sendCount == 1 ? context.expectedFirstByte : Time { 0 }, monotonicNow() - headReceivedAt, monotonicNow()); });
-        }
+        attempt->buffer.append(chunk.value());
+        if (auto result = this->forwardEvents(context, *attempt))
+            return *result;
     }
     // The answer ended within an event or before its first one. A resumed stream without an event may be an error just as well.
-    if (!buffer.empty() || awaitsFirstEvent)
-        return context.streamStarted ? SendResult::Resumable : this->handleSendError(context, selection, IoError::Closed);
+    if (!attempt->buffer.empty() || attempt->awaitsFirstEvent)
+        return context.streamStarted ? SendResult::Resumable : this->handleSendError(context, attempt->selection, IoError::Closed);
     this->recordProgress(context);
     context.outcome = "answered";
     increment(this->vm.counters, CountedEvent::Answers);
--- a/edge/src/relay.h
+++ b/edge/src/relay.h
@@ -17,6 +17,7 @@
 
 private:
     struct RequestContext;
+    struct Attempt;
     class ScopedMissingItem;
     /// Result of one attempt to send a request to a worker.
     enum class SendResult {
@@ -46,27 +47,40 @@
     bool waitForWorker(RequestContext& context, Fleet::Selection& selection);
     /// Makes one attempt to send the request to the selected worker.
     SendResult sendOnce(RequestContext& context, const Fleet::Selection& selection);
+    /// Sends the request to the selected worker and checks the head of its answer.
+    /// @param timeLimit for the head.
+    /// @return the failure, recorded for the choice of later workers.
+    Result<std::unique_ptr<Attempt>, SendResult> startAttempt(RequestContext& context, const Fleet::Selection& selection, milliseconds timeLimit);
     /// Reads an answer whole, then forwards it unless it can be retried, is invalid or exceeds the buffer memory.
     SendResult relayWholeAnswer(RequestContext& context, const Fleet::Selection& selection, transport::ResponseStream& stream);
-    /// Forwards a stream event by event.
-    /// @param reservation updated when the prefill is done and when data arrives.
-    SendResult relayStream(RequestContext& context, const Fleet::Selection& selection, transport::ResponseStream& stream, LoadReservation& reservation);
-    /// Forwards the complete events in `buffer` to the caller and removes them from it.
-    /// @param events the events, as found in `buffer`.
-    /// @return false if the caller has gone.
-    bool forwardEvents(RequestContext& context, transport::ResponseStream& stream, std::string& buffer, const platform::EventPrefix& events);
+    /// Forwards a stream event by event. While its worker is silent it may go on at another one.
+    SendResult relayStream(RequestContext& context, std::unique_ptr<Attempt> attempt);
+    /// Forwards the complete events that an attempt has received.
+    /// @return the reason why the attempt ends, or nothing if it goes on.
+    std::optional<SendResult> forwardEvents(RequestContext& context, Attempt& attempt);
+    /// Handles the silence of a stream: asks its worker about the run, or has the run go on elsewhere.
+    /// @return the attempt that replaces a silent one, or nothing if this one goes on.
+    Result<std::unique_ptr<Attempt>, SendResult> handleSilence(RequestContext& context, Attempt& attempt);
+    /// Has the run of a silent stream go on at another worker. The silent stream stays open.
+    /// @return an attempt whose worker has sent an event that continues the stream.
+    Result<std::unique_ptr<Attempt>, SendResult> resumeElsewhere(RequestContext& context, const Attempt& silent, milliseconds timeLimit);
+    /// Waits until the worker of an attempt has sent an event that continues the stream.
+    /// @return the reason why it has not, or nothing if it has.
+    std::optional<SendResult> awaitEvent(RequestContext& context, Attempt& attempt, milliseconds timeLimit);
     /// Records the limit that a worker named in an answer, or that it named none, and tells the other VMs of a change.
     void recordLimit(const routing::WorkerEntry& worker, std::optional<double> limit);
     /// Gives up an answer that exceeds the buffer memory.
     SendResult handleOversizedAnswer(RequestContext& context, const Fleet::Selection& selection, size_t bytes);
-    // The next three record the failed attempt for the choice of later workers.
+    // The next four record the failed attempt for the choice of later workers.
+    void recordFailedWorker(RequestContext& context, const std::string& worker);
     SendResult handleInvalidAnswer(RequestContext& context, const Fleet::Selection& selection);
     SendResult handleSendError(RequestContext& context, const Fleet::Selection& selection, transport::IoError error);
     SendResult handleNotRun(RequestContext& context, const Fleet::Selection& selection, const platform::ResponseHead& head);
     /// Returns whether the request is sent again after an attempt with this result; the retry then counts against the budget. Also
     /// chooses the worker that resumes the run, if it must resume from its backup copy.
     bool prepareRetry(RequestContext& context, SendResult result);
-    bool canResumeElsewhere(RequestContext& context, const std::string& worker);
+    /// Chooses the worker on which the run of a stream that is silent at `worker` can go on, and takes a retry from the budget.
+    std::optional<Fleet::Selection> chooseResumeWorker(RequestContext& context, const std::string& worker);
     /// Ends a request after its last attempt, which had this result.
     void finish(RequestContext& context, SendResult result);
     /// Sends the caller an error, or closes the connection if the caller has gone.
--- a/routing/include/routing/routing.h
+++ b/routing/include/routing/routing.h
@@ -408,6 +408,29 @@
 /// @param remaining time until the caller gives up.
 AdmissionDecision decideSend(const Choice& choice, Time remaining);
 
+/// What is known of a run whose stream is silent.
+enum class RunEvidence {
+    Running, ///< Its worker answers and has the run, or may have preempted it.
+    Ended, ///< Its worker has ended, or no longer has the run.
+    Unreachable, ///< No connection to its worker can be opened.
+    NoAnswer, ///< Its worker accepts connections and does not answer.
+    Count
+};
+
+/// Returns the name of the evidence for the log.
+const char* name(RunEvidence evidence);
+
+/// Longest time for which a sound worker that does not answer is expected to be silent.
+constexpr milliseconds maxWorkerPause { 1500 };
+/// Time that a stream needs to go on at another worker before its caller leaves.
+constexpr milliseconds resumeReserve { 500 };
+
+/// Returns the time without an event after which a silent stream tries to go on at another worker. A worker that still has the run goes
+/// on with it sooner or later; one that only does not answer may be pausing.
+/// @param patience silence after which the caller leaves.
+/// @return nothing if the stream stays where it is.
+std::optional<Time> silenceBeforeResume(RunEvidence evidence, Time patience);
+
 /// Limits the retries of this VM to its share of what the deployment allows in a sliding window. The shares of all VMs together
 /// stay within the limit while VMs restart, join, leave or lose sight of each other.
 class RetryBudget {
--- a/routing/src/admission.cpp
+++ b/routing/src/admission.cpp
@@ -1,5 +1,6 @@
-/// Admission: whether a request waits, is sent or is refused.
+/// Admission: whether a request waits, is sent, is refused or goes on at another worker.
 #include <algorithm>
+#include <array>
 #include <routing/routing.h>
 
 namespace comfreypier::routing {
@@ -49,4 +50,22 @@
     return { false, clampRetryAfter(choice.timeToFirstByte / 2) };
 }
 
+const char* name(RunEvidence evidence)
+{
+    constexpr std::array<const char*, static_cast<size_t>(RunEvidence::Count)> names { "running", "ended", "unreachable", "no_answer" };
+    return names[static_cast<size_t>(evidence)];
+}
+
+std::optional<Time> silenceBeforeResume(RunEvidence evidence, Time patience)
+{
+    switch (evidence) {
+    case RunEvidence::Running:
+        return std::nullopt;
+    case RunEvidence::NoAnswer:
+        return std::min<Time>(maxWorkerPause, patience - resumeReserve);
+    default:
+        return Time { 0 };
+    }
+}
+
 } // namespace comfreypier::routing
--- a/tests/unit/edge_faults_test.cpp
+++ b/tests/unit/edge_faults_test.cpp
@@ -547,3 +547,162 @@
     cr_assert_gt(statuses["HTTP/1.1 200"], 5);
     cr_assert_gt(statuses["HTTP/1.1 503"], 10, "%d large bodies were accepted", statuses["HTTP/1.1 200"]);
 }
+
+namespace {
+
+/// What a worker that is silent in the middle of a stream answers when it is asked for its report.
+enum class ReportAnswer {
+    Report, ///< A report without the running requests.
+    RunListed, ///< A report that lists the silent run.
+    RunMissing, ///< A report in which neither the run nor a waiting request is left.
+    OtherProcess, ///< A refusal: another process listens at the address.
+    None,
+};
+
+/// Two workers of the service `llm`. The one that a stream reaches first sends two events and is silent; the other one is asked to go on
+/// with the run, and does so or refuses.
+struct SilentWorkers {
+    static constexpr int eventCount = 6;
+    static constexpr int eventsBeforeSilence = 2;
+
+    SilentWorkers(TestCluster& cluster)
+    {
+        auto serveConnection = [this](int connection) { this->serve(connection); };
+        cluster.useRawWorker(0, "llm", serveConnection);
+        cluster.addRawWorker(1, "llm", serveConnection);
+    }
+
+    void serve(int connection)
+    {
+        auto request = RawPeer::readRequest(connection);
+        auto id = TestCluster::requestId(request);
+        if (id.empty())
+            return this->serveReport(connection);
+        auto head = "HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nServer-Seal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+        if (this->sendings.add(id) > 1) {
+            this->resumedAt = transport::monotonicNow();
+            if (!this->otherGoesOn)
+                return RawPeer::write(connection, refusal(id));
+            RawPeer::write(connection, head);
+            return sendEvents(connection, id, eventsBeforeSilence + 1);
+        }
+        this->currentId = id;
+        RawPeer::write(connection, head);
+        sendEvents(connection, id, 1, eventsBeforeSilence);
+        this->silentSince = transport::monotonicNow();
+        this->silent = true;
+        std::array<char, 1> byte {};
+        auto end = transport::monotonicNow() + this->silence.load();
+        bool closed = false;
+        while (!closed && transport::monotonicNow() < end) {
+            std::this_thread::sleep_for(milliseconds { 5 });
+            closed = ::recv(connection, byte.data(), byte.size(), MSG_DONTWAIT) == 0;
+        }
+        this->silent = false;
+        if (closed)
+            this->closedAt = transport::monotonicNow();
+        else
+            sendEvents(connection, id, eventsBeforeSilence + 1);
+    }
+
+    void serveReport(int connection)
+    {
+        auto report = [](const std::string& more) {
+            auto body = R"({"stage":"unified","models":[{"name":"m1","version":1,"adapters":[]}],"busy":false,"seq":0,"queued":0)" + more + "}";
+            return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+        };
+        auto answer = this->silent ? this->reportAnswer.load() : ReportAnswer::Report;
+        if (answer == ReportAnswer::Report)
+            RawPeer::write(connection, report(""));
+        if (answer == ReportAnswer::RunListed)
+            RawPeer::write(connection, report(R"(,"runs":[[")" + this->currentId + R"(",500,2,1]])"));
+        if (answer == ReportAnswer::RunMissing)
+            RawPeer::write(connection, report(R"(,"runs":[])"));
+        if (answer == ReportAnswer::OtherProcess)
+            RawPeer::write(connection, "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n");
+        while (answer == ReportAnswer::None && this->silent)
+            std::this_thread::sleep_for(milliseconds { 5 });
+    }
+
+    /// Sends the events from `first` to `last`, and the end of the stream after the last of all.
+    static void sendEvents(int connection, const std::string& id, int first, int last = eventCount)
+    {
+        for (int i = first; i <= last; i++) {
+            auto event = standins::streamEvent(i, id);
+            std::array<char, 20> size {};
+            std::snprintf(size.data(), size.size(), "%zx\r\n", event.size());
+            RawPeer::write(connection, size.data() + event + "\r\n");
+        }
+        if (last == eventCount)
+            RawPeer::write(connection, "0\r\n\r\n");
+    }
+
+    static std::string wholeStream(const std::string& id)
+    {
+        std::string events;
+        for (int i = 1; i <= eventCount; i++)
+            events += standins::streamEvent(i, id);
+        return events;
+    }
+
+    std::atomic<milliseconds> silence { milliseconds { 0 } };
+    std::atomic<ReportAnswer> reportAnswer { ReportAnswer::Report };
+    std::atomic<bool> otherGoesOn { false };
+    std::atomic<bool> silent { false };
+    std::atomic<std::chrono::nanoseconds> silentSince { std::chrono::nanoseconds { 0 } };
+    std::atomic<std::chrono::nanoseconds> resumedAt { std::chrono::nanoseconds { 0 } }; ///< When the other worker was asked to go on.
+    std::atomic<std::chrono::nanoseconds> closedAt { std::chrono::nanoseconds { 0 } }; ///< When the VM gave up the silent worker.
+    std::string currentId;
+    Tally sendings;
+};
+
+} // namespace
+
+// A sound worker that is silent for longer than the idle timeout must keep its streams when no other worker can go on with them.
+CLUSTER_TEST(stream_at_a_silent_worker_goes_on_there_if_no_other_has_its_run, 15100)
+{
+    auto* workers = new SilentWorkers(cluster);
+    cluster.configureAndWait();
+    cr_assert(cluster.waitUntil([&] { return cluster.sendChat("id-first" + std::to_string(workers->sendings.of(""))).status == 200; }));
+    workers->silence = milliseconds { 1700 };
+    int version = 1;
+    for (auto answer : { ReportAnswer::Report, ReportAnswer::RunListed, ReportAnswer::RunMissing, ReportAnswer::None }) {
+        for (const std::string path : { "/chat/x", "/draft/x" }) {
+            workers->reportAnswer = answer;
+            auto id = "id-" + std::to_string(static_cast<int>(answer)) + path.substr(1, 1);
+            std::thread operators([&] {
+                std::this_thread::sleep_for(milliseconds { 500 });
+                cluster.configure(++version);
+            });
+            auto response = cluster.sendRequest(path, id, { { "Model", "m1" }, { "Token-Count", "500,100" } }, 0);
+            operators.join();
+            cr_assert_eq(response.status, 200U, "%s: got %u %s", id.c_str(), response.status, response.body.c_str());
+            cr_assert_eq(response.body, SilentWorkers::wholeStream(id), "%s got %s", id.c_str(), response.body.c_str());
+        }
+    }
+}
+
+// A stream must leave a worker that has ended, or that is silent for longer than a sound one, before its caller leaves, and run at one only.
+CLUSTER_TEST(stream_leaves_a_dead_worker_once_another_has_its_run, 15200)
+{
+    constexpr milliseconds callerPatience { 2000 };
+    constexpr milliseconds maxOverlap { 400 };
+    auto* workers = new SilentWorkers(cluster);
+    cluster.configureAndWait();
+    cr_assert(cluster.waitUntil([&] { return cluster.sendChat("id-first" + std::to_string(workers->sendings.of(""))).status == 200; }));
+    workers->silence = milliseconds { 6000 };
+    workers->otherGoesOn = true;
+    for (auto answer : { ReportAnswer::RunMissing, ReportAnswer::OtherProcess, ReportAnswer::None }) {
+        for (const std::string path : { "/chat/x", "/draft/x" }) {
+            workers->reportAnswer = answer;
+            auto id = "id-" + std::to_string(static_cast<int>(answer)) + path.substr(1, 1);
+            auto response = cluster.sendRequest(path, id, { { "Model", "m1" }, { "Token-Count", "500,100" } }, 0);
+            cr_assert_eq(response.body, SilentWorkers::wholeStream(id), "%s got %u %s", id.c_str(), response.status, response.body.c_str());
+            cr_assert(cluster.waitUntil([&] { return workers->closedAt.load() > workers->silentSince.load(); }), "%s: the silent run goes on", id.c_str());
+            auto gap = std::chrono::duration_cast<milliseconds>(workers->resumedAt.load() - workers->silentSince.load());
+            auto overlap = std::chrono::duration_cast<milliseconds>(workers->closedAt.load() - workers->resumedAt.load());
+            cr_assert_lt(gap, callerPatience, "%s: %ld ms", id.c_str(), static_cast<long>(gap.count()));
+            cr_assert_lt(overlap, maxOverlap, "%s: %ld ms", id.c_str(), static_cast<long>(overlap.count()));
+        }
+    }
+}
--- a/tests/unit/routing_test.cpp
+++ b/tests/unit/routing_test.cpp
@@ -562,3 +562,18 @@
             RC_ASSERT(decision.retryAfter >= minRetryAfter && decision.retryAfter <= maxRetryAfter);
     }));
 }
+
+// A stream must neither leave a worker that may only be pausing, nor stay at a dead one until its caller leaves.
+Test(silence, stream_leaves_its_worker_by_evidence_and_before_its_caller_leaves)
+{
+    cr_assert(rc::check("the time without an event before a stream leaves its worker", [] {
+        auto evidence = static_cast<RunEvidence>(*rc::gen::inRange(0, static_cast<int>(RunEvidence::Count)));
+        Time patience = milliseconds { *rc::gen::inRange(2000, 20000) };
+        RC_ASSERT(silenceBeforeResume(evidence, patience).has_value() == (evidence != RunEvidence::Running));
+        auto silence = silenceBeforeResume(evidence, patience).value_or(std::chrono::seconds { 1 });
+        bool gone = evidence == RunEvidence::Ended || evidence == RunEvidence::Unreachable;
+        RC_ASSERT(silence < patience);
+        bool expected = gone ? silence == Time { 0 } : silence >= std::chrono::seconds { 1 };
+        RC_ASSERT(expected);
+    }));
+}
--- a/transport/include/transport/transport.h
+++ b/transport/include/transport/transport.h
@@ -338,16 +338,18 @@
     std::shared_ptr<Impl> impl;
 };
 
-/// Cancels a client call from another fiber of the same I/O thread.
+class CancelRegistration;
+
+/// Cancels client calls from another fiber of the same I/O thread.
 class CancelToken {
 public:
-    /// Makes the running call fail with `IoError::Cancelled`. Later calls with this token fail immediately.
+    /// Makes the running calls fail with `IoError::Cancelled`. Later calls with this token fail immediately.
     void cancel();
     bool isCancelled() const { return this->cancelled; }
 
 private:
     friend class CancelRegistration;
-    std::function<void()> onCancel; ///< Closes the connection of the running call; empty if there is none.
+    std::set<CancelRegistration*> registrations; ///< Of the running calls.
     bool cancelled = false;
 };
 
--- a/transport/src/http_client_beast.cpp
+++ b/transport/src/http_client_beast.cpp
@@ -87,9 +87,10 @@
 public:
     CancelRegistration(CancelToken* cancel, ClientConnection& connection)
         : cancel(cancel)
+        , connection(connection)
     {
         if (cancel != nullptr)
-            cancel->onCancel = [&connection] { connection.stream.close(); };
+            cancel->registrations.insert(this);
     }
     ~CancelRegistration() { this->release(); }
     CancelRegistration(const CancelRegistration&) = delete;
@@ -97,19 +98,21 @@
     void release()
     {
         if (this->cancel != nullptr)
-            this->cancel->onCancel = nullptr;
+            this->cancel->registrations.erase(this);
         this->cancel = nullptr;
     }
+    void closeConnection() { this->connection.stream.close(); }
 
 private:
     CancelToken* cancel;
+    ClientConnection& connection;
 };
 
 void CancelToken::cancel()
 {
     this->cancelled = true;
-    if (auto callback = std::exchange(this->onCancel, nullptr))
-        callback();
+    for (auto* registration : this->registrations)
+        registration->closeConnection();
 }
 
 struct HttpClient::Impl : std::enable_shared_from_this<HttpClient::Impl> {
