Interim responses are not taken for the response

Report: "A worker stopped in the middle of its answer's head and closed. Clients got a 200 with an empty or short body, framed as whole."

What callers saw: a head that is cut anywhere is no answer here, but an interim one (status 1xx) was: a worker's `100` with its id and signature was forwarded as `100` with an empty body and Content-Length 0, and the answer itself, whole or cut, had no request any more. Without an id the whole answer was lost (502).

Cause: Beast's parser takes a 1xx response for complete; HttpClient returned the first response that was complete.

Fix: the client skips up to 8 interim responses; one that switches protocols, or more than 8, is malformed, and its connection is not reused.

--- a/tests/unit/edge_world.h
+++ b/tests/unit/edge_world.h
@@ -87,6 +87,12 @@
         return start == std::string::npos ? "" : request.substr(start, request.find('\r', start) - start);
     }
 
+    /// Returns the begin of a worker's answer: the status line and the headers by which a VM recognizes the answer to a request.
+    static std::string answerHead(const std::string& id, const std::string& status = "200 OK")
+    {
+        return "HTTP/1.1 " + status + "\r\nAttempt-Id: " + id + "\r\nServer-Seal: s\r\n";
+    }
+
     /// Starts the VM with this number.
     /// @param processorShare cores that the VM may use, which sets its capacity.
     void startVm(int number, double processorShare = 1)
@@ -168,6 +174,31 @@
         return this->sendRequest(path, id, { { "Model", model }, { "Token-Count", "500,100" }, { "Prompt-Prefix", "a1:300,b2:200" } }, vm);
     }
 
+    /// What a caller receives of an answer's body.
+    struct ReceivedBody {
+        std::string bytes;
+        bool complete = false;
+    };
+
+    /// Sends a request as `sendChat` does and returns also a body that is not complete.
+    ReceivedBody receiveChat(const std::string& id, const std::string& path)
+    {
+        ReceivedBody received;
+        this->runOnFiber([&] {
+            transport::CallLimits limits;
+            HttpRequest request { "POST", path, { { "Host", "h.example" }, { "Attempt-Id", id }, { "Deadline-Ms", "3000" }, { "Model", "m1" }, { "Token-Count", "500,100" }, { "Prompt-Prefix", "a1:300,b2:200" } }, "the body" };
+            auto opened = this->client.open(this->front(), request, limits);
+            while (opened && !received.complete) {
+                auto bytes = opened.value()->read(milliseconds { 4000 });
+                if (!bytes)
+                    return;
+                received.complete = bytes.value().empty();
+                received.bytes += bytes.value();
+            }
+        });
+        return received;
+    }
+
     /// Sends a streaming request with a prompt of 500 tokens in the given parts and a body of its own.
     /// @param parts `ID:TOKENS` of each part, separated by commas.
     HttpResponse sendPrompt(const std::string& id, const std::string& parts, const std::string& body, int vm = 0)
--- a/transport/include/transport/transport.h
+++ b/transport/include/transport/transport.h
@@ -61,6 +61,8 @@
 /// Maximum number and size of late copies that are skipped before an answer.
 constexpr int maxLateCopies = 3;
 constexpr size_t maxLateCopyBytes = 1024 * 1024;
+/// Maximum number of interim responses (status 1xx) before a response.
+constexpr int maxInterimResponses = 8;
 /// Time limit for establishing a TCP connection.
 constexpr std::chrono::milliseconds defaultConnectTimeout { 1000 };
 /// A pooled connection is retired this long before the idle timeout that the peer announced in its Keep-Alive header, to allow
--- a/transport/src/http_client_beast.cpp
+++ b/transport/src/http_client_beast.cpp
@@ -324,12 +324,22 @@
             return this->parser->is_done() && this->parser->get().keep_alive() && this->connection->buffer.size() == 0;
         }
 
+        /// Reads the head of the response and skips the interim ones before it. One that switches protocols was not asked for.
         IoResult readHead()
         {
-            this->parser.emplace();
-            this->parser->body_limit(this->maxBodyBytes);
-            this->connection->stream.expires_after(this->deadline - monotonicNow());
-            return readMessage(this->connection->stream, this->connection->buffer, *this->parser, ReadUntil::HeadEnd);
+            for (int interim = 0; interim <= maxInterimResponses; interim++) {
+                this->parser.emplace();
+                this->parser->body_limit(this->maxBodyBytes);
+                this->connection->stream.expires_after(this->deadline - monotonicNow());
+                auto result = readMessage(this->connection->stream, this->connection->buffer, *this->parser, ReadUntil::HeadEnd);
+                auto status = this->parser->get().result_int();
+                if (result.error || http::to_status_class(status) != http::status_class::informational)
+                    return result;
+                if (status == static_cast<unsigned>(http::status::switching_protocols))
+                    break;
+            }
+            this->returnToPool = nullptr;
+            return { http::error::bad_value };
         }
 
         /// Reads the body of a response that is not wanted.
