A planned stop sends no request to a worker after its serve time

Report: "In a planned stop of one edge machine, in calm, requests that came late in the grace were taken and passed on; at the end of the grace they were cut with no answer."

What callers saw: requests that waited in the VM for a worker, an adapter or a model when refusing began (3 s after SIGTERM) were still sent to a worker after it, late in the grace, and could be cut off at its end.

Cause: a thread set a flag each 20 ms, and the flag was looked at once, when a request arrived.

Fix: the decision is a pure function of the shutdown's schedule and the time, routing::maySendWhileDraining, asked for each request when it arrives, while it waits and before it is sent. Until a worker may have run a request it is refused with 503 and Retry-After 0, also if its answer is not expected to end within the grace; after that never with 503. The part of the grace that is reserved for the end of the process is at most a tenth of it: with a grace under 2.4 s it began before the last sixth.

--- a/edge/src/edge.cpp
+++ b/edge/src/edge.cpp
@@ -11,12 +11,8 @@
 
     /// Interval at which a shutdown checks for open requests.
     constexpr milliseconds drainPollInterval { 20 };
-    /// Time after SIGTERM from which new requests are refused: a long one could be cut off when the process ends.
-    constexpr milliseconds refuseDelay { 3000 };
     /// Time after SIGTERM during which callers may still connect because of an old directory answer.
     constexpr milliseconds staleDirectoryTime { 6200 };
-    /// Part of the grace period that is reserved for the end of the process.
-    constexpr milliseconds shutdownReserve { 400 };
     /// Shortest suspension of the VM that is logged.
     constexpr milliseconds minSuspension { 200 };
     /// Interval between two checks of how late timers fire.
@@ -222,23 +218,19 @@
 {
     auto& self = *this->impl;
     auto start = monotonicNow();
-    auto end = start + self.settings.grace - shutdownReserve;
+    auto schedule = routing::planDrain(start, self.settings.grace);
     self.log.info("event=stop open_requests=" + std::to_string(self.callerServer.stats().activeRequests));
+    self.vm.status.drainingSince = start;
     self.vm.status.draining = true;
     self.callerServer.announceClose();
     self.unregister();
-    while (monotonicNow() < end) {
-        auto elapsed = monotonicNow() - start;
-        if (elapsed > refuseDelay)
-            self.vm.status.refusing = true;
-        // Ends early only after callers have stopped connecting because of old directory answers.
-        if (elapsed > staleDirectoryTime && self.callerServer.stats().activeRequests == 0)
-            break;
+    // Ends early only after callers have stopped connecting because of old directory answers.
+    auto mayEndEarly = [&] { return monotonicNow() - start > staleDirectoryTime && self.callerServer.stats().activeRequests == 0; };
+    while (monotonicNow() < schedule.closeAt && !mayEndEarly())
         std::this_thread::sleep_for(drainPollInterval);
-    }
     self.callerServer.stopAccepting();
     // Requests that had just been accepted get their refusal, and open ones the rest of the time.
-    auto lastAnswers = monotonicNow() + shutdownReserve / 2;
+    auto lastAnswers = monotonicNow() + (schedule.exitAt - schedule.closeAt);
     while (monotonicNow() < lastAnswers && self.callerServer.stats().connections > 0)
         std::this_thread::sleep_for(drainPollInterval);
     auto open = self.callerServer.stats().activeRequests;
--- a/edge/src/relay.cpp
+++ b/edge/src/relay.cpp
@@ -242,10 +242,8 @@
 bool Relay::resolveRoute(RequestContext& context)
 {
     context.configuration = this->vm.fleet.configuration();
-    if (this->vm.status.refusing) {
-        this->refuse(context, 503, RefusalReason::Leaving, retryAfterDraining);
+    if (this->endIfLeaving(context, Time { 0 }))
         return false;
-    }
     if (!context.configuration || !this->vm.status.workersKnown) {
         this->refuse(context, 503, RefusalReason::NoConfiguration, retryAfterNoConfiguration);
         return false;
@@ -350,8 +348,8 @@
     ScopedMissingItem missingItem(this->peers);
     auto lastChoiceAt = monotonicNow();
     while (!context.isCallerGone()) {
-        // What crashes workers may become known while the request waits.
-        if (this->endIfHeldOff(context))
+        // What crashes workers may become known while the request waits, and a shutdown may begin.
+        if (this->endIfHeldOff(context) || this->endIfLeaving(context, Time { 0 }))
             return false;
         auto now = monotonicNow();
         selection = this->vm.fleet.chooseWorker(*context.service, shape, context.prefixHashes, context.excludedWorkers, context.route->targetLatency, now);
@@ -380,6 +378,16 @@
     return false;
 }
 
+bool Relay::endIfLeaving(RequestContext& context, Time expected)
+{
+    auto schedule = this->vm.drainSchedule();
+    // The refusal states that the request did not run.
+    if (!schedule || context.streamStarted || context.possibleRuns > 0 || routing::maySendWhileDraining(*schedule, expected, context.remaining(), monotonicNow()))
+        return false;
+    this->refuse(context, 503, RefusalReason::Leaving, retryAfterDraining);
+    return true;
+}
+
 bool Relay::endIfHeldOff(RequestContext& context)
 {
     if (context.progressed || !this->crashes.isHeldOff(context.crashCauses))
@@ -434,6 +442,8 @@
             auto decision = routing::decideSend(selection.choice, context.firstByteDeadline - monotonicNow());
             if (!decision.admitted)
                 return this->refuse(context, 503, RefusalReason::Hopeless, decision.retryAfter);
+            if (this->endIfLeaving(context, selection.choice.timeToFirstByte))
+                return;
         }
         auto result = this->sendOnce(context, selection);
         context.resumeWorker.reset();
--- a/edge/src/relay.h
+++ b/edge/src/relay.h
@@ -43,6 +43,10 @@
     /// Ends a request that crashes workers, unless its answer has made progress.
     /// @return whether it was ended.
     bool endIfHeldOff(RequestContext& context);
+    /// Refuses a request that no worker may have run, if this VM shuts down and the request is not expected to end in time.
+    /// @param expected expected time from now to the end of the answer; 0 if it is not known.
+    /// @return whether it was refused.
+    bool endIfLeaving(RequestContext& context, Time expected);
     void waitForAdapter(RequestContext& context, const routing::WorkerEntry& worker);
     bool waitForWorker(RequestContext& context, Fleet::Selection& selection);
     /// Makes one attempt to send the request to the selected worker.
--- a/edge/src/vm_p.h
+++ b/edge/src/vm_p.h
@@ -11,7 +11,7 @@
 /// Status flags of the daemon.
 struct VmStatus {
     std::atomic<bool> draining { false }; ///< Shutting down: the directory returns only other VMs.
-    std::atomic<bool> refusing { false }; ///< New requests are refused.
+    std::atomic<Time> drainingSince { Time { 0 } }; ///< When the shutdown began. Without meaning before `draining` is set.
     std::atomic<bool> stopping { false }; ///< Background tasks end.
     std::atomic<bool> overloaded { false }; ///< Timers fire late: the VM can't keep up with its load.
     std::atomic<bool> workersKnown { false }; ///< The worker stream has been read at least once.
@@ -49,6 +49,12 @@
         return !this->status.draining && this->status.workersKnown && this->fleet.configuration() != nullptr;
     }
 
+    /// Returns the course of the shutdown, or nothing if none has begun.
+    std::optional<routing::DrainSchedule> drainSchedule() const
+    {
+        return this->status.draining ? std::optional(routing::planDrain(this->status.drainingSince, this->settings.grace)) : std::nullopt;
+    }
+
     Settings settings; ///< As at the start of the daemon; a reload changes only `storeAddress`.
     transport::HttpClient& client;
     /// For reports, probes and orders, whose answers carry no id: on a connection of their own a late copy of one is not taken for the
--- a/routing/include/routing/routing.h
+++ b/routing/include/routing/routing.h
@@ -430,6 +430,31 @@
 /// @param patience silence after which the caller leaves.
 /// @return nothing if the stream stays where it is.
 std::optional<Time> silenceBeforeResume(RunEvidence evidence, Time patience);
+/// Time after the start of a graceful shutdown for which a VM still takes requests: some callers do not know yet that it leaves.
+constexpr milliseconds drainServeTime { 3000 };
+/// Part of the grace period that is reserved for the end of the process: at most this time, and at most this share.
+constexpr milliseconds maxShutdownReserve { 400 };
+constexpr double shutdownReserveShare = 0.1;
+/// Factor on the expected time of an answer: a request that is refused moves to another VM at once, one that is cut off has run in vain.
+constexpr double drainTimeMargin = 1.5;
+
+/// Course of a graceful shutdown.
+struct DrainSchedule {
+    Time refuseAt { 0 }; ///< From this time on no request is sent to a worker for the first time.
+    Time closeAt { 0 }; ///< New connections are no longer accepted.
+    Time endAt { 0 }; ///< Open requests get their final answer.
+    Time exitAt { 0 }; ///< Answers that are still being written are cut off.
+};
+
+/// Plans a graceful shutdown.
+/// @param grace time from the start to the end of the process.
+DrainSchedule planDrain(Time startedAt, milliseconds grace);
+
+/// Decides whether a VM that shuts down sends a request that no worker may have run, or keeps it waiting. A request that is not expected
+/// to end in time is refused, so that its caller turns to another VM at once.
+/// @param expected expected time to the end of the answer; 0 if it is not known.
+/// @param remaining time until the caller or the route gives up: then the request ends in any case.
+bool maySendWhileDraining(const DrainSchedule& schedule, Time expected, Time remaining, Time now);
 
 /// Limits the retries of this VM to its share of what the deployment allows in a sliding window. The shares of all VMs together
 /// stay within the limit while VMs restart, join, leave or lose sight of each other.
--- a/tests/unit/routing_test.cpp
+++ b/tests/unit/routing_test.cpp
@@ -543,6 +543,36 @@
     cr_assert_eq(refused.retryAfter, milliseconds { 3500 });
 }
 
+// Guards against a planned stop that sends requests to workers so late that its end cuts them off.
+Test(drain, request_that_can_not_end_within_the_grace_is_not_sent)
+{
+    cr_assert(rc::check("no request is sent from refuseAt on, or if it is not expected to end before endAt", [] {
+        milliseconds grace { *rc::gen::inRange(200, 60000) };
+        auto schedule = planDrain(now, grace);
+        RC_ASSERT(now < schedule.refuseAt && schedule.refuseAt <= schedule.closeAt && schedule.closeAt <= schedule.endAt && schedule.endAt <= schedule.exitAt && schedule.exitAt < now + grace);
+        RC_ASSERT(schedule.refuseAt <= now + drainServeTime);
+        // A worker that is still at work at the end must be in the last sixth of the grace.
+        RC_ASSERT(schedule.endAt >= now + grace * 5 / 6);
+        Time expected = milliseconds { *rc::gen::inRange(0, 20000) };
+        Time remaining = milliseconds { *rc::gen::inRange(0, 20000) };
+        Time at = now + milliseconds { *rc::gen::inRange(0, 60000) };
+        bool sent = maySendWhileDraining(schedule, expected, remaining, at);
+        RC_ASSERT(!sent || at < schedule.refuseAt);
+        RC_ASSERT(!sent || at + std::min(expected, remaining) <= schedule.endAt);
+        RC_ASSERT(sent || at >= schedule.refuseAt || at + 2 * expected > schedule.endAt);
+    }));
+}
+
+Test(drain, serve_time_ends_after_three_seconds_to_the_nanosecond)
+{
+    auto schedule = planDrain(now, seconds { 8 });
+    cr_assert(maySendWhileDraining(schedule, milliseconds { 100 }, seconds { 15 }, now + drainServeTime - Time { 1 }));
+    cr_assert_not(maySendWhileDraining(schedule, milliseconds { 100 }, seconds { 15 }, now + drainServeTime));
+    // The caller's own limit ends the request in time.
+    cr_assert(maySendWhileDraining(schedule, seconds { 10 }, seconds { 4 }, now + seconds { 2 }));
+    cr_assert_not(maySendWhileDraining(schedule, seconds { 10 }, seconds { 6 }, now + seconds { 2 }));
+}
+
 Test(admission, wait_ends_before_the_callers_timeout)
 {
     cr_assert(rc::check("a wait ends within its share of the timeout, and a refusal carries a Retry-After within its bounds", [] {
