A VM that stops takes no stream that would be cut off at the end of the grace

What callers saw: a stream that began within 3 s of the SIGTERM and lasts longer than the rest of the grace was cut off at its end, without a word before, though another VM could have served it whole.

Cause: before a request was sent, its time to the first event was known, but not how long a stream goes on after it.

Evidence: before, edge.stream_that_can_not_end_within_the_grace_is_refused failed with "id-late got 200 id: 1 ..." in 6 of 6 runs: a stream of 1.8 s was taken 2.3 s after the SIGTERM, with 3.6 s until the end (the test's process goes on after it, a daemon's does not).

Fix: routing::StreamPace measures by service and model what streams take for each output token that was expected. Such a stream is refused with Retry-After 0 if it is expected to end too late, with a margin of a quarter; nothing is refused before a first stream was measured, or if the caller's own time is over before the end of the grace.

Measured: planned_stop_test 4 of 4 in 3 runs, routing_test 29 of 29.

--- a/edge/src/relay.cpp
+++ b/edge/src/relay.cpp
@@ -442,12 +442,14 @@
             auto decision = routing::decideSend(selection.choice, context.firstByteDeadline - monotonicNow());
             if (!decision.admitted)
                 return this->refuse(context, 503, RefusalReason::Hopeless, decision.retryAfter);
-            if (this->endIfLeaving(context, selection.choice.timeToFirstByte))
+            if (this->endIfLeaving(context, selection.choice.timeToFirstByte + this->expectedStreamTime(context)))
                 return;
         }
         auto result = this->sendOnce(context, selection);
         context.resumeWorker.reset();
         context.lastResult = result;
+        if (result == SendResult::Answered)
+            this->recordStreamTime(context);
         if (result == SendResult::Answered || result == SendResult::CallerGone)
             return;
         if (result != SendResult::NotSent && result != SendResult::NotRun)
@@ -463,6 +465,24 @@
     }
 }
 
+Time Relay::expectedStreamTime(const RequestContext& context)
+{
+    if (!context.route->streaming)
+        return Time { 0 };
+    std::lock_guard lock(this->mutex);
+    auto found = this->streamPaces.find({ context.service->name, context.head.shape.model });
+    return found == this->streamPaces.end() ? Time { 0 } : found->second.expectedTime(context.head.shape.outputTokens);
+}
+
+void Relay::recordStreamTime(const RequestContext& context)
+{
+    // A caller that has gone, or that resumes a stream, gets less than the whole of it.
+    if (!context.streamStarted || context.outcome != "answered" || context.head.lastEventId)
+        return;
+    std::lock_guard lock(this->mutex);
+    this->streamPaces[{ context.service->name, context.head.shape.model }].record(context.head.shape.outputTokens, monotonicNow() - context.startedAt - context.timeToFirstByte);
+}
+
 void Relay::finish(RequestContext& context, SendResult result)
 {
     if (context.streamStarted) {
--- a/edge/src/relay.h
+++ b/edge/src/relay.h
@@ -85,6 +85,10 @@
     bool prepareRetry(RequestContext& context, SendResult result);
     /// Chooses the worker on which the run of a stream that is silent at `worker` can go on, and takes a retry from the budget.
     std::optional<Fleet::Selection> chooseResumeWorker(RequestContext& context, const std::string& worker);
+    /// Returns the expected time from a stream's first event to its end; 0 if it is not known or the route has no streams.
+    Time expectedStreamTime(const RequestContext& context);
+    /// Records how long a stream took, if it was answered whole.
+    void recordStreamTime(const RequestContext& context);
     /// Ends a request after its last attempt, which had this result.
     void finish(RequestContext& context, SendResult result);
     /// Sends the caller an error, or closes the connection if the caller has gone.
@@ -102,6 +106,7 @@
     Time slackFrom; ///< When the retry budgets may use their share of the slack, see `routing::RetryBudget`.
     std::mutex mutex;
     std::map<std::string, routing::RetryBudget> retryBudgets; ///< By service. Protected by `mutex`.
+    std::map<std::pair<std::string, std::string>, routing::StreamPace> streamPaces; ///< By service and model. Protected by `mutex`.
     transport::Log log { "relay" };
 };
 
--- a/routing/include/routing/routing.h
+++ b/routing/include/routing/routing.h
@@ -430,13 +430,14 @@
 /// @param patience silence after which the caller leaves.
 /// @return nothing if the stream stays where it is.
 std::optional<Time> silenceBeforeResume(RunEvidence evidence, Time patience);
+
 /// Time after the start of a graceful shutdown for which a VM still takes requests: some callers do not know yet that it leaves.
 constexpr milliseconds drainServeTime { 3000 };
 /// Part of the grace period that is reserved for the end of the process: at most this time, and at most this share.
 constexpr milliseconds maxShutdownReserve { 400 };
 constexpr double shutdownReserveShare = 0.1;
 /// Factor on the expected time of an answer: a request that is refused moves to another VM at once, one that is cut off has run in vain.
-constexpr double drainTimeMargin = 1.5;
+constexpr double drainTimeMargin = 1.25;
 
 /// Course of a graceful shutdown.
 struct DrainSchedule {
@@ -456,6 +457,19 @@
 /// @param remaining time until the caller or the route gives up: then the request ends in any case.
 bool maySendWhileDraining(const DrainSchedule& schedule, Time expected, Time remaining, Time now);
 
+/// Measures how long streams take from their first event to their end, for each output token that was expected. The measured time
+/// corrects expectations that are too high or too low as well as the speed of the workers.
+class StreamPace {
+public:
+    /// Records a stream that was answered whole. Without expected tokens it tells nothing.
+    void record(uint32_t expectedTokens, Time duration);
+    /// Returns the expected time from the first event to the end; 0 if none was recorded or the number of tokens is not known.
+    Time expectedTime(uint32_t expectedTokens) const;
+
+private:
+    double nanosecondsPerToken = 0; ///< Moving average; 0 before the first record.
+};
+
 /// Limits the retries of this VM to its share of what the deployment allows in a sliding window. The shares of all VMs together
 /// stay within the limit while VMs restart, join, leave or lose sight of each other.
 class RetryBudget {
--- a/routing/src/drain.cpp
+++ b/routing/src/drain.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+    /// Weight of a new sample in the moving average of the pace.
+    constexpr double paceSampleWeight = 0.1;
+
     Time scale(Time time, double factor)
     {
         return Time { static_cast<Time::rep>(static_cast<double>(time.count()) * factor) };
@@ -29,4 +32,17 @@
     return now < schedule.refuseAt && now + std::min(scale(expected, drainTimeMargin), remaining) <= schedule.endAt;
 }
 
+void StreamPace::record(uint32_t expectedTokens, Time duration)
+{
+    if (expectedTokens == 0)
+        return;
+    auto sample = static_cast<double>(duration.count()) / expectedTokens;
+    this->nanosecondsPerToken += (this->nanosecondsPerToken == 0 ? 1 : paceSampleWeight) * (sample - this->nanosecondsPerToken);
+}
+
+Time StreamPace::expectedTime(uint32_t expectedTokens) const
+{
+    return Time { static_cast<Time::rep>(this->nanosecondsPerToken * expectedTokens) };
+}
+
 } // namespace comfreypier::routing
--- a/tests/unit/planned_stop_test.cpp
+++ b/tests/unit/planned_stop_test.cpp
@@ -124,6 +124,24 @@
     cr_assert_lt(answeredAt, routing::drainServeTime + milliseconds { 150 }, "refused after %ld ms", std::chrono::duration_cast<milliseconds>(answeredAt).count());
 }
 
+// Guards against streams that the end of the grace is sure to cut off; those that can end before it are served.
+CLUSTER_TEST(stream_that_can_not_end_within_the_grace_is_refused, 13750)
+{
+    cluster.configureAndWait();
+    setStreams(cluster, 100, milliseconds { 18 });
+    cr_assert_eq(cluster.sendChat("id-before").status, 200U);
+    PlannedStop stop(cluster);
+    HttpResponse early;
+    std::thread caller([&] { early = cluster.sendChat("id-early"); });
+    stop.sleepUntil(milliseconds { 2300 });
+    auto late = cluster.sendChat("id-late");
+    cr_assert(isSentAway(cluster, "id-late", late), "got %u after %d runs", late.status, runsOf(cluster, "id-late"));
+    cr_assert_eq(cluster.sendRequest("/order/1", "id-order").status, 200U, "a short request is served");
+    caller.join();
+    cr_assert_eq(early.status, 200U, "got %u", early.status);
+    cr_assert(stop.wait());
+}
+
 // Requests of all kinds, on kept connections, to the end of the listener. Guards against any that is passed on and then cut off, or refused
 // though it has run, in other ways than those above.
 CLUSTER_TEST(no_request_is_cut_off_by_a_stop_under_mixed_load, 13850)
--- a/tests/unit/routing_test.cpp
+++ b/tests/unit/routing_test.cpp
@@ -573,6 +573,20 @@
     cr_assert_not(maySendWhileDraining(schedule, seconds { 10 }, seconds { 6 }, now + seconds { 2 }));
 }
 
+Test(drain, expected_time_of_a_stream_follows_the_measured_ones)
+{
+    StreamPace pace;
+    cr_assert_eq(pace.expectedTime(100), Time { 0 }, "nothing is known yet");
+    pace.record(0, seconds { 100 });
+    cr_assert_eq(pace.expectedTime(100), Time { 0 }, "without expected tokens a stream tells nothing");
+    pace.record(100, seconds { 1 });
+    cr_assert_eq(pace.expectedTime(200), seconds { 2 });
+    for (int i = 0; i < 100; i++)
+        pace.record(50, seconds { 2 });
+    auto expected = std::chrono::duration_cast<milliseconds>(pace.expectedTime(100));
+    cr_assert(expected > milliseconds { 3900 } && expected <= milliseconds { 4000 }, "%ld ms", expected.count());
+}
+
 Test(admission, wait_ends_before_the_callers_timeout)
 {
     cr_assert(rc::check("a wait ends within its share of the timeout, and a refusal carries a Retry-After within its bounds", [] {
