Requests that are open at the end of a planned stop get an answer

What callers saw: a request that a worker was still at work on at the end of the grace lost its connection without an answer; nothing told its caller of a request that may not be repeated that it may have run, and that this VM gives it up.

Cause: the daemon waited for open requests until 0.2 s before the end of the grace and ended its process with those that were left.

Fix: 0.1 s after the listener has closed the relay ends its open requests: their calls to workers are cancelled, no attempt follows, and the caller gets 502 if a worker may have run the request (or the worker's own error, if there is one), else 503 with Retry-After 0. Streams that have started are cut off visibly, as before. The workers are not blamed. A request that still is open gives up 0.1 s of its time for that: it is ended 0.3 s before the end of the grace instead of 0.2 s.

--- a/edge/src/edge.cpp
+++ b/edge/src/edge.cpp
@@ -230,13 +230,20 @@
         std::this_thread::sleep_for(drainPollInterval);
     self.callerServer.stopAccepting();
     // Requests that had just been accepted get their refusal, and open ones the rest of the time.
-    auto lastAnswers = monotonicNow() + (schedule.exitAt - schedule.closeAt);
-    while (monotonicNow() < lastAnswers && self.callerServer.stats().connections > 0)
-        std::this_thread::sleep_for(drainPollInterval);
+    auto closedAt = monotonicNow();
+    auto waitForAnswers = [&](Time end) {
+        while (monotonicNow() < end && self.callerServer.stats().connections > 0)
+            std::this_thread::sleep_for(drainPollInterval);
+    };
+    waitForAnswers(closedAt + (schedule.endAt - schedule.closeAt));
+    // Shared, as the fiber may run after this function has returned.
+    auto cutOff = std::make_shared<std::atomic<size_t>>(0);
+    self.runtime.spawn([&self, cutOff] { *cutOff = self.relay.endOpenRequests(); });
+    waitForAnswers(closedAt + (schedule.exitAt - schedule.closeAt));
     auto open = self.callerServer.stats().activeRequests;
     self.vm.status.stopping = true;
-    self.log.info("event=stopped open_requests=" + std::to_string(open));
-    return open == 0;
+    self.log.info("event=stopped cut_off=" + std::to_string(*cutOff) + " open_requests=" + std::to_string(open));
+    return *cutOff == 0 && open == 0;
 }
 
 } // namespace comfreypier::edge
--- a/edge/src/relay.cpp
+++ b/edge/src/relay.cpp
@@ -131,7 +131,8 @@
     std::set<routing::CrashCause> crashCauses;
     bool progressed = false; ///< An answer got beyond its first event, or is complete.
     std::vector<uint64_t> prefixHashes; ///< Result of `routing::hashPrefixes`; empty if the service has no engine.
-    transport::CancelToken cancel; ///< Cancelled when the caller closes its connection. Aborts the call to the worker.
+    transport::CancelToken cancel; ///< Cancelled when the caller closes its connection or the VM's shutdown ends. Aborts the call to the worker.
+    bool endedByShutdown = false; ///< The shutdown has ended the request: nothing more is sent to a worker.
     std::set<std::string> excludedWorkers; ///< Workers that failed this request.
     /// Connections on which an attempt was answered. All attempts have the same id, so on such a connection a late copy of the answer to
     /// one attempt would be taken for the answer to the next.
@@ -156,7 +157,8 @@
     Time entryAge { 0 }; ///< See `Fleet::Selection`.
     std::optional<double> requestLimit; ///< Limit that the worker named in its answer, in requests per second.
 
-    bool isCallerGone() const { return this->cancel.isCancelled(); }
+    bool isCancelled() const { return this->cancel.isCancelled(); }
+    bool isCallerGone() const { return this->cancel.isCancelled() && !this->endedByShutdown; }
     /// Returns the time until the deadline; negative after it.
     milliseconds remaining() const { return std::chrono::duration_cast<milliseconds>(this->deadline - monotonicNow()); }
     bool hasUsableBackup() const { return this->backupWorker && !this->excludedWorkers.contains(this->backupWorker->id); }
@@ -186,6 +188,24 @@
     bool awaitsFirstEvent = true;
 };
 
+/// Adds a request to the open ones until it goes out of scope.
+class Relay::ScopedOpenRequest {
+public:
+    ScopedOpenRequest(std::set<RequestContext*>& openRequests, RequestContext& context)
+        : openRequests(openRequests)
+        , context(&context)
+    {
+        this->openRequests.insert(this->context);
+    }
+    ~ScopedOpenRequest() { this->openRequests.erase(this->context); }
+    ScopedOpenRequest(const ScopedOpenRequest&) = delete;
+    ScopedOpenRequest& operator=(const ScopedOpenRequest&) = delete;
+
+private:
+    std::set<RequestContext*>& openRequests;
+    RequestContext* context;
+};
+
 Relay::Relay(Vm& vm, Peers& peers, CrashTracker& crashes)
     : vm(vm)
     , peers(peers)
@@ -205,6 +225,7 @@
     increment(this->vm.counters, CountedEvent::Requests);
     RequestContext context(this->vm.bufferMemory, request, writer);
     writer.watchCaller([&context] { context.cancel.cancel(); });
+    const ScopedOpenRequest open(this->openRequests, context);
     if (this->resolveRoute(context))
         this->run(context);
     writer.unwatchCaller();
@@ -212,6 +233,17 @@
     this->logRequest(context);
 }
 
+size_t Relay::endOpenRequests()
+{
+    for (auto* context : this->openRequests) {
+        if (context->isCancelled())
+            continue;
+        context->endedByShutdown = true;
+        context->cancel.cancel();
+    }
+    return this->openRequests.size();
+}
+
 void Relay::logRequest(const RequestContext& context)
 {
     this->log.info("event=request id=" + context.head.id + " route=" + (context.route ? context.route->name : "-") + " version=" + (context.configuration ? std::to_string(context.configuration->version) : "-")
@@ -295,7 +327,7 @@
 {
     bool mayHaveRun = result != SendResult::NotSent && result != SendResult::NotRun;
     bool canRunAgain = context.isRetryable() && context.possibleRuns < context.route->maxAttempts;
-    if (context.remaining() <= replyReserve)
+    if (context.remaining() <= replyReserve || context.endedByShutdown)
         return false;
     // A run that resumes from its backup copy is still the same run. Before its first event there may be no copy yet.
     if (mayHaveRun && !canRunAgain && context.hasUsableBackup() && context.streamStarted && result != SendResult::WorkerError)
@@ -347,7 +379,7 @@
     const auto& shape = context.head.shape;
     ScopedMissingItem missingItem(this->peers);
     auto lastChoiceAt = monotonicNow();
-    while (!context.isCallerGone()) {
+    while (!context.isCancelled()) {
         // What crashes workers may become known while the request waits, and a shutdown may begin.
         if (this->endIfHeldOff(context) || this->endIfLeaving(context, Time { 0 }))
             return false;
@@ -372,9 +404,9 @@
         auto seenChanges = this->vm.fleet.changes();
         do
             sleepFor(workerPollInterval);
-        while (!context.isCallerGone() && this->vm.fleet.changes() == seenChanges && monotonicNow() - now < workerRetryInterval);
+        while (!context.isCancelled() && this->vm.fleet.changes() == seenChanges && monotonicNow() - now < workerRetryInterval);
     }
-    this->refuse(context, 0, RefusalReason::CallerGone, std::nullopt);
+    this->finish(context, context.lastResult);
     return false;
 }
 
@@ -408,7 +440,7 @@
     MissingItem item { worker.id, shape.model, shape.adapter };
     this->peers.addMissingItem(item);
     auto deadline = monotonicNow() + resumeAdapterTimeout;
-    while (!context.isCallerGone() && monotonicNow() < deadline && !this->vm.fleet.holdsAdapter(worker.id, shape))
+    while (!context.isCancelled() && monotonicNow() < deadline && !this->vm.fleet.holdsAdapter(worker.id, shape))
         sleepFor(workerPollInterval);
     this->peers.removeMissingItem(item);
 }
@@ -500,6 +532,8 @@
         return;
     }
     // Status 503 states that the request did not run.
+    if (context.endedByShutdown)
+        return this->refuse(context, context.possibleRuns > 0 ? 502 : 503, RefusalReason::Leaving, context.possibleRuns > 0 ? std::nullopt : std::optional(retryAfterDraining));
     if (context.possibleRuns == 0)
         return this->refuse(context, 503, result == SendResult::NotSent ? RefusalReason::Unreachable : RefusalReason::NoRoom, retryAfterTransient);
     bool deadlinePassed = context.remaining() <= replyReserve;
@@ -528,7 +562,7 @@
     bool failed = (result != SendResult::Answered && result != SendResult::CallerGone) || stream.status() >= 500;
     // On a streaming route an answer that is read whole is no stream: its time says nothing about the time to the first event.
     auto expected = context.route->streaming ? Time { 0 } : context.expectedFirstByte;
-    if (result != SendResult::CallerGone)
+    if (result != SendResult::CallerGone && !context.endedByShutdown)
         this->vm.fleet.updateWorker(selection.id, [&](routing::Worker& worker) { routing::recordAnswer(worker, failed, expected, elapsed, monotonicNow()); });
     return result;
 }
@@ -619,6 +653,8 @@
 
 Relay::SendResult Relay::handleSendError(RequestContext& context, const Fleet::Selection& selection, IoError error)
 {
+    if (context.endedByShutdown)
+        return SendResult::TimedOut; // That is no fault of the worker.
     if (context.isCallerGone() || error == IoError::Cancelled) {
         this->refuse(context, 0, RefusalReason::CallerGone, std::nullopt);
         return SendResult::CallerGone;
--- a/edge/src/relay.h
+++ b/edge/src/relay.h
@@ -12,6 +12,10 @@
 
     /// Serves one request until its answer is complete. Runs on the request's own fiber.
     void serve(const transport::HttpRequest& request, transport::ResponseWriter& writer);
+    /// Ends all open requests: those that a worker may have run get 502, others 503, streams that have started are cut off. Must be called on
+    /// the I/O thread.
+    /// @return number of requests that were open.
+    size_t endOpenRequests();
     /// Returns the answer to a request that the HTTP server could not parse. Called by the server; counts nothing.
     static transport::HttpResponse refuseMalformed(unsigned status, std::string_view reason);
 
@@ -19,6 +23,7 @@
     struct RequestContext;
     struct Attempt;
     class ScopedMissingItem;
+    class ScopedOpenRequest;
     /// Result of one attempt to send a request to a worker.
     enum class SendResult {
         Answered, ///< The answer was forwarded; the caller may have gone before its end.
@@ -107,6 +112,7 @@
     std::mutex mutex;
     std::map<std::string, routing::RetryBudget> retryBudgets; ///< By service. Protected by `mutex`.
     std::map<std::pair<std::string, std::string>, routing::StreamPace> streamPaces; ///< By service and model. Protected by `mutex`.
+    std::set<RequestContext*> openRequests; ///< Used on the I/O thread only.
     transport::Log log { "relay" };
 };
 
--- a/tests/unit/planned_stop_test.cpp
+++ b/tests/unit/planned_stop_test.cpp
@@ -142,6 +142,39 @@
     cr_assert(stop.wait());
 }
 
+// Guards against requests whose callers learn nothing at the end of the grace: they must get an answer before the process ends, and one
+// that does not promise that the request has not run.
+CLUSTER_TEST(open_requests_are_answered_at_the_end_of_the_grace, 13775)
+{
+    cluster.configureAndWait();
+    for (auto& worker : cluster.workers)
+        worker->fault = WorkerFault::NoResponse;
+    PlannedStop stop(cluster);
+    stop.sleepUntil(routing::drainServeTime - milliseconds { 150 });
+    struct Call {
+        std::string path;
+        HttpResponse answer;
+        bool beforeEnd = false;
+    };
+    std::vector<Call> calls { { "/order/1", {}, false }, { "/order/2", {}, false }, { "/chat/1", {}, false }, { "/draft/1", {}, false }, { "/status/1", {}, false } };
+    std::vector<std::thread> callers;
+    for (auto& call : calls) {
+        callers.emplace_back([&] {
+            auto id = "id" + call.path;
+            call.answer = call.path.starts_with("/order") || call.path.starts_with("/status") ? cluster.sendRequest(call.path, id) : cluster.sendChat(id, call.path);
+            call.beforeEnd = !stop.hasEnded();
+        });
+    }
+    for (auto& caller : callers)
+        caller.join();
+    for (const auto& call : calls) {
+        cr_assert(call.beforeEnd, "%s had no answer when the process ended; later it got %u", call.path.c_str(), call.answer.status);
+        cr_assert(call.answer.status == 502 || call.answer.status == 504, "%s got %u", call.path.c_str(), call.answer.status);
+        cr_assert_geq(runsOf(cluster, "id" + call.path), 1, "%s", call.path.c_str());
+    }
+    cr_assert_not(stop.wait(), "the VM says that it has cut nothing off");
+}
+
 // Requests of all kinds, on kept connections, to the end of the listener. Guards against any that is passed on and then cut off, or refused
 // though it has run, in other ways than those above.
 CLUSTER_TEST(no_request_is_cut_off_by_a_stop_under_mixed_load, 13850)
