--- a/tests/unit/coordination_test.cpp
+++ b/tests/unit/coordination_test.cpp
@@ -330,7 +330,7 @@
             RC_ASSERT(used <= worker.declared.capacity);
         }
         auto second = computePlanChange(inputs);
-        RC_ASSERT(second.adds.empty() && second.drops.empty());
+        RC_ASSERT((second.adds.empty() && second.drops.empty()));
     }));
 }
 
--- a/tests/unit/peers_test.cpp
+++ b/tests/unit/peers_test.cpp
@@ -168,8 +168,8 @@
                 if (tracker.isComplete(ownReadAt))
                     RC_ASSERT(known.size() == count);
             }
-            RC_ASSERT(heard || !tracker.isComplete(ownReadAt));
-            RC_ASSERT(!allArrived || tracker.isComplete(ownReadAt));
+            RC_ASSERT((heard || !tracker.isComplete(ownReadAt)));
+            RC_ASSERT((!allArrived || tracker.isComplete(ownReadAt)));
             if (*rc::gen::inRange(0, 8) == 0) {
                 ownReadAt = at + milliseconds { 1 };
                 for (uint64_t number = 1; number <= count; number++)
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -190,7 +190,7 @@
     cr_assert(rc::check("truncated and corrupted configurations are decoded or give an error", [] {
         std::string error;
         auto configuration = decodeConfiguration(corrupt(validConfiguration), error);
-        RC_ASSERT(configuration.has_value() || !error.empty());
+        RC_ASSERT((configuration.has_value() || !error.empty()));
     }));
 }
 
--- a/tests/unit/protocol_test.cpp
+++ b/tests/unit/protocol_test.cpp
@@ -104,7 +104,7 @@
     cr_assert(rc::check("damaged record", [] {
         auto valid = encodeEnvelope(*genEnvelope());
         auto decoded = decodeEnvelope(*genDamaged(valid));
-        RC_ASSERT(decoded || decoded.error() < RecordError::Count);
+        RC_ASSERT((decoded || decoded.error() < RecordError::Count));
     }));
 }
 
--- a/tests/unit/routing_test.cpp
+++ b/tests/unit/routing_test.cpp
@@ -603,7 +603,7 @@
         else if (choice.blockReason == BlockReason::Limited)
             RC_ASSERT(decision.retryAfter == std::max(minRetryAfter, std::chrono::ceil<milliseconds>(choice.timeToCapacity)));
         else
-            RC_ASSERT(decision.retryAfter >= minRetryAfter && decision.retryAfter <= maxRetryAfter);
+            RC_ASSERT((decision.retryAfter >= minRetryAfter && decision.retryAfter <= maxRetryAfter));
     }));
 }
 
--- a/tests/unit/transport_test.cpp
+++ b/tests/unit/transport_test.cpp
@@ -53,7 +53,7 @@
     cr_assert(server.start());
     cr_assert(rc::check("bad bytes", [] {
         auto response = sendRaw(*genDamaged(validRequest));
-        RC_ASSERT(response.empty() || response.starts_with("HTTP/1.1 "));
+        RC_ASSERT((response.empty() || response.starts_with("HTTP/1.1 ")));
     }));
     auto response = sendRaw(validRequest);
     cr_assert(response.starts_with("HTTP/1.1 200"));
