Requests whose end is unclear are refused with all that follows

What callers saw: a request hidden in the body of another one was served. "Transfer-Encoding: xchunked" (or gzip, or chunked with another coding after it) counted as an empty body, and the body as the next request. A reader in front of the VM that finds the end elsewhere lets such a request pass unseen. Also accepted: a coding beside a length, two equal lengths, lines that continue the line before, codings in HTTP/1.0, and trailers of up to 64 KiB whatever the limit of a head. Trailers were added to the head and forwarded as its fields.

Cause: all of this is Beast's parser, which is lenient.

Now the server's parser refuses them with 400 and closes the connection: one coding, which is `chunked`, or one length; no continued lines; chunk heads and trailers within the limit of a head. The head is taken before the body, so that trailers are left out. Both daemons use this server. `gzip, chunked` is refused as well, as the body could not be forwarded unchanged.

--- a/tests/failure/bad_input.sh
+++ b/tests/failure/bad_input.sh
@@ -35,6 +35,13 @@
 head -n 1 <&3 > "$run/slow.txt"
 grep -q ' 408 ' "$run/slow.txt" || fail "an incomplete request was not refused with 408"
 exec 3>&-
+# A request hidden in the body of another one is not served.
+exec 3<> "/dev/tcp/${host%:*}/${host#*:}"
+printf 'POST /v1/completions HTTP/1.1\r\nTransfer-Encoding: xchunked\r\n\r\nGET /healthz HTTP/1.1\r\n\r\n' >&3
+timeout 5 cat <&3 > "$run/hidden.txt" || fail "the connection of an ambiguous request was not closed"
+[ "$(grep -c '^HTTP/1.1 ' "$run/hidden.txt")" = 1 ] || fail "a hidden request was served"
+grep -q '^HTTP/1.1 400 ' "$run/hidden.txt" || fail "an ambiguous request was not refused with 400"
+exec 3>&-
 # Random bytes must not stop the daemon, which is checked below.
 for _ in $(seq 1 20); do
   { head -c 300 /dev/urandom > "/dev/tcp/${host%:*}/${host#*:}"; } 2> /dev/null || true
--- a/tests/unit/edge_faults_test.cpp
+++ b/tests/unit/edge_faults_test.cpp
@@ -706,3 +706,45 @@
         }
     }
 }
+
+namespace {
+
+/// Sends `bytes` to the VM on a new connection, and returns everything that it sends until it closes, or is silent for some seconds.
+std::string sendBytes(const TestCluster& cluster, const std::string& bytes)
+{
+    int connection = ::socket(AF_INET, SOCK_STREAM, 0);
+    constexpr timeval timeout { 3, 0 };
+    ::setsockopt(connection, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(cluster.front().port);
+    inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+    std::string received;
+    if (::connect(connection, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0) {
+        RawPeer::write(connection, bytes);
+        char buffer[4096];
+        ssize_t count = 0;
+        while ((count = ::recv(connection, buffer, sizeof buffer, 0)) > 0)
+            received.append(buffer, static_cast<size_t>(count));
+    }
+    ::close(connection);
+    return received;
+}
+
+} // namespace
+
+// A worker must not run a request that is hidden in the body of another one.
+CLUSTER_TEST(hidden_requests_reach_no_worker, 12000)
+{
+    cluster.configureAndWait();
+    auto runs = [&] { return cluster.app(0).runs + cluster.app(1).runs; };
+    auto request = [](const std::string& id, const std::string& fields) { return "POST /order/1 HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: " + id + "\r\nDeadline-Ms: 3000\r\n" + fields + "\r\n"; };
+    auto hidden = request("id-hidden", "Content-Length: 1\r\n") + "x";
+    cr_assert(cluster.waitUntil([&] { return sendBytes(cluster, request("id-first", "Connection: close\r\nContent-Length: 1\r\n") + "x").starts_with("HTTP/1.1 200"); }));
+    auto before = runs();
+    for (const auto* fields : { "Transfer-Encoding: xchunked\r\n", "Transfer-Encoding: chunked, gzip\r\n", "Transfer-Encoding: gzip\r\nContent-Length: 0\r\n", "A: a\r\n Content-Length: 1000\r\n" }) {
+        auto response = sendBytes(cluster, request("id-outer", fields) + hidden);
+        cr_assert(response.starts_with("HTTP/1.1 400 ") && response.rfind("HTTP/1.1 ") == 0, "%s: %s", fields, response.substr(0, 60).c_str());
+        cr_assert_eq(runs(), before, "%s", fields);
+    }
+}
--- a/tests/unit/transport_test.cpp
+++ b/tests/unit/transport_test.cpp
@@ -3,6 +3,7 @@
 #include "raw_peer.h"
 
 #include <arpa/inet.h>
+#include <boost/json.hpp>
 #include <criterion/criterion.h>
 #include <csignal>
 #include <sys/socket.h>
@@ -18,18 +19,23 @@
 constexpr uint16_t defaultPort = 26999;
 const std::string validRequest = "POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nConnection: close\r\n\r\nhello";
 
-/// Sends `bytes` on a new connection, shuts down the sending side, and returns everything that the server sends.
-std::string sendRaw(const std::string& bytes, uint16_t port = defaultPort)
+/// Sends `bytes` on a new connection, and returns everything that the server sends until it closes its sending side, or is silent
+/// for some seconds.
+/// @param callerCloses whether the sending side is shut down after the bytes.
+std::string sendRaw(const std::string& bytes, uint16_t port = defaultPort, bool callerCloses = true)
 {
     int connection = ::socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in address {};
     address.sin_family = AF_INET;
     address.sin_port = htons(port);
     inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+    constexpr timeval timeout { 3, 0 };
+    ::setsockopt(connection, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
     std::string response;
     if (::connect(connection, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0) {
         ::send(connection, bytes.data(), bytes.size(), MSG_NOSIGNAL);
-        ::shutdown(connection, SHUT_WR);
+        if (callerCloses)
+            ::shutdown(connection, SHUT_WR);
         char buffer[4096];
         ssize_t count = 0;
         while ((count = ::recv(connection, buffer, sizeof buffer, 0)) > 0)
@@ -244,6 +250,132 @@
     }
 }
 
+// A request whose end two readers see in different places hides another request in its body. It must be refused, the connection closed,
+// and nothing that follows on it handled.
+Test(http_server, requests_with_ambiguous_framing_are_refused_with_all_that_follows)
+{
+    signal(SIGPIPE, SIG_IGN);
+    constexpr uint16_t port = 26989;
+    constexpr size_t maxHeaderBytes = 4096;
+    const std::string hidden = "GET /hidden HTTP/1.1\r\nHost: a\r\n\r\n";
+    const std::string chunks = "5\r\nhello\r\n0\r\n";
+    const auto withFields = [](const std::string& fields) { return "POST /echo HTTP/1.1\r\nHost: a\r\n" + fields; };
+    const std::vector<std::string> ambiguous {
+        withFields("Transfer-Encoding: gzip\r\n\r\n"),
+        withFields("Transfer-Encoding: xchunked\r\n\r\n") + chunks + "\r\n",
+        withFields("Transfer-Encoding: chunked, gzip\r\n\r\n") + chunks + "\r\n",
+        withFields("Transfer-Encoding: chunked, identity\r\n\r\n") + chunks + "\r\n",
+        withFields("Transfer-Encoding: gzip, chunked\r\n\r\n") + chunks + "\r\n",
+        withFields("Transfer-Encoding: chunked, chunked\r\n\r\n") + chunks + "\r\n",
+        withFields("Transfer-Encoding: identity\r\nTransfer-Encoding: chunked\r\n\r\n") + chunks + "\r\n",
+        withFields("Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n") + chunks + "\r\n",
+        withFields("Transfer-Encoding:\r\n\r\n"),
+        withFields("Transfer-Encoding: \"chunked\"\r\n\r\n") + chunks + "\r\n",
+        withFields("Transfer-Encoding: chunked;a=b\r\n\r\n") + chunks + "\r\n",
+        withFields("Transfer-Encoding: gzip\r\nContent-Length: 5\r\n\r\n") + "hello",
+        withFields("Content-Length: 5\r\nTransfer-Encoding: gzip\r\n\r\n") + "hello",
+        withFields("Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n") + chunks + "\r\n",
+        withFields("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n") + chunks + "\r\n",
+        withFields("Content-Length: 5\r\nContent-Length: 6\r\n\r\n") + "hello",
+        withFields("Content-Length: 5\r\nContent-Length: 5\r\n\r\n") + "hello",
+        withFields("Content-Length: 5, 5\r\n\r\n") + "hello",
+        withFields("Content-Length: 5,\r\n\r\n") + "hello",
+        withFields("Content-Length: +5\r\n\r\n") + "hello",
+        withFields("Content-Length: -5\r\n\r\n") + "hello",
+        withFields("Content-Length: 0x5\r\n\r\n") + "hello",
+        withFields("Content-Length: 5 5\r\n\r\n") + "hello",
+        withFields("Content-Length:\r\n\r\n") + "hello",
+        withFields("Content-Length: 18446744073709551621\r\n\r\n") + "hello",
+        withFields("Content-Length : 5\r\n\r\n") + "hello",
+        withFields("Content-Length\t: 5\r\n\r\n") + "hello",
+        withFields(" Content-Length: 5\r\n\r\n") + "hello",
+        withFields("Content-Length: 5\n\r\n") + "hello",
+        withFields("Content-Length: 5\r\n\n") + "hello",
+        withFields("Content-Length: 5\r\r\n\r\n") + "hello",
+        withFields("Content-Length: 5\v\r\n\r\n") + "hello",
+        withFields("A: a\nContent-Length: 5\r\n\r\n") + "hello",
+        withFields("A: a\rContent-Length: 5\r\n\r\n") + "hello",
+        withFields("A: a\r\n Content-Length: 5\r\n\r\n"),
+        withFields("Content-Length:\r\n 5\r\n\r\n") + "hello",
+        withFields("Transfer-Encoding:\r\n\tchunked\r\n\r\n") + chunks + "\r\n",
+        "POST /echo HTTP/1.0\r\nHost: a\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks + "\r\n",
+        "POST /echo HTTP/1.1\nHost: a\nContent-Length: 5\n\n"
+        "hello",
+        "POST  /echo HTTP/1.1\r\nContent-Length: 5\r\n\r\n"
+        "hello",
+        "POST /echo  HTTP/1.1\r\nContent-Length: 5\r\n\r\n"
+        "hello",
+        "POST /echo HTTP/1.1 \r\nContent-Length: 5\r\n\r\n"
+        "hello",
+        "POST\t/echo HTTP/1.1\r\nContent-Length: 5\r\n\r\n"
+        "hello",
+        withFields("Transfer-Encoding: chunked\r\n\r\n") + "5 \r\nhello\r\n0\r\n\r\n",
+        withFields("Transfer-Encoding: chunked\r\n\r\n") + " 5\r\nhello\r\n0\r\n\r\n",
+        withFields("Transfer-Encoding: chunked\r\n\r\n") + "0x5\r\nhello\r\n0\r\n\r\n",
+        withFields("Transfer-Encoding: chunked\r\n\r\n") + "+5\r\nhello\r\n0\r\n\r\n",
+        withFields("Transfer-Encoding: chunked\r\n\r\n") + "10000000000000005\r\nhello\r\n0\r\n\r\n",
+        withFields("Transfer-Encoding: chunked\r\n\r\n") + "5\nhello\r\n0\r\n\r\n",
+        withFields("Transfer-Encoding: chunked\r\n\r\n") + "5;a\nb\r\nhello\r\n0\r\n\r\n",
+        withFields("Transfer-Encoding: chunked\r\n\r\n") + "5\r\nhello0\r\n\r\n",
+        withFields("Transfer-Encoding: chunked\r\n\r\n") + "5\r\nhello\n0\r\n\r\n",
+        withFields("Transfer-Encoding: chunked\r\n\r\n") + "5\r\nhello\r\n0 \r\n\r\n",
+        withFields("Transfer-Encoding: chunked\r\n\r\n") + chunks + "A: a\nB: b\r\n\r\n",
+        withFields("Transfer-Encoding: chunked\r\n\r\n") + chunks + "A: a\r\n b\r\n\r\n",
+        withFields("Transfer-Encoding: chunked\r\n\r\n") + chunks + "A : a\r\n\r\n",
+        withFields("Transfer-Encoding: chunked\r\n\r\n") + chunks + "Content-Length: 5\r\n\r\n",
+        withFields("Transfer-Encoding: chunked\r\n\r\n") + chunks + "Transfer-Encoding: gzip\r\n\r\n",
+        withFields("Transfer-Encoding: chunked\r\n\r\n") + chunks + "A: " + std::string(maxHeaderBytes, 'a') + "\r\n\r\n",
+        withFields("Transfer-Encoding: chunked\r\n\r\n") + chunks + fill("A: %\r\nB: %\r\nC: %\r\n", maxHeaderBytes / 2) + "\r\n",
+    };
+    const std::vector<std::string> sound {
+        withFields("Content-Length: 5\r\n\r\n") + "hello",
+        withFields("content-length:5\r\n\r\n") + "hello",
+        withFields("Content-Length: \t5 \t\r\n\r\n") + "hello",
+        withFields("Transfer-Encoding: chunked\r\n\r\n") + chunks + "\r\n",
+        withFields("transfer-encoding:CHUNKED\r\n\r\n") + "2\r\nhe\r\n003\r\nllo\r\n000\r\n\r\n",
+        withFields("Transfer-Encoding: chunked\r\n\r\n") + "5;a=b;c=\"d \"\r\nhello\r\n0;a\r\n\r\n",
+        withFields("Transfer-Encoding: chunked\r\n\r\n") + chunks + "A: a\r\nId: trailer\r\n\r\n",
+        withFields("Transfer-Encoding: chunked\r\n\r\n") + "5\r\nh\n\r\n \r\n0\r\n\r\n",
+    };
+    std::mutex mutex;
+    std::vector<HttpRequest> handled;
+    Runtime runtime(1);
+    ServerLimits limits;
+    limits.maxHeaderBytes = maxHeaderBytes;
+    auto handler = [&](const HttpRequest& request, ResponseWriter& writer) {
+        std::lock_guard lock(mutex);
+        handled.push_back(request);
+        writer.send({ 200, {}, request.body });
+    };
+    HttpServer server(runtime, { "127.0.0.1", port }, limits, handler, [](unsigned status, std::string_view) { return HttpResponse { status, {}, {} }; });
+    cr_assert(server.start());
+    auto takeHandled = [&] {
+        std::lock_guard lock(mutex);
+        return std::exchange(handled, {});
+    };
+    std::string failures;
+    auto expect = [&](bool condition, const std::string& request, const std::string& what) {
+        if (!condition)
+            failures += "\n" + what + ": " + boost::json::serialize(boost::json::value(request.substr(0, 120)));
+    };
+    for (const auto& request : ambiguous) {
+        for (bool callerCloses : { true, false }) {
+            auto response = sendRaw(request + hidden, port, callerCloses);
+            expect(takeHandled().empty(), request, "handled");
+            expect(response.starts_with("HTTP/1.1 400 ") && response.rfind("HTTP/1.1 ") == 0, request, "no single 400, but " + response.substr(0, 12));
+        }
+    }
+    for (const auto& request : sound) {
+        sendRaw(request + validRequest, port);
+        auto requests = takeHandled();
+        expect(requests.size() == 2, request, "not handled");
+        expect(requests.empty() || (requests[0].body.size() == 5 && findHeader(requests[0].headers, "Id").empty()), request, "another body or header");
+    }
+    cr_assert(failures.empty(), "%s", failures.c_str());
+    server.closeAll();
+    cr_assert(runtime.stop(std::chrono::seconds { 5 }));
+}
+
 // Servers in trouble send bytes that are no answer, without end, until the caller closes. They must cost the caller neither memory nor
 // time without bound, wherever in the answer they come.
 Test(http_client, answers_without_end_are_given_up)
--- a/transport/src/http_server_beast.cpp
+++ b/transport/src/http_server_beast.cpp
@@ -39,17 +39,67 @@
         std::set<Connection*> connections; ///< Open connections. Each is owned by its fiber.
     };
 
-    HttpRequest toRequest(http::request<http::string_body>&& message)
+    /// Returns a request without its body.
+    HttpRequest toRequestHead(const http::request<http::string_body>& message)
     {
         HttpRequest request;
         request.method = std::string(message.method_string());
         request.target = std::string(message.target());
         for (const auto& field : message)
             request.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
-        request.body = std::move(message.body());
         return request;
     }
 
+    /// Returns whether every reader finds the end of a request at the same place: it has one length, or chunks and no other coding.
+    /// @param version of HTTP, 10 or 11. Readers of 1.0 know no codings.
+    bool isFramingClear(const http::fields& fields, unsigned version)
+    {
+        auto codings = fields.count(http::field::transfer_encoding);
+        auto lengths = fields.count(http::field::content_length);
+        if (codings > 0)
+            return codings == 1 && lengths == 0 && version == 11 && beast::iequals(fields[http::field::transfer_encoding], "chunked");
+        return lengths == 0 || (lengths == 1 && fields[http::field::content_length].find(',') == std::string_view::npos);
+    }
+
+    /// Parser that also refuses what other readers may take for something else: unclear framing, lines that continue the line before,
+    /// and chunk heads and trailers beyond the limit of a head.
+    class RequestParser : public http::request_parser<http::string_body> {
+    public:
+        explicit RequestParser(const ServerLimits& limits)
+            : maxHeaderBytes(limits.maxHeaderBytes)
+        {
+            this->header_limit(limits.maxHeaderBytes);
+            this->body_limit(limits.maxBodyBytes);
+        }
+
+        /// Hides `basic_parser::put`, which parses one part of the message: lines of the head, a body, or the head of a chunk. That of the
+        /// last chunk includes the trailers.
+        size_t put(asio::const_buffer buffer, ErrorCode& error)
+        {
+            bool inHead = !this->is_header_done();
+            auto bodySize = this->get().body().size();
+            auto used = http::request_parser<http::string_body>::put(buffer, error);
+            bool inChunkHead = !inHead && this->chunked() && this->get().body().size() == bodySize;
+            if (inChunkHead && (error == http::error::need_more ? buffer.size() : used) > this->maxHeaderBytes)
+                error = http::error::bad_chunk;
+            if (error && error != http::error::need_more)
+                return used;
+            if ((inHead || inChunkHead) && hasContinuedLine({ static_cast<const char*>(buffer.data()), used }))
+                error = http::error::bad_field;
+            else if (inHead && this->is_header_done() && !isFramingClear(this->get(), this->get().version()))
+                error = http::error::bad_transfer_encoding;
+            return used;
+        }
+
+    private:
+        static bool hasContinuedLine(std::string_view lines)
+        {
+            return lines.find("\r\n ") != std::string_view::npos || lines.find("\r\n\t") != std::string_view::npos;
+        }
+
+        size_t maxHeaderBytes;
+    };
+
     /// Returns false for 204 (No Content) and 304 (Not Modified), whose responses have no body.
     bool allowsBody(unsigned status)
     {
@@ -326,15 +376,13 @@
         connection.idle = false;
         connection.served = true;
         auto limits = this->currentLimits();
-        http::request_parser<http::string_body> parser;
-        parser.header_limit(limits.maxHeaderBytes);
-        parser.body_limit(limits.maxBodyBytes);
-        // The parser limits the head, this the trailers.
+        RequestParser parser(limits);
         connection.buffer.max_size(std::max<size_t>(limits.maxHeaderBytes, maxUnparsedBytes));
         auto& socket = connection.stream.socket();
         auto deadline = std::make_optional<ReadDeadline>(socket, limits.readTimeout);
         BufferReservation reservation(this->memory);
-        auto read = this->readRequest(socket, connection.buffer, parser, reservation);
+        HttpRequest request;
+        auto read = this->readRequest(socket, connection.buffer, parser, reservation, request);
         // A read that was cancelled at its deadline ends with another error.
         if (deadline->hasExpired())
             read.error = beast::error::timeout;
@@ -347,19 +395,21 @@
         BeastWriter writer(connection, limits.writeTimeout, keepAlive, this->closeAnnounced);
         this->activeRequests++;
         this->requests++;
-        auto request = toRequest(parser.release());
         bool handled = this->callHandler(request, writer);
         this->activeRequests--;
         connection.idle = true;
         return handled && writer.canReuseConnection() && this->accepting;
     }
 
-    /// Reads one request.
+    /// Reads one request. Its trailers are left out.
     /// @param reservation receives the memory for the body.
     /// @return `no_buffer_space` if there is not enough of it.
-    static IoResult readRequest(Stream::socket_type& socket, beast::flat_buffer& buffer, http::request_parser<http::string_body>& parser, BufferReservation& reservation)
+    static IoResult readRequest(Stream::socket_type& socket, beast::flat_buffer& buffer, RequestParser& parser, BufferReservation& reservation, HttpRequest& request)
     {
         auto read = readMessage(socket, buffer, parser, ReadUntil::HeadEnd);
+        // The parser adds the trailers to the fields of the head.
+        if (!read.error)
+            request = toRequestHead(parser.get());
         // A body with a length gets its memory at once: bodies that grow at the same time would all fail.
         auto length = read.error ? 0 : parser.content_length().value_or(0);
         while (!read.error && !parser.is_done()) {
@@ -367,6 +417,7 @@
                 return { asio::error::no_buffer_space };
             read = readMessage(socket, buffer, parser, ReadUntil::Progress);
         }
+        request.body = std::move(parser.get().body());
         return read;
     }
 
