Workers that say in their answers that they leave get no new requests

Callers saw requests sent to workers that had already said that they leave, and lost them when those ended. Cause: nothing read `Server-Leaving`; only a worker's entry in the store counted, which may say `ready` to the end, and cannot be read while the store is down.

Change: the header is decoded for answers to requests (at the head, so for streams before they end), reports, orders and probes; routing::isStatementOf decides which answers are the called worker's own. routing::LeavingWorkers keeps the statement by id and start. The fleet counts such a worker as draining at once: in choices, for requests that wait, retries, backup copies, and in the entries that the lease holder plans with. A stream resumes from its backup copy only at a worker that is known and does not leave; before, neither a drain nor a removed entry was looked at there. All full heartbeats and the summaries for other groups name the leaving workers whose entries the sender knows (beat.capnp, Beat.leavingWorkers @25), a VM that hears it from the worker sends one at once. Results of calls to workers come with what their answers say (platform::WorkerReply); the two checks in platform_test that compared results read its `value`.

--- a/edge/src/beat.capnp
+++ b/edge/src/beat.capnp
@@ -83,7 +83,7 @@
 
 # A heartbeat. `heartbeat_codec.h` describes the fields. Some have other names there: `number` is `sequence`, `leaving` `draining`,
 # `strained` `overloaded`, `sent` `sentPrefixes`, `wants` `missingItems`, `used` `usedAdapters`, `entries` `forwardedEntries`,
-# `crashes` `crashReports` and `limits` `limitReports`.
+# `crashes` `crashReports`, `limits` `limitReports` and `leavingWorkers` `leaveReports`.
 struct Beat {
   node @0 :Text;
   incarnation @1 :UInt64;
@@ -110,4 +110,5 @@
   relayed @22 :Bool;
   crashes @23 :List(CrashReport);
   limits @24 :List(Limit);
+  leavingWorkers @25 :List(UInt64); # Stand for id and start, as in `Limit`.
 }
--- a/edge/src/beat.capnp.h
+++ b/edge/src/beat.capnp.h
@@ -209,7 +209,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ed1775a394c07423, 7, 13)
+    CAPNP_DECLARE_STRUCT_HEADER(ed1775a394c07423, 7, 14)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1320,6 +1320,9 @@
   inline bool hasLimits() const;
   inline  ::capnp::List< ::comfreypier::edge::wire::Limit,  ::capnp::Kind::STRUCT>::Reader getLimits() const;
 
+  inline bool hasLeavingWorkers() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getLeavingWorkers() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1475,6 +1478,14 @@
   inline void adoptLimits(::capnp::Orphan< ::capnp::List< ::comfreypier::edge::wire::Limit,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::comfreypier::edge::wire::Limit,  ::capnp::Kind::STRUCT>> disownLimits();
 
+  inline bool hasLeavingWorkers();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getLeavingWorkers();
+  inline void setLeavingWorkers( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setLeavingWorkers(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initLeavingWorkers(unsigned int size);
+  inline void adoptLeavingWorkers(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownLeavingWorkers();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2855,6 +2866,44 @@
       ::capnp::bounded<12>() * ::capnp::POINTERS));
 }
 
+inline bool Beat::Reader::hasLeavingWorkers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS).isNull();
+}
+inline bool Beat::Builder::hasLeavingWorkers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Beat::Reader::getLeavingWorkers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Beat::Builder::getLeavingWorkers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS));
+}
+inline void Beat::Builder::setLeavingWorkers( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS), value);
+}
+inline void Beat::Builder::setLeavingWorkers(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Beat::Builder::initLeavingWorkers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS), size);
+}
+inline void Beat::Builder::adoptLeavingWorkers(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Beat::Builder::disownLeavingWorkers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/edge/src/crash_tracker.cpp
+++ b/edge/src/crash_tracker.cpp
@@ -36,7 +36,10 @@
 
 void CrashTracker::probe(const routing::WorkerEntry& worker)
 {
-    auto state = platform::probeWorker(this->vm.controlClient, worker);
+    auto reply = platform::probeWorker(this->vm.controlClient, worker);
+    auto state = reply.value;
+    if (reply.leaving && routing::isStatementOf(reply.source, worker) && this->onLeaving)
+        this->onLeaving(worker);
     {
         std::lock_guard lock(this->mutex);
         this->probedWorkers.erase(worker.id);
--- a/edge/src/fleet.cpp
+++ b/edge/src/fleet.cpp
@@ -67,6 +67,7 @@
         worker.peerOutcomes.clear();
     }
     worker.entry = entry;
+    this->updateLeaving(worker);
     this->changeCount++;
     return statusChanged ? EntryChange::Status : EntryChange::Contents;
 }
@@ -200,8 +201,10 @@
 {
     std::lock_guard lock(this->mutex);
     std::vector<routing::WorkerEntry> entries;
-    for (const auto& [id, known] : this->workers)
+    for (const auto& [id, known] : this->workers) {
         entries.push_back(known.worker.entry);
+        entries.back().draining = known.worker.entry.draining || known.worker.leaving;
+    }
     return entries;
 }
 
@@ -355,6 +358,46 @@
     return this->limits.merge(reports, relay, now).size();
 }
 
+void Fleet::updateLeaving(routing::Worker& worker) const
+{
+    worker.leaving = !this->leavingWorkers.isEmpty() && this->leavingWorkers.isLeaving(routing::workerStart(worker.entry));
+}
+
+bool Fleet::recordLeaving(const routing::WorkerEntry& worker, Time now)
+{
+    return this->applyLeaveReports({ routing::workerStart(worker) }, now) > 0;
+}
+
+std::vector<uint64_t> Fleet::takeLeaveReports(Time now)
+{
+    std::lock_guard lock(this->mutex);
+    if (this->leavingWorkers.isEmpty())
+        return {};
+    std::set<uint64_t> starts;
+    for (const auto& [id, known] : this->workers)
+        starts.insert(routing::workerStart(known.worker.entry));
+    return this->leavingWorkers.takeReports(starts, now);
+}
+
+size_t Fleet::applyLeaveReports(const std::vector<uint64_t>& reports, Time now)
+{
+    std::lock_guard lock(this->mutex);
+    auto news = static_cast<size_t>(std::count_if(reports.begin(), reports.end(), [&](auto worker) { return this->leavingWorkers.record(worker, now); }));
+    if (news == 0)
+        return 0;
+    for (auto& [id, known] : this->workers)
+        this->updateLeaving(known.worker);
+    this->changeCount++;
+    return news;
+}
+
+bool Fleet::mayResume(const std::string& id) const
+{
+    std::lock_guard lock(this->mutex);
+    auto found = this->workers.find(id);
+    return found != this->workers.end() && !found->second.worker.entry.draining && !found->second.worker.leaving;
+}
+
 std::map<WorkerKey, routing::WorkerLoad> Fleet::ownLoads() const
 {
     std::lock_guard lock(this->mutex);
--- a/edge/src/fleet.h
+++ b/edge/src/fleet.h
@@ -75,7 +75,7 @@
 
     /// Calls `change` with the worker under the lock, if the worker is known.
     void updateWorker(const std::string& id, const std::function<void(routing::Worker&)>& change);
-    /// Returns the entries of all workers that have not been dropped.
+    /// Returns the entries of all workers that have not been dropped. Those that have said that they leave are draining in it.
     std::vector<routing::WorkerEntry> entries() const;
 
     /// Applies a peer's load, its failure counts and the prefixes it sent. Ignores partial heartbeats.
@@ -106,6 +106,18 @@
     /// @return number of limits that are other ones now.
     size_t applyLimitReports(const std::vector<routing::LimitReport>& reports, bool relay, Time now);
 
+    /// Records that a worker said in an answer that it leaves. From now on it counts as draining in this start of it.
+    /// @param worker the worker as it was called.
+    /// @return whether it is news.
+    bool recordLeaving(const routing::WorkerEntry& worker, Time now);
+    /// Returns the leaving workers that the next heartbeat names.
+    std::vector<uint64_t> takeLeaveReports(Time now);
+    /// Applies the leaving workers that another VM names.
+    /// @return number of workers of which this VM had not heard that.
+    size_t applyLeaveReports(const std::vector<uint64_t>& reports, Time now);
+    /// Returns whether a worker's entry is known and neither it nor an answer of the worker says that it leaves.
+    bool mayResume(const std::string& id) const;
+
     /// Returns a counter that increases with each change after which a waiting request may find a worker.
     uint64_t changes() const { return this->changeCount; }
 
@@ -143,6 +155,8 @@
     void replacePeerLoad(const std::string& source, const Heartbeat& heartbeat, Time now);
     /// Sets until when the workers' limits keep this VM from sending to them. The caller must hold the lock.
     void updateLimits(const std::vector<routing::Worker*>& workers, Time now) const;
+    /// Sets whether a worker has said that it leaves. The caller must hold the lock.
+    void updateLeaving(routing::Worker& worker) const;
     /// Subtracts a load of this VM from a worker.
     void release(const std::string& id, const routing::WorkerLoad& load);
 
@@ -158,6 +172,7 @@
     std::atomic<uint64_t> changeCount { 0 };
     std::atomic<Time> peerUpdateAge { Time { 0 } }; ///< See `setPeerUpdateAge`.
     routing::WorkerLimits limits;
+    routing::LeavingWorkers leavingWorkers;
     uint64_t choiceCount = 0; ///< Number of choices made; seeds the random number of each.
 };
 
--- a/edge/src/heartbeat_codec.h
+++ b/edge/src/heartbeat_codec.h
@@ -67,7 +67,7 @@
     std::vector<ForwardedEntry> forwardedEntries; ///< Records of the worker stream, each in `forwardRepeats` heartbeats.
     uint64_t forwardedCount = 0; ///< Number of records that the VM has forwarded to its group.
     /// Data centre whose VMs' loads and outcomes the heartbeat sums up; empty if it tells of one VM. Of a summary only `node`,
-    /// `incarnation`, `sequence`, `loads`, `outcomes` and `relayed` are used.
+    /// `incarnation`, `sequence`, `loads`, `outcomes`, `leaveReports` and `relayed` are used.
     std::string summaryOf;
     bool relayed = false; ///< A summary that a VM of the receiver's own group passes on.
     std::map<WorkerKey, routing::WorkerLoad> loads; ///< Load from this VM, by worker. Workers without any are left out.
@@ -80,6 +80,7 @@
     /// `routing::orderInProgressMark`.
     std::map<std::string, std::set<std::string>> resident;
     std::vector<routing::LimitReport> limitReports; ///< Limits that workers name, and those that they no longer name.
+    std::vector<uint64_t> leaveReports; ///< Workers that have said that they leave, as results of `routing::workerStart`.
     std::vector<routing::CrashReport> crashReports; ///< Crashes of workers and what requests there had in common.
 };
 
--- a/edge/src/heartbeat_codec_capnp.cpp
+++ b/edge/src/heartbeat_codec_capnp.cpp
@@ -121,6 +121,9 @@
             limits[i].setLimit(heartbeat.limitReports[i].limit);
             limits[i].setAgeMs(toAgeMs(heartbeat.limitReports[i].age));
         }
+        auto leavingWorkers = root.initLeavingWorkers(static_cast<unsigned>(heartbeat.leaveReports.size()));
+        for (i = 0; i < heartbeat.leaveReports.size(); i++)
+            leavingWorkers.set(i, heartbeat.leaveReports[i]);
         auto reports = root.initCrashes(static_cast<unsigned>(heartbeat.crashReports.size()));
         for (i = 0; i < heartbeat.crashReports.size(); i++) {
             const auto& report = heartbeat.crashReports[i];
@@ -160,6 +163,8 @@
             if (item.getLimit() >= 0)
                 heartbeat.limitReports.push_back({ item.getWorker(), item.getLimit(), milliseconds { item.getAgeMs() } });
         }
+        for (auto worker : root.getLeavingWorkers())
+            heartbeat.leaveReports.push_back(worker);
         for (auto item : root.getCrashes()) {
             // Kinds of a newer version are skipped.
             if (item.getKind() < static_cast<uint8_t>(routing::CrashCause::Kind::Count))
--- a/edge/src/order_task.cpp
+++ b/edge/src/order_task.cpp
@@ -400,7 +400,11 @@
 void OrderTask::refreshReport(ManagedWorker& worker)
 {
     auto requestedAt = monotonicNow();
-    auto report = platform::fetchReport(this->vm.controlClient, worker.entry);
+    auto entry = worker.entry;
+    auto reply = platform::fetchReport(this->vm.controlClient, entry);
+    if (reply.leaving && routing::isStatementOf(reply.source, entry))
+        this->peers.recordLeaving(entry, "report");
+    const auto& report = reply.value;
     std::lock_guard lock(this->mutex);
     if (!report) {
         worker.tracked.nextReportAt = requestedAt + placement::busyReportInterval;
@@ -425,7 +429,11 @@
     }
     increment(this->vm.counters, CountedEvent::Orders);
     auto sentAt = monotonicNow();
-    auto outcome = platform::sendOrder(this->vm.controlClient, worker.entry, order, source);
+    auto entry = worker.entry;
+    auto reply = platform::sendOrder(this->vm.controlClient, entry, order, source);
+    if (reply.leaving && routing::isStatementOf(reply.source, entry))
+        this->peers.recordLeaving(entry, "order");
+    auto outcome = reply.value;
     bool isLoad = order.kind == placement::OrderKind::Load;
     bool accepted = outcome == placement::OrderOutcome::Accepted || outcome == placement::OrderOutcome::AlreadyDone;
     this->log.info("event=order worker=" + order.worker + " kind=" + (isLoad ? "load" : "unload") + " model=" + order.model + (order.adapter.empty() ? "" : " adapter=" + order.adapter)
--- a/edge/src/peers.cpp
+++ b/edge/src/peers.cpp
@@ -198,6 +198,7 @@
         heartbeat.crashReports = this->crashes.takeReports();
         this->updateLimitSharers();
         heartbeat.limitReports = this->vm.fleet.takeLimitReports(monotonicNow());
+        heartbeat.leaveReports = this->vm.fleet.takeLeaveReports(monotonicNow());
     }
     std::lock_guard lock(this->mutex);
     for (const auto& [item, count] : this->missingItems)
@@ -321,12 +322,30 @@
     heartbeat.incarnation = this->incarnation;
     heartbeat.sequence = this->sequence;
     heartbeat.summaryOf = this->vm.settings.dataCentre;
+    heartbeat.leaveReports = this->vm.fleet.takeLeaveReports(now);
     this->sendTo(targets, heartbeat);
 }
 
+void Peers::recordLeaving(const routing::WorkerEntry& worker, const char* evidence)
+{
+    if (!this->vm.fleet.recordLeaving(worker, monotonicNow()))
+        return;
+    this->log.info("event=worker_leaving worker=" + worker.id + " started=" + std::to_string(worker.startedAt) + " evidence=" + evidence);
+    this->sendHeartbeat();
+}
+
+void Peers::applyLeaveReports(const Heartbeat& heartbeat)
+{
+    if (auto news = this->vm.fleet.applyLeaveReports(heartbeat.leaveReports, monotonicNow()); news > 0)
+        this->log.info("event=workers_leaving_heard node=" + heartbeat.node + " workers=" + std::to_string(news));
+}
+
 void Peers::receiveSummary(Heartbeat summary)
 {
-    if (summary.summaryOf == this->vm.settings.dataCentre || !this->vm.fleet.applySummary(summary, monotonicNow()) || std::exchange(summary.relayed, true))
+    if (summary.summaryOf == this->vm.settings.dataCentre || !this->vm.fleet.applySummary(summary, monotonicNow()))
+        return;
+    this->applyLeaveReports(summary);
+    if (std::exchange(summary.relayed, true))
         return;
     std::vector<transport::Endpoint> targets;
     {
@@ -438,6 +457,7 @@
     this->crashes.applyReports(heartbeat->crashReports, relaysReports);
     if (auto changed = this->vm.fleet.applyLimitReports(heartbeat->limitReports, relaysReports, monotonicNow()); changed > 0)
         this->log.info("event=worker_limits_heard node=" + heartbeat->node + " changed=" + std::to_string(changed));
+    this->applyLeaveReports(*heartbeat);
     if (hasMissingItems && this->onMissingItems)
         this->onMissingItems();
     if (this->onForwardedEntries)
--- a/edge/src/peers.h
+++ b/edge/src/peers.h
@@ -84,6 +84,11 @@
     /// Returns whether at least half of the other members are reachable, which makes a majority with this VM.
     bool reachesMajority() const;
 
+    /// Records that a worker said in an answer that it leaves, and tells the other VMs if it is news.
+    /// @param worker the worker as it was called.
+    /// @param evidence kind of the answer, for the log.
+    void recordLeaving(const routing::WorkerEntry& worker, const char* evidence);
+
     /// Called when a VM, this one included, reports missing items.
     std::function<void()> onMissingItems;
     /// Forwards a record of the worker stream to the other VMs of the group.
@@ -146,6 +151,8 @@
     void updateLimitSharers();
     /// Sends the summed loads of this VM's group to the other groups, if there are any and this VM is the one that does it.
     void sendSummary();
+    /// Applies the leaving workers that another VM names.
+    void applyLeaveReports(const Heartbeat& heartbeat);
     /// Applies a summary of another group, and passes it on to this VM's group if it came from there.
     void receiveSummary(Heartbeat summary);
     /// Applies a heartbeat datagram. Ignores heartbeats of unknown VMs or earlier incarnations, and those that arrive late.
--- a/edge/src/relay.cpp
+++ b/edge/src/relay.cpp
@@ -330,7 +330,7 @@
     if (context.remaining() <= replyReserve || context.endedByShutdown)
         return false;
     // A run that resumes from its backup copy is still the same run. Before its first event there may be no copy yet.
-    if (mayHaveRun && !canRunAgain && context.hasUsableBackup() && context.streamStarted && result != SendResult::WorkerError)
+    if (mayHaveRun && !canRunAgain && context.hasUsableBackup() && this->vm.fleet.mayResume(context.backupWorker->id) && context.streamStarted && result != SendResult::WorkerError)
         context.resumeWorker = std::exchange(context.backupWorker, std::nullopt);
     if (mayHaveRun && !canRunAgain && !context.resumeWorker)
         return false;
@@ -456,7 +456,7 @@
         if (context.resumeWorker) {
             this->waitForAdapter(context, *context.resumeWorker);
             // A stream that has started does not wait for its share of a worker's limit.
-            if (this->vm.fleet.isLimited(*context.resumeWorker, monotonicNow()))
+            if (!this->vm.fleet.mayResume(context.resumeWorker->id) || this->vm.fleet.isLimited(*context.resumeWorker, monotonicNow()))
                 return this->finish(context, context.lastResult);
             selection.id = context.resumeWorker->id;
             selection.entry = *context.resumeWorker;
@@ -612,7 +612,12 @@
     context.requestLimit = head.requestLimit;
     // A worker that did not run the request may leave its id out. On a connection with earlier requests it may refuse one of those.
     bool refusedWithoutId = head.notExecuted && head.requestId.empty() && stream->isFirstOnConnection();
-    if (head.requestId != context.head.id && !refusedWithoutId) {
+    bool matchesRequest = head.requestId == context.head.id || refusedWithoutId;
+    // Only an answer with an error or a redirect may lack the worker's signature header.
+    bool signatureDue = stream->status() < 300;
+    if (head.leaving && routing::isStatementOf({ stream->status(), matchesRequest, head.workerId, std::nullopt, signatureDue, head.signedByWorker }, selection.entry))
+        this->peers.recordLeaving(selection.entry, "answer");
+    if (!matchesRequest) {
         this->log.warn("event=answer_unmatched id=" + context.head.id + " worker=" + selection.id + " status=" + std::to_string(stream->status()) + " answered_id=" + (head.requestId.empty() ? "-" : "other")
             + " first_on_connection=" + (stream->isFirstOnConnection() ? "yes" : "no"));
         return this->handleInvalidAnswer(context, selection);
@@ -622,8 +627,7 @@
         this->recordLimit(selection.entry, head.requestLimit);
     if (head.notExecuted)
         return this->handleNotRun(context, selection, head);
-    // Only an answer with an error or a redirect may lack the worker's signature header.
-    if (!head.identityEncoding || (!head.signedByWorker && stream->status() < 300))
+    if (!head.identityEncoding || (!head.signedByWorker && signatureDue))
         return this->handleInvalidAnswer(context, selection);
     // The caller has already received the head of a stream: only further events of it can follow.
     if (context.streamStarted && (stream->status() != 200 || !head.isEventStream))
@@ -799,7 +803,7 @@
         selection.entry = *context.backupWorker;
         // The backup copy contains the KV cache of the prompt.
         selection.choice.cachedTokens = context.head.shape.promptTokens;
-        if (this->vm.fleet.isLimited(selection.entry, monotonicNow()))
+        if (!this->vm.fleet.mayResume(selection.id) || this->vm.fleet.isLimited(selection.entry, monotonicNow()))
             return std::nullopt;
     } else {
         auto excludedWorkers = context.excludedWorkers;
@@ -861,7 +865,10 @@
     if (!this->vm.fleet.isSilent(worker.id, idleTimeout, now))
         return staysHere;
     if (!attempt.evidence) {
-        attempt.evidence = platform::probeRun(this->vm.controlClient, worker.entry, context.head.id);
+        auto reply = platform::probeRun(this->vm.controlClient, worker.entry, context.head.id);
+        if (reply.leaving && routing::isStatementOf(reply.source, worker.entry))
+            this->peers.recordLeaving(worker.entry, "probe");
+        attempt.evidence = reply.value;
         // Events may have arrived in the meantime.
         attempt.nextSilenceCheckAt = monotonicNow();
         return staysHere;
--- a/routing/include/routing/routing.h
+++ b/routing/include/routing/routing.h
@@ -273,6 +273,7 @@
     Time avoidUntil { 0 }; ///< No requests are sent before this time: the worker was full or unreachable.
     uint32_t connectFailures = 0; ///< Number of consecutive calls of `recordUnreachable`, without a request that reached the worker.
     Time limitedUntil { 0 }; ///< When this VM may send the next request, because of the limit that the worker names.
+    bool leaving = false; ///< The worker has said in an answer that it leaves. It counts as draining, whatever its entry says.
     uint32_t runningStreams = 0; ///< Number of open streams of this VM that have received their first event.
     Time lastByteAt { 0 }; ///< When any of these streams last received data. Outdated while there are none.
 };
@@ -303,7 +304,7 @@
 /// Why no worker can take a request.
 enum class BlockReason {
     None, ///< A worker can take it.
-    NoWorker, ///< No worker of the service is known, or all are draining.
+    NoWorker, ///< No worker of the service is known, or all are draining or leaving.
     Unreachable, ///< All workers are excluded, stalled, or in backoff after they were unreachable or full.
     NoModel, ///< No reachable worker holds the model.
     NoAdapter, ///< Reachable workers hold the model, but none holds the adapter.
@@ -585,6 +586,45 @@
     uint64_t lastSentInTurn = 0; ///< The next heartbeat continues after this worker.
 };
 
+/// What an answer shows about the worker that sent it.
+struct AnswerSource {
+    unsigned status = 0;
+    bool matchesRequest = true; ///< It answers the request that was sent, by its id or because the connection carried no other.
+    std::string worker; ///< Id of the worker that it names as its sender. Empty if it names none.
+    std::optional<int64_t> startedAt; ///< Start of that worker that it names, see `WorkerEntry::startedAt`.
+    bool signatureDue = false; ///< Answers of this kind carry the worker's signature.
+    bool signedByWorker = false;
+};
+
+/// Returns whether an answer to a call to `worker` is a statement of this start of it. Another worker may have its address by now; only
+/// a rejection that names its sender tells the two apart.
+bool isStatementOf(const AnswerSource& answer, const WorkerEntry& worker);
+
+/// Time for which a worker that leaves is remembered after its entry was last known. An entry may come back.
+constexpr std::chrono::minutes leaveMemoryTime { 10 };
+/// Maximum number of leaving workers that one heartbeat names.
+constexpr size_t maxLeaveReports = 64;
+
+/// Remembers which workers have said that they leave, by their start: a worker that has started again does not leave. All VMs tell each
+/// other of those whose entries they know, so that a VM that starts later learns of them too.
+class LeavingWorkers {
+public:
+    /// Records that a worker, or another VM, said so.
+    /// @param worker result of `workerStart`.
+    /// @return whether it is news.
+    bool record(uint64_t worker, Time now);
+    /// Returns whether a worker has said so.
+    bool isLeaving(uint64_t worker) const { return this->lastKnownAt.contains(worker); }
+    bool isEmpty() const { return this->lastKnownAt.empty(); }
+    /// Returns the workers that the next heartbeat names, in turn if they are more than `maxLeaveReports`. Forgets those of the past.
+    /// @param known starts of the workers whose entries are known.
+    std::vector<uint64_t> takeReports(const std::set<uint64_t>& known, Time now);
+
+private:
+    std::map<uint64_t, Time> lastKnownAt; ///< By worker: when it was last heard of, or its entry was last known.
+    uint64_t lastSentInTurn = 0; ///< The next heartbeat continues after this worker.
+};
+
 /// A property of requests that may make workers crash.
 struct CrashCause {
     enum class Kind : uint8_t {
--- a/routing/src/choice.cpp
+++ b/routing/src/choice.cpp
@@ -270,7 +270,7 @@
     std::vector<Worker*> candidates;
     std::vector<Worker*> limited; // Workers that could take the request but for their limit.
     for (auto* worker : workers) {
-        if (worker->entry.draining || worker->entry.service != inputs.service->name)
+        if (worker->entry.draining || worker->leaving || worker->entry.service != inputs.service->name)
             continue;
         available.push_back(worker);
         if (worker->avoidUntil > inputs.now || isStalled(*worker, inputs.now) || (inputs.excluded != nullptr && inputs.excluded->contains(worker->entry.id)))
@@ -322,7 +322,7 @@
     Worker* best = nullptr;
     double minMemory = 0;
     for (auto* worker : workers) {
-        bool usable = !worker->entry.draining && worker->avoidUntil <= inputs.now && worker->limitedUntil <= inputs.now && !isStalled(*worker, inputs.now);
+        bool usable = !worker->entry.draining && !worker->leaving && worker->avoidUntil <= inputs.now && worker->limitedUntil <= inputs.now && !isStalled(*worker, inputs.now);
         if (!usable || worker->entry.id == primary.id || !holdsModel(*worker, inputs.shape->model))
             continue;
         // In tokens, with penalties for a missing adapter and for another data centre.
--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -261,6 +261,7 @@
         this->runningOrder.reset();
     }
     this->startedAtMs++;
+    this->leaving = false;
     this->server = this->makeServer();
     this->down = !this->server->start();
     this->publish();
@@ -307,7 +308,7 @@
     if (this->down)
         return writer.abort();
     if (!expected.empty() && expected != this->id) {
-        writer.send({ 421, { { "Instance-Id", this->id } }, "" });
+        this->send(writer, { 421, { { "Instance-Id", this->id } }, "" });
         return;
     }
     auto path = transport::targetPath(request.target);
@@ -319,6 +320,18 @@
         this->serveRequest(request, writer);
 }
 
+void WorkerStandin::addCommonHeaders(std::vector<Header>& headers) const
+{
+    if (this->leaving)
+        headers.push_back({ "Server-Leaving", "1" });
+}
+
+void WorkerStandin::send(ResponseWriter& writer, HttpResponse response) const
+{
+    this->addCommonHeaders(response.headers);
+    writer.send(response);
+}
+
 void WorkerStandin::serveReport(ResponseWriter& writer)
 {
     HttpResponse response;
@@ -328,7 +341,7 @@
         response.body = R"({"stage":"unified","models":)" + this->modelsJson() + R"(,"busy":)" + (this->runningOrder ? "true" : "false") + R"(,"seq":)"
             + std::to_string(this->ordersAccepted) + R"(,"queued":0,"running":0,"kv-used":0,"kv-total":200000,"handles":0})";
     }
-    writer.send(response);
+    this->send(writer, std::move(response));
 }
 
 /// Applies the running model order if its time is over or `force` is set. There is no timer: this is called before the models are
@@ -402,7 +415,7 @@
             status = this->applyOrder(std::string(body["model"].as_string()), adapter, body["op-kind"].as_string() == "load") ? 202 : 200;
         }
     }
-    writer.send(emptyResponse(status));
+    this->send(writer, emptyResponse(status));
 }
 
 void WorkerStandin::serveRequest(const HttpRequest& request, ResponseWriter& writer)
@@ -427,7 +440,9 @@
             // The response states that the request did not run and has no signature.
             std::erase_if(headers, [](const auto& header) { return header.name == "Server-Seal"; });
             headers.push_back({ "Not-Executed", "1" });
-            writer.send({ loaded ? 503U : 421U, headers, "" });
+            if (auto retryAfter = this->retryAfterSeconds.load(); loaded && retryAfter >= 0)
+                headers.push_back({ "Retry-After", std::to_string(retryAfter) });
+            this->send(writer, { loaded ? 503U : 421U, headers, "" });
             return;
         }
         this->runs++;
@@ -462,12 +477,12 @@
         }
     }
     if (!model.empty() && fault == WorkerFault::StreamServerError) {
-        writer.send({ 500, headers, "failed" });
+        this->send(writer, { 500, headers, "failed" });
         return;
     }
     if (!model.empty())
         return this->streamEvents(request, writer, headers);
-    writer.send({ fault == WorkerFault::ServerError ? 500U : 200U, headers, "answer of " + this->id + " to " + requestId });
+    this->send(writer, { fault == WorkerFault::ServerError ? 500U : 200U, headers, "answer of " + this->id + " to " + requestId });
 }
 
 void WorkerStandin::streamEvents(const HttpRequest& request, ResponseWriter& writer, const std::vector<Header>& headers)
@@ -476,6 +491,7 @@
     int first = lastEventId.empty() ? 1 : std::stoi(std::string(lastEventId)) + 1;
     auto streamHeaders = headers;
     streamHeaders.push_back({ "Content-Type", "text/event-stream" });
+    this->addCommonHeaders(streamHeaders);
     writer.startStream(200, streamHeaders);
     for (int i = first; i <= this->eventsPerStream; i++) {
         auto event = streamEvent(i, findHeader(request.headers, "Attempt-Id"));
--- a/tests/standins/platform_standin.h
+++ b/tests/standins/platform_standin.h
@@ -128,6 +128,9 @@
     std::atomic<bool> down { false }; ///< The worker has crashed and not restarted yet.
     std::atomic<int> orderDurationMs { 0 }; ///< Time to carry out a model order.
     std::atomic<double> requestLimit { 0 }; ///< Requests per second that the worker names in its answers; 0 for no limit.
+    std::atomic<bool> leaving { false }; ///< All answers say that the worker leaves; its entry does not. Ends with a restart.
+    /// Time that a refusal of `WorkerFault::Full` names, in seconds; negative for none.
+    std::atomic<double> retryAfterSeconds { -1 };
     std::atomic<int64_t> startedAtMs { 1700000000000 }; ///< Start time in the worker's entry, in Unix milliseconds.
     std::atomic<int> eventsPerStream { 8 }; ///< Number of the last event of each stream.
     std::atomic<int> eventDelayMs { 5 }; ///< Delay after each event of a stream.
@@ -158,6 +161,10 @@
     void serveRequest(const transport::HttpRequest& request, transport::ResponseWriter& writer);
     /// Sends the stream's events that follow the one in the request's `Last-Event-Id`, or all.
     void streamEvents(const transport::HttpRequest& request, transport::ResponseWriter& writer, const std::vector<transport::Header>& headers);
+    /// Sends a complete answer, with what all answers of the worker say.
+    void send(transport::ResponseWriter& writer, transport::HttpResponse response) const;
+    /// Adds the headers that all answers of the worker have.
+    void addCommonHeaders(std::vector<transport::Header>& headers) const;
     /// Returns the loaded models with their adapters as JSON. The caller must hold `mutex`.
     std::string modelsJson();
     bool applyOrder(const std::string& model, const std::string& adapter, bool load);
--- a/tests/unit/edge_faults_test.cpp
+++ b/tests/unit/edge_faults_test.cpp
@@ -67,6 +67,53 @@
 
 } // namespace
 
+// Guards against a sound worker that is left out because of an odd value, or of an answer that is not its own, and against a leave that
+// is missed because of the kind of the answer.
+CLUSTER_TEST(leaves_are_read_from_all_answers_of_the_worker_and_from_no_others, 12800)
+{
+    struct Case {
+        const char* name;
+        std::string head; ///< Status line and headers without the id.
+        std::string id; ///< Id in the answer; empty for that of the request.
+        bool leaves;
+    };
+    const std::string leaving = "Server-Leaving: 1\r\n";
+    const std::string seal = "Server-Seal: s\r\n";
+    const std::vector<Case> cases {
+        { "other value", "200 OK\r\nServer-Leaving: 0\r\n" + seal, "", false },
+        { "answer to another request", "200 OK\r\n" + leaving + seal, "other", false },
+        { "unsigned answer", "200 OK\r\n" + leaving, "", false },
+        { "rejection of another worker", "421 Misdirected\r\n" + leaving + "Instance-Id: i-other\r\n", "", false },
+        { "answer", "200 OK\r\n" + leaving + seal, "", true },
+        { "refusal", "503 Full\r\nNot-Executed: 1\r\n" + leaving, "", true },
+        { "error", "500 Error\r\n" + leaving + seal, "", true },
+    };
+    std::vector<std::atomic<int>> requests(cases.size());
+    for (size_t i = 0; i < cases.size(); i++) {
+        const auto& item = cases[i];
+        cluster.useRawWorker(static_cast<int>(i), "app", [&item, &count = requests[i]](int connection) {
+            auto id = TestCluster::requestId(RawPeer::readRequest(connection));
+            if (id.empty())
+                return;
+            count++;
+            RawPeer::write(connection, "HTTP/1.1 " + item.head + "Attempt-Id: " + (item.id.empty() ? id : item.id) + "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+        });
+        if (i == 0)
+            cluster.configureAndWait();
+        else
+            cluster.store.write("keyed.servers", "raw" + std::to_string(i - 1), "");
+        int number = 0;
+        auto send = [&] { return cluster.sendRequest("/order/x", "id-" + std::to_string(i) + "-" + std::to_string(number++)).status; };
+        cr_assert(cluster.waitUntil([&] { return send() != 0 && requests[i] > 0; }), "%s: no request arrives", item.name);
+        // Longer than a worker is avoided after it was full or unreachable once.
+        std::this_thread::sleep_for(milliseconds { 600 });
+        auto before = requests[i].load();
+        for (int k = 0; k < 3; k++)
+            send();
+        cr_assert_eq(requests[i] == before, item.leaves, "%s: %d requests after the first", item.name, requests[i] - before);
+    }
+}
+
 // A worker's answer may have a body without end, whatever its status and its route. It must be given up long before it fills the VM's
 // memory, alone and several at once, and requests to other workers must not notice.
 CLUSTER_TEST(answer_without_end_fills_no_memory, 14000)
--- a/tests/unit/peers_test.cpp
+++ b/tests/unit/peers_test.cpp
@@ -276,6 +276,26 @@
     cr_assert_eq(countRuns(cluster, 0, 20, "summary-"), 0);
 }
 
+// Guards against VMs of another data centre that learn too late that a worker leaves: their own heartbeats come every two seconds.
+CLUSTER_TEST(leaves_are_heard_from_other_groups_in_their_summaries, 12700)
+{
+    constexpr int vmsPerGroup = 13;
+    SimulatedPeers group(cluster, 12750, numberedNames("near", vmsPerGroup), "dc");
+    SimulatedPeers otherGroup(cluster, 12770, numberedNames("far", vmsPerGroup), "elsewhere");
+    cluster.configureAndWait();
+    std::this_thread::sleep_for(milliseconds { 1000 });
+    cr_assert_gt(countRuns(cluster, 0, 20, "before-"), 0);
+    routing::WorkerEntry worker;
+    worker.id = "app0";
+    worker.startedAt = cluster.app(0).startedAtMs;
+    otherGroup.changeHeartbeat("far1", [&worker](edge::Heartbeat& heartbeat) {
+        heartbeat.summaryOf = "elsewhere";
+        heartbeat.leaveReports = { routing::workerStart(worker) };
+    });
+    std::this_thread::sleep_for(milliseconds { 500 });
+    cr_assert_eq(countRuns(cluster, 0, 20, "summary-"), 0);
+}
+
 // Guards against a model that never gets a second copy. If refused requests did not count as demand, a model whose only worker
 // is full would seem to need no more than that worker.
 CLUSTER_TEST(refused_requests_count_as_demand, 31050)
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -272,6 +272,17 @@
     cr_assert_not(decodeResponseHead(200, { { "Content-Encoding", "gzip" } }).identityEncoding);
 }
 
+// Guards against a worker that is left out for good because of a value that says nothing.
+Test(responses, only_one_value_says_that_a_worker_leaves)
+{
+    for (const auto* value : { "1", " 1 " })
+        cr_assert(decodeResponseHead(200, { { "server-leaving", value } }).leaving, "'%s'", value);
+    for (const auto* value : { "", "0", "2", "01", "1.0", "true", "1, 1", "-1" })
+        cr_assert_not(decodeResponseHead(200, { { "Server-Leaving", value } }).leaving, "'%s'", value);
+    cr_assert_not(decodeResponseHead(200, {}).leaving);
+    cr_assert_eq(decodeResponseHead(421, { { "Instance-Id", "i-2" } }).workerId, "i-2");
+}
+
 // The signature marks responses of workers, so a response of this system must not carry it.
 Test(responses, error_response_has_retry_delay_and_attempt_id_but_no_signature)
 {
@@ -298,6 +309,46 @@
     cr_assert_eq(response.body, R"({"addrs":["10.0.0.1:80","10.0.0.2:81"],"ttl-s":2})");
 }
 
+// Guards against leaves that only answers to the lease holder tell of.
+Test(orders, answers_to_reports_orders_and_probes_tell_that_a_worker_leaves)
+{
+    constexpr uint16_t port = 12595;
+    standins::RawPeer peer(port, [](int connection) {
+        auto request = standins::RawPeer::readRequest(connection);
+        const std::string report = R"({"seq":1,"born":5})";
+        auto head = std::string(request.starts_with("GET") ? "HTTP/1.1 200 OK" : "HTTP/1.1 409 Conflict") + "\r\nServer-Leaving: 1\r\nInstance-Id: i-1\r\n";
+        standins::RawPeer::write(connection, head + "Content-Length: " + std::to_string(report.size()) + "\r\nConnection: close\r\n\r\n" + report);
+    });
+    transport::Runtime runtime(1);
+    transport::HttpClient client;
+    std::atomic<bool> done { false };
+    runtime.spawn([&] {
+        routing::WorkerEntry worker;
+        worker.id = "i-1";
+        worker.startedAt = 5;
+        worker.address = { "127.0.0.1", port };
+        auto check = [&](const auto& reply) {
+            cr_assert(reply.leaving);
+            cr_assert(routing::isStatementOf(reply.source, worker));
+            routing::WorkerEntry other;
+            other.id = "i-2";
+            cr_assert_not(routing::isStatementOf(reply.source, other));
+        };
+        auto report = fetchReport(client, worker);
+        check(report);
+        cr_assert(report.value.has_value());
+        cr_assert_eq(report.source.startedAt.value_or(0), 5);
+        check(probeWorker(client, worker));
+        auto order = sendOrder(client, worker, {}, {});
+        check(order);
+        cr_assert_eq(order.value, placement::OrderOutcome::Conflict);
+        done = true;
+    });
+    while (!done)
+        std::this_thread::sleep_for(milliseconds { 10 });
+    cr_assert(runtime.stop(std::chrono::seconds { 5 }));
+}
+
 // A worker sends its answer to an order or a report request once more, when the next call arrives on the same connection. It must not be
 // taken for the answer to an order: the lease holder would believe that the worker carries it out.
 Test(orders, late_copy_of_an_answer_is_not_taken_for_that_to_an_order)
@@ -326,9 +377,9 @@
         routing::WorkerEntry worker;
         worker.id = "i-1";
         worker.address = { "127.0.0.1", port };
-        cr_assert(fetchReport(client, worker).has_value());
-        cr_assert_eq(sendOrder(client, worker, {}, {}), placement::OrderOutcome::Accepted, "the answer to the report request was taken for it");
-        cr_assert_eq(sendOrder(client, worker, {}, {}), placement::OrderOutcome::Conflict, "the answer to the order before was taken for it");
+        cr_assert(fetchReport(client, worker).value.has_value());
+        cr_assert_eq(sendOrder(client, worker, {}, {}).value, placement::OrderOutcome::Accepted, "the answer to the report request was taken for it");
+        cr_assert_eq(sendOrder(client, worker, {}, {}).value, placement::OrderOutcome::Conflict, "the answer to the order before was taken for it");
         done = true;
     });
     while (!done)
--- /dev/null
+++ b/tests/unit/worker_signals_test.cpp
@@ -0,0 +1,121 @@
+/// Tests of the whole daemon with workers that say in their answers that they leave, or when they want the next request.
+#include "edge_world.h"
+
+using namespace comfreypier;
+using namespace comfreypier::testing;
+
+namespace {
+
+/// Time in which the other VMs must know what a worker has told one of them. The platform allows 2 s.
+constexpr milliseconds newsTime { 1000 };
+
+/// Sends plain requests to a VM, all of which must be answered.
+/// @param prefix start of the requests' ids.
+/// @return number of them that a worker ran.
+int countRuns(TestCluster& cluster, const WorkerStandin& worker, int requests, const std::string& prefix, int vm = 0)
+{
+    auto before = worker.runs.load();
+    for (int i = 0; i < requests; i++) {
+        auto status = cluster.sendRequest("/order/x", prefix + std::to_string(i), {}, vm).status;
+        cr_assert_eq(status, 200U, "%s%d got %u", prefix.c_str(), i, status);
+    }
+    return worker.runs - before;
+}
+
+/// Sends plain requests to a VM until a worker has run one more of them.
+void sendUntilRun(TestCluster& cluster, const WorkerStandin& worker, const std::string& prefix, int vm = 0)
+{
+    auto before = worker.runs.load();
+    int count = 0;
+    cr_assert(cluster.waitUntil([&] {
+        cluster.sendRequest("/order/x", prefix + std::to_string(count++), {}, vm);
+        return worker.runs > before;
+    }),
+        "no request reaches %s", worker.id.c_str());
+}
+
+} // namespace
+
+// Guards against requests to a worker that has said that it leaves, from the VM that it told, from others, from one that has started
+// since, and while the store is silent and the worker's entry calls it ready; and against a leave that outlives its worker.
+Test(edge, worker_that_says_it_leaves_gets_no_requests_until_it_has_restarted, .timeout = 60)
+{
+    constexpr int vms = 3;
+    auto* cluster = new TestCluster(12500, vms);
+    cluster->configureAndWait(vms);
+    auto& worker = cluster->app(0);
+    // So slow that the VMs prefer the worker that leaves.
+    cluster->app(1).responseDelayMs = 50;
+    for (int vm = 0; vm < vms; vm++)
+        sendUntilRun(*cluster, worker, "id-before-" + std::to_string(vm) + "-", vm);
+    // The VMs learn of each other from the store.
+    std::this_thread::sleep_for(2 * newsTime);
+    cluster->store.unresponsive = true;
+    worker.leaving = true;
+    sendUntilRun(*cluster, worker, "id-tells-");
+    cr_assert_eq(countRuns(*cluster, worker, 30, "id-told-"), 0, "the VM that the worker told goes on");
+    std::this_thread::sleep_for(newsTime);
+    for (int vm = 1; vm < vms; vm++)
+        cr_assert_eq(countRuns(*cluster, worker, 30, "id-heard-" + std::to_string(vm) + "-", vm), 0, "VM %d has not heard of the leave", vm);
+    cluster->store.unresponsive = false;
+    worker.publish();
+    cluster->startVm(vms);
+    cr_assert(cluster->waitUntil([&] { return cluster->isReady(vms); }));
+    // The other VMs learn of the new one from the store, before they send it heartbeats.
+    std::this_thread::sleep_for(2 * newsTime);
+    cr_assert_eq(countRuns(*cluster, worker, 30, "id-new-", vms), 0, "a VM that started since has not heard of the leave");
+    worker.crash();
+    // The listener is closed on another thread.
+    cr_assert(cluster->waitUntil([&] { return worker.restart(); }));
+    for (int vm = 0; vm <= vms; vm++)
+        sendUntilRun(*cluster, worker, "id-back-" + std::to_string(vm) + "-", vm);
+    exitProcess();
+}
+
+// Guards against streams that are cut by a leave, and requests that go to leaving workers because there are no others.
+CLUSTER_TEST(streams_of_leaving_workers_go_on_and_new_requests_are_refused_or_placed_elsewhere, 12600)
+{
+    cluster.configureAndWait();
+    constexpr int events = 60;
+    for (int i = 0; i < 2; i++) {
+        cluster.llm(i).eventsPerStream = events;
+        cluster.llm(i).eventDelayMs = 25;
+        cluster.llm(i).leaving = true;
+    }
+    auto& next = cluster.addWorker("llm2", "llm");
+    standins::setModelMemory(next);
+    next.publish();
+    std::vector<std::thread> callers;
+    std::atomic<int> complete { 0 };
+    // Both workers say with the head of a stream that they leave.
+    for (int i = 0; i < 2; i++) {
+        auto before = cluster.llm(0).runs + cluster.llm(1).runs;
+        callers.emplace_back([&, i] {
+            auto answer = cluster.sendChat("id-" + std::to_string(i));
+            complete += answer.status == 200 && answer.body.find("id: " + std::to_string(events) + "\n") != std::string::npos ? 1 : 0;
+        });
+        cr_assert(cluster.waitUntil([&] { return cluster.llm(0).runs + cluster.llm(1).runs > before; }));
+        std::this_thread::sleep_for(milliseconds { 100 });
+    }
+    cr_assert_eq(cluster.llm(0).runs, 1);
+    cr_assert_eq(cluster.llm(1).runs, 1);
+    int number = 0;
+    cr_assert(cluster.waitUntil([&] { return cluster.sendChat("id-next-" + std::to_string(number++)).status == 200; }), "the model is not loaded on the worker that stays");
+    for (int i = 0; i < 10; i++)
+        cr_assert_eq(cluster.sendChat("id-after-" + std::to_string(i)).status, 200U);
+    cr_assert_eq(cluster.llm(0).runs + cluster.llm(1).runs, 2, "a leaving worker got a new stream");
+    for (auto& caller : callers)
+        caller.join();
+    cr_assert_eq(complete, 2, "a stream that ran when its worker said that it leaves was cut");
+    for (int i = 0; i < 2; i++) {
+        cluster.app(i).leaving = true;
+        sendUntilRun(cluster, cluster.app(i), "id-app-" + std::to_string(i) + "-");
+    }
+    for (int i = 0; i < 10; i++) {
+        auto start = transport::monotonicNow();
+        auto answer = cluster.sendRequest("/order/x", "id-none-" + std::to_string(i));
+        cr_assert_eq(answer.status, 503U, "all workers of the service leave, got %u", answer.status);
+        cr_assert_not(findHeader(answer.headers, "Retry-After").empty());
+        cr_assert_lt(transport::monotonicNow() - start, milliseconds { 500 });
+    }
+}
