Full workers that name a time get no requests until it ends

Callers saw requests fail while other workers had room, and were asked back while no worker wanted them. Cause: `Retry-After` beside a worker's 503 was not read; a full worker was asked again after 60 ms, and each such request used up a retry. Callers were told 0.2 s, whatever the workers had named.

Change: the time is decoded (seconds, fractions rounded up to milliseconds; negative ones, other text, dates and numbers out of range are none) and holds for this VM and this start of the worker, ten minutes at most; the latest end of several counts; Not-Executed is read as before. routing::checkWorker is the one place that says whether a worker may be sent a request now (leaving, held, limited, unreachable, full, stalled); choices, waiting requests, retries and backup copies use it, resumptions from a backup copy obey leaves, times and limits (routing::mayResumeAt). If all suitable workers have named a time, requests are refused at once as worker_hold with the time to the first, spread by up to half of it; a time that ends within 0.2 s is waited for. A worker that is only full for a moment decides before a longer limit of another. The reasons are in the line of the request (passed_over=), counted (passed_over_total), and shown by explain-request. recordFull ends the series of failed connections, as its description says: the worker was reached.

admission.wait_ends_before_the_callers_timeout draws any block reason; the new one is held to the same exact value as Limited.

--- a/client/src/explain_request.cpp
+++ b/client/src/explain_request.cpp
@@ -63,7 +63,7 @@
             OutcomeDescription { "cut", "the stream broke off and could not resume on another worker" },
             OutcomeDescription { "no_configuration", "this VM had no configuration or no workers yet" },
             OutcomeDescription { "no_route", "the current configuration has no such route" },
-            OutcomeDescription { "no_worker", "no worker of the service was known, or all were draining" },
+            OutcomeDescription { "no_worker", "no worker of the service was known, or all were draining or had said that they leave" },
             OutcomeDescription { "unreachable", "all workers had just been unreachable or full" },
             OutcomeDescription { "no_model", "no worker had loaded the model in time" },
             OutcomeDescription { "no_adapter", "workers had loaded the model, but none had loaded the adapter in time" },
@@ -71,6 +71,7 @@
             OutcomeDescription { "hopeless", "the first token was expected only after the caller's time limit" },
             OutcomeDescription { "leaving", "this VM was shutting down and directed the caller to another VM" },
             OutcomeDescription { "crashes_workers", "requests with the same content, or with a part of its prompt, had crashed workers; held_off lines name the causes" },
+            OutcomeDescription { "worker_hold", "all workers that could take it had named times until which they wanted no requests of this VM" },
             OutcomeDescription { "worker_limit", "all workers that could take it named limits, and this VM's shares of them were used up" },
             OutcomeDescription { "worker_failed", "a worker may have run the request, but gave no usable response" },
             OutcomeDescription { "timed_out", "no response within the time limit of the caller or the route" },
@@ -83,6 +84,47 @@
         return "unknown outcome";
     }
 
+    /// Returns the explanation of a reason in `passed_over=`.
+    const char* describeBlock(std::string_view reason)
+    {
+        struct BlockDescription {
+            std::string_view reason;
+            const char* text;
+        };
+        constexpr std::array descriptions {
+            BlockDescription { "leaving", "its entry was draining, or it had said in an answer that it leaves" },
+            BlockDescription { "held", "it had named a time until which it wanted no requests of this VM" },
+            BlockDescription { "limited", "this VM's share of the limit that it names was used up" },
+            BlockDescription { "unreachable", "it had just been unreachable" },
+            BlockDescription { "full", "it had just been full" },
+            BlockDescription { "stalled", "all streams of this VM there were silent" },
+        };
+        for (const auto& description : descriptions) {
+            if (description.reason == reason)
+                return description.text;
+        }
+        return "unknown reason";
+    }
+
+    /// A worker that a request passed over, and why.
+    struct PassedOver {
+        std::string worker;
+        std::string reason;
+    };
+
+    /// Decodes the `passed_over=` of a request: `WORKER:REASON` items, joined by plus signs.
+    std::vector<PassedOver> parsePassedOver(std::string_view text)
+    {
+        std::vector<PassedOver> items;
+        while (!text.empty()) {
+            auto item = text.substr(0, text.find('+'));
+            text.remove_prefix(std::min(text.size(), item.size() + 1));
+            if (auto colon = item.rfind(':'); colon != std::string_view::npos)
+                items.push_back({ std::string(item.substr(0, colon)), std::string(item.substr(colon + 1)) });
+        }
+        return items;
+    }
+
     /// Returns whether a line logs an event that may have affected a request. Orders and changes of the lease may be logged by any
     /// VM; the other events only concern the VM that logged them.
     /// @param files logs with lines of the request.
@@ -96,7 +138,7 @@
         if (isOneOf(event, { "lease" }))
             return true;
         bool concernsWorker = workers.contains(std::string(fieldValue(line.text, "worker")));
-        if (concernsWorker && isOneOf(event, { "worker", "worker_gone" }) && files.contains(line.file))
+        if (concernsWorker && isOneOf(event, { "worker", "worker_gone", "worker_leaving", "worker_hold" }) && files.contains(line.file))
             return true;
         auto base = model.substr(0, model.find('/'));
         return !base.empty() && isOneOf(event, { "order", "order_done" }) && (concernsWorker || fieldValue(line.text, "model") == base);
@@ -118,6 +160,8 @@
         files.insert(line.file);
         if (auto worker = fieldValue(line.text, "worker"); !worker.empty() && worker != "-")
             workers.insert(std::string(worker));
+        for (const auto& item : parsePassedOver(fieldValue(line.text, "passed_over")))
+            workers.insert(item.worker);
         if (auto requestModel = fieldValue(line.text, "model"); !requestModel.empty())
             model = std::string(requestModel);
     }
@@ -132,6 +176,8 @@
         report += "cause: no log line shows its end: the VM of " + last.file + " stopped or was cut off before then\n";
     else
         report += "cause: " + std::string(outcome) + ": " + describeOutcome(outcome) + "\n";
+    for (const auto& item : parsePassedOver(fieldValue(last.text, "passed_over")))
+        report += "passed over: " + item.worker + ": " + item.reason + ": " + describeBlock(item.reason) + "\n";
 
     auto contextStart = parseTimestamp(requestLines.front()->text).value_or(milliseconds {}) - contextBefore;
     auto contextEnd = parseTimestamp(last.text).value_or(milliseconds {}) + contextAfter;
--- a/edge/src/counters.cpp
+++ b/edge/src/counters.cpp
@@ -30,7 +30,7 @@
 {
     constexpr std::array<const char*, static_cast<size_t>(RefusalReason::Count)> names {
         "no_configuration", "no_route", "no_service", "no_worker", "unreachable", "no_model", "no_adapter", "no_room",
-        "worker_limit", "hopeless", "leaving", "crashes_workers", "worker_failed", "timed_out", "caller_gone", "malformed"
+        "worker_hold", "worker_limit", "hopeless", "leaving", "crashes_workers", "worker_failed", "timed_out", "caller_gone", "malformed"
     };
     return names[static_cast<size_t>(reason)];
 }
@@ -46,7 +46,7 @@
 const char* name(CountedEvent event)
 {
     constexpr std::array<const char*, static_cast<size_t>(CountedEvent::Count)> names {
-        "requests", "answers", "stream_events", "streams_cut", "store_calls", "store_failures", "beats_sent", "beat_bytes_sent", "beats_received", "orders", "configurations_applied", "blamed_crashes", "oversized_answers"
+        "requests", "answers", "stream_events", "streams_cut", "store_calls", "store_failures", "beats_sent", "beat_bytes_sent", "beats_received", "orders", "configurations_applied", "blamed_crashes", "oversized_answers", "worker_holds"
     };
     return names[static_cast<size_t>(event)];
 }
@@ -61,6 +61,11 @@
     counters.retries[static_cast<size_t>(reason)]++;
 }
 
+void increment(EdgeCounters& counters, routing::WorkerBlock block)
+{
+    counters.passedOver[static_cast<size_t>(block)]++;
+}
+
 void increment(EdgeCounters& counters, CountedEvent event, uint64_t amount)
 {
     counters.events[static_cast<size_t>(event)] += amount;
@@ -72,6 +77,7 @@
     appendMetric<static_cast<size_t>(RefusalReason::Count), RefusalReason>(out, "refusals_total", "reason", counters.refusals);
     appendMetric<static_cast<size_t>(RetryReason::Count), RetryReason>(out, "repeats_total", "reason", counters.retries);
     appendMetric<static_cast<size_t>(CountedEvent::Count), CountedEvent>(out, "events_total", "event", counters.events);
+    appendMetric<static_cast<size_t>(routing::WorkerBlock::Count), routing::WorkerBlock>(out, "passed_over_total", "reason", counters.passedOver);
     appendMetric(out, "first_byte", counters.timeToFirstByte);
     appendMetric(out, "whole_answer", counters.totalTime);
     out += "comfreypier_log_lines_dropped_total " + std::to_string(transport::droppedLogLines()) + "\n";
--- a/edge/src/counters.h
+++ b/edge/src/counters.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <atomic>
+#include <routing/routing.h>
 #include <transport/transport.h>
 
 namespace comfreypier::edge {
@@ -17,6 +18,7 @@
     NoModel, ///< No worker holds the model.
     NoAdapter, ///< Workers hold the model, but none holds the adapter.
     NoRoom, ///< No worker is expected to have free capacity in time, or workers did not run the request and no retry is left.
+    WorkerHold, ///< All suitable workers have named a time until which they want no request of this VM.
     WorkerLimit, ///< All suitable workers name limits on their requests, and this VM's shares are used up.
     Hopeless, ///< The first byte is expected after the caller's deadline.
     Leaving, ///< This VM is shutting down.
@@ -55,6 +57,7 @@
     ConfigurationsApplied,
     BlamedCrashes, ///< Crashes of workers that requests of this VM are blamed for.
     OversizedAnswers, ///< Answers of workers that were given up because they exceed the buffer memory.
+    WorkerHolds, ///< Refusals of workers that named a time until which they want no request of this VM.
     Count
 };
 
@@ -68,12 +71,15 @@
     std::array<std::atomic<uint64_t>, static_cast<size_t>(RefusalReason::Count)> refusals {};
     std::array<std::atomic<uint64_t>, static_cast<size_t>(RetryReason::Count)> retries {};
     std::array<std::atomic<uint64_t>, static_cast<size_t>(CountedEvent::Count)> events {};
+    /// How often requests passed over a worker that holds their model, by reason. A request counts a worker again if the reason changes.
+    std::array<std::atomic<uint64_t>, static_cast<size_t>(routing::WorkerBlock::Count)> passedOver {};
     transport::Distribution timeToFirstByte; ///< From receiving a request to sending the answer's first byte.
     transport::Distribution totalTime; ///< From receiving a request to the end of its handling.
 };
 
 void increment(EdgeCounters& counters, RefusalReason reason);
 void increment(EdgeCounters& counters, RetryReason reason);
+void increment(EdgeCounters& counters, routing::WorkerBlock block);
 void increment(EdgeCounters& counters, CountedEvent event, uint64_t amount = 1);
 /// Returns all counters in Prometheus text format.
 std::string formatCounters(const EdgeCounters& counters);
--- a/edge/src/fleet.cpp
+++ b/edge/src/fleet.cpp
@@ -61,6 +61,7 @@
         worker.prefixCache.clear();
         worker.announced.clear();
         worker.avoidUntil = Time { 0 };
+        worker.heldUntil = Time { 0 };
         worker.connectFailures = 0;
         worker.runningStreams = 0;
         worker.outcomes = {};
@@ -340,12 +341,6 @@
     return (limit || !this->limits.isEmpty()) && this->limits.recordAnswer(routing::workerStart(worker), limit, now);
 }
 
-bool Fleet::isLimited(const routing::WorkerEntry& worker, Time now) const
-{
-    std::lock_guard lock(this->mutex);
-    return !this->limits.isEmpty() && this->limits.nextSendAt(routing::workerStart(worker), now) > now;
-}
-
 std::vector<routing::LimitReport> Fleet::takeLimitReports(Time now)
 {
     std::lock_guard lock(this->mutex);
@@ -391,11 +386,22 @@
     return news;
 }
 
-bool Fleet::mayResume(const std::string& id) const
+void Fleet::recordHold(const routing::WorkerEntry& worker, Time delay, Time now)
+{
+    std::lock_guard lock(this->mutex);
+    auto found = this->workers.find(worker.id);
+    if (found != this->workers.end() && found->second.worker.entry.startedAt == worker.startedAt)
+        routing::recordHold(found->second.worker, delay, now);
+}
+
+bool Fleet::mayResume(const std::string& id, Time now)
 {
     std::lock_guard lock(this->mutex);
     auto found = this->workers.find(id);
-    return found != this->workers.end() && !found->second.worker.entry.draining && !found->second.worker.leaving;
+    if (found == this->workers.end())
+        return false;
+    this->updateLimits({ &found->second.worker }, now);
+    return routing::mayResumeAt(found->second.worker, now);
 }
 
 std::map<WorkerKey, routing::WorkerLoad> Fleet::ownLoads() const
--- a/edge/src/fleet.h
+++ b/edge/src/fleet.h
@@ -97,8 +97,6 @@
     /// Records the limit that a worker named in an answer, or that it named none.
     /// @return whether the worker's limit is another one now.
     bool recordLimit(const routing::WorkerEntry& worker, std::optional<double> limit, Time now);
-    /// Returns whether this VM may send the worker no request now, because of its limit.
-    bool isLimited(const routing::WorkerEntry& worker, Time now) const;
     /// Returns the limits for the next heartbeat.
     std::vector<routing::LimitReport> takeLimitReports(Time now);
     /// Applies the limits that another VM reports.
@@ -115,8 +113,11 @@
     /// Applies the leaving workers that another VM names.
     /// @return number of workers of which this VM had not heard that.
     size_t applyLeaveReports(const std::vector<uint64_t>& reports, Time now);
-    /// Returns whether a worker's entry is known and neither it nor an answer of the worker says that it leaves.
-    bool mayResume(const std::string& id) const;
+    /// Records that a worker turned a request away and named a time after which it wants the next one.
+    /// @param worker the worker as it was called; the time does not hold for a later start of it.
+    void recordHold(const routing::WorkerEntry& worker, Time delay, Time now);
+    /// Returns whether a run may resume at a worker now: see `routing::mayResumeAt`. False if the worker is unknown.
+    bool mayResume(const std::string& id, Time now);
 
     /// Returns a counter that increases with each change after which a waiting request may find a worker.
     uint64_t changes() const { return this->changeCount; }
--- a/edge/src/relay.cpp
+++ b/edge/src/relay.cpp
@@ -93,6 +93,15 @@
         return std::max({ minCallerPatience, 4 * route.targetLatency, 8 * route.targetGap });
     }
 
+    /// Formats the workers that a request passed over for log lines, for example `w1:held+w2:leaving`; "-" if there are none.
+    std::string formatPassedOver(const std::map<std::string, routing::WorkerBlock>& workers)
+    {
+        std::string text;
+        for (const auto& [worker, block] : workers)
+            text += (text.empty() ? "" : "+") + worker + ":" + routing::name(block);
+        return text.empty() ? "-" : text;
+    }
+
     /// Returns whether callers understand `status` as a statement that the request did not run.
     bool impliesNotRun(unsigned status)
     {
@@ -155,6 +164,7 @@
     Time waitTime { 0 }; ///< Time for which the request waited for a worker.
     Time timeToFirstByte { 0 }; ///< Time from the request's arrival to the first byte sent to the caller.
     Time entryAge { 0 }; ///< See `Fleet::Selection`.
+    std::map<std::string, routing::WorkerBlock> passedOver; ///< Workers that the choices passed over, and the last reason of each.
     std::optional<double> requestLimit; ///< Limit that the worker named in its answer, in requests per second.
 
     bool isCancelled() const { return this->cancel.isCancelled(); }
@@ -251,7 +261,7 @@
         + " parts=" + formatParts(context.head.shape.parts) + " tokens=" + std::to_string(context.head.shape.promptTokens) + " kept=" + std::to_string(context.cachedTokens)
         + " worker=" + (context.workerId.empty() ? "-" : context.workerId) + " entry_age_ms=" + formatMilliseconds(context.entryAge) + " sends=" + std::to_string(context.sendCount)
         + " waited_ms=" + formatMilliseconds(context.waitTime) + " expected_ms=" + formatMilliseconds(context.expectedFirstByte) + " first_ms=" + formatMilliseconds(context.timeToFirstByte)
-        + " total_ms=" + formatMilliseconds(monotonicNow() - context.startedAt) + " limit=" + formatLimit(context.requestLimit) + " status=" + std::to_string(context.status) + " outcome=" + context.outcome);
+        + " total_ms=" + formatMilliseconds(monotonicNow() - context.startedAt) + " limit=" + formatLimit(context.requestLimit) + " passed_over=" + formatPassedOver(context.passedOver) + " status=" + std::to_string(context.status) + " outcome=" + context.outcome);
 }
 
 void Relay::refuse(RequestContext& context, unsigned status, RefusalReason refusal, std::optional<milliseconds> retryAfter)
@@ -259,7 +269,7 @@
     increment(this->vm.counters, refusal);
     // Requests refused for lack of capacity count as demand too: otherwise a model whose workers are full would never get
     // another replica. Requests that were sent are counted already.
-    bool lacksCapacity = refusal == RefusalReason::NoRoom || refusal == RefusalReason::WorkerLimit || refusal == RefusalReason::Hopeless;
+    bool lacksCapacity = refusal == RefusalReason::NoRoom || refusal == RefusalReason::WorkerHold || refusal == RefusalReason::WorkerLimit || refusal == RefusalReason::Hopeless;
     if (lacksCapacity && context.sendCount == 0 && context.service != nullptr && context.service->engine)
         this->peers.recordWork(context.head.shape.model, estimateWork(context.head.shape, 0));
     context.outcome = name(refusal);
@@ -330,7 +340,7 @@
     if (context.remaining() <= replyReserve || context.endedByShutdown)
         return false;
     // A run that resumes from its backup copy is still the same run. Before its first event there may be no copy yet.
-    if (mayHaveRun && !canRunAgain && context.hasUsableBackup() && this->vm.fleet.mayResume(context.backupWorker->id) && context.streamStarted && result != SendResult::WorkerError)
+    if (mayHaveRun && !canRunAgain && context.hasUsableBackup() && this->vm.fleet.mayResume(context.backupWorker->id, monotonicNow()) && context.streamStarted && result != SendResult::WorkerError)
         context.resumeWorker = std::exchange(context.backupWorker, std::nullopt);
     if (mayHaveRun && !canRunAgain && !context.resumeWorker)
         return false;
@@ -368,14 +378,31 @@
     std::optional<MissingItem> item;
 };
 
-/// Waits until a worker can take the request.
-/// @return false if the request was refused or the caller has gone.
-bool Relay::waitForWorker(RequestContext& context, Fleet::Selection& selection)
+void Relay::recordPassedOver(RequestContext& context, const routing::Choice& choice)
+{
+    for (const auto& [worker, block] : choice.passedOver) {
+        auto [known, added] = context.passedOver.try_emplace(worker, block);
+        if (added || std::exchange(known->second, block) != block)
+            increment(this->vm.counters, block);
+    }
+}
+
+void Relay::refuseBlocked(RequestContext& context, const routing::Choice& choice, milliseconds retryAfter)
 {
     // By block reason. The first is that of `BlockReason::None`, which refuses nothing.
     constexpr std::array<RefusalReason, static_cast<size_t>(routing::BlockReason::Count)> refusals {
-        RefusalReason::NoWorker, RefusalReason::NoWorker, RefusalReason::Unreachable, RefusalReason::NoModel, RefusalReason::NoAdapter, RefusalReason::NoRoom, RefusalReason::WorkerLimit
+        RefusalReason::NoWorker, RefusalReason::NoWorker, RefusalReason::Unreachable, RefusalReason::NoModel, RefusalReason::NoAdapter, RefusalReason::NoRoom, RefusalReason::WorkerLimit, RefusalReason::WorkerHold
     };
+    // All callers that are refused now would come back at the same moment.
+    if (choice.blockReason == routing::BlockReason::Held || choice.blockReason == routing::BlockReason::Limited)
+        retryAfter = routing::spreadRetryAfter(retryAfter, routing::hashText(context.head.id));
+    this->refuse(context, 503, refusals[static_cast<size_t>(choice.blockReason)], retryAfter);
+}
+
+/// Waits until a worker can take the request.
+/// @return false if the request was refused or the caller has gone.
+bool Relay::waitForWorker(RequestContext& context, Fleet::Selection& selection)
+{
     const auto& shape = context.head.shape;
     ScopedMissingItem missingItem(this->peers);
     auto lastChoiceAt = monotonicNow();
@@ -385,6 +412,7 @@
             return false;
         auto now = monotonicNow();
         selection = this->vm.fleet.chooseWorker(*context.service, shape, context.prefixHashes, context.excludedWorkers, context.route->targetLatency, now);
+        this->recordPassedOver(context, selection.choice);
         auto blockReason = selection.choice.blockReason;
         context.waitTime += now - std::exchange(lastChoiceAt, now);
         if (blockReason == routing::BlockReason::None)
@@ -398,7 +426,7 @@
             if (context.possibleRuns > 0)
                 this->finish(context, context.lastResult);
             else
-                this->refuse(context, 503, refusals[static_cast<size_t>(blockReason)], decision.retryAfter);
+                this->refuseBlocked(context, selection.choice, decision.retryAfter);
             return false;
         }
         auto seenChanges = this->vm.fleet.changes();
@@ -455,8 +483,8 @@
         Fleet::Selection selection;
         if (context.resumeWorker) {
             this->waitForAdapter(context, *context.resumeWorker);
-            // A stream that has started does not wait for its share of a worker's limit.
-            if (!this->vm.fleet.mayResume(context.resumeWorker->id) || this->vm.fleet.isLimited(*context.resumeWorker, monotonicNow()))
+            // A stream that has started does not wait until its worker may be sent requests again.
+            if (!this->vm.fleet.mayResume(context.resumeWorker->id, monotonicNow()))
                 return this->finish(context, context.lastResult);
             selection.id = context.resumeWorker->id;
             selection.entry = *context.resumeWorker;
@@ -465,6 +493,7 @@
         } else if (context.streamStarted) {
             // A stream that has started does not wait for a worker: it resumes now or ends.
             selection = this->vm.fleet.chooseWorker(*context.service, context.head.shape, context.prefixHashes, context.excludedWorkers, context.route->targetLatency, monotonicNow());
+            this->recordPassedOver(context, selection.choice);
             if (selection.choice.blockReason != routing::BlockReason::None)
                 return this->finish(context, SendResult::Resumable);
         } else if (!this->waitForWorker(context, selection))
@@ -534,8 +563,13 @@
     // Status 503 states that the request did not run.
     if (context.endedByShutdown)
         return this->refuse(context, context.possibleRuns > 0 ? 502 : 503, RefusalReason::Leaving, context.possibleRuns > 0 ? std::nullopt : std::optional(retryAfterDraining));
-    if (context.possibleRuns == 0)
+    if (context.possibleRuns == 0) {
+        // The workers may have said meanwhile when they take requests again.
+        auto next = this->vm.fleet.chooseWorker(*context.service, context.head.shape, context.prefixHashes, {}, context.route->targetLatency, monotonicNow()).choice;
+        if (next.blockReason == routing::BlockReason::Held || next.blockReason == routing::BlockReason::Limited)
+            return this->refuseBlocked(context, next, std::max(routing::minRetryAfter, std::chrono::ceil<milliseconds>(next.timeToCapacity)));
         return this->refuse(context, 503, result == SendResult::NotSent ? RefusalReason::Unreachable : RefusalReason::NoRoom, retryAfterTransient);
+    }
     bool deadlinePassed = context.remaining() <= replyReserve;
     this->refuse(context, deadlinePassed ? 504 : 502, deadlinePassed ? RefusalReason::TimedOut : RefusalReason::WorkerFailed, std::nullopt);
 }
@@ -615,8 +649,7 @@
     bool matchesRequest = head.requestId == context.head.id || refusedWithoutId;
     // Only an answer with an error or a redirect may lack the worker's signature header.
     bool signatureDue = stream->status() < 300;
-    if (head.leaving && routing::isStatementOf({ stream->status(), matchesRequest, head.workerId, std::nullopt, signatureDue, head.signedByWorker }, selection.entry))
-        this->peers.recordLeaving(selection.entry, "answer");
+    this->recordSignals(selection, stream->status(), head, matchesRequest, signatureDue);
     if (!matchesRequest) {
         this->log.warn("event=answer_unmatched id=" + context.head.id + " worker=" + selection.id + " status=" + std::to_string(stream->status()) + " answered_id=" + (head.requestId.empty() ? "-" : "other")
             + " first_on_connection=" + (stream->isFirstOnConnection() ? "yes" : "no"));
@@ -635,6 +668,19 @@
     return std::make_unique<Attempt>(selection, std::move(reservation), std::move(stream));
 }
 
+void Relay::recordSignals(const Fleet::Selection& selection, unsigned status, const platform::ResponseHead& head, bool matchesRequest, bool signatureDue)
+{
+    if (!routing::isStatementOf({ status, matchesRequest, head.workerId, std::nullopt, signatureDue, head.signedByWorker }, selection.entry))
+        return;
+    if (head.leaving)
+        this->peers.recordLeaving(selection.entry, "answer");
+    if (status != 503 || !head.retryAfter)
+        return;
+    increment(this->vm.counters, CountedEvent::WorkerHolds);
+    this->log.info("event=worker_hold worker=" + selection.id + " ms=" + std::to_string(head.retryAfter->count()));
+    this->vm.fleet.recordHold(selection.entry, *head.retryAfter, monotonicNow());
+}
+
 void Relay::recordLimit(const routing::WorkerEntry& worker, std::optional<double> limit)
 {
     if (!this->vm.fleet.recordLimit(worker, limit, monotonicNow()))
@@ -803,7 +849,7 @@
         selection.entry = *context.backupWorker;
         // The backup copy contains the KV cache of the prompt.
         selection.choice.cachedTokens = context.head.shape.promptTokens;
-        if (!this->vm.fleet.mayResume(selection.id) || this->vm.fleet.isLimited(selection.entry, monotonicNow()))
+        if (!this->vm.fleet.mayResume(selection.id, monotonicNow()))
             return std::nullopt;
     } else {
         auto excludedWorkers = context.excludedWorkers;
--- a/edge/src/relay.h
+++ b/edge/src/relay.h
@@ -76,6 +76,14 @@
     /// Waits until the worker of an attempt has sent an event that continues the stream.
     /// @return the reason why it has not, or nothing if it has.
     std::optional<SendResult> awaitEvent(RequestContext& context, Attempt& attempt, milliseconds timeLimit);
+    /// Records what the head of an answer says about its worker, whatever becomes of the answer.
+    /// @param matchesRequest whether it answers this request.
+    /// @param signatureDue whether an answer of this status carries the worker's signature.
+    void recordSignals(const Fleet::Selection& selection, unsigned status, const platform::ResponseHead& head, bool matchesRequest, bool signatureDue);
+    /// Records which workers a choice passed over.
+    void recordPassedOver(RequestContext& context, const routing::Choice& choice);
+    /// Refuses a request that ran nowhere and that no worker may take now.
+    void refuseBlocked(RequestContext& context, const routing::Choice& choice, milliseconds retryAfter);
     /// Records the limit that a worker named in an answer, or that it named none, and tells the other VMs of a change.
     void recordLimit(const routing::WorkerEntry& worker, std::optional<double> limit);
     /// Gives up an answer that exceeds the buffer memory.
--- a/routing/include/routing/routing.h
+++ b/routing/include/routing/routing.h
@@ -48,6 +48,8 @@
 constexpr milliseconds maxConnectBackoff { 4000 };
 /// Backoff after a worker refused a request because it is full.
 constexpr milliseconds fullBackoff { 60 };
+/// Longest time for which a worker that names a time gets no requests. After it a request finds out what the worker says now.
+constexpr std::chrono::minutes maxWorkerHold { 10 };
 /// Share of a worker's KV cache that running requests may fill: above it the engine preempts streams.
 constexpr double maxKvCacheFill = 0.92;
 /// Share of a worker's KV cache that is assumed to hold cached prefixes: the capacity that callers pass to `PrefixCache::add`.
@@ -273,6 +275,7 @@
     Time avoidUntil { 0 }; ///< No requests are sent before this time: the worker was full or unreachable.
     uint32_t connectFailures = 0; ///< Number of consecutive calls of `recordUnreachable`, without a request that reached the worker.
     Time limitedUntil { 0 }; ///< When this VM may send the next request, because of the limit that the worker names.
+    Time heldUntil { 0 }; ///< When the time ends that the worker named in a refusal.
     bool leaving = false; ///< The worker has said in an answer that it leaves. It counts as draining, whatever its entry says.
     uint32_t runningStreams = 0; ///< Number of open streams of this VM that have received their first event.
     Time lastByteAt { 0 }; ///< When any of these streams last received data. Outdated while there are none.
@@ -300,6 +303,37 @@
 void recordUnreachable(Worker& worker, Time now);
 /// Records that the worker refused a request because it is full, and starts a backoff. It does not count as a failure.
 void recordFull(Worker& worker, Time now);
+/// Records that the worker turned a request away and named the time after which it wants the next one. Of several the latest counts.
+/// @param delay longer ones count as `maxWorkerHold`.
+void recordHold(Worker& worker, Time delay, Time now);
+
+/// Why a worker may be sent no request now, whatever the request is.
+enum class WorkerBlock {
+    None, ///< It may be sent requests.
+    Leaving, ///< Its entry is draining, or it has said in an answer that it leaves.
+    Held, ///< It has named a time until which it wants no request of this VM.
+    Limited, ///< This VM's share of the limit that it names is used up.
+    Unreachable, ///< In backoff after it was unreachable.
+    Full, ///< In backoff after it was full.
+    Stalled, ///< All of this VM's streams there are silent.
+    Count ///< Number of values, for arrays.
+};
+
+/// Returns the name of `block`, for example `leaving`.
+const char* name(WorkerBlock block);
+
+/// Result of `checkWorker`.
+struct WorkerAvailability {
+    WorkerBlock block = WorkerBlock::None;
+    Time until { 0 }; ///< When the block ends, as far as it is known; `Time::max()` if it is not.
+};
+
+/// Decides whether this VM may send a worker a request now. Of several blocks the one that ends last is returned.
+WorkerAvailability checkWorker(const Worker& worker, Time now);
+
+/// Returns whether a run may resume now from its backup copy at a worker. Backoffs and silence, unlike what the worker has said, don't
+/// count: it has the copy, and without that the stream is cut.
+bool mayResumeAt(const Worker& worker, Time now);
 
 /// Why no worker can take a request.
 enum class BlockReason {
@@ -309,7 +343,8 @@
     NoModel, ///< No reachable worker holds the model.
     NoAdapter, ///< Reachable workers hold the model, but none holds the adapter.
     NoCapacity, ///< The KV cache or the slots of all suitable workers are occupied.
-    Limited, ///< All suitable workers take no request of this VM now because of the limits that they name.
+    Limited, ///< All suitable workers take no request of this VM now; the first to do so again names a limit.
+    Held, ///< All suitable workers take no request of this VM now; the first to do so again has named the time.
     Count ///< Number of values, for arrays.
 };
 
@@ -324,10 +359,15 @@
     /// Set for `None`: expected time to the first token, or to the whole response of a plain service.
     Time timeToFirstByte { 0 };
     uint32_t cachedTokens = 0; ///< Set for `None`: estimated number of prompt tokens in the prefix cache of `worker`.
-    /// Set for `NoCapacity` and `Limited`: expected time until the first worker has capacity for the request or takes it.
+    /// Set for `NoCapacity`, `Limited` and `Held`: expected time until the first worker has capacity for the request or takes it.
     Time timeToCapacity { 0 };
+    /// Workers that hold the model but may be sent no request now, at most `maxPassedOver`.
+    std::vector<std::pair<std::string, WorkerBlock>> passedOver;
 };
 
+/// Maximum number of workers in `Choice::passedOver`.
+constexpr size_t maxPassedOver = 8;
+
 /// Inputs of `chooseWorker` and `chooseBackup`. `chooseBackup` uses only `service`, `shape` and `now`.
 struct ChoiceInputs {
     const Service* service = nullptr;
@@ -396,13 +436,20 @@
 };
 
 /// Decides whether a blocked request waits. It waits while the block reason can pass before the caller gives up, for at most
-/// `maxWaitShare` of the caller's timeout. A request that can't be served in time is refused at once.
+/// `maxWaitShare` of the caller's timeout. A request that can't be served in time is refused at once, and so is one for which all workers
+/// have named a time, unless it ends sooner than the caller could come back.
 /// @param choice result of `chooseWorker` for the request, with the reason why it is blocked.
 /// @param model model that the request needs, or null if its service has no such model. Only used for `BlockReason::NoModel`.
 /// @param waited time since the request arrived.
 /// @param timeout time from the request's arrival within which the caller expects the first byte.
 AdmissionDecision decideWait(const Choice& choice, const ModelSpec* model, Time waited, Time timeout);
 
+/// Spreads the return of callers that are refused until the same moment, so that they don't all come back in it.
+/// @param earliest time until there may be room.
+/// @param seed differs for each request.
+/// @return `earliest` or later: by up to half of it, within the bounds of Retry-After.
+milliseconds spreadRetryAfter(milliseconds earliest, uint64_t seed);
+
 /// Decides whether a request is sent to the chosen worker. Refuses it if the first byte would come after the caller gave up; the
 /// caller is then told to retry after half of the expected time to the first byte, within the bounds of Retry-After.
 /// @param choice result of `chooseWorker` for the request, with `BlockReason::None`.
--- a/routing/src/admission.cpp
+++ b/routing/src/admission.cpp
@@ -12,8 +12,11 @@
         return std::clamp(std::chrono::duration_cast<milliseconds>(delay), minRetryAfter, maxRetryAfter);
     }
 
+    /// Longest part of a caller's Retry-After by which it is put off to spread the callers.
+    constexpr double maxRetrySpreadShare = 0.5;
+
     /// Returns the shortest time in which the block reason can pass: for a missing model its load from a worker's disk, 0 if it may
-    /// pass at any moment, `timeout` if there is no worker or no such model or all workers are limited, so that the request is refused.
+    /// pass at any moment, `timeout` if there is no worker or no such model or all workers have named times, so that the request is refused.
     Time minTimeToUnblock(const Choice& choice, const ModelSpec* model, Time timeout)
     {
         switch (choice.blockReason) {
@@ -21,6 +24,8 @@
             return model == nullptr ? timeout : Time { model->diskLoadTime };
         case BlockReason::NoCapacity:
             return choice.timeToCapacity;
+        case BlockReason::Held:
+            return choice.timeToCapacity <= minRetryAfter ? choice.timeToCapacity : timeout;
         case BlockReason::NoWorker:
         case BlockReason::Limited:
             return timeout;
@@ -38,11 +43,19 @@
     if (waited < maxWait && timeToUnblock < timeout - waited)
         return { true, milliseconds { 0 } };
     // How long a worker takes no request is known, however long it is.
-    if (choice.blockReason == BlockReason::Limited)
+    if (choice.blockReason == BlockReason::Limited || choice.blockReason == BlockReason::Held)
         return { false, std::max(minRetryAfter, std::chrono::ceil<milliseconds>(choice.timeToCapacity)) };
     return { false, clampRetryAfter(timeToUnblock) };
 }
 
+milliseconds spreadRetryAfter(milliseconds earliest, uint64_t seed)
+{
+    constexpr uint64_t steps = 1024;
+    auto share = static_cast<double>(hashText("spread", seed) % (steps + 1)) / steps;
+    auto spread = std::clamp(std::chrono::duration_cast<milliseconds>(earliest * maxRetrySpreadShare), minRetryAfter, maxRetryAfter);
+    return earliest + std::chrono::duration_cast<milliseconds>(spread * share);
+}
+
 AdmissionDecision decideSend(const Choice& choice, Time remaining)
 {
     if (choice.timeToFirstByte <= remaining)
--- a/routing/src/choice.cpp
+++ b/routing/src/choice.cpp
@@ -123,6 +123,12 @@
         return estimate;
     }
 
+    /// Returns whether a worker's block ends at a known time at which it takes requests again.
+    bool isTimed(WorkerBlock block)
+    {
+        return block == WorkerBlock::Held || block == WorkerBlock::Limited || block == WorkerBlock::Full;
+    }
+
     /// Assumes that the worker answers `slots` requests at once, each in the same time, and that further requests queue there.
     Estimate estimatePlainWorker(const Worker& worker, const ChoiceInputs& inputs)
     {
@@ -258,9 +264,37 @@
 
 void recordFull(Worker& worker, Time now)
 {
+    worker.connectFailures = 0;
     worker.avoidUntil = std::max<Time>(worker.avoidUntil, now + fullBackoff);
 }
 
+void recordHold(Worker& worker, Time delay, Time now)
+{
+    worker.heldUntil = std::max(worker.heldUntil, now + std::min<Time>(delay, maxWorkerHold));
+}
+
+WorkerAvailability checkWorker(const Worker& worker, Time now)
+{
+    if (worker.entry.draining || worker.leaving)
+        return { WorkerBlock::Leaving, Time::max() };
+    if (isStalled(worker, now))
+        return { WorkerBlock::Stalled, Time::max() };
+    WorkerAvailability result { WorkerBlock::None, now };
+    auto apply = [&result](WorkerBlock block, Time until) {
+        if (until > result.until)
+            result = { block, until };
+    };
+    apply(WorkerBlock::Held, worker.heldUntil);
+    apply(WorkerBlock::Limited, worker.limitedUntil);
+    apply(worker.connectFailures > 0 ? WorkerBlock::Unreachable : WorkerBlock::Full, worker.avoidUntil);
+    return result;
+}
+
+bool mayResumeAt(const Worker& worker, Time now)
+{
+    return !worker.entry.draining && !worker.leaving && worker.heldUntil <= now && worker.limitedUntil <= now;
+}
+
 Choice chooseWorker(const std::vector<Worker*>& workers, const ChoiceInputs& inputs)
 {
     // Each list is a subset of the one before; the first empty one gives the block reason.
@@ -268,34 +302,41 @@
     std::vector<Worker*> reachable;
     std::vector<Worker*> modelHolders;
     std::vector<Worker*> candidates;
-    std::vector<Worker*> limited; // Workers that could take the request but for their limit.
+    std::vector<std::pair<std::string, WorkerBlock>> passedOver;
+    WorkerAvailability first { WorkerBlock::None, Time::max() }; // Of the suitable workers the one that takes requests again first.
     for (auto* worker : workers) {
-        if (worker->entry.draining || worker->leaving || worker->entry.service != inputs.service->name)
+        if (worker->entry.service != inputs.service->name)
+            continue;
+        auto availability = checkWorker(*worker, inputs.now);
+        bool hasModel = !inputs.service->engine || holdsModel(*worker, inputs.shape->model);
+        bool hasAdapter = hasModel && (!inputs.service->engine || holdsAdapter(*worker, *inputs.shape));
+        if (availability.block != WorkerBlock::None && hasModel && passedOver.size() < maxPassedOver)
+            passedOver.emplace_back(worker->entry.id, availability.block);
+        if (availability.block == WorkerBlock::Leaving)
             continue;
         available.push_back(worker);
-        if (worker->avoidUntil > inputs.now || isStalled(*worker, inputs.now) || (inputs.excluded != nullptr && inputs.excluded->contains(worker->entry.id)))
+        if (inputs.excluded != nullptr && inputs.excluded->contains(worker->entry.id))
             continue;
-        if (worker->limitedUntil > inputs.now) {
-            if (!inputs.service->engine || (holdsModel(*worker, inputs.shape->model) && holdsAdapter(*worker, *inputs.shape)))
-                limited.push_back(worker);
+        if (availability.block != WorkerBlock::None) {
+            if (hasAdapter && isTimed(availability.block) && availability.until < first.until)
+                first = availability;
             continue;
         }
         reachable.push_back(worker);
-        if (inputs.service->engine && !holdsModel(*worker, inputs.shape->model))
+        if (!hasModel)
             continue;
         modelHolders.push_back(worker);
-        if (holdsAdapter(*worker, *inputs.shape))
+        if (hasAdapter)
             candidates.push_back(worker);
     }
-    if (!candidates.empty())
-        return chooseCheapest(candidates, inputs);
     Choice choice;
-    if (available.empty())
+    if (!candidates.empty())
+        choice = chooseCheapest(candidates, inputs);
+    else if (available.empty())
         choice.blockReason = BlockReason::NoWorker;
-    else if (!limited.empty() && modelHolders.empty()) {
-        choice.blockReason = BlockReason::Limited;
-        auto first = *std::min_element(limited.begin(), limited.end(), [](const Worker* a, const Worker* b) { return a->limitedUntil < b->limitedUntil; });
-        choice.timeToCapacity = first->limitedUntil - inputs.now;
+    else if (modelHolders.empty() && (first.block == WorkerBlock::Held || first.block == WorkerBlock::Limited)) {
+        choice.blockReason = first.block == WorkerBlock::Held ? BlockReason::Held : BlockReason::Limited;
+        choice.timeToCapacity = first.until - inputs.now;
     } else if (reachable.empty())
         choice.blockReason = BlockReason::Unreachable;
     else if (modelHolders.empty())
@@ -304,6 +345,7 @@
         choice.blockReason = BlockReason::NoAdapter;
         choice.preferredWorker = choosePreferredWorker(modelHolders, *inputs.shape, inputs.service->engine->adapterSlots);
     }
+    choice.passedOver = std::move(passedOver);
     return choice;
 }
 
@@ -322,8 +364,7 @@
     Worker* best = nullptr;
     double minMemory = 0;
     for (auto* worker : workers) {
-        bool usable = !worker->entry.draining && !worker->leaving && worker->avoidUntil <= inputs.now && worker->limitedUntil <= inputs.now && !isStalled(*worker, inputs.now);
-        if (!usable || worker->entry.id == primary.id || !holdsModel(*worker, inputs.shape->model))
+        if (checkWorker(*worker, inputs.now).block != WorkerBlock::None || worker->entry.id == primary.id || !holdsModel(*worker, inputs.shape->model))
             continue;
         // In tokens, with penalties for a missing adapter and for another data centre.
         double memory = totalLoad(*worker).memoryTokens + (holdsAdapter(*worker, *inputs.shape) ? 0 : inputs.service->engine->kvCacheTokens);
@@ -340,9 +381,17 @@
 const char* name(BlockReason reason)
 {
     constexpr std::array<const char*, static_cast<size_t>(BlockReason::Count)> names {
-        "none", "no_worker", "unreachable", "no_model", "no_adapter", "no_room", "limited"
+        "none", "no_worker", "unreachable", "no_model", "no_adapter", "no_room", "limited", "held"
     };
     return names[static_cast<size_t>(reason)];
 }
 
+const char* name(WorkerBlock block)
+{
+    constexpr std::array<const char*, static_cast<size_t>(WorkerBlock::Count)> names {
+        "none", "leaving", "held", "limited", "unreachable", "full", "stalled"
+    };
+    return names[static_cast<size_t>(block)];
+}
+
 } // namespace comfreypier::routing
--- a/tests/unit/client_test.cpp
+++ b/tests/unit/client_test.cpp
@@ -12,7 +12,7 @@
     return std::string("2026-12-04T07:00:") + second + " INFO  " + rest;
 }
 
-/// Returns the logs of three VMs: vm-1 refused the request r1, and vm-3 relayed r2 and r3 from the worker w3.
+/// Returns the logs of three VMs: vm-1 refused the request r1, vm-3 relayed r2 and r3 from the worker w3, and vm-2 refused r5.
 const std::vector<LogLine>& sampleLogs()
 {
     static const std::vector<LogLine> lines {
@@ -26,6 +26,9 @@
         { "vm-1", logLine("10.400", "store: event=worker_gone worker=w3") },
         { "vm-3", logLine("10.500", "relay: event=request id=r2 route=chat model=m1 worker=w3 sends=1 status=200 outcome=cut") },
         { "vm-3", logLine("20.000", "relay: event=streaming id=r3 worker=w3 backup=- sends=1 first_ms=20.0") },
+        { "vm-2", logLine("30.000", "relay: event=worker_hold worker=w4 ms=3000") },
+        { "vm-2", logLine("30.100", "peers: event=worker_leaving worker=w5 started=1 evidence=answer") },
+        { "vm-2", logLine("30.500", "relay: event=request id=r5 route=chat model=m1 worker=- sends=0 passed_over=w4:held+w5:leaving status=503 outcome=worker_hold") },
         { "vm-3", logLine("21.000", "edge: event=start node=vm-3") },
     };
     return lines;
@@ -68,3 +71,15 @@
     cr_assert(contains(report, "event=start node=vm-3"));
     cr_assert_not(explainRequest("r4", sampleLogs()).has_value());
 }
+
+// Guards against operators who can't see from a request's id that workers were passed over.
+Test(explain_request, workers_that_were_passed_over_are_shown_with_the_reason_and_what_they_said)
+{
+    auto report = explainRequest("r5", sampleLogs()).value();
+    cr_assert(contains(report, "cause: worker_hold: all workers that could take it had named times"));
+    cr_assert(contains(report, "passed over: w4: held: it had named a time"));
+    cr_assert(contains(report, "passed over: w5: leaving: its entry was draining, or it had said"));
+    cr_assert(contains(report, "event=worker_hold worker=w4 ms=3000"));
+    cr_assert(contains(report, "event=worker_leaving worker=w5"));
+    cr_assert_not(contains(report, "worker_gone"));
+}
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -283,6 +283,21 @@
     cr_assert_eq(decodeResponseHead(421, { { "Instance-Id", "i-2" } }).workerId, "i-2");
 }
 
+// Guards against odd times: one that is no number of seconds is none, a huge one must not overflow.
+Test(responses, time_after_which_a_worker_wants_requests_is_a_number_of_seconds)
+{
+    auto decode = [](const char* value) { return decodeResponseHead(503, { { "retry-after", value } }).retryAfter; };
+    cr_assert(decode("0") == milliseconds { 0 });
+    cr_assert(decode("2") == milliseconds { 2000 });
+    cr_assert(decode(" 0.25 ") == milliseconds { 250 });
+    cr_assert(decode("0.0001") == milliseconds { 1 }, "rounded up");
+    cr_assert(decode("100000000000000000000000") == std::chrono::hours { 24 * 365 });
+    for (const auto* value : { "", "-1", "-0.5", "nan", "inf", "1e9", "0x10", "2s", "1,5", "2, 3", "soon", "Wed, 21 Oct 2026 07:28:00 GMT" })
+        cr_assert_not(decode(value).has_value(), "'%s'", value);
+    cr_assert_not(decode(std::string(400, '9').c_str()).has_value(), "beyond the range of a number");
+    cr_assert_not(decodeResponseHead(503, {}).retryAfter.has_value());
+}
+
 // The signature marks responses of workers, so a response of this system must not carry it.
 Test(responses, error_response_has_retry_delay_and_attempt_id_but_no_signature)
 {
--- a/tests/unit/routing_test.cpp
+++ b/tests/unit/routing_test.cpp
@@ -600,7 +600,7 @@
         auto decision = decideWait(choice, &model, waited, timeout);
         if (decision.admitted)
             RC_ASSERT(waited < timeout * maxWaitShare);
-        else if (choice.blockReason == BlockReason::Limited)
+        else if (choice.blockReason == BlockReason::Limited || choice.blockReason == BlockReason::Held)
             RC_ASSERT(decision.retryAfter == std::max(minRetryAfter, std::chrono::ceil<milliseconds>(choice.timeToCapacity)));
         else
             RC_ASSERT((decision.retryAfter >= minRetryAfter && decision.retryAfter <= maxRetryAfter));
--- a/tests/unit/worker_signals_test.cpp
+++ b/tests/unit/worker_signals_test.cpp
@@ -119,3 +119,81 @@
         cr_assert_lt(transport::monotonicNow() - start, milliseconds { 500 });
     }
 }
+
+// Guards against requests to a full worker before the time that it named has passed, while another one takes them.
+CLUSTER_TEST(full_worker_gets_no_requests_until_the_time_that_it_named, 12900)
+{
+    constexpr milliseconds hold { 1500 };
+    cluster.configureAndWait();
+    auto& worker = cluster.app(0);
+    // So slow that the VM prefers the worker that is full.
+    cluster.app(1).responseDelayMs = 100;
+    sendUntilRun(cluster, worker, "id-before-");
+    {
+        std::lock_guard lock(worker.mutex);
+        worker.arrivalTimes.clear();
+    }
+    worker.retryAfterSeconds = std::chrono::duration<double>(hold).count();
+    worker.fault = WorkerFault::Full;
+    auto end = transport::monotonicNow() + 4 * hold;
+    for (int i = 0; transport::monotonicNow() < end; i++)
+        cr_assert_eq(cluster.sendRequest("/order/x", "id-full-" + std::to_string(i)).status, 200U);
+    {
+        std::lock_guard lock(worker.mutex);
+        cr_assert_geq(worker.arrivalTimes.size(), 3U, "the worker is asked again after the time");
+        for (size_t i = 1; i < worker.arrivalTimes.size(); i++) {
+            auto gap = std::chrono::duration_cast<milliseconds>(worker.arrivalTimes[i] - worker.arrivalTimes[i - 1]);
+            cr_assert_geq(gap, hold, "a request came %ld ms after the worker had named %ld ms", gap.count(), hold.count());
+        }
+    }
+    // The worker that is back under the same id has named no time.
+    worker.retryAfterSeconds = 1e12;
+    std::this_thread::sleep_for(hold);
+    for (int i = 0; i < 30; i++)
+        cluster.sendRequest("/order/x", "id-huge-" + std::to_string(i));
+    worker.fault = WorkerFault::None;
+    cr_assert_eq(countRuns(cluster, worker, 20, "id-held-"), 0);
+    worker.crash();
+    cr_assert(cluster.waitUntil([&] { return worker.restart(); }));
+    sendUntilRun(cluster, worker, "id-back-");
+}
+
+// Guards against requests that wait, or callers that come back, before any worker wants requests.
+CLUSTER_TEST(requests_are_refused_at_once_with_the_time_when_all_workers_have_named_one, 12950)
+{
+    constexpr double hold = 3;
+    cluster.configureAndWait();
+    for (int i = 0; i < 2; i++) {
+        cluster.app(i).retryAfterSeconds = hold;
+        cluster.app(i).fault = WorkerFault::Full;
+    }
+    auto start = transport::monotonicNow();
+    auto sinceStart = [start] { return std::chrono::duration<double>(transport::monotonicNow() - start).count(); };
+    auto end = start;
+    double lowest = 1000;
+    double highest = 0;
+    for (int i = 0; i < 30; i++) {
+        auto sentAt = sinceStart();
+        auto answer = cluster.sendRequest("/order/x", "id-" + std::to_string(i));
+        cr_assert_eq(answer.status, 503U, "got %u", answer.status);
+        if (i == 0)
+            end = transport::monotonicNow();
+        else
+            cr_assert_lt(sinceStart() - sentAt, 0.3, "refused after %g s", sinceStart() - sentAt);
+        auto returnsAt = sinceStart() + std::stod("0" + std::string(findHeader(answer.headers, "Retry-After")));
+        // The first of the two workers named its time after `start`.
+        cr_assert_geq(returnsAt, hold, "a caller comes back after %g s", returnsAt);
+        cr_assert_leq(returnsAt, 2 * hold + 1, "a caller comes back after %g s", returnsAt);
+        lowest = std::min(lowest, returnsAt);
+        highest = std::max(highest, returnsAt);
+    }
+    cr_assert_gt(highest - lowest, 0.5, "the callers come back together, after %g to %g s", lowest, highest);
+    for (int i = 0; i < 2; i++) {
+        std::lock_guard lock(cluster.app(i).mutex);
+        cr_assert_leq(cluster.app(i).arrivalTimes.size(), 1U);
+    }
+    for (int i = 0; i < 2; i++)
+        cluster.app(i).fault = WorkerFault::None;
+    std::this_thread::sleep_for(std::chrono::duration<double>(hold) - (transport::monotonicNow() - end));
+    cr_assert_eq(cluster.sendRequest("/order/x", "id-after").status, 200U);
+}
