--- a/tests/standins/platform_main.cpp
+++ b/tests/standins/platform_main.cpp
@@ -4,7 +4,8 @@
 /// `comfreypier-platform PORT` serves the control calls below on PORT, the store on PORT + 1 and the workers on the ports after
 /// that:
 ///   POST /configure?version=N[&path=/p/]        writes a configuration, with an additional route if a path is given
-///   POST /fault?store=sound|refusing|silent|losing
+///   POST /fault?store=sound|refusing|silent|losing|copied|restored
+///     `copied` takes a copy of the store's records, `restored` has the store come back from it.
 ///   POST /fault?worker=ID&mood=sound|full|closes|foreign|unsigned|failing|breaks_stream|fails_stream|silent
 ///   POST /worker?worker=ID&state=ready|leaving|gone
 ///     The moods are `WorkerFault` in its order; `sound` ends a fault.
@@ -121,6 +122,10 @@
             this->store.unavailable = storeFault == "refusing";
             this->store.unresponsive = storeFault == "silent";
             this->store.dropsAppendResponses = storeFault == "losing";
+            if (storeFault == "copied")
+                this->copy = this->store.copy();
+            if (storeFault == "restored")
+                this->store.restore(this->copy);
             return { 200, {}, "" };
         }
         // In the order of `WorkerFault`.
@@ -178,6 +183,7 @@
     uint16_t port;
     transport::Runtime runtime { 1 };
     StoreStandin store;
+    StoreStandin::Topics copy; ///< Of the store's records, when it was last copied. Empty before.
     std::vector<std::unique_ptr<WorkerStandin>> workers;
     std::map<std::string, std::atomic<bool>> unpublished; ///< Whether the worker's entry is deleted from the store, by worker id.
     transport::HttpServer control;
--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -123,16 +123,45 @@
     return value;
 }
 
+StoreStandin::Topics StoreStandin::copy() const
+{
+    std::lock_guard lock(this->mutex);
+    return this->topics;
+}
+
+void StoreStandin::restore(Topics earlier)
+{
+    std::lock_guard lock(this->mutex);
+    this->topics = std::move(earlier);
+    this->era++;
+}
+
+HttpResponse StoreStandin::makeResponse(unsigned status) const
+{
+    auto response = emptyResponse(status);
+    if (this->statesEra)
+        response.headers.push_back({ "Store-Era", std::to_string(this->era) });
+    return response;
+}
+
+void StoreStandin::sendStatus(unsigned status, ResponseWriter& writer) const
+{
+    HttpResponse response;
+    {
+        std::lock_guard lock(this->mutex);
+        response = this->makeResponse(status);
+    }
+    writer.send(response);
+}
+
 void StoreStandin::serve(const HttpRequest& request, ResponseWriter& writer)
 {
     if (this->unresponsive)
         return holdUntilCallerDisconnects(writer);
     if (this->silent)
         return holdUntilCallerDisconnects(writer, std::chrono::hours { 1 });
-    if (this->unavailable) {
-        writer.send(emptyResponse(503));
-        return;
-    }
+    if (this->unavailable)
+        return this->sendStatus(503, writer);
     auto topic = transport::queryValue(request.target, "topic");
     auto path = transport::targetPath(request.target);
     this->workerTopicReads += topic == workerTopic && path != "/v1/log-append" ? 1 : 0;
@@ -143,7 +172,7 @@
     else if (path == "/v1/log-newest")
         this->serveNewest(topic, writer);
     else
-        writer.send(emptyResponse(404));
+        this->sendStatus(404, writer);
 }
 
 void StoreStandin::serveAppend(const std::string& topic, const HttpRequest& request, ResponseWriter& writer)
@@ -153,6 +182,7 @@
     HttpResponse response;
     {
         std::lock_guard lock(this->mutex);
+        response = this->makeResponse();
         auto& records = this->topics[topic];
         auto at = transport::queryValue(request.target, "at");
         json::object result { { "offset", records.size() } };
@@ -181,15 +211,15 @@
 {
     auto from = std::stoull(transport::queryValue(request.target, "from"));
     auto wait = milliseconds { std::stoll(transport::queryValue(request.target, "max-wait-ms")) };
-    if (this->expireNextRead.exchange(false)) {
-        writer.send(emptyResponse(410));
-        return;
-    }
-    auto hasNewRecords = [&] {
+    if (this->expireNextRead.exchange(false))
+        return this->sendStatus(410, writer);
+    auto recordCount = [&] {
         std::lock_guard lock(this->mutex);
-        return this->topics[topic].size() > from;
+        return this->topics[topic].size();
     };
-    for (auto waited = milliseconds { 0 }; !hasNewRecords() && waited < wait; waited += pollInterval) {
+    if (recordCount() < from)
+        return this->sendStatus(410, writer);
+    for (auto waited = milliseconds { 0 }; recordCount() <= from && waited < wait; waited += pollInterval) {
         transport::sleepFor(pollInterval);
         if (this->unresponsive)
             return holdUntilCallerDisconnects(writer);
@@ -197,6 +227,7 @@
     HttpResponse response;
     {
         std::lock_guard lock(this->mutex);
+        response = this->makeResponse();
         const auto& records = this->topics[topic];
         // Two offsets that the daemon does not use, then the records in the format of appends.
         appendBigEndian(response.body, records.size(), 8);
@@ -207,6 +238,7 @@
             response.body += records[i].key + records[i].value;
         }
     }
+    transport::sleepFor(milliseconds { this->readResponseDelayMs });
     writer.send(response);
 }
 
@@ -215,6 +247,7 @@
     HttpResponse response;
     {
         std::lock_guard lock(this->mutex);
+        response = this->makeResponse();
         const auto& records = this->topics[topic];
         std::map<std::string, size_t> newestOffsets;
         for (size_t i = 0; i < records.size(); i++)
@@ -226,6 +259,7 @@
         }
         response.body = json::serialize(json::object { { "items", items }, { "has-more", false }, { "end", records.size() } });
     }
+    transport::sleepFor(milliseconds { this->readResponseDelayMs });
     writer.send(response);
 }
 
--- a/tests/standins/platform_standin.h
+++ b/tests/standins/platform_standin.h
@@ -31,9 +31,16 @@
 /// Returns event `number` (from 1) of the stream that a worker sends in response to the request.
 std::string streamEvent(int number, std::string_view requestId);
 
-/// In-memory log store with keyed topics.
+/// In-memory log store with keyed topics. All its responses state its era.
 class StoreStandin {
 public:
+    struct Record {
+        std::string key;
+        std::string value;
+    };
+    /// All records of each topic; a record's offset is its index.
+    using Topics = std::map<std::string, std::vector<Record>>;
+
     StoreStandin(transport::Runtime& runtime, transport::Endpoint address);
 
     /// @return false if the address can't be bound.
@@ -42,6 +49,11 @@
     void write(const std::string& topic, const std::string& key, const std::string& value);
     /// Returns the newest value of a key, or an empty string.
     std::string newestValue(const std::string& topic, const std::string& key) const;
+    /// Returns a copy of all records.
+    Topics copy() const;
+    /// Comes back from an earlier copy: the records written since are lost, their offsets are given out again, and the era rises by one.
+    /// Reads that wait go on waiting at their offsets.
+    void restore(Topics earlier);
 
     std::atomic<bool> unavailable { false }; ///< Responds to every call with 503.
     std::atomic<bool> unresponsive { false }; ///< Responds to no call.
@@ -51,23 +63,27 @@
     std::atomic<bool> expireNextRead { false }; ///< Responds to the next log read with 410, as if the records had been deleted.
     std::atomic<bool> dropsAppendResponses { false }; ///< Appends take effect, but the connection is closed without a response.
     std::atomic<int> appendDelayMs { 0 }; ///< Delay before an append takes effect.
+    std::atomic<int> readResponseDelayMs { 0 }; ///< Delay between a read and its response, which tells of the time before the delay.
+    std::atomic<bool> statesEra { true }; ///< Responses state the era.
     std::atomic<int> workerTopicReads { 0 }; ///< Number of reads of the workers' topic.
 
 private:
-    struct Record {
-        std::string key;
-        std::string value;
-    };
     void serve(const transport::HttpRequest& request, transport::ResponseWriter& writer);
+    /// Returns an empty response that states the era. The caller must hold `mutex`.
+    transport::HttpResponse makeResponse(unsigned status = 200) const;
+    /// Responds with a status only.
+    void sendStatus(unsigned status, transport::ResponseWriter& writer) const;
     /// Appends the body's records, but none and a response of 412 if the query's `at` is not the end of the topic.
     void serveAppend(const std::string& topic, const transport::HttpRequest& request, transport::ResponseWriter& writer);
-    /// Responds with the records from an offset on. Waits for one at most as long as the query states.
+    /// Responds with the records from an offset on, or with 410 if the topic ends before it. Waits for a record at most as long as the
+    /// query states.
     void serveRead(const std::string& topic, const transport::HttpRequest& request, transport::ResponseWriter& writer);
     /// Responds with the newest value of each key that is not deleted, all in one page.
     void serveNewest(const std::string& topic, transport::ResponseWriter& writer);
 
-    mutable std::mutex mutex; ///< Guards `topics`.
-    std::map<std::string, std::vector<Record>> topics; ///< All records of each topic; a record's offset is its index.
+    mutable std::mutex mutex; ///< Guards `topics` and `era`.
+    Topics topics;
+    uint64_t era = 1; ///< Rises with each restoration.
     transport::HttpServer server;
 };
 
--- a/tests/unit/edge_world.h
+++ b/tests/unit/edge_world.h
@@ -241,6 +241,24 @@
             cr_assert(this->waitUntil([this, i] { return this->isReady(i); }), "the VM is not ready");
     }
 
+    /// Writes the entries of all workers several times, so that the stream goes on.
+    void publishWorkers(int times)
+    {
+        for (int i = 0; i < times; i++) {
+            for (auto& worker : this->workers)
+                worker->publish();
+        }
+    }
+
+    /// Returns the value of the record that a VM holds among the members, or an empty string.
+    std::string memberRecord(int vm = 0) const { return this->store.newestValue("keyed.comfreypier-members", "vm" + std::to_string(vm)); }
+    /// Returns the fencing token in the lease's record, or 0 if there is none.
+    uint64_t leaseToken() const
+    {
+        auto record = this->store.newestValue("keyed.comfreypier-lease", "orders");
+        return record.empty() ? 0 : std::stoull(record);
+    }
+
     uint16_t base;
     transport::Runtime runtime { 1 };
     transport::HttpClient client;
