Streams of a restored store are read anew

Callers saw: after the store had come back from a copy, a configuration that was written at an offset which the VM had read already came into force late, or not at all while the VM's read waited there.

Cause: the position in a stream was an offset alone. A read that waited at an offset of the time before went on waiting at the restored store, and the checks aside began at the same offset.

Change: every answer of the store tells its era (`StorePage`, `AppendResult`, `Store::onEra`; also errors). `StoreEra` keeps the newest one that a VM has seen, also in the heartbeats of others. A position is an era and an offset (`ownership::LogPosition`). When the era rises (`event=store_restored`), waiting reads are begun anew, all streams are read in full, other VMs are told at once, and pages of an earlier era are discarded, also when they arrive late; a read that began at an earlier era's offset is replaced by a full one. Pages of two eras are not joined. Log lines name era and offset.

--- a/edge/src/beat.capnp
+++ b/edge/src/beat.capnp
@@ -79,11 +79,14 @@
   value @1 :Data;
   offset @2 :UInt64;
   number @3 :UInt64;
+  era @4 :UInt64;
+  fromCopy @5 :Bool;
 }
 
 # A heartbeat. `heartbeat_codec.h` describes the fields. Some have other names there: `number` is `sequence`, `leaving` `draining`,
 # `strained` `overloaded`, `sent` `sentPrefixes`, `wants` `missingItems`, `used` `usedAdapters`, `entries` `forwardedEntries`,
-# `crashes` `crashReports`, `limits` `limitReports` and `leavingWorkers` `leaveReports`.
+# `crashes` `crashReports`, `limits` `limitReports` and `leavingWorkers` `leaveReports`. `leaseOffset` and `leaseEra` make up
+# `leasePosition`.
 struct Beat {
   node @0 :Text;
   incarnation @1 :UInt64;
@@ -111,4 +114,6 @@
   crashes @23 :List(CrashReport);
   limits @24 :List(Limit);
   leavingWorkers @25 :List(UInt64); # Stand for id and start, as in `Limit`.
+  storeEra @26 :UInt64;
+  leaseEra @27 :UInt64;
 }
--- a/edge/src/beat.capnp.h
+++ b/edge/src/beat.capnp.h
@@ -194,7 +194,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(81e2ca8cdcaea04c, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(81e2ca8cdcaea04c, 4, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -209,7 +209,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ed1775a394c07423, 7, 14)
+    CAPNP_DECLARE_STRUCT_HEADER(ed1775a394c07423, 9, 14)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1166,6 +1166,10 @@
 
   inline  ::uint64_t getNumber() const;
 
+  inline  ::uint64_t getEra() const;
+
+  inline bool getFromCopy() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1214,6 +1218,12 @@
   inline  ::uint64_t getNumber();
   inline void setNumber( ::uint64_t value);
 
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
+  inline bool getFromCopy();
+  inline void setFromCopy(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1323,6 +1333,10 @@
   inline bool hasLeavingWorkers() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getLeavingWorkers() const;
 
+  inline  ::uint64_t getStoreEra() const;
+
+  inline  ::uint64_t getLeaseEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1486,6 +1500,12 @@
   inline void adoptLeavingWorkers(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownLeavingWorkers();
 
+  inline  ::uint64_t getStoreEra();
+  inline void setStoreEra( ::uint64_t value);
+
+  inline  ::uint64_t getLeaseEra();
+  inline void setLeaseEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2256,6 +2276,34 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Entry::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Entry::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Entry::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Entry::Reader::getFromCopy() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+
+inline bool Entry::Builder::getFromCopy() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+inline void Entry::Builder::setFromCopy(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Beat::Reader::hasNode() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2904,6 +2952,34 @@
       ::capnp::bounded<13>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Beat::Reader::getStoreEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Beat::Builder::getStoreEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void Beat::Builder::setStoreEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Beat::Reader::getLeaseEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Beat::Builder::getLeaseEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void Beat::Builder::setLeaseEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/edge/src/edge.cpp
+++ b/edge/src/edge.cpp
@@ -60,6 +60,7 @@
               this->vm, [this](const auto& node, const auto& member) { this->peers.applyMember(node, member); },
               [this](const auto& worker) { this->crashes.recordCrash(worker, "entry"); },
               [this](const auto& configuration) { this->callerServer.setLimits(callerServerLimits(this->settings, configuration.limits)); },
+              [this] { this->peers.sendHeartbeat(); },
               [this](const auto& entry) { this->peers.forwardEntry(entry); }, [this](Time ownReadAt) { return this->peers.enoughPeersReadWorkers(ownReadAt); })
         , orders(this->vm, this->peers)
         , relay(this->vm, this->peers, this->crashes)
--- a/edge/src/heartbeat_codec.h
+++ b/edge/src/heartbeat_codec.h
@@ -31,6 +31,8 @@
     std::string value; ///< Empty if the record deletes its key.
     uint64_t offset = 0; ///< Offset of the record in the stream.
     uint64_t number = 0; ///< Counts the records that the sender has forwarded, from 1.
+    uint64_t era = ownership::firstEra; ///< Era in which the sender read the record.
+    bool fromCopy = false; ///< The record may stem from the copy with which that era began.
 };
 
 /// A prompt prefix that a VM has just sent to a worker, which now has it in its prefix cache.
@@ -58,7 +60,8 @@
     bool draining = false; ///< The VM is shutting down.
     bool overloaded = false; ///< The VM's timers fire late, so callers should use other VMs if they can.
     uint64_t leaseToken = 0; ///< Fencing token while the VM orders workers as lease holder, else 0.
-    uint64_t leaseOffset = 0; ///< From the lease holder: offset of the newest lease record.
+    ownership::LogPosition leasePosition; ///< From the lease holder: position of the newest lease record.
+    uint64_t storeEra = 0; ///< Newest era of the store that the VM knows of; 0 from VMs that know none.
     uint64_t configVersion = 0; ///< Version of the configuration in force, or 0.
     /// Sent for an urgent change. Of the lists it carries only the missing items and, from the lease holder, the newest changes of
     /// `resident`; the others are empty.
--- a/edge/src/heartbeat_codec_capnp.cpp
+++ b/edge/src/heartbeat_codec_capnp.cpp
@@ -114,6 +114,8 @@
             entries[i].setValue(kj::arrayPtr(reinterpret_cast<const kj::byte*>(entry.value.data()), entry.value.size()));
             entries[i].setOffset(entry.offset);
             entries[i].setNumber(entry.number);
+            entries[i].setEra(entry.era);
+            entries[i].setFromCopy(entry.fromCopy);
         }
         auto limits = root.initLimits(static_cast<unsigned>(heartbeat.limitReports.size()));
         for (i = 0; i < heartbeat.limitReports.size(); i++) {
@@ -156,7 +158,7 @@
         }
         for (auto item : root.getEntries()) {
             auto value = item.getValue();
-            heartbeat.forwardedEntries.push_back({ toStdString(item.getWorker()), std::string(reinterpret_cast<const char*>(value.begin()), value.size()), item.getOffset(), item.getNumber() });
+            heartbeat.forwardedEntries.push_back({ toStdString(item.getWorker()), std::string(reinterpret_cast<const char*>(value.begin()), value.size()), item.getOffset(), item.getNumber(), std::max(item.getEra(), ownership::firstEra), item.getFromCopy() });
         }
         for (auto item : root.getLimits()) {
             // Not a number, or a negative one, is no limit that a VM sends.
@@ -219,7 +221,9 @@
     root.setLeaseToken(heartbeat.leaseToken);
     root.setPartial(heartbeat.partial);
     root.setReadsWorkers(heartbeat.readsWorkers);
-    root.setLeaseOffset(heartbeat.leaseOffset);
+    root.setLeaseOffset(heartbeat.leasePosition.offset);
+    root.setLeaseEra(heartbeat.leasePosition.era);
+    root.setStoreEra(heartbeat.storeEra);
     root.setConfigVersion(heartbeat.configVersion);
     root.setForwardedCount(heartbeat.forwardedCount);
     root.setSummaryOf(heartbeat.summaryOf);
@@ -241,7 +245,8 @@
         heartbeat.leaseToken = root.getLeaseToken();
         heartbeat.partial = root.getPartial();
         heartbeat.readsWorkers = root.getReadsWorkers();
-        heartbeat.leaseOffset = root.getLeaseOffset();
+        heartbeat.leasePosition = { std::max(root.getLeaseEra(), ownership::firstEra), root.getLeaseOffset() };
+        heartbeat.storeEra = root.getStoreEra();
         heartbeat.configVersion = root.getConfigVersion();
         heartbeat.forwardedCount = root.getForwardedCount();
         heartbeat.summaryOf = toStdString(root.getSummaryOf());
--- a/edge/src/peers.cpp
+++ b/edge/src/peers.cpp
@@ -190,6 +190,7 @@
     heartbeat.overloaded = this->vm.status.overloaded;
     auto configuration = this->vm.fleet.configuration();
     heartbeat.readsWorkers = this->readsWorkers && this->readsWorkers();
+    heartbeat.storeEra = this->vm.storeEra.known();
     heartbeat.configVersion = configuration ? configuration->version : 0;
     if (!partial) {
         heartbeat.loads = this->vm.fleet.ownLoads();
@@ -204,7 +205,7 @@
     for (const auto& [item, count] : this->missingItems)
         heartbeat.missingItems.push_back(item);
     heartbeat.leaseToken = this->leaseToken;
-    heartbeat.leaseOffset = this->leaseOffset;
+    heartbeat.leasePosition = { ownership::firstEra, this->leaseOffset };
     if (partial)
         return heartbeat;
     for (const auto& [model, rate] : this->averageWork.rates(monotonicNow())) {
@@ -448,11 +449,13 @@
     bool relaysReports = !peer.inGroup;
     peer.missingItems = std::move(heartbeat->missingItems);
     lock.unlock();
+    // Before the records and the lease that the heartbeat tells of, which may be of the new era.
+    this->vm.storeEra.observe(heartbeat->storeEra);
     this->vm.fleet.applyHeartbeat(heartbeat->node, *heartbeat);
     if (heartbeat->leaseToken != 0) {
         this->vm.fleet.applyResident(heartbeat->resident);
         if (this->onLeaseClaim)
-            this->onLeaseClaim(heartbeat->leaseOffset);
+            this->onLeaseClaim(heartbeat->leasePosition.offset);
     }
     this->crashes.applyReports(heartbeat->crashReports, relaysReports);
     if (auto changed = this->vm.fleet.applyLimitReports(heartbeat->limitReports, relaysReports, monotonicNow()); changed > 0)
--- a/edge/src/store_task.cpp
+++ b/edge/src/store_task.cpp
@@ -22,14 +22,28 @@
 
 } // namespace
 
-StoreTask::StoreTask(Vm& vm, MemberListener onMember, WorkerListener onWorkerGone, ConfigurationListener onConfiguration, EntryListener onEntry, PeersReadWorkers peersReadWorkers)
+StoreTask::StoreTask(Vm& vm, MemberListener onMembers, WorkerListener onWorkerGone, ConfigurationListener onConfiguration, RestorationListener onRestored, EntryListener onEntry, PeersReadWorkers peersReadWorkers)
     : vm(vm)
-    , onMember(std::move(onMember))
+    , onMembers(std::move(onMembers))
     , onWorkerGone(std::move(onWorkerGone))
     , onConfiguration(std::move(onConfiguration))
+    , onRestored(std::move(onRestored))
     , onEntry(std::move(onEntry))
     , peersReadWorkers(std::move(peersReadWorkers))
 {
+    this->vm.storeEra.subscribe([this](uint64_t era, bool restored) { this->onEra(era, restored); });
+}
+
+void StoreTask::onEra(uint64_t era, bool restored)
+{
+    if (!restored) {
+        this->log.info("event=store_era era=" + std::to_string(era));
+        return;
+    }
+    this->log.warn("event=store_restored era=" + std::to_string(era));
+    this->restoredAt = monotonicNow();
+    this->restartPendingReads("restored");
+    this->onRestored();
 }
 
 void StoreTask::followConfiguration()
@@ -41,7 +55,7 @@
 {
     for (const auto& record : page.records) {
         if (record.key == platform::configurationKey() && record.value)
-            this->applyConfiguration(record);
+            this->applyConfiguration(record, page.era);
     }
 }
 
@@ -111,19 +125,44 @@
     });
 }
 
-std::optional<platform::StorePage> StoreTask::readOnNewConnection(platform::Stream stream, std::optional<uint64_t> next)
+platform::Result<platform::StorePage> StoreTask::readPage(platform::Store store, platform::Stream stream, std::optional<LogPosition>& next, milliseconds maxWait)
+{
+    auto& era = this->vm.storeEra;
+    auto isOutdated = [&era](auto& page) {
+        page.era = era.resolve(page.era);
+        return page.era != era.current();
+    };
+    if (next && next->era == era.current()) {
+        increment(this->vm.counters, CountedEvent::StoreCalls);
+        auto page = platform::readFrom(store, stream, next->offset, maxWait);
+        if (next->era == era.current()) {
+            if (page && isOutdated(page.value()))
+                return platform::StoreError::Expired;
+            return page;
+        }
+        this->log.info(std::string("event=store_read_discarded stream=") + name(stream) + " from=" + std::to_string(next->offset) + " era=" + std::to_string(next->era) + " outcome=" + (page ? "read" : platform::name(page.error())));
+    }
+    next.reset();
+    store.cancel = nullptr; // This read does not wait.
+    increment(this->vm.counters, CountedEvent::StoreCalls);
+    auto page = platform::readLatest(store, stream);
+    if (page && isOutdated(page.value()))
+        return platform::StoreError::Expired;
+    return page;
+}
+
+std::optional<platform::StorePage> StoreTask::readOnNewConnection(platform::Stream stream, std::optional<LogPosition> next)
 {
     auto store = this->vm.store();
     store.freshConnection = true;
-    increment(this->vm.counters, CountedEvent::StoreCalls);
-    auto page = next ? platform::readFrom(store, stream, *next, milliseconds { 0 }) : platform::readLatest(store, stream);
+    auto page = this->readPage(store, stream, next, milliseconds { 0 });
     if (!page)
         increment(this->vm.counters, CountedEvent::StoreFailures);
     else if (stream == platform::Stream::Configuration)
         this->configurationReadAt = monotonicNow();
     // Most checks of the configuration find nothing.
     if (!page || !page.value().records.empty())
-        this->log.info(std::string("event=store_read_aside stream=") + name(stream) + " address=" + transport::toString(store.address) + " outcome=" + (page ? "read" : platform::name(page.error())));
+        this->log.info(std::string("event=store_read_aside stream=") + name(stream) + " address=" + transport::toString(store.address) + " era=" + std::to_string(this->vm.storeEra.current()) + " outcome=" + (page ? "read" : platform::name(page.error())));
     return page ? std::optional(std::move(page.value())) : std::nullopt;
 }
 
@@ -153,7 +192,7 @@
 
 void StoreTask::followStream(const StreamReader& reader)
 {
-    std::optional<uint64_t> next;
+    std::optional<LogPosition> next;
     auto retryDelay = storeRetryDelay;
     bool succeeded = true;
     auto addressChanges = this->addressChanges;
@@ -161,6 +200,8 @@
         // Offsets are valid only in the store that assigned them.
         if (std::exchange(addressChanges, this->addressChanges) != this->addressChanges)
             next.reset();
+        if (next && next->era != this->vm.storeEra.current())
+            next.reset();
         if (succeeded && next && reader.canSkipRead && reader.canSkipRead()) {
             sleepFor(reader.interval());
             continue;
@@ -176,24 +217,24 @@
     }
 }
 
-bool StoreTask::readOnce(const StreamReader& reader, std::optional<uint64_t>& next, bool immediate)
+bool StoreTask::readOnce(const StreamReader& reader, std::optional<LogPosition>& next, bool immediate)
 {
     // A read after a failure does not wait for new records, so that its answer shows at once whether the store is back.
     auto maxWait = immediate ? milliseconds { 0 } : reader.maxWait;
-    bool fullRead = !next;
     auto beganAt = monotonicNow();
-    increment(this->vm.counters, CountedEvent::StoreCalls);
+    auto addressChanges = this->addressChanges;
     auto store = this->vm.store();
     auto cancel = std::make_shared<transport::CancelToken>();
     store.cancel = cancel.get();
-    this->pendingReads[static_cast<size_t>(reader.stream)] = maxWait > milliseconds { 0 } ? cancel : nullptr;
-    auto page = fullRead ? platform::readLatest(store, reader.stream) : platform::readFrom(store, reader.stream, *next, maxWait);
+    this->pendingReads[static_cast<size_t>(reader.stream)] = next && maxWait > milliseconds { 0 } ? cancel : nullptr;
+    auto page = this->readPage(store, reader.stream, next, maxWait);
     this->pendingReads[static_cast<size_t>(reader.stream)] = nullptr;
-    // Read again from the same offset.
-    if (cancel->isCancelled())
+    bool fullRead = !next;
+    // Read again from the same offset. After a restoration the stream has been read in full instead.
+    if (addressChanges != this->addressChanges || (cancel->isCancelled() && !fullRead))
         return true;
     if (!page) {
-        // After these two errors the stream is read on from the same offset. After any other error the next read is a full one: the
+        // After these two errors the stream is read on from the same position. After any other error the next read is a full one: the
         // newest record of each key replaces those that the store has dropped.
         if (page.error() != platform::StoreError::NotApplied && page.error() != platform::StoreError::NoAnswer)
             next.reset();
@@ -202,7 +243,7 @@
         return page.error() == platform::StoreError::Expired;
     }
     this->updateStreamState(reader.stream, true, "");
-    next = page.value().nextOffset;
+    next = LogPosition { page.value().era, page.value().nextOffset };
     reader.apply(page.value(), fullRead);
     if (reader.stream == platform::Stream::Configuration)
         this->configurationReadAt = monotonicNow();
@@ -224,12 +265,12 @@
     if (succeeded && stream == platform::Stream::Workers)
         this->workersStreamRegainedAt = monotonicNow();
     if (succeeded)
-        this->log.info(std::string("event=store_regained stream=") + name(stream));
+        this->log.info(std::string("event=store_regained stream=") + name(stream) + " era=" + std::to_string(this->vm.storeEra.current()));
     else
         this->log.warn(std::string("event=store_lost stream=") + name(stream) + " error=" + detail);
 }
 
-void StoreTask::applyConfiguration(const platform::StoreRecord& record)
+void StoreTask::applyConfiguration(const platform::StoreRecord& record, uint64_t era)
 {
     std::string fault;
     auto configuration = platform::decodeConfiguration(*record.value, fault);
@@ -244,7 +285,7 @@
         increment(this->vm.counters, CountedEvent::ConfigurationsApplied);
         this->onConfiguration(*this->vm.fleet.configuration());
     }
-    this->log.info(std::string("event=configuration version=") + std::to_string(version) + " routes=" + std::to_string(routes) + " outcome=" + (applied ? "in_force" : "older"));
+    this->log.info(std::string("event=configuration version=") + std::to_string(version) + " routes=" + std::to_string(routes) + " era=" + std::to_string(era) + " offset=" + std::to_string(record.offset) + " outcome=" + (applied ? "in_force" : "older"));
 }
 
 Time StoreTask::entryGracePeriod() const
@@ -334,7 +375,7 @@
         auto member = record.value ? decodeMember(*record.value) : std::nullopt;
         if (record.value && !member)
             this->log.warn("event=member_unreadable node=" + record.key + " offset=" + std::to_string(record.offset));
-        this->onMember(record.key, member);
+        this->onMembers(record.key, member);
     }
     this->vm.status.membersKnown = true;
 }
--- a/edge/src/store_task.h
+++ b/edge/src/store_task.h
@@ -14,12 +14,14 @@
     using WorkerListener = std::function<void(const std::string& worker)>;
     /// Called with each configuration that comes into force.
     using ConfigurationListener = std::function<void(const routing::Configuration& configuration)>;
+    /// Called when the store has come back from a copy.
+    using RestorationListener = std::function<void()>;
     /// Called with each record of a worker that the other VMs need: it is new, gone, restarted, at another address or draining.
     using EntryListener = std::function<void(const ForwardedEntry& entry)>;
     /// Returns whether enough other VMs read the worker stream and forward its records, see `Peers::enoughPeersReadWorkers`.
     using PeersReadWorkers = std::function<bool(Time ownReadAt)>;
 
-    StoreTask(Vm& vm, MemberListener onMember, WorkerListener onWorkerGone, ConfigurationListener onConfiguration, EntryListener onEntry, PeersReadWorkers peersReadWorkers);
+    StoreTask(Vm& vm, MemberListener onMembers, WorkerListener onWorkerGone, ConfigurationListener onConfiguration, RestorationListener onRestored, EntryListener onEntry, PeersReadWorkers peersReadWorkers);
 
     /// Returns whether this VM has read the worker stream within the last two read intervals.
     bool hasReadWorkersRecently() const { return monotonicNow() - this->workersReadAt < 2 * workerReadInterval; }
@@ -49,11 +51,18 @@
     /// Reads a stream until the daemon stops.
     void followStream(const StreamReader& reader);
     /// Reads a stream once.
-    /// @param next offset to read from; without it, the newest record of each key is read. Set to the end of the read, or cleared
+    /// @param next position to read from; without it, the newest record of each key is read. Set to the end of the read, or cleared
     /// if the next read must be a full one.
     /// @param immediate does not wait for new records.
     /// @return false if the next read must wait for the retry delay.
-    bool readOnce(const StreamReader& reader, std::optional<uint64_t>& next, bool immediate);
+    bool readOnce(const StreamReader& reader, std::optional<LogPosition>& next, bool immediate);
+    /// Reads a stream from `next`, or the newest record of each key without it. If the store came back from a copy in the meantime, the
+    /// page is discarded and the newest record of each key is read instead.
+    /// @param next cleared if the newest record of each key was read.
+    /// @return a page of the newest era, whose `era` is always set.
+    platform::Result<platform::StorePage> readPage(platform::Store store, platform::Stream stream, std::optional<LogPosition>& next, milliseconds maxWait);
+    /// Handles a newer era of the store: what waits at offsets of the earlier one is begun anew.
+    void onEra(uint64_t era, bool restored);
     /// Reads the configuration aside, on a new connection, if the last answer about it is older than the check interval. A pending read
     /// whose answer is lost would otherwise miss all changes until it times out.
     void checkConfiguration();
@@ -62,13 +71,13 @@
     /// Ends the reads that wait for records and closes idle connections to the store: all of them may be dead.
     void restartPendingReads(const char* reason);
     /// Reads a stream on a new connection, independently of the stream's read loop.
-    /// @param next offset to read from; without it, the newest record of each key is read.
-    std::optional<platform::StorePage> readOnNewConnection(platform::Stream stream, std::optional<uint64_t> next = std::nullopt);
+    /// @param next position to read from; without it, the newest record of each key is read.
+    std::optional<platform::StorePage> readOnNewConnection(platform::Stream stream, std::optional<LogPosition> next = std::nullopt);
     void applyConfigurations(const platform::StorePage& page);
     /// Counts a failed read, and logs if the stream has become readable or unreadable.
     void updateStreamState(platform::Stream stream, bool succeeded, const std::string& detail);
 
-    void applyConfiguration(const platform::StoreRecord& record);
+    void applyConfiguration(const platform::StoreRecord& record, uint64_t era);
     /// Applies records of the worker stream and forwards those that the other VMs need.
     /// @param fullRead `page` holds the newest record of each key, so that workers without one are removed.
     void applyWorkers(const platform::StorePage& page, bool fullRead);
@@ -86,16 +95,17 @@
     Time entryGracePeriod() const;
 
     Vm& vm;
-    MemberListener onMember;
+    MemberListener onMembers;
     WorkerListener onWorkerGone;
     ConfigurationListener onConfiguration;
+    RestorationListener onRestored;
     EntryListener onEntry;
     PeersReadWorkers peersReadWorkers;
     std::array<bool, static_cast<size_t>(platform::Stream::Count)> streamFailing {}; ///< By stream: its last read failed.
     std::array<std::shared_ptr<transport::CancelToken>, static_cast<size_t>(platform::Stream::Count)> pendingReads; ///< By stream; null if none waits.
     bool checksConfiguration = false; ///< `checkConfiguration` is reading.
     Time configurationReadAt { 0 }; ///< When a read of the configuration last had an answer.
-    std::optional<uint64_t> configurationNext; ///< Offset from which the read loop of the configuration continues; not set before a full read.
+    std::optional<LogPosition> configurationNext; ///< Where the read loop of the configuration continues; not set before a full read.
     uint64_t addressChanges = 0; ///< Number of changes of the store's address.
     // An initial value of an hour ago means that it has not happened yet.
     Time workersReadAt { -std::chrono::hours { 1 } }; ///< When this VM last read the worker stream itself.
@@ -104,6 +114,7 @@
     bool readsMembersAside = false; ///< `refreshMembers` is reading.
     Time newerVersionReadAt { 0 }; ///< When the configuration was last read because of a peer's newer version.
     Time workersStreamRegainedAt { -std::chrono::hours { 1 } }; ///< When the worker stream became readable again.
+    Time restoredAt { -std::chrono::hours { 1 } }; ///< When a newer era of the store was first seen.
     transport::Log log { "store" };
 };
 
--- a/edge/src/vm_p.h
+++ b/edge/src/vm_p.h
@@ -3,6 +3,7 @@
 
 #include "counters.h"
 #include "fleet.h"
+#include "store_era.h"
 
 #include <platform/platform.h>
 
@@ -30,11 +31,11 @@
     {
     }
 
-    /// Returns the store at its current address.
-    platform::Store store() const
+    /// Returns the store at its current address. Calls to it keep `storeEra` up to date.
+    platform::Store store()
     {
         std::lock_guard lock(this->mutex);
-        return { &this->client, this->storeAddress };
+        return { &this->client, this->storeAddress, [this](uint64_t era) { this->storeEra.observe(era); } };
     }
 
     void setStoreAddress(const transport::Endpoint& address)
@@ -63,6 +64,7 @@
     transport::BufferMemory bufferMemory; ///< For the bodies of requests and answers.
     transport::Endpoint storeAddress; ///< Protected by `mutex`, because a reload may change it.
     mutable std::mutex mutex;
+    StoreEra storeEra;
     Fleet fleet;
     VmStatus status;
     EdgeCounters counters;
--- a/ownership/include/ownership/ownership.h
+++ b/ownership/include/ownership/ownership.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include <chrono>
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -18,6 +19,16 @@
 /// Time since boot, including time in which the VM was suspended, so that the lease of a frozen VM expires.
 using Time = std::chrono::nanoseconds;
 
+/// Era of a log that never came back from a copy, or that does not state eras.
+constexpr uint64_t firstEra = 1;
+
+/// Position of a record in a stream of the log. A log that comes back from a copy gives offsets out again, in a higher era.
+struct LogPosition {
+    uint64_t era = firstEra;
+    uint64_t offset = 0;
+    auto operator<=>(const LogPosition&) const = default;
+};
+
 /// Durations that control the lease.
 struct LeaseSettings {
     /// A VM may take the lease over after its record was unchanged for this long.
--- a/tests/unit/peers_test.cpp
+++ b/tests/unit/peers_test.cpp
@@ -180,6 +180,21 @@
     }));
 }
 
+Test(heartbeats, eras_survive_the_encoding)
+{
+    edge::Heartbeat heartbeat;
+    heartbeat.node = "vm";
+    heartbeat.storeEra = 3;
+    heartbeat.leasePosition = { 2, 7 };
+    heartbeat.forwardedEntries = { { "w", "value", 5, 1, 3, true } };
+    auto decoded = edge::decodeHeartbeat(edge::encodeHeartbeat(heartbeat));
+    cr_assert(decoded.has_value());
+    cr_assert_eq(decoded->storeEra, 3U);
+    cr_assert(decoded->leasePosition == heartbeat.leasePosition);
+    const auto& entry = decoded->forwardedEntries.at(0);
+    cr_assert(entry.era == 3 && entry.offset == 5 && entry.fromCopy);
+}
+
 // After a restart a VM knows the workers from the store only. A peer may still forward the record of a worker that has left since; the
 // worker must not be used again.
 Test(edge, worker_that_left_before_a_restart_is_not_used_again, .timeout = 40)
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -168,6 +168,85 @@
     cr_assert(runtime.stop(std::chrono::seconds { 5 }));
 }
 
+// All answers state the era of the store, also those that refuse a call.
+Test(store, era_of_each_answer_is_reported)
+{
+    constexpr uint16_t port = 13450;
+    struct Case {
+        std::string status;
+        std::string header;
+        uint64_t era;
+    };
+    const std::vector<Case> cases { { "200 OK", "Store-Era: 3\r\n", 3 }, { "410 Gone", "store-era: 4\r\n", 4 }, { "412 Precondition Failed", "Store-Era: 5\r\n", 5 }, { "503 Unavailable", "Store-Era: 6\r\n", 6 }, { "200 OK", "", 0 },
+        { "200 OK", "Store-Era: x\r\n", 0 }, { "200 OK", "Store-Era: -1\r\n", 0 }, { "200 OK", "Store-Era: 99999999999999999999999\r\n", 0 } };
+    std::atomic<size_t> current { 0 };
+    standins::RawPeer peer(port, [&](int connection) {
+        for (auto request = standins::RawPeer::readRequest(connection); !request.empty(); request = standins::RawPeer::readRequest(connection)) {
+            const auto& [status, header, era] = cases[current];
+            std::string body = request.find("log-read") != std::string::npos ? std::string(16, '\0') : R"({"items":[],"has-more":false,"end":9,"offset":8})";
+            standins::RawPeer::write(connection, "HTTP/1.1 " + status + "\r\n" + header + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+        }
+    });
+    transport::Runtime runtime(1);
+    transport::HttpClient client;
+    std::atomic<bool> done { false };
+    runtime.spawn([&] {
+        for (; current < cases.size(); current++) {
+            std::vector<uint64_t> seen;
+            Store store { &client, { "127.0.0.1", port }, [&seen](uint64_t era) { seen.push_back(era); } };
+            const auto& expected = cases[current];
+            auto latest = readLatest(store, Stream::Workers);
+            auto page = readFrom(store, Stream::Workers, 7, milliseconds { 0 });
+            auto appended = append(store, Stream::Members, "k", "v");
+            cr_assert_eq(latest.has_value(), expected.status.starts_with("200"));
+            if (latest) {
+                cr_assert_eq(latest.value().era, expected.era);
+                cr_assert_eq(page.value().era, expected.era);
+                cr_assert_eq(appended.value().era, expected.era);
+                cr_assert_eq(appended.value().offset, 8U);
+            }
+            cr_assert(seen == std::vector<uint64_t>(expected.era == 0 ? 0 : 3, expected.era), "case %zu", current.load());
+        }
+        done = true;
+    });
+    while (!done)
+        std::this_thread::sleep_for(milliseconds { 10 });
+    cr_assert(runtime.stop(std::chrono::seconds { 5 }));
+}
+
+// The store may come back from a copy between two pages. Together they would tell of no moment at all.
+Test(store, pages_of_two_eras_are_not_joined)
+{
+    constexpr uint16_t port = 13460;
+    std::atomic<int> calls { 0 };
+    standins::RawPeer peer(port, [&](int connection) {
+        for (auto request = standins::RawPeer::readRequest(connection); !request.empty(); request = standins::RawPeer::readRequest(connection)) {
+            auto first = request.find("after=") == std::string::npos;
+            // The third and the fourth call are of one era.
+            auto era = calls++ == 0 ? 1 : 2;
+            auto body = first ? R"({"items":[{"key":"a","value":"e30=","offset":1}],"has-more":true,"end":9})" : R"({"items":[{"key":"b","value":"e30=","offset":2}],"has-more":false,"end":4})";
+            standins::RawPeer::write(connection, "HTTP/1.1 200 OK\r\nStore-Era: " + std::to_string(era) + "\r\nContent-Length: " + std::to_string(std::string(body).size()) + "\r\n\r\n" + body);
+        }
+    });
+    transport::Runtime runtime(1);
+    transport::HttpClient client;
+    std::atomic<bool> done { false };
+    runtime.spawn([&] {
+        Store store { &client, { "127.0.0.1", port } };
+        auto page = readLatest(store, Stream::Workers);
+        cr_assert_not(page.has_value());
+        cr_assert_eq(page.error(), StoreError::Expired);
+        page = readLatest(store, Stream::Workers);
+        cr_assert(page.has_value());
+        cr_assert_eq(page.value().records.size(), 2U);
+        cr_assert_eq(page.value().era, 2U);
+        done = true;
+    });
+    while (!done)
+        std::this_thread::sleep_for(milliseconds { 10 });
+    cr_assert(runtime.stop(std::chrono::seconds { 5 }));
+}
+
 Test(configurations, valid_configuration_is_decoded)
 {
     std::string error;
