What a VM knows of workers holds against the copy of a restored store

Callers saw: requests went to workers that left after the store was restored (DRAIN), and workers that had been dropped were not used though they registered again.

Cause: of two records the one with the greater offset was taken for the newer one. After a restoration new records have lower offsets than those known, so that they were ignored until the stream had grown to its old length, in the VM's own reads and in the records that peers forward.

Change: workers' records are compared by era and offset (Fleet, forwarded records). Records of the copy, those before the end of the first full read in an era, don't replace what is known of the same or a later start: a draining worker stays draining, a removed or dropped one stays out, an earlier start is no restart and no crash. Of such a record only counts that the worker is draining. Records written afterwards count as always. What the copy lacks has entryRecoveryTime to be written again, and all VMs read the stream themselves meanwhile. The first record after a full read that lacked its worker was ignored, if it was that worker's: off by one, mended with it.

--- a/edge/src/fleet.cpp
+++ b/edge/src/fleet.cpp
@@ -6,13 +6,19 @@
 
     /// Assumed round-trip time to another data centre, for the choice of a worker.
     constexpr milliseconds dataCentreRoundTrip { 3 };
-    /// Maximum number of dropped workers for which the offset is kept. Beyond it, those whose ids sort first are forgotten.
+    /// Maximum number of dropped workers of which something is kept. Beyond it, those whose ids sort first are forgotten.
     constexpr size_t maxDroppedWorkers = 4096;
     /// Minimum decayed failure count of a worker that is sent to the other VMs.
     constexpr double minReportedFailures = 0.25;
     /// Maximum number of sent prefixes that are queued for the next heartbeat.
     constexpr size_t maxQueuedPrefixes = 256;
 
+    /// Returns the position after `position` in the same era.
+    LogPosition after(const LogPosition& position)
+    {
+        return { position.era, position.offset + 1 };
+    }
+
 } // namespace
 
 Fleet::Fleet(std::string node, std::string dataCentre)
@@ -37,16 +43,28 @@
     return true;
 }
 
-EntryChange Fleet::applyEntry(const routing::WorkerEntry& entry, uint64_t offset, Time now)
+EntryChange Fleet::applyEntry(const routing::WorkerEntry& entry, const LogPosition& position, bool fromCopy, Time now)
 {
     std::lock_guard lock(this->mutex);
-    auto dropped = this->dropOffsets.find(entry.id);
-    if (dropped != this->dropOffsets.end() && offset <= dropped->second)
+    // Returns whether the record tells of a time before what is known.
+    auto isOutdated = [&](const LogPosition& newerFrom, int64_t startedAt) {
+        return position < newerFrom || (fromCopy && newerFrom.era < position.era && entry.startedAt <= startedAt);
+    };
+    auto droppedWorker = this->dropped.find(entry.id);
+    if (droppedWorker != this->dropped.end() && isOutdated(droppedWorker->second.newerFrom, droppedWorker->second.startedAt))
         return EntryChange::None;
+    auto found = this->workers.find(entry.id);
+    if (found != this->workers.end() && isOutdated(found->second.newerFrom, found->second.worker.entry.startedAt)) {
+        // A VM that has not reached the store for some time may learn only from the copy that the worker is draining.
+        auto& current = found->second.worker.entry;
+        if (position < found->second.newerFrom || !entry.draining || current.draining || entry.startedAt != current.startedAt)
+            return EntryChange::None;
+        current.draining = true;
+        this->changeCount++;
+        return EntryChange::Status;
+    }
     auto& known = this->workers[entry.id];
-    if (known.lastRecordAt != Time { 0 } && offset <= known.offset)
-        return EntryChange::None;
-    known.offset = offset;
+    known.newerFrom = after(position);
     known.key = workerKey(entry.id);
     this->workerIds[known.key] = entry.id;
     known.lastRecordAt = now;
@@ -73,26 +91,26 @@
     return statusChanged ? EntryChange::Status : EntryChange::Contents;
 }
 
-bool Fleet::markRemoved(const std::string& id, uint64_t offset, Time now, Time grace)
+bool Fleet::markRemoved(const std::string& id, const LogPosition& position, Time now, Time grace)
 {
     std::lock_guard lock(this->mutex);
     auto found = this->workers.find(id);
-    if (found == this->workers.end() || found->second.removedAt != Time { 0 } || offset <= found->second.offset)
+    if (found == this->workers.end() || found->second.removedAt != Time { 0 } || position < found->second.newerFrom)
         return false;
-    found->second.offset = offset;
+    found->second.newerFrom = after(position);
     found->second.removedAt = now;
     found->second.grace = grace;
     return true;
 }
 
-std::vector<std::string> Fleet::markRemovedExcept(const std::set<std::string>& present, uint64_t end, Time now, Time grace)
+std::vector<std::string> Fleet::markRemovedExcept(const std::set<std::string>& present, const LogPosition& end, Time now, Time grace)
 {
     std::lock_guard lock(this->mutex);
     std::vector<std::string> newlyRemoved;
     for (auto& [id, known] : this->workers) {
-        if (present.contains(id) || known.removedAt != Time { 0 } || known.offset >= end)
+        if (present.contains(id) || known.removedAt != Time { 0 } || known.newerFrom > end)
             continue;
-        known.offset = end;
+        known.newerFrom = end;
         known.removedAt = now;
         known.grace = grace;
         newlyRemoved.push_back(id);
@@ -103,19 +121,19 @@
 std::vector<std::string> Fleet::dropRemoved(Time now)
 {
     std::lock_guard lock(this->mutex);
-    std::vector<std::string> dropped;
+    std::vector<std::string> ids;
     for (auto it = this->workers.begin(); it != this->workers.end();) {
         if (it->second.removedAt != Time { 0 } && now >= it->second.removedAt + it->second.grace) {
-            dropped.push_back(it->first);
-            this->dropOffsets[it->first] = it->second.offset;
+            ids.push_back(it->first);
+            this->dropped[it->first] = { it->second.newerFrom, it->second.worker.entry.startedAt };
             this->workerIds.erase(workerKey(it->first));
             it = this->workers.erase(it);
         } else
             ++it;
     }
-    while (this->dropOffsets.size() > maxDroppedWorkers)
-        this->dropOffsets.erase(this->dropOffsets.begin());
-    return dropped;
+    while (this->dropped.size() > maxDroppedWorkers)
+        this->dropped.erase(this->dropped.begin());
+    return ids;
 }
 
 Fleet::Selection Fleet::chooseWorker(const routing::Service& service, const routing::RequestShape& shape, const std::vector<uint64_t>& prefixHashes, const std::set<std::string>& excluded, milliseconds targetLatency, Time now)
--- a/edge/src/fleet.h
+++ b/edge/src/fleet.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "heartbeat_codec.h"
+#include "store_era.h"
 
 #include <atomic>
 #include <memory>
@@ -36,18 +37,20 @@
     bool applyConfiguration(routing::Configuration configuration);
 
     /// Applies a worker's entry.
-    /// @param offset offset of its record; records that are not newer than the last one are ignored.
+    /// @param position position of its record; records that are not newer than the last one are ignored.
+    /// @param fromCopy the record may stem from the copy with which its era began. What is known of the same or a later start of the
+    /// worker from an earlier era is newer: of such a record only counts that the worker is draining.
     /// @return what changed; `None` if the record was ignored.
-    EntryChange applyEntry(const routing::WorkerEntry& entry, uint64_t offset, Time now);
+    EntryChange applyEntry(const routing::WorkerEntry& entry, const LogPosition& position, bool fromCopy, Time now);
     /// Marks a worker's entry as removed.
-    /// @param offset offset of the record that removes it; ignored if it is not newer than the last record.
+    /// @param position position of the record that removes it; ignored if it is not newer than the last record.
     /// @param grace time within which the entry may come back before `dropRemoved` drops the worker.
     /// @return true if the worker was known and not yet marked.
-    bool markRemoved(const std::string& id, uint64_t offset, Time now, Time grace);
+    bool markRemoved(const std::string& id, const LogPosition& position, Time now, Time grace);
     /// Marks the entries of all workers that are not in `present` as removed.
-    /// @param end offset up to which the stream was read; workers with a newer record are left.
+    /// @param end position up to which the stream was read; workers with a newer record are left.
     /// @return ids of the workers that were not marked yet.
-    std::vector<std::string> markRemovedExcept(const std::set<std::string>& present, uint64_t end, Time now, Time grace);
+    std::vector<std::string> markRemovedExcept(const std::set<std::string>& present, const LogPosition& end, Time now, Time grace);
     /// Drops workers whose entries did not come back within their grace period.
     /// @return their ids.
     std::vector<std::string> dropRemoved(Time now);
@@ -140,11 +143,16 @@
     struct KnownWorker {
         WorkerKey key = 0; ///< Result of `workerKey` for its id.
         routing::Worker worker;
-        uint64_t offset = 0; ///< Offset of the last applied record.
+        LogPosition newerFrom; ///< Records before this position are outdated.
         Time lastRecordAt { 0 }; ///< When a record of its entry was last applied.
         Time removedAt { 0 }; ///< When its entry was removed; 0 while it is present.
         Time grace { 0 }; ///< Time after `removedAt` within which the entry may come back.
     };
+    /// What is kept of a worker that was dropped.
+    struct DroppedWorker {
+        LogPosition newerFrom; ///< Records before this position are outdated.
+        int64_t startedAt = 0; ///< See `routing::WorkerEntry`.
+    };
     /// Source and time of the last summary of a data centre.
     struct SummarySource {
         std::string node;
@@ -167,7 +175,7 @@
     ConfigurationPtr current; ///< Configuration in force, or null.
     std::map<std::string, KnownWorker> workers;
     std::map<std::string, SummarySource> summaries; ///< By data centre.
-    std::map<std::string, uint64_t> dropOffsets; ///< Offsets up to which records of dropped workers are outdated.
+    std::map<std::string, DroppedWorker> dropped; ///< By worker id.
     std::map<WorkerKey, std::string> workerIds; ///< Ids of the known workers, by the key that heartbeats use.
     std::vector<SentPrefix> sentPrefixes; ///< Prefixes for the next heartbeat.
     std::atomic<uint64_t> changeCount { 0 };
--- a/edge/src/store_task.cpp
+++ b/edge/src/store_task.cpp
@@ -290,11 +290,14 @@
 
 Time StoreTask::entryGracePeriod() const
 {
-    return std::max(Time { 0 }, this->workersStreamRegainedAt + entryRecoveryTime - monotonicNow());
+    return std::max(Time { 0 }, std::max(this->workersStreamRegainedAt, this->restoredAt) + entryRecoveryTime - monotonicNow());
 }
 
 bool StoreTask::canSkipWorkerRead() const
 {
+    // Workers write their entries again after a restoration. Those that bring nothing new to the readers are not forwarded.
+    if (monotonicNow() - this->restoredAt < entryRecoveryTime)
+        return false;
     return this->vm.status.workersKnown && this->peersReadWorkers(this->workersReadBeganAt) && monotonicNow() - this->workersReadAt < delegatedReadInterval;
 }
 
@@ -302,10 +305,11 @@
 {
     for (const auto& entry : entries) {
         // A peer may still forward an old record of a worker that has left before this VM started.
-        if (entry.offset < this->workersFullReadEnd)
+        if (LogPosition { entry.era, entry.offset } < this->workersFullReadEnd)
             continue;
         auto value = entry.value.empty() ? std::nullopt : std::optional(entry.value);
-        this->applyWorker({ entry.worker, value, entry.offset }, this->entryGracePeriod());
+        bool fromCopy = entry.fromCopy && !(this->workersCopyEnd && LogPosition { entry.era, entry.offset } >= *this->workersCopyEnd);
+        this->applyWorker({ entry.worker, value, entry.offset }, entry.era, fromCopy, this->entryGracePeriod());
     }
     if (!entries.empty())
         this->dropMissingWorkers();
@@ -322,30 +326,36 @@
 void StoreTask::applyWorkers(const platform::StorePage& page, bool fullRead)
 {
     auto grace = this->entryGracePeriod();
+    LogPosition end { page.era, page.nextOffset };
+    if (!this->workersCopyEnd || this->workersCopyEnd->era != page.era)
+        this->workersCopyEnd = end;
     // Entries of the first read are not forwarded: the other VMs know them already.
     bool forwardsEntries = this->vm.status.workersKnown;
     std::set<std::string> present;
     for (const auto& record : page.records) {
         present.insert(record.key);
-        if (this->applyWorker(record, grace) && forwardsEntries)
-            this->onEntry({ record.key, record.value.value_or(""), record.offset });
+        bool fromCopy = record.offset < this->workersCopyEnd->offset;
+        if (this->applyWorker(record, page.era, fromCopy, grace) && forwardsEntries)
+            this->onEntry({ record.key, record.value.value_or(""), record.offset, 0, page.era, fromCopy });
     }
     if (fullRead) {
-        this->workersFullReadEnd = page.nextOffset;
-        for (const auto& id : this->vm.fleet.markRemovedExcept(present, page.nextOffset, monotonicNow(), grace))
-            this->onEntry({ id, "", page.nextOffset });
+        this->workersFullReadEnd = end;
+        // As if the last record before the end had removed them: the next one may be theirs.
+        auto removalOffset = std::max<uint64_t>(page.nextOffset, 1) - 1;
+        for (const auto& id : this->vm.fleet.markRemovedExcept(present, end, monotonicNow(), grace))
+            this->onEntry({ id, "", removalOffset, 0, page.era });
     }
     this->dropMissingWorkers();
     this->workersReadAt = monotonicNow();
     this->vm.status.workersKnown = true;
 }
 
-bool StoreTask::applyWorker(const platform::StoreRecord& record, Time grace)
+bool StoreTask::applyWorker(const platform::StoreRecord& record, uint64_t era, bool fromCopy, Time grace)
 {
     auto now = monotonicNow();
-    if (!record.value) {
-        return this->vm.fleet.markRemoved(record.key, record.offset, now, grace);
-    }
+    LogPosition position { era, record.offset };
+    if (!record.value)
+        return this->vm.fleet.markRemoved(record.key, position, now, grace);
     auto entry = platform::decodeWorkerEntry(record.key, *record.value);
     if (!entry) {
         this->log.warn("event=worker_entry_unreadable worker=" + printable(record.key) + " offset=" + std::to_string(record.offset));
@@ -354,7 +364,7 @@
     // Stays false for a worker that was not known.
     bool restarted = false;
     this->vm.fleet.updateWorker(entry->id, [&](routing::Worker& worker) { restarted = worker.entry.startedAt != entry->startedAt; });
-    auto change = this->vm.fleet.applyEntry(*entry, record.offset, now);
+    auto change = this->vm.fleet.applyEntry(*entry, position, fromCopy, now);
     if (change != EntryChange::None && restarted)
         this->onWorkerGone(entry->id);
     // Changes of a worker's models and adapters are neither logged nor forwarded here: the lease holder logs its orders
@@ -365,7 +375,8 @@
     for (const auto& model : entry->models)
         models += (models.empty() ? "" : ",") + model.name + ":" + std::to_string(model.adapters.size());
     this->log.info("event=worker worker=" + entry->id + " service=" + entry->service + " address=" + transport::toString(entry->address)
-        + " state=" + (entry->draining ? "leaving" : "ready") + " started=" + std::to_string(entry->startedAt) + " models=" + models + " cached=" + std::to_string(entry->onDisk.size()));
+        + " state=" + (entry->draining ? "leaving" : "ready") + " started=" + std::to_string(entry->startedAt) + " models=" + models + " cached=" + std::to_string(entry->onDisk.size())
+        + " era=" + std::to_string(era) + " offset=" + std::to_string(record.offset));
     return true;
 }
 
--- a/edge/src/store_task.h
+++ b/edge/src/store_task.h
@@ -82,9 +82,11 @@
     /// @param fullRead `page` holds the newest record of each key, so that workers without one are removed.
     void applyWorkers(const platform::StorePage& page, bool fullRead);
     /// Applies one record of the worker stream, read or forwarded.
+    /// @param era era in which the record was read.
+    /// @param fromCopy the record may stem from the copy with which that era began.
     /// @param grace time in which a removed entry may come back.
     /// @return true if the other VMs need the record.
-    bool applyWorker(const platform::StoreRecord& record, Time grace);
+    bool applyWorker(const platform::StoreRecord& record, uint64_t era, bool fromCopy, Time grace);
     /// Drops the workers whose entries did not come back within their grace period.
     void dropMissingWorkers();
     /// Returns whether the next read of the worker stream may be left to other VMs.
@@ -110,7 +112,9 @@
     // An initial value of an hour ago means that it has not happened yet.
     Time workersReadAt { -std::chrono::hours { 1 } }; ///< When this VM last read the worker stream itself.
     Time workersReadBeganAt { -std::chrono::hours { 1 } }; ///< When that read began.
-    uint64_t workersFullReadEnd = 0; ///< Offset up to which the last full read of the worker stream covers all records.
+    LogPosition workersFullReadEnd; ///< Position up to which the last full read of the worker stream covers all records.
+    /// End of the first full read of the worker stream in an era. Only records from there on are known to be written in that era.
+    std::optional<LogPosition> workersCopyEnd;
     bool readsMembersAside = false; ///< `refreshMembers` is reading.
     Time newerVersionReadAt { 0 }; ///< When the configuration was last read because of a peer's newer version.
     Time workersStreamRegainedAt { -std::chrono::hours { 1 } }; ///< When the worker stream became readable again.
--- a/tests/unit/peers_test.cpp
+++ b/tests/unit/peers_test.cpp
@@ -1,5 +1,6 @@
 /// Tests of the heartbeats between VMs: a VM in this process among peers that the test simulates.
 #include "edge_world.h"
+#include "fleet.h"
 #include "forward_tracker.h"
 
 #include <rapidcheck.h>
@@ -180,6 +181,62 @@
     }));
 }
 
+// A VM that leaves the worker stream to its peers must read it after the store was restored: the workers write everything again, and what
+// the peers know already they do not forward.
+CLUSTER_TEST(restoration_makes_a_vm_read_the_worker_stream_that_it_leaves_to_peers, 13400)
+{
+    SimulatedPeers peers(cluster, 13440, readerNames(), "dc");
+    for (const auto& name : readerNames())
+        peers.changeHeartbeat(name, [](edge::Heartbeat& heartbeat) { heartbeat.readsWorkers = true; });
+    cluster.configureAndWait();
+    auto copy = cluster.store.copy();
+    cluster.publishWorkers(10);
+    std::this_thread::sleep_for(milliseconds { 1500 });
+    auto reads = cluster.store.workerTopicReads.load();
+    std::this_thread::sleep_for(milliseconds { 1500 });
+    cr_assert_eq(cluster.store.workerTopicReads, reads, "the VM does not leave the reads to its peers, so the test proves nothing");
+    cluster.store.restore(copy);
+    cluster.app(0).draining = true;
+    cluster.app(0).publish();
+    // The VM learns of the restoration when it renews the lease.
+    std::this_thread::sleep_for(milliseconds { 2500 });
+    cr_assert_gt(cluster.store.workerTopicReads, reads);
+    cr_assert_eq(countRuns(cluster, 0, 12, "after-"), 0);
+}
+
+// A VM that neither reads the workers nor holds the lease calls the store seldom. It must hear of the restoration from a peer.
+Test(edge, heartbeat_of_a_peer_tells_of_a_restoration, .timeout = 40)
+{
+    auto& cluster = *new TestCluster(13075, 0);
+    cluster.store.write("keyed.comfreypier-lease", "orders", "1 " + readerNames()[0]);
+    cluster.configure(1);
+    SimulatedPeers peers(cluster, 13125, readerNames(), "dc");
+    for (const auto& name : readerNames()) {
+        peers.changeHeartbeat(name, [&](edge::Heartbeat& heartbeat) {
+            heartbeat.readsWorkers = true;
+            heartbeat.storeEra = 1;
+            heartbeat.leaseToken = name == readerNames()[0] ? 1 : 0;
+        });
+    }
+    cluster.startVm(0);
+    cr_assert(cluster.waitUntil([&] { return cluster.isReady(0); }));
+    std::this_thread::sleep_for(milliseconds { 1500 });
+    auto copy = cluster.store.copy();
+    cluster.publishWorkers(5);
+    std::this_thread::sleep_for(milliseconds { 1000 });
+    auto reads = cluster.store.workerTopicReads.load();
+    cluster.store.restore(copy);
+    cluster.app(0).draining = true;
+    cluster.app(0).publish();
+    std::this_thread::sleep_for(milliseconds { 2000 });
+    cr_assert_eq(cluster.store.workerTopicReads, reads, "the VM learned of the restoration itself, so the test proves nothing");
+    peers.changeHeartbeat(readerNames()[1], [](edge::Heartbeat& heartbeat) { heartbeat.storeEra = 2; });
+    std::this_thread::sleep_for(milliseconds { 1500 });
+    cr_assert_gt(cluster.store.workerTopicReads, reads);
+    cr_assert_eq(countRuns(cluster, 0, 12, "after-"), 0);
+    exitProcess();
+}
+
 Test(heartbeats, eras_survive_the_encoding)
 {
     edge::Heartbeat heartbeat;
@@ -195,6 +252,55 @@
     cr_assert(entry.era == 3 && entry.offset == 5 && entry.fromCopy);
 }
 
+// What is known of a worker counts against a record of the copy with which an era began, and yields to one that was written afterwards.
+Test(fleet, records_of_a_copy_do_not_replace_what_is_known)
+{
+    constexpr edge::Time now = seconds { 10 };
+    routing::WorkerEntry ready;
+    ready.id = "w";
+    ready.service = "s";
+    ready.startedAt = 5;
+    auto draining = ready;
+    draining.draining = true;
+    auto earlier = ready;
+    earlier.startedAt = 4;
+    auto later = ready;
+    later.startedAt = 6;
+    auto only = [](const edge::Fleet& fleet) { return fleet.entries().at(0); };
+
+    edge::Fleet known("vm", "dc");
+    known.applyEntry(draining, { 1, 90 }, false, now);
+    cr_assert_eq(known.applyEntry(ready, { 2, 3 }, true, now), edge::EntryChange::None);
+    cr_assert(only(known).draining, "a draining worker is ready again");
+    cr_assert_eq(known.applyEntry(earlier, { 2, 4 }, true, now), edge::EntryChange::None, "a record of an earlier start counts as a restart");
+    cr_assert_eq(known.applyEntry(ready, { 2, 5 }, false, now), edge::EntryChange::Status);
+    cr_assert_eq(known.applyEntry(draining, { 1, 95 }, false, now), edge::EntryChange::None, "a record of the era before arrived late");
+
+    edge::Fleet behind("vm", "dc");
+    behind.applyEntry(ready, { 1, 90 }, false, now);
+    cr_assert_eq(behind.applyEntry(draining, { 2, 3 }, true, now), edge::EntryChange::Status, "only the copy says that the worker leaves");
+    cr_assert(only(behind).draining);
+    cr_assert_eq(behind.applyEntry(later, { 2, 4 }, true, now), edge::EntryChange::Status);
+    cr_assert_not(only(behind).draining);
+
+    edge::Fleet removed("vm", "dc");
+    removed.applyEntry(ready, { 1, 90 }, false, now);
+    cr_assert(removed.markRemoved("w", { 1, 91 }, now, edge::Time { 0 }));
+    cr_assert_eq(removed.applyEntry(ready, { 2, 3 }, true, now), edge::EntryChange::None, "a removed worker is back");
+    cr_assert_eq(removed.dropRemoved(now).size(), 1U);
+    cr_assert_eq(removed.applyEntry(ready, { 2, 3 }, true, now), edge::EntryChange::None, "a dropped worker is back");
+    cr_assert_eq(removed.applyEntry(earlier, { 2, 3 }, true, now), edge::EntryChange::None, "an earlier start of a dropped worker is back");
+    cr_assert(removed.entries().empty());
+    cr_assert_eq(removed.applyEntry(ready, { 2, 4 }, false, now), edge::EntryChange::Status);
+
+    // A full read that lacks the worker; the next record may stand at its end.
+    edge::Fleet absent("vm", "dc");
+    absent.applyEntry(ready, { 1, 90 }, false, now);
+    cr_assert_eq(absent.markRemovedExcept({}, { 2, 6 }, now, seconds { 1 }).size(), 1U);
+    cr_assert_eq(absent.applyEntry(ready, { 2, 6 }, false, now), edge::EntryChange::Status);
+    cr_assert(absent.dropRemoved(now + seconds { 2 }).empty());
+}
+
 // After a restart a VM knows the workers from the store only. A peer may still forward the record of a worker that has left since; the
 // worker must not be used again.
 Test(edge, worker_that_left_before_a_restart_is_not_used_again, .timeout = 40)
--- a/tests/unit/restored_store_test.cpp
+++ b/tests/unit/restored_store_test.cpp
@@ -10,6 +10,21 @@
 /// Longer than a VM takes to read all streams anew.
 constexpr milliseconds readTime { 1800 };
 
+/// Sends requests to the service `app`, all at once so that they spread over its workers, and returns how many of them ran on a worker.
+/// @param prefix start of the request ids.
+int countRuns(TestCluster& cluster, const WorkerStandin& worker, int requests, const std::string& prefix)
+{
+    for (auto& each : cluster.workers)
+        each->responseDelayMs = 30;
+    auto before = worker.runs.load();
+    std::vector<std::thread> callers;
+    for (int i = 0; i < requests; i++)
+        callers.emplace_back([&, i] { cr_assert_eq(cluster.sendRequest("/status/1", prefix + std::to_string(i)).status, 200U); });
+    for (auto& caller : callers)
+        caller.join();
+    return worker.runs - before;
+}
+
 /// Returns whether a VM serves the path below which `standins::makePlatformRoute` added a route.
 bool serves(TestCluster& cluster, const std::string& path)
 {
@@ -54,3 +69,79 @@
     while (transport::monotonicNow() < end)
         cr_assert(serves(cluster, "/new/"));
 }
+
+// Guards against a VM that ignores what workers write after the restoration, as their offsets are lower than those before.
+CLUSTER_TEST(worker_that_leaves_after_the_store_was_restored_gets_no_requests, 13100)
+{
+    cluster.configureAndWait();
+    auto copy = cluster.store.copy();
+    cluster.publishWorkers(10);
+    std::this_thread::sleep_for(milliseconds { 1000 });
+    for (int round = 0; round < 2; round++) {
+        cluster.store.restore(copy);
+        cluster.publishWorkers(2);
+        std::this_thread::sleep_for(milliseconds { 300 });
+        auto& worker = cluster.app(round);
+        worker.draining = true;
+        worker.publish();
+        std::this_thread::sleep_for(readTime);
+        cr_assert_eq(countRuns(cluster, worker, 12, "after-" + std::to_string(round)), 0);
+        // The next round finds it ready again, as another process.
+        worker.draining = false;
+        worker.startedAtMs++;
+        worker.publish();
+        cr_assert(cluster.waitUntil([&] { return countRuns(cluster, worker, 12, "again-") > 0; }));
+        copy = cluster.store.copy();
+        cluster.publishWorkers(10);
+        std::this_thread::sleep_for(milliseconds { 1000 });
+    }
+}
+
+// What the copy says of a worker must not replace what the VM knew: that it is leaving, or has left. What the workers write afterwards
+// counts again.
+CLUSTER_TEST(workers_that_left_before_the_store_was_restored_are_not_used_from_the_copy, 13150)
+{
+    auto& removed = cluster.addWorker("app2", "app");
+    removed.publish();
+    cluster.configureAndWait();
+    cr_assert(cluster.waitUntil([&] { return countRuns(cluster, removed, 12, "known-") > 0; }));
+    auto copy = cluster.store.copy();
+    cluster.publishWorkers(10);
+    auto& draining = cluster.app(0);
+    draining.draining = true;
+    draining.publish();
+    removed.unpublish();
+    std::this_thread::sleep_for(readTime);
+    cr_assert_eq(countRuns(cluster, draining, 12, "draining-") + countRuns(cluster, removed, 12, "removed-"), 0);
+    cluster.store.restore(copy);
+    auto end = transport::monotonicNow() + 2 * readTime;
+    for (int i = 0; transport::monotonicNow() < end; i++) {
+        auto prefix = "restored-" + std::to_string(i) + "-";
+        cr_assert_eq(countRuns(cluster, draining, 12, prefix + "d"), 0, "the draining worker got a request");
+        cr_assert_eq(countRuns(cluster, removed, 12, prefix + "r"), 0, "the removed worker got a request");
+    }
+    removed.publish();
+    cr_assert(cluster.waitUntil([&] { return countRuns(cluster, removed, 12, "back-") > 0; }, milliseconds { 2000 }), "a worker that registered again is not used");
+}
+
+// The copy lacks the only worker of a service, which registered just before. It writes its entry again a second later.
+CLUSTER_TEST(worker_that_registered_just_before_the_restoration_stays_in_use, 13200)
+{
+    cluster.app(0).unpublish();
+    cluster.app(1).unpublish();
+    cluster.publishWorkers(0);
+    cluster.configure(1);
+    cr_assert(cluster.waitUntil([&] { return cluster.isReady(); }));
+    std::this_thread::sleep_for(milliseconds { 1000 });
+    auto copy = cluster.store.copy();
+    cluster.app(0).publish();
+    cr_assert(cluster.waitUntil([&] { return cluster.sendRequest("/status/1", "known").status == 200; }));
+    cluster.store.restore(copy);
+    auto start = transport::monotonicNow();
+    for (int i = 0; transport::monotonicNow() < start + seconds { 4 }; i++) {
+        if (i == 10)
+            cluster.app(0).publish();
+        cr_assert_eq(cluster.sendRequest("/status/1", "id-" + std::to_string(i)).status, 200U);
+        std::this_thread::sleep_for(milliseconds { 100 });
+    }
+}
