Member records that a restored store has lost are written again

Callers saw: a VM whose record was lost is unknown to VMs that start later. A peer's record of a former start, back with the copy, made VMs deaf to the peer, which then left the directory.

Cause: the member record was written once, at the start. Any other incarnation in the stream replaced the known one.

Change: if a read in a new era shows that this VM's record is missing or is that of another start, it is published again (`event=member_record_lost`). Incarnations that were replaced or have left are remembered, up to 1024, and never replace a newer one. A peer whose record is missing stays, as before: only its deletion removes it.

--- a/edge/src/edge.cpp
+++ b/edge/src/edge.cpp
@@ -57,7 +57,7 @@
         , crashes(this->vm)
         , peers(this->vm, this->runtime, this->crashes)
         , store(
-              this->vm, [this](const auto& node, const auto& member) { this->peers.applyMember(node, member); },
+              this->vm, [this](const auto& records) { this->peers.applyMembers(records); },
               [this](const auto& worker) { this->crashes.recordCrash(worker, "entry"); },
               [this](const auto& configuration) { this->callerServer.setLimits(callerServerLimits(this->settings, configuration.limits)); },
               [this] { this->peers.sendHeartbeat(); },
--- a/edge/src/heartbeat_codec.h
+++ b/edge/src/heartbeat_codec.h
@@ -15,6 +15,19 @@
     double capacity = 0; ///< Result of `capacityInCores`.
 };
 
+/// A record of the member stream.
+struct MemberRecord {
+    std::string node;
+    std::optional<Member> member; ///< Not set if the member has left, or the record is unreadable.
+};
+
+/// Result of a read of the member stream.
+struct MemberRecords {
+    std::vector<MemberRecord> records;
+    bool complete = false; ///< These are all members.
+    ownership::LogPosition end; ///< Position up to which the stream was read.
+};
+
 std::string encodeMember(const Member& member);
 /// @return nothing if the bytes are no valid member record.
 std::optional<Member> decodeMember(std::string_view bytes);
--- a/edge/src/peers.cpp
+++ b/edge/src/peers.cpp
@@ -27,6 +27,10 @@
     constexpr milliseconds unknownMemberDelay { 1500 };
     /// Maximum number of unknown senders that are remembered.
     constexpr size_t maxUnknownSenders = 512;
+    /// Maximum number of former incarnations of VMs that are remembered.
+    constexpr size_t maxFormerIncarnations = 1024;
+    /// Delay between two attempts to publish the member record.
+    constexpr std::chrono::seconds publishRetryDelay { 1 };
 
     /// Returns a random number that identifies this start of the daemon.
     uint64_t drawIncarnation()
@@ -50,25 +54,27 @@
     return this->socket.start();
 }
 
-bool Peers::publishMember()
+void Peers::publishMember()
 {
     Member member { this->incarnation, this->vm.settings.inner, this->vm.settings.front, this->vm.settings.dataCentre, capacityInCores(this->vm.settings) };
     increment(this->vm.counters, CountedEvent::StoreCalls);
     auto result = platform::append(this->vm.store(), platform::Stream::Members, this->vm.settings.node, encodeMember(member));
-    if (!result)
+    if (!result) {
         increment(this->vm.counters, CountedEvent::StoreFailures);
-    return result.has_value();
+        return;
+    }
+    this->publishedAt = { this->vm.storeEra.resolve(result.value().era), result.value().offset };
+    this->isPublished = this->publishedAt.era == this->vm.storeEra.current();
 }
 
 void Peers::run()
 {
-    bool published = false;
     Time lastPublishAt { -std::chrono::hours { 1 } };
     while (!this->vm.status.stopping) {
-        // Tried once a second until it succeeds, on its own fiber: the heartbeats must not wait for the store.
-        if (!published && monotonicNow() - lastPublishAt > std::chrono::seconds { 1 }) {
+        // On its own fiber: the heartbeats must not wait for the store.
+        if (!this->isPublished && !this->vm.status.draining && monotonicNow() - lastPublishAt > publishRetryDelay) {
             lastPublishAt = monotonicNow();
-            transport::spawnOnCurrentThread([this, &published] { published = this->publishMember(); });
+            transport::spawnOnCurrentThread([this] { this->publishMember(); });
         }
         this->sendHeartbeat();
         milliseconds interval;
@@ -79,8 +85,8 @@
         this->vm.fleet.setPeerUpdateAge(interval);
         sleepFor(interval);
     }
-    // Waits for the publishing fiber, which refers to this stack frame.
-    while (!published && monotonicNow() - lastPublishAt < platform::storeConnectTimeout + platform::storeResponseTimeout)
+    // Waits for the publishing fiber.
+    while (!this->isPublished && monotonicNow() - lastPublishAt < platform::storeConnectTimeout + platform::storeResponseTimeout)
         sleepFor(heartbeatInterval);
 }
 
@@ -489,19 +495,54 @@
     return true;
 }
 
+void Peers::applyMembers(const MemberRecords& records)
+{
+    for (const auto& record : records.records)
+        this->applyMember(record.node, record.member);
+    if (this->isPublished && this->isOwnRecordLost(records)) {
+        this->log.warn("event=member_record_lost era=" + std::to_string(records.end.era));
+        this->isPublished = false; // `run` publishes it again.
+    }
+}
+
+bool Peers::isOwnRecordLost(const MemberRecords& records) const
+{
+    if (records.end.era == this->publishedAt.era)
+        return false;
+    auto own = std::find_if(records.records.rbegin(), records.records.rend(), [this](const auto& record) { return record.node == this->vm.settings.node; });
+    if (own == records.records.rend())
+        return records.complete;
+    return !own->member || own->member->incarnation != this->incarnation;
+}
+
+void Peers::recordFormerIncarnation(const std::string& node, uint64_t formerIncarnation)
+{
+    this->formerIncarnations.emplace_back(node, formerIncarnation);
+    if (this->formerIncarnations.size() > maxFormerIncarnations)
+        this->formerIncarnations.pop_front();
+}
+
 void Peers::applyMember(const std::string& node, const std::optional<Member>& member)
 {
     if (node == this->vm.settings.node)
         return;
     std::lock_guard lock(this->mutex);
+    auto known = this->peers.find(node);
     if (!member) {
-        if (this->peers.erase(node) > 0)
+        if (known != this->peers.end()) {
             this->log.info("event=member_left node=" + node);
+            this->recordFormerIncarnation(node, known->second.member.incarnation);
+            this->peers.erase(known);
+        }
         return this->updateGroup();
     }
-    auto& peer = this->peers[node];
-    if (peer.member.incarnation == member->incarnation)
+    if (known != this->peers.end() && known->second.member.incarnation == member->incarnation)
         return;
+    if (std::find(this->formerIncarnations.begin(), this->formerIncarnations.end(), std::pair(node, member->incarnation)) != this->formerIncarnations.end())
+        return;
+    if (known != this->peers.end())
+        this->recordFormerIncarnation(node, known->second.member.incarnation);
+    auto& peer = this->peers[node];
     // A new incarnation starts with new sequence numbers.
     peer = {};
     peer.member = *member;
--- a/edge/src/peers.h
+++ b/edge/src/peers.h
@@ -4,6 +4,8 @@
 #include "crash_tracker.h"
 #include "forward_tracker.h"
 
+#include <deque>
+
 namespace comfreypier::edge {
 
 /// State of another entry VM, from its member record and its heartbeats.
@@ -44,9 +46,8 @@
     /// Closes the socket.
     void stop() { this->socket.stop(); }
 
-    /// Applies a member record.
-    /// @param member nothing if the VM left.
-    void applyMember(const std::string& node, const std::optional<Member>& member);
+    /// Applies the records of a read of the members. Publishes this VM anew if the store has lost its record.
+    void applyMembers(const MemberRecords& records);
     /// Returns the addresses of ready VMs, this one included, for callers in `dataCentre`.
     std::vector<transport::Endpoint> addressesFor(const std::string& dataCentre) const;
     /// Returns whether a reachable VM with `strongerCapacityRatio` times this VM's capacity is ready and neither draining nor
@@ -160,15 +161,23 @@
     /// Records a heartbeat of an unknown member. The caller must hold the lock.
     /// @return whether `onUnknownMember` is to be called.
     bool recordUnknownSender(const Heartbeat& heartbeat, Time now);
-    /// Writes this VM's member record to the store.
-    /// @return false if the store failed.
-    bool publishMember();
+    /// Writes this VM's member record to the store. Sets `isPublished` if the store accepted it in its newest era.
+    void publishMember();
+    /// Applies a member record.
+    /// @param member nothing if the VM left.
+    void applyMember(const std::string& node, const std::optional<Member>& member);
+    /// Returns whether the store came back from a copy that lacks the record of this start of the VM.
+    bool isOwnRecordLost(const MemberRecords& records) const;
+    /// Remembers an incarnation of a VM that has been replaced or has left. The caller must hold the lock.
+    void recordFormerIncarnation(const std::string& node, uint64_t incarnation);
 
     Vm& vm;
     CrashTracker& crashes;
     transport::DatagramSocket socket;
     uint64_t incarnation; ///< See `Member::incarnation`.
-    // These two and `heartbeatPending` are used only on the I/O thread.
+    // The next four and `heartbeatPending` are used only on the I/O thread.
+    bool isPublished = false; ///< The store has this VM's member record.
+    LogPosition publishedAt; ///< Position of that record.
     uint64_t sequence = 0; ///< Sequence number of the last heartbeat.
     Time lastFullHeartbeatAt { 0 }; ///< When the last full heartbeat was sent.
     mutable std::mutex mutex;
@@ -179,6 +188,8 @@
         Time since { 0 }; ///< When the first came, or `onUnknownMember` was last called for it.
     };
     std::map<std::string, UnknownSender> unknownSenders; ///< By VM name.
+    /// Names and incarnations of VMs that have been replaced or have left, the oldest first. A restored store may bring their records back.
+    std::deque<std::pair<std::string, uint64_t>> formerIncarnations;
     bool membersChanged = true; ///< The VMs that share the limits of workers are to be set anew.
     size_t groupPeerCount = 0; ///< Number of peers in this VM's group.
     placement::WorkAverage averageWork; ///< This VM's demand.
--- a/edge/src/store_task.cpp
+++ b/edge/src/store_task.cpp
@@ -120,7 +120,7 @@
         return;
     transport::spawnOnCurrentThread([this] {
         if (auto page = this->readOnNewConnection(platform::Stream::Members))
-            this->applyMembers(*page);
+            this->applyMembers(*page, true);
         this->readsMembersAside = false;
     });
 }
@@ -187,7 +187,7 @@
 
 void StoreTask::followMembers()
 {
-    this->followStream({ platform::Stream::Members, longPollTimeout, [] { return memberReadInterval; }, [this](const auto& page, bool) { this->applyMembers(page); } });
+    this->followStream({ platform::Stream::Members, longPollTimeout, [] { return memberReadInterval; }, [this](const auto& page, bool fullRead) { this->applyMembers(page, fullRead); } });
 }
 
 void StoreTask::followStream(const StreamReader& reader)
@@ -380,14 +380,16 @@
     return true;
 }
 
-void StoreTask::applyMembers(const platform::StorePage& page)
+void StoreTask::applyMembers(const platform::StorePage& page, bool fullRead)
 {
+    MemberRecords members { {}, fullRead, { page.era, page.nextOffset } };
     for (const auto& record : page.records) {
         auto member = record.value ? decodeMember(*record.value) : std::nullopt;
         if (record.value && !member)
             this->log.warn("event=member_unreadable node=" + record.key + " offset=" + std::to_string(record.offset));
-        this->onMembers(record.key, member);
+        members.records.push_back({ record.key, member });
     }
+    this->onMembers(members);
     this->vm.status.membersKnown = true;
 }
 
--- a/edge/src/store_task.h
+++ b/edge/src/store_task.h
@@ -8,8 +8,8 @@
 /// Keeps the fleet up to date with the store.
 class StoreTask {
 public:
-    /// Called with each member record, or with nothing if the member has left.
-    using MemberListener = std::function<void(const std::string& node, const std::optional<Member>& member)>;
+    /// Called with the member records of each read.
+    using MemberListener = std::function<void(const MemberRecords& records)>;
     /// Called with the id of each worker that has crashed, as its restart shows, or is gone permanently.
     using WorkerListener = std::function<void(const std::string& worker)>;
     /// Called with each configuration that comes into force.
@@ -91,9 +91,9 @@
     void dropMissingWorkers();
     /// Returns whether the next read of the worker stream may be left to other VMs.
     bool canSkipWorkerRead() const;
-    void applyMembers(const platform::StorePage& page);
-    /// Returns the time for which a removed worker entry may still come back, because the store was unreachable until recently;
-    /// 0 if it was not.
+    void applyMembers(const platform::StorePage& page, bool fullRead);
+    /// Returns the time for which a removed worker entry may still come back, because the store was unreachable or restored until
+    /// recently; 0 if it was not.
     Time entryGracePeriod() const;
 
     Vm& vm;
--- a/tests/unit/peers_test.cpp
+++ b/tests/unit/peers_test.cpp
@@ -237,6 +237,29 @@
     exitProcess();
 }
 
+// The copy holds the record of a peer's start before. If it replaced that of the running one, the VM would be deaf to the peer.
+CLUSTER_TEST(restored_record_of_a_former_start_does_not_replace_a_running_peer, 13470)
+{
+    SimulatedPeers peers(cluster, 13496, { "peer0" }, "dc");
+    cluster.configureAndWait();
+    auto knowsPeer = [&] {
+        auto response = cluster.call(cluster.directory(), { "GET", "/v1/resolve?name=h.example&region=r&zone=dc", {}, {} });
+        return response && response.value().body.find("13497") != std::string::npos;
+    };
+    cr_assert(cluster.waitUntil(knowsPeer));
+    auto copy = cluster.store.copy();
+    peers.setIncarnation(2);
+    cluster.store.write("keyed.comfreypier-members", "peer0", edge::encodeMember({ 2, loopback(13496), loopback(13497), "dc", 0 }));
+    std::this_thread::sleep_for(milliseconds { 1500 });
+    cr_assert(knowsPeer());
+    cluster.store.restore(copy);
+    auto end = transport::monotonicNow() + seconds { 4 };
+    while (transport::monotonicNow() < end) {
+        cr_assert(knowsPeer(), "the peer is heard no more");
+        std::this_thread::sleep_for(milliseconds { 50 });
+    }
+}
+
 Test(heartbeats, eras_survive_the_encoding)
 {
     edge::Heartbeat heartbeat;
--- a/tests/unit/restored_store_test.cpp
+++ b/tests/unit/restored_store_test.cpp
@@ -145,3 +145,25 @@
         std::this_thread::sleep_for(milliseconds { 100 });
     }
 }
+
+// A VM that starts after the restoration knows nothing of before. It learns the newer configuration when it is written again.
+CLUSTER_TEST(vm_that_starts_while_the_store_is_restored_comes_into_step, 13350)
+{
+    cluster.configureAndWait();
+    auto copy = cluster.store.copy();
+    cluster.configure(5, standins::makePlatformRoute("new", "/new/"));
+    cr_assert(cluster.waitUntil([&] { return serves(cluster, "/new/"); }));
+    cluster.store.readResponseDelayMs = 300;
+    cluster.startVm(1);
+    std::this_thread::sleep_for(milliseconds { 150 });
+    // The answers to the first reads of the new VM, of the time before, arrive after this.
+    cluster.store.restore(copy);
+    std::this_thread::sleep_for(milliseconds { 600 });
+    cluster.store.readResponseDelayMs = 0;
+    cluster.configure(5, standins::makePlatformRoute("new", "/new/"));
+    cluster.configure(6, standins::makePlatformRoute("newer", "/newer/"));
+    cluster.publishWorkers(1);
+    for (int vm = 0; vm < 2; vm++)
+        cr_assert(cluster.waitUntil([&] { return cluster.sendRequest("/newer/1", "id", {}, vm).status == 200; }, milliseconds { 2500 }), "VM %d does not serve the new route", vm);
+    cr_assert(cluster.waitUntil([&] { return !cluster.memberRecord(0).empty() && !cluster.memberRecord(1).empty(); }), "a VM is no member any more");
+}
