The lease survives a restored store with one holder and growing tokens

Callers saw: nothing yet.

Cause: the token was the offset of the take-over plus one, and offsets go back. Whatever record the log held was believed: none, a release or an earlier term, of another holder or of this VM, let VMs take over while the holder's lease, whose record was lost, was still valid.

Change: a token is made of era and offset (era less one in the bits from 2^32 on: equal to the old tokens in the first era, exact in JSON below 2^53). A record grants the lease only if its token is of the era in which it stands. In a new era nobody takes over before `duration` has passed since it was first seen, except the holder whose lease had not expired then; it does so at once, with a higher token, and until then its orders end with its lease, without the extension for outages. An append that landed in another era and a read of an earlier one grant nothing. Take-overs by the holder itself keep what it knows of the workers.

The property now also plays restorations at any moment, also several, answers that arrive late or never, restarts and heartbeats.

--- a/edge/src/order_task.cpp
+++ b/edge/src/order_task.cpp
@@ -81,10 +81,14 @@
     , lease(makeLeaseHolderName(vm.settings.node), makeLeaseSettings(vm.settings))
 {
     this->peers.onMissingItems = [this] { this->wakeUp.signal(); };
-    this->peers.onLeaseClaim = [this](uint64_t offset) {
+    this->peers.onLeaseClaim = [this](const LogPosition& position) {
         std::lock_guard lock(this->mutex);
-        this->lease.onHolderHeartbeat(offset, transport::bootTimeNow());
+        this->lease.onHolderHeartbeat(position, transport::bootTimeNow());
     };
+    this->vm.storeEra.subscribe([this](uint64_t era, bool) {
+        std::lock_guard lock(this->mutex);
+        this->lease.onEra(era, transport::bootTimeNow());
+    });
     this->peers.onAdapterUse = [this](const MissingItem& use) {
         std::lock_guard lock(this->mutex);
         this->adapterUses[use.model + "/" + use.adapter] = monotonicNow();
@@ -114,7 +118,7 @@
         std::lock_guard lock(this->mutex);
         step = this->lease.nextStep(now);
         shouldHandOver = this->lease.isHolder() && this->handoverPolicy.shouldHandOver(this->peers.hasStrongerPeer(), now);
-        if (step == ownership::LeaseStep::TakeOver && this->handoverPolicy.shouldYieldFreeLease(this->lease.newestRecordOffset(), this->peers.hasStrongerPeer(), now))
+        if (step == ownership::LeaseStep::TakeOver && this->handoverPolicy.shouldYieldFreeLease(this->lease.newestRecordPosition(), this->peers.hasStrongerPeer(), now))
             step = ownership::LeaseStep::Wait;
     }
     // `releaseLease` releases the lease when the VM shuts down.
@@ -138,12 +142,14 @@
         return;
     }
     ownership::LeaseReadResult readResult;
-    readResult.partitionEnd = page.value().nextOffset;
+    auto era = this->vm.storeEra.resolve(page.value().era);
+    readResult.recordPosition.era = era;
+    readResult.partitionEnd = { era, page.value().nextOffset };
     for (const auto& record : page.value().records) {
         if (record.key != leaseKey || !record.value)
             continue;
         readResult.record = decodeLease(*record.value);
-        readResult.recordOffset = record.offset;
+        readResult.recordPosition.offset = record.offset;
     }
     std::lock_guard lock(this->mutex);
     this->lease.onRead(readResult, now);
@@ -161,27 +167,29 @@
     auto sentAt = transport::bootTimeNow();
     ownership::LeaseRecord record;
     uint64_t offset = 0;
+    bool wasHolder = false;
     {
         std::lock_guard lock(this->mutex);
         record = this->lease.recordToAppend();
         offset = this->lease.appendOffset();
+        wasHolder = this->lease.isHolder();
     }
     increment(this->vm.counters, CountedEvent::StoreCalls);
     auto outcome = platform::append(this->vm.store(), platform::Stream::Lease, leaseKey, encodeLease(record), offset);
     {
         std::lock_guard lock(this->mutex);
         if (outcome)
-            this->lease.onAppended(sentAt);
+            this->lease.onAppended({ this->vm.storeEra.resolve(outcome.value().era), outcome.value().offset }, sentAt);
         else if (outcome.error() == platform::StoreError::Conflict)
             this->lease.onAppendConflict();
         else
             this->lease.onAppendUncertain(sentAt);
         // What this VM knew of the workers is outdated if another VM has given orders since.
-        if (takeOver && outcome)
+        if (takeOver && outcome && !wasHolder)
             this->managedWorkers.clear();
     }
     if (takeOver || !outcome)
-        this->log.info(std::string("event=lease step=") + (takeOver ? "take_over" : "renew") + " token=" + std::to_string(record.token) + " outcome=" + (outcome ? "held" : platform::name(outcome.error())));
+        this->log.info(std::string("event=lease step=") + (takeOver ? "take_over" : "renew") + " token=" + std::to_string(record.token) + " era=" + std::to_string(this->vm.storeEra.current()) + " offset=" + std::to_string(offset) + " outcome=" + (outcome ? "held" : platform::name(outcome.error())));
 }
 
 void OrderTask::releaseLease()
@@ -197,7 +205,7 @@
         record = this->lease.recordToAppend();
         offset = this->lease.appendOffset();
     }
-    this->peers.setLeaseState(0, 0, {});
+    this->peers.setLeaseState(0, {}, {});
     increment(this->vm.counters, CountedEvent::StoreCalls);
     auto outcome = platform::append(this->vm.store(), platform::Stream::Lease, leaseKey, encodeLease(record), offset);
     this->log.info("event=lease step=release token=" + std::to_string(record.token) + " outcome=" + (outcome ? "released" : platform::name(outcome.error())));
@@ -224,7 +232,7 @@
             active = active && this->mayIssueOrders();
         }
         if (std::exchange(wasActive, active) && !active)
-            this->peers.setLeaseState(0, 0, {});
+            this->peers.setLeaseState(0, {}, {});
         if (!active)
             continue;
         // Missing items are served as soon as VMs report them; the plan for all workers is made once per interval.
@@ -516,14 +524,14 @@
 {
     std::map<std::string, std::set<std::string>> resident;
     uint64_t token = 0;
-    uint64_t offset = 0;
+    LogPosition position;
     auto now = monotonicNow();
     {
         std::lock_guard lock(this->mutex);
         if (!this->mayIssueOrders())
             return;
         token = this->lease.token();
-        offset = this->lease.newestRecordOffset();
+        position = this->lease.newestRecordPosition();
         for (auto& [id, worker] : this->managedWorkers) {
             const auto& tracked = worker->tracked;
             if (!tracked.synced)
@@ -545,7 +553,7 @@
         }
     }
     this->vm.fleet.applyResident(resident);
-    this->peers.setLeaseState(token, offset, std::move(resident));
+    this->peers.setLeaseState(token, position, std::move(resident));
 }
 
 } // namespace comfreypier::edge
--- a/edge/src/peers.cpp
+++ b/edge/src/peers.cpp
@@ -211,7 +211,7 @@
     for (const auto& [item, count] : this->missingItems)
         heartbeat.missingItems.push_back(item);
     heartbeat.leaseToken = this->leaseToken;
-    heartbeat.leasePosition = { ownership::firstEra, this->leaseOffset };
+    heartbeat.leasePosition = this->leasePosition;
     if (partial)
         return heartbeat;
     for (const auto& [model, rate] : this->averageWork.rates(monotonicNow())) {
@@ -461,7 +461,7 @@
     if (heartbeat->leaseToken != 0) {
         this->vm.fleet.applyResident(heartbeat->resident);
         if (this->onLeaseClaim)
-            this->onLeaseClaim(heartbeat->leasePosition.offset);
+            this->onLeaseClaim(heartbeat->leasePosition);
     }
     this->crashes.applyReports(heartbeat->crashReports, relaysReports);
     if (auto changed = this->vm.fleet.applyLimitReports(heartbeat->limitReports, relaysReports, monotonicNow()); changed > 0)
@@ -668,7 +668,7 @@
         this->onAdapterUse(adapter);
 }
 
-void Peers::setLeaseState(uint64_t token, uint64_t offset, std::map<std::string, std::set<std::string>> newResident)
+void Peers::setLeaseState(uint64_t token, const LogPosition& position, std::map<std::string, std::set<std::string>> newResident)
 {
     bool changed = false;
     {
@@ -682,7 +682,7 @@
         }
         std::erase_if(this->residentChangedAt, [&newResident](const auto& item) { return !newResident.contains(item.first); });
         this->leaseToken = token;
-        this->leaseOffset = offset;
+        this->leasePosition = position;
         this->resident = std::move(newResident);
     }
     if (changed && token != 0)
--- a/edge/src/peers.h
+++ b/edge/src/peers.h
@@ -75,9 +75,9 @@
 
     /// Sets what this VM reports as lease holder. Notifies waiting peers if models or adapters changed.
     /// @param leaseToken fencing token, or 0 if this VM does not hold the lease.
-    /// @param leaseOffset offset of the newest lease record.
+    /// @param leasePosition position of the newest lease record.
     /// @param resident models and adapters by worker, as in `Heartbeat::resident`.
-    void setLeaseState(uint64_t leaseToken, uint64_t leaseOffset, std::map<std::string, std::set<std::string>> resident);
+    void setLeaseState(uint64_t leaseToken, const LogPosition& leasePosition, std::map<std::string, std::set<std::string>> resident);
     /// Returns whether a reachable peer reports that it holds the lease.
     bool hasReachableLeaseHolder() const;
     /// Returns the highest fencing token that a reachable peer reports, or 0.
@@ -102,8 +102,8 @@
     std::function<bool()> readsWorkers;
     /// Called with the worker records of each heartbeat; there may be none.
     std::function<void(const std::vector<ForwardedEntry>&)> onForwardedEntries;
-    /// Called with the offset of the newest lease record for each heartbeat of a lease holder.
-    std::function<void(uint64_t)> onLeaseClaim;
+    /// Called with the position of the newest lease record for each heartbeat of a lease holder.
+    std::function<void(const LogPosition&)> onLeaseClaim;
     /// Called with the configuration version of each heartbeat.
     std::function<void(uint64_t)> onConfigurationVersion;
     /// Called when heartbeats of a VM without a member record of that start have come for some time: the own read of the members may hang.
@@ -199,7 +199,7 @@
     std::set<MissingItem> usedAdapters; ///< Since the last full heartbeat.
     // The next three are set by `setLeaseState`.
     uint64_t leaseToken = 0;
-    uint64_t leaseOffset = 0;
+    LogPosition leasePosition;
     std::map<std::string, std::set<std::string>> resident;
     std::map<std::string, Time> residentChangedAt; ///< When the items of a worker in `resident` last changed.
     std::string lastResidentSent; ///< Last worker that was sent in turn; the next heartbeat continues after it.
--- a/ownership/include/ownership/ownership.h
+++ b/ownership/include/ownership/ownership.h
@@ -2,8 +2,11 @@
 ///
 /// A single lease covers all orders. It is stored as the newest record of one key in the platform's log. A VM takes the lease
 /// over or renews it with a conditional append that fails if anything else was appended since the VM last read, so the log
-/// decides between racing VMs. The fencing token of a lease holder is the offset of its take-over record plus one: tokens
-/// increase and no two take-overs share one. This module uses no fibers, sockets, clocks or locks: the caller passes the time, and
+/// decides between racing VMs. The fencing token of a lease holder is derived from the position of its take-over record: tokens
+/// increase and no two take-overs share one.
+///
+/// The log may come back from a copy some seconds old, with a higher era. Records of the copy grant nothing in the new era: a record
+/// counts only if its token is of the era in which it stands in the log. This module uses no fibers, sockets, clocks or locks: the caller passes the time, and
 /// guards shared objects with its own mutex (`edge::OrderTask` does).
 #pragma once
 
@@ -29,6 +32,12 @@
     auto operator<=>(const LogPosition&) const = default;
 };
 
+/// Returns the fencing token of a take-over whose record stands at `position`. It is positive, higher than those of all earlier
+/// positions, and an exact JSON number: below 2^53 for fewer than 2^21 eras with fewer than 2^32 records each.
+uint64_t makeToken(const LogPosition& position);
+/// Returns the era of the take-over that a fencing token stems from.
+uint64_t tokenEra(uint64_t token);
+
 /// Durations that control the lease.
 struct LeaseSettings {
     /// A VM may take the lease over after its record was unchanged for this long.
@@ -53,8 +62,8 @@
 /// Result of reading the newest lease record.
 struct LeaseReadResult {
     std::optional<LeaseRecord> record; ///< Empty if the log holds no lease record.
-    uint64_t recordOffset = 0; ///< Offset of the record; 0 if there is none.
-    uint64_t partitionEnd = 0; ///< Offset of the next append to the partition.
+    LogPosition recordPosition; ///< Position of the record; its offset is 0 if there is none.
+    LogPosition partitionEnd; ///< Position of the next append to the partition.
 };
 
 /// Next action for the lease.
@@ -66,7 +75,8 @@
     Count ///< Number of values.
 };
 
-/// State machine of the lease in one VM. The code that drives it executes each step and reports the result.
+/// State machine of the lease in one VM. The code that drives it executes each step and reports the result. It calls `onEra` with the
+/// era of each answer of the log before it reports the answer.
 class Lease {
 public:
     /// @param self name and incarnation of this VM, unique to this process.
@@ -78,12 +88,18 @@
     /// Returns the record to append for `Renew` and `TakeOver`, and after `release()`.
     LeaseRecord recordToAppend() const;
     /// Returns the offset at which the partition must end for the append of `recordToAppend()` to succeed.
-    uint64_t appendOffset() const { return this->partitionEnd; }
+    uint64_t appendOffset() const { return this->partitionEnd.offset; }
 
-    /// Handles a successful read. @param sentAt time before the read was sent.
+    /// Handles the era that an answer of the log or another VM states. In a new era the log may lack the lease holder's record. Nobody
+    /// takes the lease over before `duration` has passed, except a lease holder whose lease had not expired when the era was first seen:
+    /// it does so at once, and until then its orders end with its lease.
+    void onEra(uint64_t era, Time now);
+    /// Handles a successful read. One of another era than the newest is ignored. @param sentAt time before the read was sent.
     void onRead(const LeaseReadResult& result, Time sentAt);
-    /// Handles a successful append of `recordToAppend()`. @param sentAt time before the append was sent.
-    void onAppended(Time sentAt);
+    /// Handles a successful append of `recordToAppend()`. If it landed in another era than expected, it grants nothing.
+    /// @param position where the record stands.
+    /// @param sentAt time before the append was sent.
+    void onAppended(const LogPosition& position, Time sentAt);
     /// Handles an append that may have taken effect, or a store that could not be reached. The next step is a read.
     /// @param sentAt time before the append was sent.
     void onAppendUncertain(Time sentAt);
@@ -93,8 +109,8 @@
     void onReadFailed(Time now);
     /// Handles a heartbeat in which the lease holder names its newest record. While such heartbeats arrive, the record need not
     /// be read from the store.
-    /// @param newestOffset offset of that record.
-    void onHolderHeartbeat(uint64_t newestOffset, Time now);
+    /// @param newest position of that record.
+    void onHolderHeartbeat(const LogPosition& newest, Time now);
     /// Gives the lease up: `mayIssueOrders` is false from now on, and `recordToAppend()` is a release if `isHolder()` was true.
     void release();
     /// Competes for the lease again after a release, used when the lease was handed over to another VM.
@@ -107,28 +123,39 @@
     /// Returns whether this VM may issue orders although its lease expired, because the store can't be reached. Then only
     /// fencing tokens protect the workers, so the VM must also check that it knows of no lease holder with a higher token.
     bool mayIssueOrdersExtended(Time now) const;
-    /// Returns the offset of the newest known record.
-    uint64_t newestRecordOffset() const { return this->recordOffset; }
+    /// Returns the position of the newest known record.
+    const LogPosition& newestRecordPosition() const { return this->recordPosition; }
     /// Returns the fencing token of this VM's orders. Only valid while `mayIssueOrders` or `mayIssueOrdersExtended` is true.
     uint64_t token() const { return this->heldToken; }
 
 private:
+    /// Returns whether a token stems from a take-over in the newest era.
+    bool isOfNewestEra(uint64_t token) const { return tokenEra(token) == this->era; }
+    /// Returns whether the lease that this VM last renewed has expired, or will within the margin.
+    bool hasExpired(Time now) const { return now >= this->renewedAt + this->settings.duration - this->settings.margin; }
+    /// Returns whether nobody can hold the lease, according to the last read.
+    bool isFree(Time now) const;
+
     std::string self;
     LeaseSettings settings;
+    uint64_t era = firstEra; ///< Newest era of the log.
+    Time eraSeenAt { 0 }; ///< When `era` was first seen.
     std::optional<LeaseRecord> record;
-    uint64_t recordOffset = 0;
-    uint64_t partitionEnd = 0; ///< Offset of the next append, according to the last read or append.
+    LogPosition recordPosition;
+    LogPosition partitionEnd; ///< Position of the next append, according to the last read or append.
     /// When the newest record was first seen, by a read, an own append or a heartbeat that named it; 0 before the first read.
     Time firstSeenAt { 0 };
     Time lastReadAt { 0 }; ///< 0 requests an immediate read.
     bool partitionKnown = false; ///< The partition was read since the last conflict, failed read or uncertain append.
-    uint64_t heldToken = 0; ///< Fencing token of this VM, 0 if it does not hold the lease.
+    /// Fencing token of this VM, 0 if it does not hold the lease. After a restoration of the log it stays that of the earlier era until
+    /// this VM has taken the lease over anew.
+    uint64_t heldToken = 0;
     Time heldSince { 0 }; ///< When this VM became the lease holder. `firstOrderDelay` counts from here.
     Time renewedAt { 0 }; ///< When the last append that took effect was sent; the lease expires `duration` later.
-    std::map<uint64_t, Time> unansweredAppends; ///< Time of the first unanswered append, by offset.
+    std::map<LogPosition, Time> unansweredAppends; ///< Time of the first unanswered append, by position.
     Time lastFailureAt { 0 }; ///< When the store last could not be reached; 0 once it answered.
-    uint64_t announcedOffset = 0; ///< Newest record according to the lease holder's heartbeats.
-    Time announcedAt { 0 }; ///< When a heartbeat first named `announcedOffset`; 0 if none did yet.
+    LogPosition announcedPosition; ///< Newest record according to the lease holder's heartbeats.
+    Time announcedAt { 0 }; ///< When a heartbeat first named `announcedPosition`; 0 if none did yet.
     bool released = false; ///< After `release()`, until `rejoin()`.
 };
 
@@ -143,17 +170,17 @@
 public:
     /// Returns whether this VM should leave a free lease to others for now. Must only be called while the lease is free. Each record
     /// that leaves the lease free starts a new wait of `maxYieldTime`.
-    /// @param recordOffset offset of the newest lease record.
+    /// @param recordPosition position of the newest lease record.
     /// @param strongerReady whether a stronger VM is ready.
-    bool shouldYieldFreeLease(uint64_t recordOffset, bool strongerReady, Time now);
+    bool shouldYieldFreeLease(const LogPosition& recordPosition, bool strongerReady, Time now);
     /// Returns whether the lease holder should hand the lease over now. Must be called regularly while this VM holds the lease. After
     /// true is returned, `handOverDelay` starts anew.
     /// @param strongerReady whether a stronger VM is ready.
     bool shouldHandOver(bool strongerReady, Time now);
 
 private:
-    std::optional<uint64_t> freeOffset; ///< Offset of the record that left the lease free.
-    Time freeSince { 0 }; ///< When the lease was first seen free with `freeOffset`.
+    std::optional<LogPosition> freePosition; ///< Position of the record that left the lease free.
+    Time freeSince { 0 }; ///< When the lease was first seen free with `freePosition`.
     std::optional<Time> strongerSince; ///< Since when a stronger VM is ready; empty if none is.
 };
 
--- a/ownership/src/lease.cpp
+++ b/ownership/src/lease.cpp
@@ -8,9 +8,22 @@
 
     /// Maximum number of unanswered appends that are remembered; those with the lowest offsets are forgotten first.
     constexpr size_t maxUnansweredAppends = 16;
+    /// Number of low bits of a fencing token that hold the offset plus one; the bits above count the eras.
+    constexpr unsigned tokenOffsetBits = 32;
 
 } // namespace
 
+uint64_t makeToken(const LogPosition& position)
+{
+    // 0 stands for no token.
+    return ((position.era - firstEra) << tokenOffsetBits) + position.offset + 1;
+}
+
+uint64_t tokenEra(uint64_t token)
+{
+    return (token >> tokenOffsetBits) + firstEra;
+}
+
 Lease::Lease(std::string self, LeaseSettings settings)
     : self(std::move(self))
     , settings(settings)
@@ -24,7 +37,7 @@
 
 bool Lease::mayIssueOrders(Time now) const
 {
-    return this->isHolder() && now < this->renewedAt + this->settings.duration - this->settings.margin && now >= this->heldSince + this->settings.firstOrderDelay;
+    return this->isHolder() && !this->hasExpired(now) && now >= this->heldSince + this->settings.firstOrderDelay;
 }
 
 bool Lease::mayIssueOrdersExtended(Time now) const
@@ -32,7 +45,16 @@
     // An older failure does not show that the store is still unreachable.
     constexpr Time maxFailureAge = std::chrono::seconds { 3 };
     bool unreachable = !this->partitionKnown && this->lastFailureAt != Time { 0 } && now - this->lastFailureAt < maxFailureAge;
-    return this->isHolder() && unreachable && now < this->renewedAt + this->settings.outageExtension && now >= this->heldSince + this->settings.firstOrderDelay;
+    return this->isHolder() && this->isOfNewestEra(this->heldToken) && unreachable && now < this->renewedAt + this->settings.outageExtension && now >= this->heldSince + this->settings.firstOrderDelay;
+}
+
+bool Lease::isFree(Time now) const
+{
+    bool isCurrent = this->record && this->isOfNewestEra(this->record->token);
+    // The restoration may have removed the record of a lease that has not expired yet.
+    if (!isCurrent && this->era != firstEra && now - this->eraSeenAt <= this->settings.duration)
+        return false;
+    return !this->record || this->record->holder.empty() || now - this->firstSeenAt > this->settings.duration;
 }
 
 LeaseStep Lease::nextStep(Time now)
@@ -42,12 +64,13 @@
     bool mayRead = this->lastReadAt == Time { 0 } || now - this->lastReadAt >= this->settings.renewInterval;
     if (!this->partitionKnown)
         return mayRead ? LeaseStep::Read : LeaseStep::Wait;
+    if (this->isHolder() && !this->isOfNewestEra(this->heldToken))
+        return LeaseStep::TakeOver;
     if (this->isHolder())
         return now - this->renewedAt >= this->settings.renewInterval ? LeaseStep::Renew : LeaseStep::Wait;
-    bool isFree = !this->record || this->record->holder.empty() || now - this->firstSeenAt > this->settings.duration;
     // An older read may have missed a renewal by the lease holder.
     bool isRecent = now - this->lastReadAt < this->settings.renewInterval;
-    if (isFree && isRecent)
+    if (this->isFree(now) && isRecent)
         return LeaseStep::TakeOver;
     return mayRead ? LeaseStep::Read : LeaseStep::Wait;
 }
@@ -56,27 +79,47 @@
 {
     if (this->released)
         return { "", this->heldToken };
-    // The token of a take-over is its offset plus one, because 0 stands for no token.
-    return { this->self, this->isHolder() ? this->heldToken : this->partitionEnd + 1 };
+    bool isRenewal = this->isHolder() && this->isOfNewestEra(this->heldToken);
+    return { this->self, isRenewal ? this->heldToken : makeToken(this->partitionEnd) };
+}
+
+void Lease::onEra(uint64_t newEra, Time now)
+{
+    if (newEra <= this->era)
+        return;
+    this->era = newEra;
+    this->eraSeenAt = now;
+    this->partitionKnown = false;
+    this->lastReadAt = Time { 0 };
+    this->lastFailureAt = Time { 0 };
+    this->unansweredAppends.clear();
+    // Another VM may have held the lease when the log was restored.
+    if (this->hasExpired(now))
+        this->heldToken = 0;
 }
 
 void Lease::onRead(const LeaseReadResult& result, Time sentAt)
 {
+    if (result.partitionEnd.era != this->era)
+        return;
     this->lastReadAt = sentAt;
     this->partitionKnown = true;
     this->lastFailureAt = Time { 0 };
     this->partitionEnd = result.partitionEnd;
-    bool isSameRecord = this->record.has_value() == result.record.has_value() && this->recordOffset == result.recordOffset;
+    bool isSameRecord = this->record.has_value() == result.record.has_value() && this->recordPosition == result.recordPosition;
     if (!isSameRecord || this->firstSeenAt == Time { 0 })
         this->firstSeenAt = sentAt;
     this->record = result.record;
-    this->recordOffset = result.recordOffset;
+    this->recordPosition = result.recordPosition;
     // The expiry counts from the heartbeat if one named this record before it was read.
-    if (this->announcedAt != Time { 0 } && this->announcedOffset == result.recordOffset)
+    if (this->announcedAt != Time { 0 } && this->announcedPosition == result.recordPosition)
         this->firstSeenAt = std::min(this->firstSeenAt, this->announcedAt);
-    bool isOwn = result.record && result.record->holder == this->self;
+    bool isCurrent = result.record && this->isOfNewestEra(result.record->token);
+    bool isOwn = isCurrent && result.record->holder == this->self;
     if (!isOwn) {
-        this->heldToken = 0;
+        // A record of an earlier era does not show who held the lease when the log was restored.
+        if (isCurrent || this->isOfNewestEra(this->heldToken))
+            this->heldToken = 0;
         return;
     }
     // A take-over of this VM whose append got no answer.
@@ -84,21 +127,26 @@
         this->heldSince = sentAt;
     this->heldToken = result.record->token;
     // An unanswered append took effect. The lease counts from the time it was first sent.
-    auto unanswered = this->unansweredAppends.find(result.recordOffset);
+    auto unanswered = this->unansweredAppends.find(result.recordPosition);
     if (unanswered != this->unansweredAppends.end())
         this->renewedAt = std::max(this->renewedAt, unanswered->second);
 }
 
-void Lease::onAppended(Time sentAt)
+void Lease::onAppended(const LogPosition& position, Time sentAt)
 {
+    if (position.era != this->era || position != this->partitionEnd) {
+        this->partitionKnown = false;
+        this->lastReadAt = Time { 0 };
+        return;
+    }
     auto appended = this->recordToAppend();
     this->unansweredAppends.clear();
     if (!this->isHolder())
         this->heldSince = sentAt;
     this->heldToken = appended.token;
     this->record = appended;
-    this->recordOffset = this->partitionEnd;
-    this->partitionEnd++;
+    this->recordPosition = position;
+    this->partitionEnd.offset++;
     this->firstSeenAt = sentAt;
     this->renewedAt = sentAt;
     this->lastFailureAt = Time { 0 };
@@ -128,11 +176,11 @@
     this->partitionKnown = false;
 }
 
-void Lease::onHolderHeartbeat(uint64_t newestOffset, Time now)
+void Lease::onHolderHeartbeat(const LogPosition& newest, Time now)
 {
-    if (this->announcedAt != Time { 0 } && this->announcedOffset == newestOffset)
+    if (this->announcedAt != Time { 0 } && this->announcedPosition == newest)
         return;
-    this->announcedOffset = newestOffset;
+    this->announcedPosition = newest;
     this->announcedAt = now;
 }
 
@@ -149,12 +197,12 @@
     this->lastReadAt = Time { 0 };
 }
 
-bool HandoverPolicy::shouldYieldFreeLease(uint64_t recordOffset, bool strongerReady, Time now)
+bool HandoverPolicy::shouldYieldFreeLease(const LogPosition& recordPosition, bool strongerReady, Time now)
 {
     if (!strongerReady)
         return false;
-    if (this->freeOffset != recordOffset) {
-        this->freeOffset = recordOffset;
+    if (this->freePosition != recordPosition) {
+        this->freePosition = recordPosition;
         this->freeSince = now;
     }
     return now - this->freeSince < maxYieldTime;
--- a/tests/unit/ownership_test.cpp
+++ b/tests/unit/ownership_test.cpp
@@ -1,9 +1,11 @@
 /// Tests of the lease: at most one lease holder and increasing fencing tokens despite lost and late store answers, VMs that
-/// can't reach the store and frozen VMs.
+/// can't reach the store, frozen VMs, and a store that comes back from an earlier copy.
 #include <criterion/criterion.h>
 #include <deque>
+#include <functional>
 #include <ownership/ownership.h>
 #include <rapidcheck.h>
+#include <utility>
 
 using namespace comfreypier::ownership;
 using std::chrono::milliseconds;
@@ -16,38 +18,59 @@
 /// Stand-in for the lease partition of the log: an append succeeds only at the current end.
 struct Partition {
     std::optional<LeaseRecord> record;
-    uint64_t recordOffset = 0;
-    uint64_t end = 0;
+    LogPosition recordPosition;
+    LogPosition end;
 
     bool append(const LeaseRecord& next, uint64_t offset)
     {
-        if (offset != this->end)
+        if (offset != this->end.offset)
             return false;
         this->record = next;
-        this->recordOffset = this->end++;
+        this->recordPosition = this->end;
+        this->end.offset++;
         return true;
     }
-    LeaseReadResult read() const { return { this->record, this->recordOffset, this->end }; }
+    LeaseReadResult read() const { return { this->record, this->recordPosition, this->end }; }
+    /// Comes back from an earlier copy.
+    void restore(const Partition& copy)
+    {
+        auto era = this->end.era + 1;
+        *this = copy;
+        this->recordPosition.era = era;
+        this->end.era = era;
+    }
 };
 
 /// Executes the next lease step of a VM that can reach the store. A new VM needs two calls to become the lease holder: a read and
 /// a take-over.
 void runStep(Lease& lease, Partition& store, Time now)
 {
-    switch (lease.nextStep(now)) {
-    case LeaseStep::Read:
-        lease.onRead(store.read(), now);
-        break;
-    case LeaseStep::Renew:
-    case LeaseStep::TakeOver:
-        if (store.append(lease.recordToAppend(), lease.appendOffset()))
-            lease.onAppended(now);
-        else
-            lease.onAppendConflict();
-        break;
-    default:
-        break;
+    auto step = lease.nextStep(now);
+    if (step == LeaseStep::Wait)
+        return;
+    if (step == LeaseStep::Read) {
+        lease.onEra(store.end.era, now);
+        return lease.onRead(store.read(), now);
     }
+    auto position = store.end;
+    bool appended = store.append(lease.recordToAppend(), lease.appendOffset());
+    lease.onEra(store.end.era, now);
+    if (appended)
+        lease.onAppended(position, now);
+    else
+        lease.onAppendConflict();
+}
+
+/// Executes the steps of a VM every 100 ms until it holds the lease.
+/// @return when it did; `end` if it did not before.
+Time runUntilHeld(Lease& lease, Partition& store, Time from, Time end)
+{
+    for (auto now = from; now < end; now += milliseconds { 100 }) {
+        runStep(lease, store, now);
+        if (lease.mayIssueOrders(now))
+            return now;
+    }
+    return end;
 }
 
 /// Returns the settings for workers that check fencing tokens.
@@ -194,24 +217,148 @@
     runStep(a, store, start);
     runStep(a, store, start);
     Lease b("b#1", {});
-    b.onHolderHeartbeat(store.recordOffset, start + milliseconds { 200 });
-    b.onHolderHeartbeat(store.recordOffset, start + seconds { 1 });
+    b.onHolderHeartbeat(store.recordPosition, start + milliseconds { 200 });
+    b.onHolderHeartbeat(store.recordPosition, start + seconds { 1 });
     b.onRead(store.read(), start + seconds { 4 });
     cr_assert_eq(b.nextStep(start + seconds { 4 }), LeaseStep::Wait);
     b.onRead(store.read(), start + milliseconds { 4300 });
     cr_assert_eq(b.nextStep(start + milliseconds { 4300 }), LeaseStep::TakeOver);
 }
 
-// Guards against two VMs that issue orders at the same time because one was frozen, could not reach the store, lost the answer to
-// an append, or had an append executed late.
+// A restoration may remove the record of a lease holder that is alive, here with all that the partition held. Nobody else may take the
+// lease over before it must have expired; the holder does so at once.
+Test(lease, holder_takes_over_again_after_a_restoration_and_nobody_else_before_its_expiry)
+{
+    Partition store;
+    Partition empty;
+    Lease a("a#1", {});
+    Lease b("b#1", {});
+    runStep(a, store, start);
+    runStep(a, store, start);
+    auto token = a.token();
+    store.restore(empty);
+    auto restoredAt = start + seconds { 1 };
+    // `b` is first, and sees neither a record nor the holder.
+    for (auto now = restoredAt; now <= restoredAt + LeaseSettings {}.duration; now += milliseconds { 100 }) {
+        runStep(b, store, now);
+        cr_assert_not(b.isHolder(), "at %lld ms", static_cast<long long>((now - restoredAt).count() / 1000000));
+    }
+    // `a` hears of the restoration from `b`, then reads and appends.
+    a.onEra(store.end.era, restoredAt);
+    runStep(a, store, restoredAt);
+    runStep(a, store, restoredAt);
+    cr_assert(a.mayIssueOrders(restoredAt));
+    cr_assert_gt(a.token(), token);
+}
+
+// Guards against a holder that goes on with a lease that no record shows: the copy says that it was released, that another VM held it, or
+// that this one did in an earlier term.
+Test(lease, record_of_the_copy_grants_nothing)
+{
+    for (const auto* holder : { "", "b#1", "a#1" }) {
+        Partition copy;
+        cr_assert(copy.append({ holder, 1 }, 0));
+        Partition store = copy;
+        Lease b("b#1", {});
+        runStep(b, store, start);
+        // `c` holds the lease when the store is restored, and can't reach it since.
+        auto takenAt = start + seconds { 10 };
+        Lease c("c#1", {});
+        cr_assert_lt(runUntilHeld(c, store, start, takenAt), takenAt);
+        auto heldAt = takenAt;
+        runStep(c, store, heldAt);
+        auto token = c.token();
+        store.restore(copy);
+        Lease a("a#1", {});
+        for (auto now = heldAt; c.mayIssueOrders(now); now += milliseconds { 100 }) {
+            runStep(a, store, now);
+            runStep(b, store, now);
+            cr_assert_not(a.isHolder() || b.isHolder(), "the copy says '%s'", holder);
+        }
+        auto end = heldAt + seconds { 15 };
+        cr_assert_lt(runUntilHeld(a, store, heldAt + seconds { 4 }, end), end);
+        cr_assert_gt(a.token(), token);
+    }
+}
+
+// Guards against a take-over or a renewal that counts although it landed in another era, at an offset that was given out again.
+Test(lease, append_that_lands_in_another_era_grants_nothing)
+{
+    Partition store;
+    Partition copy;
+    Lease a("a#1", {});
+    runStep(a, store, start);
+    cr_assert_eq(a.nextStep(start), LeaseStep::TakeOver);
+    store.restore(copy);
+    auto position = store.end;
+    cr_assert(store.append(a.recordToAppend(), a.appendOffset()));
+    a.onEra(position.era, start);
+    a.onAppended(position, start);
+    cr_assert_not(a.isHolder());
+    // The record is found by the next read. Its token is that of a take-over in the era before.
+    runStep(a, store, start);
+    cr_assert_not(a.isHolder());
+    cr_assert_eq(a.nextStep(start), LeaseStep::Wait);
+    auto end = start + seconds { 10 };
+    auto heldAt = runUntilHeld(a, store, start, end);
+    cr_assert_gt(heldAt - start, LeaseSettings {}.duration);
+    cr_assert_lt(heldAt, end);
+}
+
+// Guards against orders beyond the expiry of a lease whose record is lost: neither an extension nor a renewal prolongs it.
+Test(lease, holder_whose_record_is_lost_stops_at_its_expiry)
+{
+    Partition store;
+    Lease a("a#1", settingsWithOutageExtension());
+    runStep(a, store, start);
+    runStep(a, store, start);
+    a.onAppendUncertain(start + seconds { 2 });
+    // Another VM tells of the restoration; the store can't be reached.
+    a.onEra(2, start + seconds { 2 });
+    a.onReadFailed(start + seconds { 3 });
+    cr_assert(a.mayIssueOrders(start + seconds { 3 }));
+    a.onReadFailed(start + seconds { 5 });
+    cr_assert_not(a.mayIssueOrders(start + seconds { 5 }));
+    cr_assert_not(a.mayIssueOrdersExtended(start + seconds { 5 }));
+}
+
+// The answer to a read that was sent before the restoration tells of records that are gone.
+Test(lease, read_of_an_earlier_era_that_arrives_late_is_ignored)
+{
+    Partition store;
+    Lease a("a#1", {});
+    auto late = store.read();
+    store.restore({});
+    a.onEra(store.end.era, start);
+    a.onRead(late, start);
+    cr_assert_eq(a.nextStep(start), LeaseStep::Read);
+}
+
+Test(lease, tokens_grow_with_positions_and_stay_exact_numbers)
+{
+    cr_assert(rc::check("", [] {
+        auto positions = rc::gen::pair(rc::gen::inRange<uint64_t>(firstEra, 1 << 20), rc::gen::inRange<uint64_t>(0, 1ULL << 31));
+        auto [era, offset] = *positions;
+        auto [otherEra, otherOffset] = *positions;
+        LogPosition position { era, offset };
+        LogPosition other { otherEra, otherOffset };
+        RC_ASSERT((position <=> other) == (makeToken(position) <=> makeToken(other)));
+        RC_ASSERT(makeToken(position) > 0U);
+        RC_ASSERT(makeToken(position) < 1ULL << 53);
+        RC_ASSERT(tokenEra(makeToken(position)) == era);
+    }));
+}
+
+// Guards against two VMs that issue orders at the same time, and against tokens that are used twice or go back, because a VM was frozen or
+// restarted, could not reach the store, got answers late or lost them, had an append executed late, or the store came back from a copy.
 Test(lease, at_most_one_holder_under_any_interleaving)
 {
     cr_assert(rc::check("at most one VM may issue orders without an extension; tokens of take-overs are unique and increase", [] {
         constexpr size_t vmCount = 3;
+        constexpr size_t maxCopies = 8;
+        bool restores = *rc::gen::arbitrary<bool>();
         Partition store;
-        std::vector<Lease> leases;
-        std::vector<Time> frozenUntil(vmCount, Time { 0 });
-        std::vector<Time> unreachableUntil(vmCount, Time { 0 });
+        std::deque<Partition> copies; // The states of the store after its last appends.
         /// An append that the store executes later, if the partition still ends at `offset` by then.
         struct DelayedAppend {
             Time at;
@@ -219,11 +366,26 @@
             uint64_t offset;
         };
         std::deque<DelayedAppend> delayedAppends;
+        struct SimulatedVm {
+            Lease lease;
+            Time frozenUntil { 0 };
+            Time unreachableUntil { 0 };
+            Time answerAt { 0 }; ///< When `answer` arrives. The VM takes no other step before.
+            std::function<void(Time now)> answer;
+        };
+        std::vector<SimulatedVm> vms;
         for (size_t i = 0; i < vmCount; i++)
-            leases.emplace_back("vm" + std::to_string(i), settingsWithOutageExtension());
+            vms.push_back({ Lease("vm" + std::to_string(i), settingsWithOutageExtension()) });
+        auto append = [&](const LeaseRecord& record, uint64_t offset) {
+            copies.push_back(store);
+            if (copies.size() > maxCopies)
+                copies.pop_front();
+            return store.append(record, offset);
+        };
         Time now = start;
-        uint64_t highestToken = 0;
+        uint64_t highestToken = 0; // Of those in the store.
         std::string holder;
+        std::map<uint64_t, size_t> orderingVms; // VM that used a token for orders, by token.
         for (int i = 0; i < 400; i++) {
             now += milliseconds { *rc::gen::inRange(20, 300) };
             for (auto it = delayedAppends.begin(); it != delayedAppends.end();) {
@@ -231,50 +393,78 @@
                     ++it;
                     continue;
                 }
-                store.append(it->record, it->offset);
+                append(it->record, it->offset);
                 it = delayedAppends.erase(it);
             }
-            auto vm = *rc::gen::inRange<size_t>(0, vmCount);
+            auto number = *rc::gen::inRange<size_t>(0, vmCount);
+            auto& vm = vms[number];
             auto event = *rc::gen::inRange(0, 100);
             if (event < 3)
-                frozenUntil[vm] = now + milliseconds { *rc::gen::inRange(500, 9000) };
+                vm.frozenUntil = now + milliseconds { *rc::gen::inRange(500, 9000) };
             else if (event < 6)
-                unreachableUntil[vm] = now + milliseconds { *rc::gen::inRange(500, 9000) };
-            if (now < frozenUntil[vm])
-                continue;
-            auto& lease = leases[vm];
-            auto nextStep = lease.nextStep(now);
-            bool unreachable = now < unreachableUntil[vm];
-            if (nextStep == LeaseStep::Read) {
-                if (unreachable)
-                    lease.onReadFailed(now);
-                else
-                    lease.onRead(store.read(), now);
-            } else if (nextStep != LeaseStep::Wait) {
-                auto record = lease.recordToAppend();
-                auto offset = lease.appendOffset();
+                vm.unreachableUntil = now + milliseconds { *rc::gen::inRange(500, 9000) };
+            else if (event < 7)
+                vm = { Lease("vm" + std::to_string(number) + "#" + std::to_string(i), settingsWithOutageExtension()) };
+            else if (event < 11 && restores && !copies.empty())
+                store.restore(copies[*rc::gen::inRange<size_t>(0, copies.size())]);
+            else if (event < 14) // A heartbeat of a VM that knows the newest era.
+                vm.lease.onEra(store.end.era, now);
+            if (now >= vm.frozenUntil && vm.answer && now >= vm.answerAt)
+                std::exchange(vm.answer, nullptr)(now);
+            if (now >= vm.frozenUntil && !vm.answer) {
+                auto& lease = vm.lease;
+                auto nextStep = lease.nextStep(now);
+                bool unreachable = now < vm.unreachableUntil;
                 auto result = *rc::gen::inRange(0, 10);
-                if (unreachable)
-                    lease.onAppendUncertain(now);
-                else if (result == 0) { // No answer, and the store executes the append later.
-                    delayedAppends.push_back({ now + milliseconds { *rc::gen::inRange(100, 6000) }, record, offset });
-                    lease.onAppendUncertain(now);
-                } else if (result == 1) { // The append takes effect, but its answer is lost.
-                    store.append(record, offset);
-                    lease.onAppendUncertain(now);
-                } else if (store.append(record, offset))
-                    lease.onAppended(now);
-                else
-                    lease.onAppendConflict();
+                vm.answerAt = now + milliseconds { result == 2 ? *rc::gen::inRange(100, 900) : 0 };
+                if (nextStep == LeaseStep::Read && unreachable)
+                    lease.onReadFailed(now);
+                else if (nextStep == LeaseStep::Read)
+                    vm.answer = [&lease, read = store.read(), sentAt = now](Time at) {
+                        lease.onEra(read.partitionEnd.era, at);
+                        lease.onRead(read, sentAt);
+                    };
+                else if (nextStep != LeaseStep::Wait) {
+                    auto record = lease.recordToAppend();
+                    auto offset = lease.appendOffset();
+                    if (unreachable)
+                        lease.onAppendUncertain(now);
+                    else if (result == 0) { // No answer, and the store executes the append later.
+                        delayedAppends.push_back({ now + milliseconds { *rc::gen::inRange(100, 6000) }, record, offset });
+                        lease.onAppendUncertain(now);
+                    } else if (result == 1) { // The append takes effect, but its answer is lost.
+                        append(record, offset);
+                        lease.onAppendUncertain(now);
+                    } else {
+                        auto position = store.end;
+                        vm.answer = [&lease, position, appended = append(record, offset), sentAt = now](Time at) {
+                            lease.onEra(position.era, at);
+                            if (appended)
+                                lease.onAppended(position, sentAt);
+                            else
+                                lease.onAppendConflict();
+                        };
+                    }
+                }
+                if (vm.answer && vm.answerAt == now)
+                    std::exchange(vm.answer, nullptr)(now);
             }
-            if (store.record && store.record->holder != holder) {
+            // Records that grant the lease in their era.
+            bool grants = store.record && tokenEra(store.record->token) == store.recordPosition.era;
+            if (grants && store.record->holder != holder) {
                 RC_ASSERT(store.record->token > highestToken);
                 highestToken = store.record->token;
                 holder = store.record->holder;
             }
             size_t vmsAllowedToOrder = 0;
-            for (auto& each : leases)
-                vmsAllowedToOrder += each.mayIssueOrders(now) ? 1 : 0;
+            for (size_t k = 0; k < vmCount; k++) {
+                if (!vms[k].lease.mayIssueOrders(now))
+                    continue;
+                vmsAllowedToOrder++;
+                auto token = vms[k].lease.token();
+                RC_ASSERT(orderingVms.try_emplace(token, k).first->second == k);
+                RC_ASSERT(orderingVms.rbegin()->first == token);
+            }
             RC_ASSERT(vmsAllowedToOrder <= 1U);
         }
     }));
@@ -299,7 +489,7 @@
             weak.rejoin();
             handedOverAt = now;
         }
-        bool yields = weak.nextStep(now) == LeaseStep::TakeOver && weakHandover.shouldYieldFreeLease(weak.newestRecordOffset(), strongerReady, now);
+        bool yields = weak.nextStep(now) == LeaseStep::TakeOver && weakHandover.shouldYieldFreeLease(weak.newestRecordPosition(), strongerReady, now);
         if (!yields)
             runStep(weak, store, now);
         if (strongerReady)
@@ -323,7 +513,7 @@
     HandoverPolicy handover;
     Time now = start;
     for (; now < start + seconds { 10 } && !weak.isHolder(); now += milliseconds { 100 }) {
-        if (weak.nextStep(now) != LeaseStep::TakeOver || !handover.shouldYieldFreeLease(weak.newestRecordOffset(), true, now))
+        if (weak.nextStep(now) != LeaseStep::TakeOver || !handover.shouldYieldFreeLease(weak.newestRecordPosition(), true, now))
             runStep(weak, store, now);
     }
     cr_assert(weak.isHolder());
--- a/tests/unit/restored_store_test.cpp
+++ b/tests/unit/restored_store_test.cpp
@@ -146,6 +146,55 @@
     }
 }
 
+// A VM whose record the store has lost must become a member again, and the lease be held with a token above all before.
+CLUSTER_TEST(member_and_lease_are_written_again_after_they_were_lost, 13250)
+{
+    auto copy = cluster.store.copy();
+    for (auto& topic : copy) {
+        if (topic.first.find("servers") == std::string::npos)
+            topic.second.clear();
+    }
+    cluster.configureAndWait();
+    cr_assert(cluster.waitUntil([&] { return !cluster.memberRecord().empty() && cluster.leaseToken() != 0; }));
+    auto token = cluster.leaseToken();
+    for (int round = 0; round < 2; round++) {
+        std::this_thread::sleep_for(readTime);
+        cluster.store.restore(copy);
+        cr_assert(cluster.waitUntil([&] { return !cluster.memberRecord().empty(); }), "the VM is no member any more");
+        cr_assert(cluster.waitUntil([&] { return cluster.leaseToken() != 0; }, milliseconds { 8000 }), "nobody holds the lease");
+        cr_assert_gt(cluster.leaseToken(), token, "token %llu after %llu", static_cast<unsigned long long>(cluster.leaseToken()), static_cast<unsigned long long>(token));
+        token = cluster.leaseToken();
+    }
+}
+
+// Orders of the lease holder before and after a restoration: no two may share a token, and none may be lower than one before.
+CLUSTER_TEST(fencing_tokens_of_orders_grow_over_a_restoration, 13025)
+{
+    auto empty = cluster.store.copy();
+    cluster.configureAndWait();
+    auto orders = [&] {
+        std::vector<uint64_t> tokens;
+        for (int i = 0; i < 2; i++) {
+            std::lock_guard lock(cluster.llm(i).mutex);
+            for (const auto& order : cluster.llm(i).orders)
+                tokens.push_back(order.token);
+        }
+        return tokens;
+    };
+    cr_assert(cluster.waitUntil([&] { return orders().size() >= 2; }, milliseconds { 10000 }));
+    std::this_thread::sleep_for(readTime);
+    auto before = orders();
+    cluster.store.restore(empty);
+    cluster.configure(2);
+    cluster.publishWorkers(1);
+    std::this_thread::sleep_for(readTime);
+    // The adapter is loaded for the request.
+    cr_assert_eq(cluster.sendChat("adapter", "/chat/x", "m1/a1").status, 200U);
+    auto after = orders();
+    cr_assert_gt(after.size(), before.size());
+    cr_assert_gt(*std::max_element(after.begin(), after.end()), *std::max_element(before.begin(), before.end()), "the token is not higher");
+}
+
 // A VM that starts after the restoration knows nothing of before. It learns the newer configuration when it is written again.
 CLUSTER_TEST(vm_that_starts_while_the_store_is_restored_comes_into_step, 13350)
 {
