A removed worker is dropped when its grace period ends

Cause: an entry that is removed soon after an outage may come back until 2.6 s after the stream could be read again. The worker was dropped at the first read after that time, up to a read interval late, or much later if the store was away again.

Change: a fiber drops it when the grace period ends.

Evidence: edge.removed_worker_is_dropped_when_its_grace_period_ends on the untouched code: "sendRequest("/order/1", "after").status != 200U is false"; it passes now.

--- a/edge/src/fleet.cpp
+++ b/edge/src/fleet.cpp
@@ -136,6 +136,17 @@
     return ids;
 }
 
+std::optional<Time> Fleet::nextDropAt() const
+{
+    std::lock_guard lock(this->mutex);
+    std::optional<Time> next;
+    for (const auto& [id, known] : this->workers) {
+        if (known.removedAt != Time { 0 })
+            next = std::min(next.value_or(Time::max()), known.removedAt + known.grace);
+    }
+    return next;
+}
+
 Fleet::Selection Fleet::chooseWorker(const routing::Service& service, const routing::RequestShape& shape, const std::vector<uint64_t>& prefixHashes, const std::set<std::string>& excluded, milliseconds targetLatency, Time now)
 {
     std::lock_guard lock(this->mutex);
--- a/edge/src/fleet.h
+++ b/edge/src/fleet.h
@@ -54,6 +54,8 @@
     /// Drops workers whose entries did not come back within their grace period.
     /// @return their ids.
     std::vector<std::string> dropRemoved(Time now);
+    /// Returns when the first grace period of a removed entry ends; nothing if no entry is removed.
+    std::optional<Time> nextDropAt() const;
 
     /// Result of `chooseWorker`.
     struct Selection {
--- a/edge/src/store_task.cpp
+++ b/edge/src/store_task.cpp
@@ -321,6 +321,14 @@
         this->log.info("event=worker_gone worker=" + id);
         this->onWorkerGone(id);
     }
+    auto next = this->vm.fleet.nextDropAt();
+    if (!next || std::exchange(this->dropScheduled, true))
+        return;
+    transport::spawnOnCurrentThread([this, at = *next] {
+        sleepFor(std::max(Time { 0 }, at - monotonicNow()));
+        this->dropScheduled = false;
+        this->dropMissingWorkers();
+    });
 }
 
 void StoreTask::applyWorkers(const platform::StorePage& page, bool fullRead)
--- a/edge/src/store_task.h
+++ b/edge/src/store_task.h
@@ -87,7 +87,8 @@
     /// @param grace time in which a removed entry may come back.
     /// @return true if the other VMs need the record.
     bool applyWorker(const platform::StoreRecord& record, uint64_t era, bool fromCopy, Time grace);
-    /// Drops the workers whose entries did not come back within their grace period.
+    /// Drops the workers whose entries did not come back within their grace period, and those whose grace period has not ended yet as
+    /// soon as it does.
     void dropMissingWorkers();
     /// Returns whether the next read of the worker stream may be left to other VMs.
     bool canSkipWorkerRead() const;
@@ -105,6 +106,7 @@
     PeersReadWorkers peersReadWorkers;
     std::array<bool, static_cast<size_t>(platform::Stream::Count)> streamFailing {}; ///< By stream: its last read failed.
     std::array<std::shared_ptr<transport::CancelToken>, static_cast<size_t>(platform::Stream::Count)> pendingReads; ///< By stream; null if none waits.
+    bool dropScheduled = false; ///< A fiber waits for the end of a grace period.
     bool checksConfiguration = false; ///< `checkConfiguration` is reading.
     Time configurationReadAt { 0 }; ///< When a read of the configuration last had an answer.
     std::optional<LogPosition> configurationNext; ///< Where the read loop of the configuration continues; not set before a full read.
--- a/tests/unit/edge_test.cpp
+++ b/tests/unit/edge_test.cpp
@@ -411,6 +411,29 @@
     cr_assert_eq(cluster.app(1).runs, before);
 }
 
+// The entry is removed soon after an outage of the store, so that it may still come back. When it has not in time, the worker must be left
+// out also if the stream can't be read again, here because the store is away once more.
+CLUSTER_TEST(removed_worker_is_dropped_when_its_grace_period_ends, 13300)
+{
+    cluster.configureAndWait();
+    cluster.store.unavailable = true;
+    std::this_thread::sleep_for(milliseconds { 900 });
+    cluster.app(0).unpublish();
+    cluster.app(1).unpublish();
+    auto regainedAt = transport::monotonicNow();
+    auto reads = cluster.store.workerTopicReads.load();
+    cluster.store.unavailable = false;
+    cr_assert(cluster.waitUntil([&] { return cluster.store.workerTopicReads > reads; }));
+    std::this_thread::sleep_for(milliseconds { 100 });
+    cluster.store.unavailable = true;
+    cr_assert_eq(cluster.sendRequest("/status/1", "within").status, 200U, "the entry may still come back");
+    // The VM has read the stream up to one interval after the store was back.
+    std::this_thread::sleep_until(std::chrono::steady_clock::now() + (regainedAt + edge::entryRecoveryTime + edge::maxStoreRetryDelay + milliseconds { 200 } - transport::monotonicNow()));
+    auto before = cluster.app(0).runs + cluster.app(1).runs;
+    cr_assert_neq(cluster.sendRequest("/order/1", "after").status, 200U);
+    cr_assert_eq(cluster.app(0).runs + cluster.app(1).runs, before, "a removed worker got a request");
+}
+
 CLUSTER_TEST(unreadable_entries_do_not_affect_other_workers, 28000)
 {
     int number = 0;
