The node's front frames the answers of plain services anew

What callers saw: an answer of a plain service in chunks came with `Transfer-Encoding: chunked` and a `Content-Length` of its own, over a body without chunks; HTTP clients reject it or take its first bytes for the size of a chunk. `Connection`, `Keep-Alive` and a second `Content-Length` of the service were forwarded as well. Only requests with an Idempotency-Key were not affected.

Cause: the node forwarded the headers of the service's answer unchanged, and the server adds the length of the body. The daemon on the platform has dropped such headers all along, in code of its own.

Evidence: before, node.answers_of_plain_services_are_forwarded_whole_or_not_at_all failed with "repeatable, chunks: got 0 malformed".

Fix: transport::endToEndHeaders, moved from platform/, is used by both front ends.

Tried without finding more: answers of plain services with a length, in chunks and that end with their connection, cut after every byte of head, body and last chunk (every ninth for requests with a key), closed and reset by turns, on new and on used connections: no caller got a 200.

--- a/daemon/src/plain_calls.cpp
+++ b/daemon/src/plain_calls.cpp
@@ -111,8 +111,11 @@
     for (size_t i = 0; i < call.spec.endpoints.size(); i++) {
         const auto& endpoint = call.spec.endpoints[(first + i) % call.spec.endpoints.size()];
         auto response = this->node.client.call(endpoint, call.request, limits);
-        if (response)
+        if (response) {
+            // The answer to the caller is framed anew.
+            response.value().headers = transport::endToEndHeaders(response.value().headers);
             return response;
+        }
         if (!sent)
             error = response.error();
         sent = sent || !transport::isConnectError(response.error());
--- a/edge/src/relay.cpp
+++ b/edge/src/relay.cpp
@@ -764,7 +764,7 @@
     auto errorBytes = context.workerError ? context.workerError->body.size() : 0;
     transport::HttpResponse response;
     response.status = stream.status();
-    response.headers = platform::endToEndHeaders(stream.headers());
+    response.headers = transport::endToEndHeaders(stream.headers());
     while (true) {
         if (context.remaining() <= milliseconds { 0 })
             return this->handleSendError(context, selection, IoError::Timeout);
@@ -810,7 +810,7 @@
             context.status = attempt.stream->status();
             context.timeToFirstByte = monotonicNow() - context.startedAt;
             this->vm.counters.timeToFirstByte.record(context.timeToFirstByte);
-            context.writer.startStream(attempt.stream->status(), platform::endToEndHeaders(attempt.stream->headers()));
+            context.writer.startStream(attempt.stream->status(), transport::endToEndHeaders(attempt.stream->headers()));
         }
         increment(this->vm.counters, CountedEvent::StreamEvents);
         if (!context.writer.writeChunk(std::string_view(attempt.buffer).substr(0, events.length))) {
--- /dev/null
+++ b/tests/unit/node_answers_test.cpp
@@ -0,0 +1,260 @@
+/// Tests of a whole node against a plain service and an engine whose every byte the tests control.
+#include "raw_peer.h"
+#include "standins.h"
+
+#include <criterion/criterion.h>
+#include <daemon/daemon.h>
+#include <thread>
+
+using namespace comfreypier;
+using standins::RawPeer;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using transport::Endpoint;
+using transport::HttpRequest;
+using transport::HttpResponse;
+
+namespace {
+
+/// How a body is framed.
+enum class Framing {
+    Length,
+    Chunks,
+    EndOfConnection, ///< Neither: the body ends with the connection.
+    Count
+};
+constexpr std::array<const char*, static_cast<size_t>(Framing::Count)> framingNames { "length", "chunks", "end of the connection" };
+
+/// Returns an answer with status 200.
+std::string makeAnswer(Framing framing, const std::string& contentType, const std::string& body)
+{
+    auto head = "HTTP/1.1 200 OK\r\nContent-Type: " + contentType + "\r\n";
+    if (framing == Framing::Length)
+        return head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    if (framing == Framing::EndOfConnection)
+        return head + "Connection: close\r\n\r\n" + body;
+    std::array<char, 20> size {};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", body.size());
+    return head + "Transfer-Encoding: chunked\r\nKeep-Alive: timeout=5\r\n\r\n" + size.data() + body + "\r\n0\r\n\r\n";
+}
+
+Endpoint loopback(int port)
+{
+    return { "127.0.0.1", static_cast<uint16_t>(port) };
+}
+
+/// A node with its log service and VM list, the plain service `kiln` and an engine.
+struct NodeCluster {
+    /// @param base first of six ports.
+    NodeCluster(int base, RawPeer::ConnectionHandler servePlain, std::function<void(int connection, const std::string& request)> serveCompletion)
+        : base(base)
+        , serveCompletion(std::move(serveCompletion))
+    {
+        transport::raiseDescriptorLimit();
+        transport::setUpLogging(transport::LogLevel::Error, {});
+        this->listen(base, this->logService);
+        this->listen(base + 1, this->vmList);
+        this->vmList.add("vm", "entry", loopback(base + 2), "dc", 0);
+        this->vmList.add("engine", "worker", loopback(base + 5), "dc", 1'000'000'000'000);
+        new RawPeer(static_cast<uint16_t>(base + 4), std::move(servePlain));
+        new RawPeer(static_cast<uint16_t>(base + 5), [this](int connection) { this->serveEngine(connection); });
+        protocol::NodeSettings settings;
+        settings.node = "vm";
+        settings.region = "r";
+        settings.dataCentre = "dc";
+        settings.http = loopback(base + 2);
+        settings.rpc = loopback(base + 3);
+        settings.log = loopback(base);
+        settings.vmList = loopback(base + 1);
+        settings.threads = 1;
+        settings.retryShare = 100;
+        settings.logLevel = transport::LogLevel::Error;
+        this->node = std::make_unique<daemon::Daemon>(settings);
+        cr_assert(this->node->start());
+        this->publish();
+    }
+
+    template <class Standin>
+    void listen(int port, Standin& standin)
+    {
+        auto makeErrorResponse = [](unsigned status, std::string_view) { return HttpResponse { status, {}, {} }; };
+        auto serve = [&standin](const HttpRequest& request, transport::ResponseWriter& writer) { standin.serve(request, writer); };
+        this->servers.push_back(std::make_unique<transport::HttpServer>(this->runtime, loopback(port), transport::ServerLimits {}, serve, makeErrorResponse));
+        cr_assert(this->servers.back()->start());
+    }
+
+    /// Publishes the service file and waits until the node serves its plain service and its model.
+    void publish()
+    {
+        auto file = "[service]\nname = studio\n[model chat]\nmemory = 1GB\nurgency = urgent\nfirst_token_target = 300ms\n[plain kiln]\nendpoints = 127.0.0.1:" + std::to_string(this->base + 4)
+            + "\nurgency = urgent\ntarget = 2s\nnot_repeatable = POST /orders\n";
+        this->runOnFiber([&] {
+            protocol::Envelope envelope { { protocol::makeRandomId().high, 1 }, protocol::invalidOffset, { protocol::ConfigPublish { "studio", std::nullopt, file, "test", false } } };
+            auto log = protocol::makeHttpLog(this->client, loopback(this->base));
+            cr_assert(log.append("config", protocol::encodeEnvelope(envelope)).has_value());
+        });
+        cr_assert(this->waitUntil([this] { return this->call({ "GET", "/services/kiln/ready", {}, {} }).status == 200; }), "the plain service is not served");
+        cr_assert(this->waitUntil([this] { return this->call({ "GET", "/admin/placement", {}, {} }).body.find("\"loaded\"") != std::string::npos; }), "the model is not loaded");
+    }
+
+    /// Holds every item that it is ordered to load.
+    void serveEngine(int connection)
+    {
+        while (true) {
+            auto request = RawPeer::readRequest(connection);
+            if (request.starts_with("POST /v1/"))
+                return this->serveCompletion(connection, request);
+            if (request.empty())
+                return;
+            std::string body;
+            {
+                std::lock_guard lock(this->mutex);
+                if (auto order = protocol::parseEngineOrder(request.substr(std::min(request.size(), request.find("\r\n\r\n") + 4)))) {
+                    this->items.insert(order->item);
+                    this->copies.push_back(order->copy);
+                }
+                body = R"({"incarnation":1,"capacity":1000000000000,"used":0,"running":0,"waiting":0,"slots":100,"first_token_us":1000,"token_gap_us":1000,"items":[)";
+                for (const auto& item : this->items)
+                    body += R"({"item":")" + item + R"(","loaded":true},)";
+                body.erase(body.size() - (this->items.empty() ? 0 : 1));
+                body += R"(],"arrived_copies":[)";
+                for (auto copy : this->copies)
+                    body += std::to_string(copy) + ",";
+                body.erase(body.size() - (this->copies.empty() ? 0 : 1));
+                body += "]}";
+            }
+            RawPeer::write(connection, makeAnswer(Framing::Length, "application/json", body));
+        }
+    }
+
+    template <class Task>
+    void runOnFiber(Task&& task)
+    {
+        std::atomic<bool> done { false };
+        this->runtime.spawn([&] {
+            task();
+            done = true;
+        });
+        while (!done)
+            std::this_thread::sleep_for(milliseconds { 1 });
+    }
+
+    /// Sends a request to the node. @return the answer. If there is no complete one, its status is 0 and its body the name of the error.
+    HttpResponse call(const HttpRequest& request)
+    {
+        HttpResponse answer;
+        this->runOnFiber([&] {
+            auto response = this->client.call(loopback(this->base + 2), request, {});
+            answer = response ? response.value() : HttpResponse { 0, {}, transport::name(response.error()) };
+        });
+        return answer;
+    }
+
+    bool waitUntil(const std::function<bool()>& condition)
+    {
+        for (int i = 0; i < 1000; i++) {
+            if (condition())
+                return true;
+            std::this_thread::sleep_for(milliseconds { 10 });
+        }
+        return false;
+    }
+
+    int base;
+    std::function<void(int connection, const std::string& request)> serveCompletion;
+    std::mutex mutex;
+    std::set<std::string> items; ///< Guarded by `mutex`.
+    std::vector<uint64_t> copies; ///< Guarded by `mutex`.
+    transport::Runtime runtime { 1 };
+    transport::HttpClient client;
+    standins::LogStandin logService;
+    standins::VmListStandin vmList;
+    std::vector<std::unique_ptr<transport::HttpServer>> servers;
+    std::unique_ptr<daemon::Daemon> node;
+};
+
+/// What a request asks a raw peer to do: the framing of its answer and the number of bytes after which it is cut.
+struct Order {
+    Framing framing = Framing::Length;
+    size_t bytes = SIZE_MAX;
+    bool reset = false;
+};
+
+/// Returns the text of an order, which requests carry in their path or body.
+std::string format(const Order& order)
+{
+    return "cut-" + std::to_string(static_cast<int>(order.framing)) + "-" + std::to_string(order.bytes) + "-" + (order.reset ? "1" : "0") + ".";
+}
+
+/// Returns the order in a request, or that of a whole answer.
+Order findOrder(const std::string& request)
+{
+    Order order;
+    int framing = 0;
+    int reset = 0;
+    auto start = request.find("cut-");
+    if (start != std::string::npos && std::sscanf(request.c_str() + start, "cut-%d-%zu-%d", &framing, &order.bytes, &reset) == 3) {
+        order.framing = static_cast<Framing>(framing);
+        order.reset = reset != 0;
+    }
+    return order;
+}
+
+/// Sends an answer as far as the order says.
+void sendOrdered(int connection, const Order& order, const std::string& answer)
+{
+    if (order.reset)
+        RawPeer::resetOnClose(connection);
+    RawPeer::write(connection, answer.substr(0, order.bytes));
+}
+
+const std::string plainBody = "the whole answer";
+
+void servePlain(int connection)
+{
+    while (true) {
+        auto request = RawPeer::readRequest(connection);
+        if (request.empty())
+            return;
+        auto order = findOrder(request);
+        sendOrdered(connection, order, makeAnswer(order.framing, "text/plain", plainBody));
+        if (order.bytes != SIZE_MAX || order.framing == Framing::EndOfConnection)
+            return;
+    }
+}
+
+} // namespace
+
+// Guards against an answer of a plain service that is cut anywhere, or framed in another way than by its length, reaching the caller as another
+// whole answer.
+Test(node, answers_of_plain_services_are_forwarded_whole_or_not_at_all, .timeout = 120)
+{
+    auto* cluster = new NodeCluster(13925, servePlain, [](int, const std::string&) {});
+    int number = 0;
+    for (auto framing : { Framing::Length, Framing::Chunks, Framing::EndOfConnection }) {
+        const auto* name = framingNames[static_cast<size_t>(framing)];
+        auto whole = makeAnswer(framing, "text/plain", plainBody);
+        auto headLength = whole.find("\r\n\r\n") + 4;
+        for (const char* kind : { "repeatable", "not repeatable", "with a key" }) {
+            auto makeRequest = [&](const Order& order) {
+                bool repeatable = kind == std::string("repeatable");
+                HttpRequest request { repeatable ? "GET" : "POST", "/services/kiln/orders/" + format(order), {}, repeatable ? "" : "x" };
+                if (kind == std::string("with a key"))
+                    request.headers.push_back({ "Idempotency-Key", "key" + std::to_string(number++) });
+                return request;
+            };
+            for (bool onUsedConnection : { false, true }) {
+                auto answer = cluster->call(makeRequest({ framing, SIZE_MAX, false }));
+                cr_assert_eq(answer.status, 200U, "%s, %s: got %u %s", kind, name, answer.status, answer.body.c_str());
+                cr_assert_eq(answer.body, plainBody, "%s, %s: got '%s'", kind, name, answer.body.c_str());
+                for (size_t bytes = 0; bytes < (framing == Framing::EndOfConnection ? headLength : whole.size()); bytes += kind == std::string("with a key") ? 9 : 1) {
+                    if (onUsedConnection)
+                        cluster->call(makeRequest({}));
+                    answer = cluster->call(makeRequest({ framing, bytes, bytes % 2 == 1 }));
+                    cr_assert(answer.status >= 400, "%s, %s, cut after %zu bytes: got %u '%s'", kind, name, bytes, answer.status, answer.body.c_str());
+                }
+            }
+        }
+    }
+    std::_Exit(0);
+}
--- a/transport/include/transport/transport.h
+++ b/transport/include/transport/transport.h
@@ -252,6 +252,10 @@
 /// Returns the value of the first header field `name`, ignoring case, or an empty view if there is none.
 std::string_view findHeader(const std::vector<Header>& headers, std::string_view name);
 
+/// Returns the headers of a message that are forwarded with it: all but those that apply to its connection alone (hop-by-hop headers and what
+/// `Connection` lists) and `Content-Length`, which the sender of the forwarded message sets.
+std::vector<Header> endToEndHeaders(const std::vector<Header>& headers);
+
 /// Returns the path of a request target, without its query string.
 std::string_view targetPath(std::string_view target);
 
--- a/transport/src/http_client_beast.cpp
+++ b/transport/src/http_client_beast.cpp
@@ -516,6 +516,27 @@
     return {};
 }
 
+std::vector<Header> endToEndHeaders(const std::vector<Header>& headers)
+{
+    constexpr std::array<std::string_view, 10> hopByHopHeaders {
+        "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "TE", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length"
+    };
+    std::vector<std::string> connectionOptions;
+    for (const auto& header : headers) {
+        if (!beast::iequals(header.name, "Connection"))
+            continue;
+        for (auto option : http::token_list(header.value))
+            connectionOptions.emplace_back(option);
+    }
+    auto contains = [](const auto& names, std::string_view name) { return std::any_of(names.begin(), names.end(), [name](std::string_view entry) { return beast::iequals(entry, name); }); };
+    std::vector<Header> forwarded;
+    for (const auto& header : headers) {
+        if (!contains(hopByHopHeaders, header.name) && !contains(connectionOptions, header.name))
+            forwarded.push_back(header);
+    }
+    return forwarded;
+}
+
 std::string_view targetPath(std::string_view target)
 {
     return target.substr(0, target.find('?'));
