An engine's answer is whole only if its JSON is

What callers saw: if an engine's answer that is not streamed has neither a length nor chunks and the engine closes its connection within it, the caller got status 200 with the beginning of the JSON, framed with a length as if it were whole.

Cause: such a body ends with its connection, so that HTTP can't tell its end from a cut; the node looked only for the request's id near its beginning.

Fix: the body must be a JSON object that parses; else the attempt counts as cut, as an answer that breaks off does.

--- a/daemon/src/completions.cpp
+++ b/daemon/src/completions.cpp
@@ -3,9 +3,11 @@
 #include "refuse.h"
 
 #include <algorithm>
+#include <boost/json.hpp>
 
 namespace comfreypier::daemon {
 
+namespace json = boost::json;
 using protocol::RefusalReason;
 using protocol::RetryReason;
 using protocol::RunState;
@@ -28,6 +30,9 @@
     constexpr std::chrono::milliseconds idleWorkerTimeout { 1000 };
     constexpr std::chrono::milliseconds idleWorkerPollInterval { 25 };
 
+    /// Maximum JSON nesting depth of an answer.
+    constexpr size_t maxAnswerDepth = 256;
+
     /// Result of one attempt to run a request on a worker.
     enum class AttemptOutcome {
         Done, ///< The complete answer was sent to the caller.
@@ -74,6 +79,16 @@
         return text;
     }
 
+    /// Returns whether an engine's answer is a whole JSON object. One that ends with its connection may be cut off anywhere.
+    bool isCompleteAnswer(std::string_view body)
+    {
+        json::parse_options options;
+        options.max_depth = maxAnswerDepth;
+        json::error_code error;
+        auto value = json::parse({ body.data(), body.size() }, error, {}, options);
+        return !error && value.is_object();
+    }
+
     /// Returns whether the first `id` member in the JSON text `data` is `requestId`.
     bool belongsToRequest(std::string_view data, const std::string& requestId)
     {
@@ -279,6 +294,8 @@
             return toAttemptOutcome(response.error());
         if (response.value().status != 200)
             return AttemptOutcome::Refused;
+        if (!isCompleteAnswer(response.value().body))
+            return AttemptOutcome::Cut;
         if (!belongsToRequest(response.value().body, this->requestId)) {
             add(this->node.counters, state::Counter::CrossedAnswersDropped);
             return AttemptOutcome::Crossed;
--- a/tests/unit/node_answers_test.cpp
+++ b/tests/unit/node_answers_test.cpp
@@ -258,3 +258,54 @@
     }
     std::_Exit(0);
 }
+
+// The same for the answers of engines.
+Test(node, answers_of_engines_are_forwarded_whole_or_not_at_all, .timeout = 120)
+{
+    constexpr size_t step = 5;
+    std::atomic<int> cutAnswers { 0 };
+    auto serve = [&](int connection, const std::string& request) {
+        auto order = findOrder(request);
+        const std::string field = "X-Request-Id: ";
+        auto start = request.find(field) + field.size();
+        auto id = request.substr(start, request.find('\r', start) - start);
+        bool streaming = request.find("\"stream\":true") != std::string::npos;
+        auto body = streaming ? "id: 1\ndata: {\"id\":\"" + id + "\",\"text\":\"a\"}\n\ndata: [DONE]\n\n" : "{\"id\":\"" + id + "\",\"choices\":[{\"text\":\"the whole answer\"}]}";
+        auto answer = makeAnswer(order.framing, streaming ? "text/event-stream" : "application/json", body);
+        // Counted from the end of the answer, whose length depends on the id.
+        order.bytes = order.bytes == SIZE_MAX ? SIZE_MAX : answer.size() - std::min(answer.size(), order.bytes);
+        cutAnswers += order.bytes < answer.size() ? 1 : 0;
+        sendOrdered(connection, order, answer);
+    };
+    auto* cluster = new NodeCluster(13935, servePlain, serve);
+    auto send = [&](bool streaming, const Order& order) {
+        HttpRequest request { "POST", "/v1/completions", { { "Content-Type", "application/json" } }, std::string("{\"model\":\"chat\",\"prompt\":\"") + format(order) + "\",\"max_tokens\":2" + (streaming ? ",\"stream\":true}" : "}") };
+        return cluster->call(request);
+    };
+    std::mutex mutex;
+    std::string wrong;
+    std::atomic<int> total { 0 };
+    for (bool streaming : { false, true }) {
+        for (auto framing : { Framing::Length, Framing::Chunks, Framing::EndOfConnection }) {
+            cr_assert(cluster->waitUntil([&] { return send(streaming, { framing, SIZE_MAX, false }).status == 200; }), "%s: no whole answer", framingNames[static_cast<size_t>(framing)]);
+            // At the same time: an engine that has cut an answer is avoided for a while.
+            std::vector<std::thread> callers;
+            for (size_t missing = 1; missing < 180; missing += step) {
+                callers.emplace_back([&, missing] {
+                    auto answer = send(streaming, { framing, missing, missing % 2 == 1 });
+                    total++;
+                    // The last event tells that the stream is complete.
+                    if (answer.status != 200 || (streaming && answer.body.ends_with("data: [DONE]\n\n")))
+                        return;
+                    std::lock_guard lock(mutex);
+                    wrong += std::string(framingNames[static_cast<size_t>(framing)]) + (streaming ? ", stream" : "") + ", the last " + std::to_string(missing) + " bytes cut off: '" + answer.body + "'; ";
+                });
+            }
+            for (auto& caller : callers)
+                caller.join();
+        }
+    }
+    cr_assert(wrong.empty(), "%s", wrong.c_str());
+    cr_assert_gt(cutAnswers, total / 2, "only %d answers to %d requests were cut off", cutAnswers.load(), total.load());
+    std::_Exit(0);
+}
