Stand-ins and the soak play workers that leave and workers that name a time

Nothing played both signals beside restarts, silent connections and a silent store. The worker stand-in keeps its arrivals with what it answered; the soak lets workers, or all of a service at once, say that they leave while their entries stay ready and streams run, brings them back under the same ids and addresses, and lets full ones name 0.2 to 30 s. These faults are drawn apart from the others. Two invariants: `leave` (a request sent later than 2 s after its VM passed on the statement reaches the worker) and `hold` (more than two requests between half a second after the refusal and the end of its time).

--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -99,6 +99,7 @@
         bool vmDraining = false;
         {
             std::lock_guard lock(daemon.mutex);
+            attempt.vmDisturbedAt = daemon.paused || !daemon.running ? attempt.endedAt : daemon.lastDisturbedAt;
             vmUndisturbed = daemon.incarnation == incarnation && daemon.lastDisturbedAt < attempt.sentAt && !daemon.paused;
             vmDraining = daemon.drainingSince && *daemon.drainingSince < attempt.endedAt;
         }
@@ -154,7 +155,7 @@
             std::lock_guard lock(daemon.mutex);
             incarnation = daemon.incarnation;
         }
-        Attempt attempt { id, spec.kind, vm, cluster.invariants.now(), {}, 0, "", false, false, false };
+        Attempt attempt { id, spec.kind, vm, cluster.invariants.now(), {}, 0, "", false, false, false, {}, false };
         transport::CallLimits limits;
         limits.connect = milliseconds { 500 };
         // Longer than `checkAttempt` allows, so that a late response is seen as late.
@@ -165,6 +166,7 @@
             attempt.status = response.value().status;
             attempt.reportedNotRun = statesNotRun(attempt.status);
             attempt.complete = attempt.status == 200 && isComplete(attempt, response.value());
+            attempt.toldLeaving = transport::findHeader(response.value().headers, "Server-Leaving") == "1";
         } else
             attempt.error = transport::name(response.error());
         checkAttempt(cluster, attempt, incarnation);
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -19,13 +19,16 @@
     /// Interval at which a misbehaving worker switches to another kind of fault.
     constexpr milliseconds faultChangeInterval { 350 };
     /// Number of faults in progress from which no new one is started. Momentary ones, such as a kill, do not count.
-    constexpr size_t maxConcurrentFaults = 3;
+    constexpr std::ptrdiff_t maxConcurrentFaults = 3;
+    /// Longest part of a time that a worker has named for which the run waits.
+    constexpr int maxNamedTimeMs = 6000;
 
     /// One fault in progress.
     struct Fault {
         Time endsAt { 0 };
         std::function<void()> onEnd; ///< Ends the fault.
         std::string description; ///< For the log.
+        bool isSignal = false; ///< What workers say; does not count towards `maxConcurrentFaults`.
     };
 
     /// Starts and ends faults, and records when they disturbed a part, so that the checks can allow for their effects.
@@ -34,6 +37,7 @@
         explicit FaultInjector(TestCluster& cluster)
             : cluster(cluster)
             , random(cluster.options.seed)
+            , signalRandom(cluster.options.seed + 1)
         {
         }
 
@@ -52,10 +56,14 @@
                 fault.onEnd();
                 this->log("end " + fault.description);
             }
-            if (mayStartFaults && now >= this->nextFaultAt && this->faults.size() < maxConcurrentFaults) {
+            if (mayStartFaults && now >= this->nextFaultAt && std::count_if(this->faults.begin(), this->faults.end(), [](const auto& fault) { return !fault.isSignal; }) < maxConcurrentFaults) {
                 this->startRandomFault();
                 this->nextFaultAt = now + milliseconds { 200 + static_cast<int>(this->random() % 1800) };
             }
+            if (mayStartFaults && now >= this->nextSignalAt) {
+                this->startSignal();
+                this->nextSignalAt = now + milliseconds { drawFrom(this->signalRandom, 1000, 3000) };
+            }
             for (auto& [number, changeAt] : this->nextFaultChangeAt) {
                 if (now < changeAt)
                     continue;
@@ -72,7 +80,8 @@
 
     private:
         /// Returns a random number from `min` to `max`, both included.
-        int drawInt(int min, int max) { return min + static_cast<int>(this->random() % static_cast<uint64_t>(max - min + 1)); }
+        int drawInt(int min, int max) { return drawFrom(this->random, min, max); }
+        static int drawFrom(Random& random, int min, int max) { return min + static_cast<int>(random() % static_cast<uint64_t>(max - min + 1)); }
 
         void log(const std::string& text) { std::cout << "t=" << std::chrono::duration<double>(this->cluster.invariants.now()).count() << " " << text << std::endl; }
 
@@ -83,6 +92,13 @@
             this->faults.push_back({ this->cluster.invariants.now() + milliseconds { durationMs }, std::move(onEnd), description });
         }
 
+        /// The same for what workers say.
+        void startSignalFault(const std::string& description, int durationMs, std::function<void()> onEnd)
+        {
+            this->startFault(description, durationMs, std::move(onEnd));
+            this->faults.back().isSignal = true;
+        }
+
         void markWorkersDisturbed()
         {
             std::lock_guard lock(this->cluster.mutex);
@@ -203,6 +219,7 @@
             }
             if (choice == 1) {
                 auto& proxy = *this->cluster.workerProxies[number];
+                this->markConnectionsDisturbed(number);
                 proxy.faults.refusing = true;
                 proxy.reset();
                 this->unpublished[number] = true;
@@ -235,6 +252,78 @@
             });
         }
 
+        /// Lets workers say that they leave, or one name a time in its refusals.
+        void startSignal()
+        {
+            auto number = static_cast<size_t>(drawFrom(this->signalRandom, 0, static_cast<int>(this->cluster.workers.size()) - 1));
+            if (this->hasFault[number])
+                return;
+            if (drawFrom(this->signalRandom, 0, 1) == 0)
+                return this->startNamedTime(number);
+            bool all = drawFrom(this->signalRandom, 0, 3) == 0;
+            auto service = this->cluster.workers[number]->id.substr(0, 3);
+            for (size_t i = 0; i < this->cluster.workers.size(); i++) {
+                if (i == number || (all && !this->hasFault[i] && this->cluster.workers[i]->id.substr(0, 3) == service))
+                    this->startLeave(i);
+            }
+        }
+
+        /// Lets a worker say that it leaves, without a change of its entry. It ends after a while and is back.
+        void startLeave(size_t number)
+        {
+            auto& worker = *this->cluster.workers[number];
+            this->hasFault[number] = true;
+            this->markWorkersDisturbed();
+            worker.leaving = true;
+            this->startSignalFault(worker.id + " says that it leaves", drawFrom(this->signalRandom, 3000, 6000), [this, number] { this->restartWorker(number); });
+        }
+
+        /// Lets a worker refuse requests for a while and name a time, which is short mostly. A worker that has named a long one is back
+        /// as after a restart before it ends, so that the run does not wait for it.
+        void startNamedTime(size_t number)
+        {
+            auto& worker = *this->cluster.workers[number];
+            this->hasFault[number] = true;
+            this->markWorkersDisturbed();
+            auto delayMs = drawFrom(this->signalRandom, 0, 3) == 0 ? drawFrom(this->signalRandom, 3000, 30000) : drawFrom(this->signalRandom, 200, 3000);
+            auto burstMs = drawFrom(this->signalRandom, 300, 2500);
+            worker.retryAfterSeconds = delayMs / 1000.0;
+            worker.fault = standins::WorkerFault::Full;
+            this->startSignalFault(worker.id + " is full", burstMs, [&worker] {
+                worker.fault = standins::WorkerFault::None;
+                worker.retryAfterSeconds = -1;
+            });
+            bool restarts = delayMs > maxNamedTimeMs;
+            this->startSignalFault(worker.id + " has named " + std::to_string(delayMs) + " ms", burstMs + std::min(delayMs, maxNamedTimeMs), [this, number, restarts] {
+                if (restarts)
+                    return this->restartWorker(number);
+                this->hasFault[number] = false;
+                this->markWorkersDisturbed();
+            });
+        }
+
+        /// Brings a worker back under the same id and address, with a later start time and without adapters. Its models stay loaded.
+        void restartWorker(size_t number)
+        {
+            auto& worker = *this->cluster.workers[number];
+            this->markConnectionsDisturbed(number);
+            this->cluster.workerProxies[number]->reset();
+            worker.leaving = false;
+            worker.startedAtMs += 1000;
+            {
+                std::lock_guard lock(worker.mutex);
+                worker.adapters.clear();
+            }
+            this->hasFault[number] = false;
+            this->markWorkersDisturbed();
+        }
+
+        void markConnectionsDisturbed(size_t worker)
+        {
+            std::lock_guard lock(this->cluster.mutex);
+            this->cluster.connectionsDisturbedAt[worker].push_back(this->cluster.invariants.now());
+        }
+
         /// Starts a fault of the connections to the store of one VM, or of those to one worker.
         void disturbProxy()
         {
@@ -244,8 +333,10 @@
             auto markDisturbed = [this, isStoreProxy, number] {
                 if (isStoreProxy)
                     this->markStoreDisturbed(number);
-                else
+                else {
                     this->markWorkersDisturbed();
+                    this->markConnectionsDisturbed(number);
+                }
             };
             markDisturbed();
             auto& proxy = *proxies[number];
@@ -303,11 +394,13 @@
 
         TestCluster& cluster;
         Random random;
+        Random signalRandom; ///< Draws what workers say. Separate, so that the other faults of a seed stay the same.
         std::vector<Fault> faults;
         std::map<size_t, bool> hasFault; ///< Whether a fault of the worker itself is in progress, by worker.
         std::map<size_t, Time> nextFaultChangeAt; ///< Misbehaving workers, and when each switches to another kind of fault.
         std::map<size_t, bool> unpublished; ///< Whether the worker publishes no entry, by worker.
         Time nextFaultAt { warmUpTime };
+        Time nextSignalAt { warmUpTime };
         Time nextPublishAt { 0 };
     };
 
--- a/tests/soak/invariants.cpp
+++ b/tests/soak/invariants.cpp
@@ -10,6 +10,13 @@
     /// A request may be in flight while its VM closes the connection. The loss is allowed if no worker ran the request and the
     /// connection ended within this time of sending.
     constexpr milliseconds maxInFlightTime { 200 };
+    /// Time after a VM has passed on an answer with which a worker says that it leaves, from which the VM must not send it new requests.
+    constexpr milliseconds leavePropagationTime { 2000 };
+    /// Time after a worker named a time from which requests count, and the number of them that is allowed until that time ends.
+    constexpr milliseconds holdTolerance { 500 };
+    constexpr int maxRequestsInHold = 2;
+    /// Longest effect of a fault of connections: requests and answers that were held back arrive.
+    constexpr milliseconds connectionFaultEffect { 6000 };
 
     /// Returns the time in seconds with three decimal places.
     std::string formatSeconds(Time time)
@@ -84,6 +91,57 @@
     }
 }
 
+void InvariantChecker::checkSignals(const std::vector<std::unique_ptr<standins::WorkerStandin>>& workers, const std::vector<std::vector<Time>>& disturbedTimes)
+{
+    std::map<std::string, Attempt> attemptsById;
+    {
+        std::lock_guard lock(this->mutex);
+        for (const auto& attempt : this->attempts)
+            attemptsById.emplace(attempt.id, attempt);
+    }
+    size_t leavesTold = 0;
+    size_t timesTold = 0;
+    for (size_t number = 0; number < workers.size(); number++) {
+        auto& worker = *workers[number];
+        std::lock_guard lock(worker.mutex);
+        // The arrivals of each VM at each start of the worker, with the attempts that they belong to.
+        std::map<std::pair<int, int64_t>, std::vector<std::pair<const standins::WorkerArrival*, const Attempt*>>> arrivals;
+        for (const auto& arrival : worker.arrivals) {
+            auto attempt = attemptsById.find(arrival.requestId);
+            if (attempt != attemptsById.end())
+                arrivals[{ attempt->second.vm, arrival.startedAtMs }].emplace_back(&arrival, &attempt->second);
+        }
+        for (const auto& [source, list] : arrivals) {
+            auto subject = " reached " + worker.id + " from vm" + std::to_string(source.first);
+            std::optional<Time> toldLeavingAt;
+            for (const auto& [arrival, attempt] : list) {
+                if (arrival->toldLeaving && attempt->toldLeaving)
+                    toldLeavingAt = std::min(toldLeavingAt.value_or(attempt->endedAt), attempt->endedAt);
+            }
+            leavesTold += toldLeavingAt ? 1 : 0;
+            for (const auto& [arrival, attempt] : list) {
+                if (toldLeavingAt && attempt->sentAt > *toldLeavingAt + leavePropagationTime && attempt->vmDisturbedAt < *toldLeavingAt)
+                    this->reportViolation("leave", attempt->id + subject + ", which had said " + formatSeconds(attempt->sentAt - *toldLeavingAt) + " s before that it leaves");
+                if (!arrival->toldRetryAfter)
+                    continue;
+                timesTold++;
+                auto toldAt = arrival->at - this->start;
+                auto endsAt = toldAt + std::chrono::duration_cast<Time>(std::chrono::duration<double>(*arrival->toldRetryAfter));
+                bool disturbed = std::any_of(disturbedTimes[number].begin(), disturbedTimes[number].end(), [&](auto at) { return at > toldAt - connectionFaultEffect && at < endsAt; });
+                int count = 0;
+                for (const auto& [other, otherAttempt] : list) {
+                    auto at = other->at - this->start;
+                    count += at > toldAt + holdTolerance && at < endsAt ? 1 : 0;
+                    disturbed = disturbed || (at < endsAt && otherAttempt->endedAt > toldAt && otherAttempt->vmDisturbedAt > toldAt - holdTolerance);
+                }
+                if (!disturbed && count > maxRequestsInHold)
+                    this->reportViolation("hold", std::to_string(count) + " requests" + subject + ", which had named " + std::to_string(*arrival->toldRetryAfter) + " s at " + formatSeconds(toldAt));
+            }
+        }
+    }
+    std::cout << leavesTold << " leaves told to VMs, " << timesTold << " refusals that name a time" << std::endl;
+}
+
 size_t InvariantChecker::printSummary()
 {
     std::lock_guard lock(this->mutex);
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -72,6 +72,7 @@
     worker.publishedAddress = { "127.0.0.1", proxyPort };
     if (!worker.start())
         this->invariants.reportViolation("start", "worker " + id + " cannot listen on its port");
+    this->connectionsDisturbedAt.emplace_back();
     this->workerProxies.push_back(std::make_unique<FaultProxy>(this->proxyContext, proxyPort, port));
     return worker;
 }
@@ -127,6 +128,10 @@
     soak::runFaults(*cluster);
     cluster->stopping = true;
     cluster->invariants.checkRuns(cluster->workers);
+    {
+        std::lock_guard lock(cluster->mutex);
+        cluster->invariants.checkSignals(cluster->workers, cluster->connectionsDisturbedAt);
+    }
     auto violations = cluster->invariants.printSummary();
     for (auto& daemon : cluster->daemons)
         daemon->terminate();
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -89,6 +89,8 @@
     std::string error; ///< Name of the connection's error; empty with a response.
     bool reportedNotRun = false; ///< The response states that the request did not run.
     bool complete = false; ///< The whole expected response arrived.
+    bool toldLeaving = false; ///< The response says that the worker that sent it leaves.
+    Time vmDisturbedAt { 0 }; ///< `Daemon::lastDisturbedAt` at the end of the attempt.
     bool cutByDrain = false; ///< The connection closed while the VM was draining, with no other fault that explains it.
 };
 
@@ -104,6 +106,9 @@
     void recordAttempt(const Attempt& attempt);
     /// Compares all attempts with the runs that the workers counted, and checks the orders that the workers accepted.
     void checkRuns(const std::vector<std::unique_ptr<standins::WorkerStandin>>& workers);
+    /// Checks that VMs send workers no requests after those have said that they leave, or before the time that they named.
+    /// @param disturbedTimes by worker: starts and ends of faults of its connections.
+    void checkSignals(const std::vector<std::unique_ptr<standins::WorkerStandin>>& workers, const std::vector<std::vector<Time>>& disturbedTimes);
     /// Prints the number of attempts by kind and result, and all violations. @return the number of violations.
     size_t printSummary();
     /// Returns the time since the start of the run.
@@ -195,6 +200,7 @@
     int configurationVersion = 0; ///< Newest version in the store.
     Time configurationWrittenAt { 0 }; ///< When that version was written.
     Time workersLastDisturbedAt { -std::chrono::hours { 1 } }; ///< Last start or end of a fault of a worker or of a proxy to one.
+    std::vector<std::vector<Time>> connectionsDisturbedAt; ///< Starts and ends of faults of the connections to a worker, by worker.
     std::vector<Time> storeLastDisturbedAt; ///< Last start or end of a fault of the store or of the VM's proxy to it, by VM.
 };
 
--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -463,7 +463,7 @@
     {
         std::lock_guard lock(this->mutex);
         this->completeOrderIfDue(false);
-        this->arrivalTimes.push_back(transport::monotonicNow());
+        this->arrivals.push_back({ requestId, transport::monotonicNow(), this->startedAtMs, this->leaving, std::nullopt });
         this->recentRequests.push_back(request);
         while (this->recentRequests.size() > maxRecentRequests)
             this->recentRequests.pop_front();
@@ -474,8 +474,10 @@
             // The response states that the request did not run and has no signature.
             std::erase_if(headers, [](const auto& header) { return header.name == "Server-Seal"; });
             headers.push_back({ "Not-Executed", "1" });
-            if (auto retryAfter = this->retryAfterSeconds.load(); loaded && retryAfter >= 0)
+            if (auto retryAfter = this->retryAfterSeconds.load(); loaded && retryAfter >= 0) {
                 headers.push_back({ "Retry-After", std::to_string(retryAfter) });
+                this->arrivals.back().toldRetryAfter = retryAfter;
+            }
             this->send(writer, { loaded ? 503U : 421U, headers, "" });
             return;
         }
--- a/tests/standins/platform_standin.h
+++ b/tests/standins/platform_standin.h
@@ -111,6 +111,15 @@
     std::string holder; ///< Lease holder that sent the order.
 };
 
+/// One request of a caller that arrived at a worker.
+struct WorkerArrival {
+    std::string requestId;
+    std::chrono::nanoseconds at { 0 };
+    int64_t startedAtMs = 0; ///< Start of the worker at which it arrived.
+    bool toldLeaving = false; ///< The answer says that the worker leaves.
+    std::optional<double> toldRetryAfter; ///< Time that the refusal names, in seconds.
+};
+
 /// One worker. It serves models if `memoryMegabytes` is not 0.
 class WorkerStandin {
 public:
@@ -156,7 +165,7 @@
 
     std::mutex mutex;
     std::map<std::string, int> runsByRequestId; ///< Without resumed runs. Guarded by `mutex`.
-    std::vector<std::chrono::nanoseconds> arrivalTimes; ///< When each request of a caller arrived. Guarded by `mutex`.
+    std::vector<WorkerArrival> arrivals; ///< All requests of callers, the oldest first. Guarded by `mutex`.
     std::deque<transport::HttpRequest> recentRequests; ///< Newest requests of callers. Guarded by `mutex`.
     std::map<std::string, double> models; ///< Loaded models and their sizes in megabytes. Guarded by `mutex`.
     std::map<std::string, double> modelMegabytes; ///< Sizes of all models that may be loaded. Set before the first order.
--- a/tests/unit/worker_limit_test.cpp
+++ b/tests/unit/worker_limit_test.cpp
@@ -28,9 +28,9 @@
 {
     std::lock_guard lock(worker.mutex);
     long most = 0;
-    for (auto first : worker.arrivalTimes) {
-        if (first >= start)
-            most = std::max(most, static_cast<long>(std::count_if(worker.arrivalTimes.begin(), worker.arrivalTimes.end(), [first](auto at) { return at >= first && at < first + seconds { 4 }; })));
+    for (const auto& first : worker.arrivals) {
+        if (first.at >= start)
+            most = std::max(most, static_cast<long>(std::count_if(worker.arrivals.begin(), worker.arrivals.end(), [&first](const auto& arrival) { return arrival.at >= first.at && arrival.at < first.at + seconds { 4 }; })));
     }
     return most;
 }
--- a/tests/unit/worker_signals_test.cpp
+++ b/tests/unit/worker_signals_test.cpp
@@ -131,7 +131,7 @@
     sendUntilRun(cluster, worker, "id-before-");
     {
         std::lock_guard lock(worker.mutex);
-        worker.arrivalTimes.clear();
+        worker.arrivals.clear();
     }
     worker.retryAfterSeconds = std::chrono::duration<double>(hold).count();
     worker.fault = WorkerFault::Full;
@@ -140,9 +140,9 @@
         cr_assert_eq(cluster.sendRequest("/order/x", "id-full-" + std::to_string(i)).status, 200U);
     {
         std::lock_guard lock(worker.mutex);
-        cr_assert_geq(worker.arrivalTimes.size(), 3U, "the worker is asked again after the time");
-        for (size_t i = 1; i < worker.arrivalTimes.size(); i++) {
-            auto gap = std::chrono::duration_cast<milliseconds>(worker.arrivalTimes[i] - worker.arrivalTimes[i - 1]);
+        cr_assert_geq(worker.arrivals.size(), 3U, "the worker is asked again after the time");
+        for (size_t i = 1; i < worker.arrivals.size(); i++) {
+            auto gap = std::chrono::duration_cast<milliseconds>(worker.arrivals[i].at - worker.arrivals[i - 1].at);
             cr_assert_geq(gap, hold, "a request came %ld ms after the worker had named %ld ms", gap.count(), hold.count());
         }
     }
@@ -190,7 +190,7 @@
     cr_assert_gt(highest - lowest, 0.5, "the callers come back together, after %g to %g s", lowest, highest);
     for (int i = 0; i < 2; i++) {
         std::lock_guard lock(cluster.app(i).mutex);
-        cr_assert_leq(cluster.app(i).arrivalTimes.size(), 1U);
+        cr_assert_leq(cluster.app(i).arrivals.size(), 1U);
     }
     for (int i = 0; i < 2; i++)
         cluster.app(i).fault = WorkerFault::None;
