--- a/tests/unit/edge_faults_test.cpp
+++ b/tests/unit/edge_faults_test.cpp
@@ -67,6 +67,34 @@
 
 } // namespace
 
+// Guards against a stream that looks complete because its worker's connection ended in order, inside an event.
+CLUSTER_TEST(stream_that_ends_inside_an_event_resumes_elsewhere, 12640)
+{
+    Tally sendings;
+    auto serve = [&](int connection) {
+        auto id = TestCluster::requestId(RawPeer::readRequest(connection));
+        if (id.empty())
+            return;
+        bool first = sendings.add(id) == 1;
+        RawPeer::write(connection, "HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nServer-Seal: s\r\nContent-Type: text/event-stream\r\n\r\n" + (first ? "id: 1\ndata: a\n\nid: 2\nda" : "id: 2\ndata: b\n\n"));
+    };
+    cluster.useRawWorker(0, "llm", serve);
+    cluster.addRawWorker(1, "llm", serve);
+    cluster.configureAndWait();
+    // The VM may read the entries of the two raw workers one after the other.
+    int number = 0;
+    HttpResponse answer;
+    cr_assert(cluster.waitUntil([&] {
+        answer = cluster.sendChat("id-draft" + std::to_string(number++), "/draft/x");
+        return answer.status == 200;
+    }));
+    cr_assert_eq(answer.body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    // A stream that may run only once resumes from its backup copy.
+    answer = cluster.sendChat("id-chat", "/chat/x");
+    cr_assert_eq(answer.body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    cr_assert_eq(sendings.of("id-chat"), 2);
+}
+
 // Guards against a sound worker that is left out because of an odd value, or of an answer that is not its own, and against a leave that
 // is missed because of the kind of the answer.
 CLUSTER_TEST(leaves_are_read_from_all_answers_of_the_worker_and_from_no_others, 12800)
--- a/tests/unit/poison_test.cpp
+++ b/tests/unit/poison_test.cpp
@@ -54,6 +54,28 @@
 
 } // namespace
 
+// Guards against the refusal of a session whose part, the last of its prompts, is in no other request.
+Test(poison_requests, last_part_of_a_prompt_is_never_blamed)
+{
+    RequestShape shape;
+    shape.parts = { { 1, 100 }, { 2, 100 }, { 3, 100 } };
+    PoisonRequests poison;
+    for (int i = 0; i < 5; i++) {
+        shape.contentHash = static_cast<uint64_t>(100 + i);
+        crashUnder(poison, i, crashCauses(shape), now + seconds { i });
+    }
+    auto later = now + seconds { 5 };
+    auto isHeldOff = [&](const std::vector<PromptPart>& parts) {
+        RequestShape other;
+        other.parts = parts;
+        other.contentHash = 7;
+        return !poison.findPoison(crashCauses(other), later).empty();
+    };
+    cr_assert(isHeldOff({ { 1, 100 }, { 2, 100 }, { 4, 100 } }));
+    cr_assert_not(isHeldOff({ { 5, 100 }, { 3, 100 } }));
+    cr_assert_not(isHeldOff({ { 3, 100 }, { 6, 100 } }));
+}
+
 // Guards against a request that crashes its worker, is retried, and crashes one worker after another.
 Test(poison_requests, content_is_poison_after_two_crashes)
 {
