Numbers of others are bounded where they are read, names escaped in logs

What callers saw: a time limit beyond what the clock holds made a request late on arrival on a route without one of its own, and a worker that announced such an idle timeout got a new connection for each request. An engine was told 5 tokens for max_tokens 2^32 + 5. A VM list with a negative capacity ended the node, as the parser threw. An id with spaces looked like further fields of the log line.

Cause: seconds were multiplied to nanoseconds and numbers narrowed as they came, each at a place of its own; names went into lines unchanged.

Now numbers in text are read by transport::parseNumber, parseDecimal and parseForeignDuration, which holds durations to 24 h; those in JSON by toNumber in protocol and, as before, findNumber and toWholeNumber in platform. The sum of a prompt's parts no longer wraps. escapeForLog makes one word of a name of others, up to 160 bytes; Log escapes control characters in every line.

--- a/daemon/src/gossip_task.cpp
+++ b/daemon/src/gossip_task.cpp
@@ -169,9 +169,11 @@
         });
     } else if (update.key.kind == protocol::PeerUpdateKind::PoisonRequest) {
         // The name is the content's hash in hexadecimal, see `makeCrashUpdate`.
-        auto content = std::strtoull(update.key.name.c_str(), nullptr, 16);
+        auto content = transport::parseNumber<uint64_t>(update.key.name, 16);
+        if (!content)
+            return;
         std::lock_guard lock(this->mutex);
-        this->crashCounts[content] = update.count;
+        this->crashCounts[*content] = update.count;
         // Which content is dropped does not depend on its age: it is the one with the smallest hash.
         if (this->crashCounts.size() > maxCrashCounts)
             this->crashCounts.erase(this->crashCounts.begin());
--- a/edge/src/crash_tracker.cpp
+++ b/edge/src/crash_tracker.cpp
@@ -68,7 +68,7 @@
         blamed = this->poisonRequests.recordCrash(worker, monotonicNow());
         this->logHolds();
     }
-    this->log.info("event=worker_crash worker=" + worker + " evidence=" + evidence + " blamed_requests=" + std::to_string(blamed));
+    this->log.info("event=worker_crash worker=" + transport::escapeForLog(worker) + " evidence=" + evidence + " blamed_requests=" + std::to_string(blamed));
     if (blamed == 0)
         return;
     increment(this->vm.counters, CountedEvent::BlamedCrashes);
--- a/edge/src/order_task.cpp
+++ b/edge/src/order_task.cpp
@@ -371,11 +371,11 @@
     this->planLoggedAt[service] = inputs.now;
     auto accepting = std::count_if(inputs.workers.begin(), inputs.workers.end(), [](const auto& worker) { return worker.acceptsModelOrders; });
     std::ostringstream line;
-    line << std::fixed << std::setprecision(2) << "event=plan service=" << service << " workers=" << inputs.workers.size() << " accepting=" << accepting
+    line << std::fixed << std::setprecision(2) << "event=plan service=" << transport::escapeForLog(service) << " workers=" << inputs.workers.size() << " accepting=" << accepting
          << " orders_running=" << inputs.modelOrdersRunning << " store_loads=" << inputs.storeLoadsRunning << " store_tokens=" << inputs.availableStoreLoads << " busiest=";
     auto pressures = placement::modelPressures(inputs);
     for (size_t i = 0; i < std::min(pressures.size(), loggedModels); i++)
-        line << (i == 0 ? "" : ",") << pressures[i].model << ':' << pressures[i].work << '/' << pressures[i].copies << '@' << pressures[i].level;
+        line << (i == 0 ? "" : ",") << transport::escapeForLog(pressures[i].model) << ':' << pressures[i].work << '/' << pressures[i].copies << '@' << pressures[i].level;
     this->log.info(line.str());
 }
 
@@ -422,7 +422,7 @@
     if (!placement::applyReport(worker.tracked, *report, requestedAt))
         return;
     this->publishDue = true;
-    this->log.info("event=order_done worker=" + worker.entry.id + " kind=" + (order->kind == placement::OrderKind::Load ? "load" : "unload") + " model=" + order->model);
+    this->log.info("event=order_done worker=" + transport::escapeForLog(worker.entry.id) + " kind=" + (order->kind == placement::OrderKind::Load ? "load" : "unload") + " model=" + transport::escapeForLog(order->model));
     this->wakeUp.signal();
 }
 
@@ -444,7 +444,7 @@
     auto outcome = reply.value;
     bool isLoad = order.kind == placement::OrderKind::Load;
     bool accepted = outcome == placement::OrderOutcome::Accepted || outcome == placement::OrderOutcome::AlreadyDone;
-    this->log.info("event=order worker=" + order.worker + " kind=" + (isLoad ? "load" : "unload") + " model=" + order.model + (order.adapter.empty() ? "" : " adapter=" + order.adapter)
+    this->log.info("event=order worker=" + transport::escapeForLog(order.worker) + " kind=" + (isLoad ? "load" : "unload") + " model=" + transport::escapeForLog(order.model) + (order.adapter.empty() ? "" : " adapter=" + transport::escapeForLog(order.adapter))
         + " reason=" + order.reason + " token=" + std::to_string(source.token) + " accepted_before=" + std::to_string(source.ordersAccepted) + (order.fromStore ? " from_store=yes" : "") + " outcome=" + placement::name(outcome));
     std::lock_guard lock(this->mutex);
     placement::applyOrderOutcome(worker.tracked, order, outcome, sentAt);
--- a/edge/src/peers.cpp
+++ b/edge/src/peers.cpp
@@ -433,7 +433,7 @@
     if (heartbeat->sequence <= peer.sequence)
         return;
     if (!this->isReachable(peer, monotonicNow()))
-        this->log.info("event=peer_heard node=" + heartbeat->node);
+        this->log.info("event=peer_heard node=" + transport::escapeForLog(heartbeat->node));
     peer.sequence = heartbeat->sequence;
     peer.lastHeartbeatAt = monotonicNow();
     peer.ready = heartbeat->ready;
@@ -465,7 +465,7 @@
     }
     this->crashes.applyReports(heartbeat->crashReports, relaysReports);
     if (auto changed = this->vm.fleet.applyLimitReports(heartbeat->limitReports, relaysReports, monotonicNow()); changed > 0)
-        this->log.info("event=worker_limits_heard node=" + heartbeat->node + " changed=" + std::to_string(changed));
+        this->log.info("event=worker_limits_heard node=" + transport::escapeForLog(heartbeat->node) + " changed=" + std::to_string(changed));
     this->applyLeaveReports(*heartbeat);
     if (hasMissingItems && this->onMissingItems)
         this->onMissingItems();
@@ -530,7 +530,7 @@
     auto known = this->peers.find(node);
     if (!member) {
         if (known != this->peers.end()) {
-            this->log.info("event=member_left node=" + node);
+            this->log.info("event=member_left node=" + transport::escapeForLog(node));
             this->recordFormerIncarnation(node, known->second.member.incarnation);
             this->peers.erase(known);
         }
@@ -548,7 +548,7 @@
     peer.member = *member;
     this->unknownSenders.erase(node);
     this->updateGroup();
-    this->log.info("event=member node=" + node + " inner=" + transport::toString(member->inner) + " data_centre=" + member->dataCentre);
+    this->log.info("event=member node=" + transport::escapeForLog(node) + " inner=" + transport::toString(member->inner) + " data_centre=" + transport::escapeForLog(member->dataCentre));
 }
 
 std::vector<transport::Endpoint> Peers::addressesFor(const std::string& dataCentre) const
--- a/edge/src/relay.cpp
+++ b/edge/src/relay.cpp
@@ -4,6 +4,7 @@
 
 namespace {
 
+    using transport::escapeForLog;
     using transport::IoError;
 
     /// Time limit of a request whose caller sets none.
@@ -256,10 +257,10 @@
 
 void Relay::logRequest(const RequestContext& context)
 {
-    this->log.info("event=request id=" + context.head.id + " route=" + (context.route ? context.route->name : "-") + " version=" + (context.configuration ? std::to_string(context.configuration->version) : "-")
-        + " model=" + context.head.shape.model + (context.head.shape.adapter.empty() ? "" : "/" + context.head.shape.adapter)
+    this->log.info("event=request id=" + escapeForLog(context.head.id) + " route=" + (context.route ? escapeForLog(context.route->name) : "-") + " version=" + (context.configuration ? std::to_string(context.configuration->version) : "-")
+        + " model=" + escapeForLog(context.head.shape.model) + (context.head.shape.adapter.empty() ? "" : "/" + escapeForLog(context.head.shape.adapter))
         + " parts=" + formatParts(context.head.shape.parts) + " tokens=" + std::to_string(context.head.shape.promptTokens) + " kept=" + std::to_string(context.cachedTokens)
-        + " worker=" + (context.workerId.empty() ? "-" : context.workerId) + " entry_age_ms=" + formatMilliseconds(context.entryAge) + " sends=" + std::to_string(context.sendCount)
+        + " worker=" + (context.workerId.empty() ? "-" : escapeForLog(context.workerId)) + " entry_age_ms=" + formatMilliseconds(context.entryAge) + " sends=" + std::to_string(context.sendCount)
         + " waited_ms=" + formatMilliseconds(context.waitTime) + " expected_ms=" + formatMilliseconds(context.expectedFirstByte) + " first_ms=" + formatMilliseconds(context.timeToFirstByte)
         + " total_ms=" + formatMilliseconds(monotonicNow() - context.startedAt) + " limit=" + formatLimit(context.requestLimit) + " passed_over=" + formatPassedOver(context.passedOver) + " status=" + std::to_string(context.status) + " outcome=" + context.outcome);
 }
@@ -312,8 +313,10 @@
         context.prefixHashes = routing::hashPrefixes(context.head.shape);
         // Without a token count from the caller, the prompt has the tokens of its parts.
         if (context.head.shape.promptTokens == 0) {
+            uint64_t tokens = 0;
             for (const auto& part : context.head.shape.parts)
-                context.head.shape.promptTokens += part.tokens;
+                tokens += part.tokens;
+            context.head.shape.promptTokens = static_cast<uint32_t>(std::min<uint64_t>(tokens, UINT32_MAX));
         }
     }
     context.crashCauses = routing::crashCauses(context.head.shape);
@@ -522,7 +525,7 @@
             RetryReason::Failed, RetryReason::NotSent, RetryReason::NotRun, RetryReason::Broken, RetryReason::Silent, RetryReason::Unusable, RetryReason::Failed, RetryReason::Resumed, RetryReason::Failed
         };
         increment(this->vm.counters, reasons[static_cast<size_t>(result)]);
-        this->log.info("event=repeat id=" + context.head.id + " worker=" + selection.id + " reason=" + name(reasons[static_cast<size_t>(result)]) + " left_ms=" + std::to_string(context.remaining().count()));
+        this->log.info("event=repeat id=" + escapeForLog(context.head.id) + " worker=" + escapeForLog(selection.id) + " reason=" + name(reasons[static_cast<size_t>(result)]) + " left_ms=" + std::to_string(context.remaining().count()));
     }
 }
 
@@ -651,7 +654,7 @@
     bool signatureDue = stream->status() < 300;
     this->recordSignals(selection, stream->status(), head, matchesRequest, signatureDue);
     if (!matchesRequest) {
-        this->log.warn("event=answer_unmatched id=" + context.head.id + " worker=" + selection.id + " status=" + std::to_string(stream->status()) + " answered_id=" + (head.requestId.empty() ? "-" : "other")
+        this->log.warn("event=answer_unmatched id=" + escapeForLog(context.head.id) + " worker=" + escapeForLog(selection.id) + " status=" + std::to_string(stream->status()) + " answered_id=" + (head.requestId.empty() ? "-" : "other")
             + " first_on_connection=" + (stream->isFirstOnConnection() ? "yes" : "no"));
         return this->handleInvalidAnswer(context, selection);
     }
@@ -677,7 +680,7 @@
     if (status != 503 || !head.retryAfter)
         return;
     increment(this->vm.counters, CountedEvent::WorkerHolds);
-    this->log.info("event=worker_hold worker=" + selection.id + " ms=" + std::to_string(head.retryAfter->count()));
+    this->log.info("event=worker_hold worker=" + escapeForLog(selection.id) + " ms=" + std::to_string(head.retryAfter->count()));
     this->vm.fleet.recordHold(selection.entry, *head.retryAfter, monotonicNow());
 }
 
@@ -685,7 +688,7 @@
 {
     if (!this->vm.fleet.recordLimit(worker, limit, monotonicNow()))
         return;
-    this->log.info("event=worker_limit worker=" + worker.id + " limit=" + formatLimit(limit));
+    this->log.info("event=worker_limit worker=" + escapeForLog(worker.id) + " limit=" + formatLimit(limit));
     this->peers.sendHeartbeat();
 }
 
@@ -754,7 +757,7 @@
 Relay::SendResult Relay::handleOversizedAnswer(RequestContext& context, const Fleet::Selection& selection, size_t bytes)
 {
     increment(this->vm.counters, CountedEvent::OversizedAnswers);
-    this->log.warn("event=answer_too_large id=" + context.head.id + " worker=" + selection.id + " buffered_bytes=" + std::to_string(bytes));
+    this->log.warn("event=answer_too_large id=" + escapeForLog(context.head.id) + " worker=" + escapeForLog(selection.id) + " buffered_bytes=" + std::to_string(bytes));
     return this->handleInvalidAnswer(context, selection);
 }
 
@@ -821,7 +824,7 @@
         attempt.buffer.erase(0, events.length);
     }
     if (events.ended) {
-        this->log.warn("event=stream_unmatched id=" + context.head.id + " worker=" + attempt.selection.id + " sends=" + std::to_string(context.sendCount) + " last_event=" + context.lastEventId.value_or("-"));
+        this->log.warn("event=stream_unmatched id=" + escapeForLog(context.head.id) + " worker=" + escapeForLog(attempt.selection.id) + " sends=" + std::to_string(context.sendCount) + " last_event=" + context.lastEventId.value_or("-"));
         this->handleInvalidAnswer(context, attempt.selection);
         return SendResult::Resumable;
     }
@@ -833,7 +836,7 @@
         attempt.reservation.recordStreamData();
         return std::nullopt;
     }
-    this->log.info("event=streaming id=" + context.head.id + " worker=" + attempt.selection.id + " backup=" + (context.backupWorker ? context.backupWorker->id : "-") + " sends=" + std::to_string(context.sendCount) + " first_ms=" + formatMilliseconds(monotonicNow() - context.startedAt));
+    this->log.info("event=streaming id=" + escapeForLog(context.head.id) + " worker=" + escapeForLog(attempt.selection.id) + " backup=" + (context.backupWorker ? context.backupWorker->id : "-") + " sends=" + std::to_string(context.sendCount) + " first_ms=" + formatMilliseconds(monotonicNow() - context.startedAt));
     attempt.reservation.markPrefilled();
     // Only a first attempt updates the worker's slowness: a later one may resume a run.
     auto expected = context.sendCount == 1 ? context.expectedFirstByte : Time { 0 };
@@ -931,7 +934,7 @@
     Result<std::unique_ptr<Attempt>, SendResult> next = SendResult::NotSent;
     if (silenceBeforeResume)
         next = this->resumeElsewhere(context, attempt, std::max(minAttemptTimeout, std::chrono::duration_cast<milliseconds>(patience - silentFor)));
-    this->log.info("event=stream_silent id=" + context.head.id + " worker=" + worker.id + " silent_ms=" + formatMilliseconds(silentFor) + " evidence=" + routing::name(evidence)
+    this->log.info("event=stream_silent id=" + escapeForLog(context.head.id) + " worker=" + escapeForLog(worker.id) + " silent_ms=" + formatMilliseconds(silentFor) + " evidence=" + routing::name(evidence)
         + " last_event=" + context.lastEventId.value_or("-") + " resumed_on=" + (next ? next.value()->selection.id : "-"));
     if (next) {
         // The run at the silent worker ends with its connection.
--- a/edge/src/store_task.cpp
+++ b/edge/src/store_task.cpp
@@ -12,14 +12,6 @@
         return names[static_cast<size_t>(stream)];
     }
 
-    /// Replaces the bytes of a key that would break a log line.
-    std::string printable(std::string text)
-    {
-        std::replace_if(
-            text.begin(), text.end(), [](unsigned char c) { return c <= 0x20 || c >= 0x7f; }, '?');
-        return text;
-    }
-
 } // namespace
 
 StoreTask::StoreTask(Vm& vm, MemberListener onMembers, WorkerListener onWorkerGone, ConfigurationListener onConfiguration, RestorationListener onRestored, EntryListener onEntry, PeersReadWorkers peersReadWorkers)
@@ -318,7 +310,7 @@
 void StoreTask::dropMissingWorkers()
 {
     for (const auto& id : this->vm.fleet.dropRemoved(monotonicNow())) {
-        this->log.info("event=worker_gone worker=" + id);
+        this->log.info("event=worker_gone worker=" + transport::escapeForLog(id));
         this->onWorkerGone(id);
     }
     auto next = this->vm.fleet.nextDropAt();
@@ -366,7 +358,7 @@
         return this->vm.fleet.markRemoved(record.key, position, now, grace);
     auto entry = platform::decodeWorkerEntry(record.key, *record.value);
     if (!entry) {
-        this->log.warn("event=worker_entry_unreadable worker=" + printable(record.key) + " offset=" + std::to_string(record.offset));
+        this->log.warn("event=worker_entry_unreadable worker=" + transport::escapeForLog(record.key) + " offset=" + std::to_string(record.offset));
         return false;
     }
     // Stays false for a worker that was not known.
@@ -381,8 +373,8 @@
         return false;
     std::string models;
     for (const auto& model : entry->models)
-        models += (models.empty() ? "" : ",") + model.name + ":" + std::to_string(model.adapters.size());
-    this->log.info("event=worker worker=" + entry->id + " service=" + entry->service + " address=" + transport::toString(entry->address)
+        models += (models.empty() ? "" : ",") + transport::escapeForLog(model.name) + ":" + std::to_string(model.adapters.size());
+    this->log.info("event=worker worker=" + transport::escapeForLog(entry->id) + " service=" + transport::escapeForLog(entry->service) + " address=" + transport::toString(entry->address)
         + " state=" + (entry->draining ? "leaving" : "ready") + " started=" + std::to_string(entry->startedAt) + " models=" + models + " cached=" + std::to_string(entry->onDisk.size())
         + " era=" + std::to_string(era) + " offset=" + std::to_string(record.offset));
     return true;
@@ -394,7 +386,7 @@
     for (const auto& record : page.records) {
         auto member = record.value ? decodeMember(*record.value) : std::nullopt;
         if (record.value && !member)
-            this->log.warn("event=member_unreadable node=" + record.key + " offset=" + std::to_string(record.offset));
+            this->log.warn("event=member_unreadable node=" + transport::escapeForLog(record.key) + " offset=" + std::to_string(record.offset));
         members.records.push_back({ record.key, member });
     }
     this->onMembers(members);
--- a/protocol/src/completion_json.cpp
+++ b/protocol/src/completion_json.cpp
@@ -45,7 +45,7 @@
     if (const auto* stream = object.if_contains("stream"))
         request.stream = stream->is_bool() && stream->get_bool();
     if (const auto* tokens = object.if_contains("max_tokens"))
-        request.maxTokens = tokens->is_int64() && tokens->get_int64() > 0 ? static_cast<uint32_t>(tokens->get_int64()) : 0;
+        request.maxTokens = static_cast<uint32_t>(std::min<uint64_t>(toNumber(*tokens).value_or(0), UINT32_MAX));
     auto prompt = promptText(object);
     request.promptBytes = static_cast<uint32_t>(prompt.size());
     request.prefixHash = contentHash(std::string_view(prompt).substr(0, hashedPrefixBytes));
@@ -53,6 +53,19 @@
     return request;
 }
 
+std::optional<uint64_t> toNumber(const json::value& value)
+{
+    json::error_code error;
+    auto number = value.to_number<uint64_t>(error);
+    return error ? std::nullopt : std::optional(number);
+}
+
+uint64_t readNumber(const json::object& object, std::string_view key)
+{
+    const auto* value = object.if_contains(json::string_view(key.data(), key.size()));
+    return value == nullptr ? 0 : toNumber(*value).value_or(0);
+}
+
 std::string jsonQuote(std::string_view text)
 {
     return json::serialize(json::string(text.data(), text.size()));
--- a/protocol/src/engine_http.cpp
+++ b/protocol/src/engine_http.cpp
@@ -24,17 +24,6 @@
         return std::move(value.get_object());
     }
 
-    /// Returns the number at `key`, or 0 if it is missing or not a non-negative integer.
-    uint64_t readNumber(const json::object& object, std::string_view key)
-    {
-        const auto* value = object.if_contains(json::string_view(key.data(), key.size()));
-        if (!value)
-            return 0;
-        json::error_code error;
-        auto result = value->to_number<uint64_t>(error);
-        return error ? 0 : result;
-    }
-
     /// Reads the field `items`. Elements without a name are skipped.
     void readItems(const json::object& object, EngineReport& report)
     {
@@ -59,10 +48,8 @@
         if (!copies || !copies->is_array())
             return;
         for (const auto& copy : copies->get_array()) {
-            json::error_code error;
-            auto value = copy.to_number<uint64_t>(error);
-            if (!error)
-                report.arrivedCopies.push_back(value);
+            if (auto value = toNumber(copy))
+                report.arrivedCopies.push_back(*value);
         }
     }
 
--- a/protocol/src/ini_values.cpp
+++ b/protocol/src/ini_values.cpp
@@ -1,9 +1,6 @@
 /// Parses and formats the values of INI files: numbers, sizes, durations, flags, names and lists.
 #include "protocol_p.h"
 
-#include <charconv>
-#include <cmath>
-
 namespace comfreypier::protocol {
 
 namespace {
@@ -39,20 +36,12 @@
 
 std::optional<int64_t> parseInteger(std::string_view text)
 {
-    int64_t value = 0;
-    auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (error != std::errc {} || end != text.data() + text.size())
-        return std::nullopt;
-    return value;
+    return transport::parseNumber<int64_t>(text);
 }
 
 std::optional<double> parseDecimal(std::string_view text)
 {
-    double value = 0;
-    auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (error != std::errc {} || end != text.data() + text.size() || !std::isfinite(value) || value < 0)
-        return std::nullopt;
-    return value;
+    return transport::parseDecimal(text);
 }
 
 std::optional<uint64_t> parseBytes(std::string_view text)
--- a/protocol/src/log_http.cpp
+++ b/protocol/src/log_http.cpp
@@ -1,7 +1,6 @@
 /// HTTP client of the platform's log service. Records are framed by offset and size; reads use long polling.
 #include "protocol_p.h"
 
-#include <charconv>
 #include <cstring>
 
 namespace comfreypier::protocol {
@@ -51,12 +50,10 @@
             return LogError::Unavailable;
         if (response.value().status != 200)
             return LogError::NoAnswer;
-        Offset offset = 0;
-        const auto& body = response.value().body;
-        auto [end, error] = std::from_chars(body.data(), body.data() + body.size(), offset);
-        if (error != std::errc {})
+        auto offset = transport::parseNumber<Offset>(trim(response.value().body));
+        if (!offset)
             return LogError::NoAnswer;
-        return offset;
+        return *offset;
     }
 
     /// See `LogService::read`.
--- a/protocol/src/sse.cpp
+++ b/protocol/src/sse.cpp
@@ -1,8 +1,6 @@
 /// Parses streams of server-sent events.
 #include "protocol_p.h"
 
-#include <charconv>
-
 namespace comfreypier::protocol {
 
 namespace {
@@ -23,11 +21,8 @@
         if (line.starts_with("data:")) {
             event.data = fieldValue(line, 5);
         } else if (line.starts_with("id:")) {
-            auto text = fieldValue(line, 3);
-            uint64_t id = 0;
-            auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), id);
-            if (error == std::errc {} && end == text.data() + text.size())
-                event.id = id;
+            if (auto id = transport::parseNumber<uint64_t>(fieldValue(line, 3)))
+                event.id = *id;
         }
     }
 
--- a/protocol/src/vmlist_http.cpp
+++ b/protocol/src/vmlist_http.cpp
@@ -45,8 +45,7 @@
         vm.endpoint = endpoint.value();
         vm.dataCentre = readString(object, "data_centre");
         vm.leaving = readString(object, "state") == "leaving";
-        if (const auto* capacity = object.if_contains("capacity"); capacity && capacity->is_number())
-            vm.capacity = capacity->to_number<uint64_t>();
+        vm.capacity = readNumber(object, "capacity");
         return vm;
     }
 
--- a/tests/unit/edge_faults_test.cpp
+++ b/tests/unit/edge_faults_test.cpp
@@ -823,3 +823,51 @@
         cr_assert_eq(runs(), before, "%s", fields);
     }
 }
+
+// Answers with a status from 100 to 199 announce the worker's answer. They are none, and must not hide it.
+CLUSTER_TEST(interim_answers_do_not_hide_the_answer, 12100)
+{
+    std::atomic<bool> switches { false };
+    auto serve = [&](int connection) {
+        for (auto bytes = RawPeer::readRequest(connection); !bytes.empty(); bytes = RawPeer::readRequest(connection)) {
+            auto id = TestCluster::requestId(bytes);
+            RawPeer::write(connection, switches ? "HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\n\r\n" : "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n");
+            std::this_thread::sleep_for(milliseconds { 20 });
+            RawPeer::write(connection, answer(id));
+        }
+    };
+    cluster.useRawWorker(0, "app", serve);
+    cluster.configureAndWait();
+    cr_assert(cluster.waitUntil([&] { return cluster.sendRequest("/order/1", "id-wait").status != 503; }));
+    for (int i = 0; i < 20; i++) {
+        auto id = "id-" + std::to_string(i);
+        auto response = cluster.sendRequest(i % 2 == 0 ? "/order/1" : "/status/1", id);
+        cr_assert(response.status == 200 && response.body == id, "request %d: %u %s", i, response.status, response.body.c_str());
+    }
+    switches = true;
+    auto response = cluster.sendRequest("/order/1", "id-switched");
+    cr_assert_eq(response.status, 502U, "%u %s", response.status, response.body.c_str());
+}
+
+// A caller's id must not look like further fields of a log line.
+CLUSTER_TEST(names_of_others_stand_escaped_in_logs, 12200)
+{
+    transport::setUpLogging(transport::LogLevel::Info, {});
+    cluster.configureAndWait();
+    cr_assert(cluster.waitUntil([&] { return cluster.sendRequest("/status/1", "id-first").status == 200; }));
+    auto path = "/tmp/comfreypier-log-" + std::to_string(::getpid());
+    auto* file = std::fopen(path.c_str(), "w+");
+    std::fflush(stdout);
+    int standardOutput = ::dup(STDOUT_FILENO);
+    ::dup2(::fileno(file), STDOUT_FILENO);
+    cluster.sendRequest("/status/1", "id-odd outcome=forged");
+    std::this_thread::sleep_for(milliseconds { 100 });
+    ::dup2(standardOutput, STDOUT_FILENO);
+    std::rewind(file);
+    std::string text(64 * 1024, '\0');
+    text.resize(std::fread(text.data(), 1, text.size(), file));
+    std::fclose(file);
+    std::remove(path.c_str());
+    cr_assert_neq(text.find("id=id-odd"), std::string::npos, "the request is not logged: %s", text.c_str());
+    cr_assert_eq(text.find(" outcome=forged"), std::string::npos, "%s", text.c_str());
+}
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -273,6 +273,16 @@
     }));
 }
 
+// A time limit that no clock can hold must not wrap around: the request would be late on arrival.
+Test(requests, absurd_time_limits_are_bounded)
+{
+    for (const auto* text : { "9223372036854775807", "99999999999999999999999999", "9223372036855" }) {
+        auto head = decodeRequestHead({ "POST", "/", { { "Deadline-Ms", text } }, "" });
+        cr_assert(head.remainingTime && *head.remainingTime == transport::maxForeignDuration, "%s", text);
+    }
+    cr_assert_eq(decodeRequestHead({ "POST", "/", { { "Deadline-Ms", "-5" } }, "" }).remainingTime->count(), 0);
+}
+
 Test(requests, headers_are_decoded)
 {
     transport::HttpRequest request { "POST", "/p/1", { { "Attempt-Id", "x" }, { "Model", "m/a3" }, { "Token-Count", "1460,80" }, { "Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250" }, { "Deadline-Ms", "5000" } }, "b" };
--- a/tests/unit/protocol_test.cpp
+++ b/tests/unit/protocol_test.cpp
@@ -152,6 +152,24 @@
     }));
 }
 
+// Numbers of others that the fields can't hold must neither wrap around nor end the process.
+Test(parsers, numbers_of_any_size_are_bounded)
+{
+    auto maxTokens = [](const std::string& number) { return parseCompletion(R"({"model":"m","max_tokens":)" + number + "}").value().maxTokens; };
+    cr_assert_eq(maxTokens("7"), 7U);
+    cr_assert_eq(maxTokens("4294967301"), UINT32_MAX);
+    cr_assert_eq(maxTokens("18446744073709551615"), UINT32_MAX);
+    for (const auto* number : { "-1", "1.5", "1e300", "-1e300", "\"7\"", "18446744073709551616" }) {
+        cr_assert_eq(maxTokens(number), 0U, "%s", number);
+        auto vms = parseVmList(std::string(R"([{"name":"w","role":"worker","endpoint":"127.0.0.1:1","capacity":)") + number + "}]");
+        cr_assert(vms && vms->size() == 1 && vms->front().capacity == 0, "%s", number);
+    }
+    SseParser parser;
+    cr_assert(feedSse(parser, "id: 18446744073709551616\ndata: x\n\n").has_value());
+    SseEvent event;
+    cr_assert(nextSseEvent(parser, event) && !event.id);
+}
+
 // Guards against a request whose JSON is nested too deeply. The parser must reject it as bad JSON.
 Test(parsers, reject_deeply_nested_json)
 {
--- a/tests/unit/transport_test.cpp
+++ b/tests/unit/transport_test.cpp
@@ -470,6 +470,71 @@
     cr_assert(runtime.stop(std::chrono::seconds { 5 }));
 }
 
+// A peer may announce any idle timeout. One that no clock can hold must not wrap around, and so keep its connections from being reused.
+Test(http_client, absurd_idle_timeouts_of_peers_are_bounded)
+{
+    signal(SIGPIPE, SIG_IGN);
+    constexpr uint16_t peerPort = 26987;
+    const std::vector<std::pair<std::string, bool>> cases {
+        // With whether the connection is reused.
+        { "timeout=5", true },
+        { "timeout=5, max=100", true },
+        { "timeout=9223372036", true },
+        { "timeout=9223372037", true },
+        { "timeout=18446744074", true },
+        { "timeout=9223372036854775807", true },
+        { "timeout=99999999999999999999999999", true },
+        { "timeout=-9223372036854775808", true }, // No number: as if nothing was announced.
+        { "timeout=", true },
+        { "timeout=0", false },
+    };
+    std::atomic<size_t> current { 0 };
+    std::atomic<int> connections { 0 };
+    standins::RawPeer peer(peerPort, [&](int connection) {
+        connections++;
+        while (!standins::RawPeer::readRequest(connection).empty())
+            standins::RawPeer::write(connection, "HTTP/1.1 200 OK\r\nKeep-Alive: " + cases[current].first + "\r\nContent-Length: 2\r\n\r\nok");
+    });
+    Runtime runtime(1);
+    HttpClient client;
+    std::atomic<bool> done { false };
+    std::string failures;
+    runtime.spawn([&] {
+        for (; current < cases.size(); current++) {
+            client.closeIdleConnections({ "127.0.0.1", peerPort });
+            connections = 0;
+            for (int i = 0; i < 3; i++)
+                cr_assert(client.call({ "127.0.0.1", peerPort }, { "GET", "/", {}, "" }, {}).has_value());
+            if ((connections == 1) != cases[current].second)
+                failures += "\n" + cases[current].first + ": " + std::to_string(connections) + " connections";
+        }
+        done = true;
+    });
+    while (!done)
+        std::this_thread::sleep_for(std::chrono::milliseconds { 10 });
+    cr_assert(failures.empty(), "%s", failures.c_str());
+    cr_assert(runtime.stop(std::chrono::seconds { 5 }));
+}
+
+// Guards against durations of others that overflow, and against names of others that look like further fields or lines of the log.
+Test(foreign_values, numbers_are_bounded_and_names_are_one_word)
+{
+    using namespace std::chrono_literals;
+    const std::vector<std::pair<std::string, std::optional<std::chrono::milliseconds>>> durations {
+        { "0", 0ms }, { "5", 5s }, { "86400", 24h }, { "86401", 24h }, { "9223372036854775807", 24h }, { "9223372036854775808", 24h },
+        { "99999999999999999999999999", 24h }, { "-1", 0ms }, { "-99999999999999999999", 0ms }, { "", std::nullopt }, { "-", std::nullopt },
+        { "--1", std::nullopt }, { "1-", std::nullopt }, { "+1", std::nullopt }, { "1.5", std::nullopt }, { "1e3", std::nullopt }, { " 1", std::nullopt }
+    };
+    for (const auto& [text, expected] : durations)
+        cr_assert(parseForeignDuration(text, 1s) == expected, "%s", text.c_str());
+    cr_assert_eq(parseNumber<uint16_t>("65536").has_value(), false);
+    cr_assert_eq(parseNumber<uint64_t>("-1").has_value(), false);
+    cr_assert_eq(parseNumber<uint64_t>("ff", 16).value(), 255U);
+    cr_assert_eq(escapeForLog("worker-1/a:b=c"), "worker-1/a:b=c");
+    cr_assert_eq(escapeForLog(std::string("a b\n\"\\\x7f\xe9\0", 9)), "a\\x20b\\x0a\\x22\\x5c\\x7f\\xe9\\x00");
+    cr_assert_eq(escapeForLog(std::string(100'000, 'a')).size(), maxLoggedNameBytes + 3);
+}
+
 // A peer that crashes resets its connections while they are in use. That says nothing about the idle timeout of other peers, whose
 // connections must stay in use: opening new ones costs time and slots there.
 Test(http_client, crash_of_one_peer_does_not_close_connections_to_others)
--- a/transport/include/transport/transport.h
+++ b/transport/include/transport/transport.h
@@ -7,11 +7,14 @@
 #include <atomic>
 #include <boost/outcome/basic_result.hpp>
 #include <boost/outcome/policy/terminate.hpp>
+#include <charconv>
 #include <chrono>
+#include <concepts>
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -96,6 +99,39 @@
 /// Returns true if the connection was never established. The peer has then received no byte of the request.
 bool isConnectError(IoError error);
 
+// Numbers and names of others
+
+/// Longest duration that another party may name; a longer one counts as this one. Sums with times of any clock don't overflow.
+constexpr std::chrono::hours maxForeignDuration { 24 };
+
+/// Reads a number that another party sent as text.
+/// @return nothing unless the whole text is a number that the type can hold.
+template <std::integral Number>
+std::optional<Number> parseNumber(std::string_view text, int base = 10)
+{
+    Number number = 0;
+    auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number, base);
+    if (error != std::errc {} || end != text.data() + text.size())
+        return std::nullopt;
+    return number;
+}
+
+/// Reads a decimal number that another party sent as text.
+/// @return nothing unless the whole text is a finite number from 0.
+std::optional<double> parseDecimal(std::string_view text, std::chars_format format = std::chars_format::general);
+
+/// Reads a duration that another party sent as text, from 0 to `maxForeignDuration`.
+/// @param unit of the number in the text.
+/// @return nothing unless the whole text is a whole number.
+std::optional<std::chrono::milliseconds> parseForeignDuration(std::string_view text, std::chrono::milliseconds unit);
+
+/// Maximum number of bytes of a name in a log line.
+constexpr size_t maxLoggedNameBytes = 160;
+
+/// Returns a name that another party chose as one word of a log line: other bytes than visible ASCII become `\xHH`, as do backslashes
+/// and quotes; the rest of a long name becomes `...`.
+std::string escapeForLog(std::string_view name);
+
 // Runtime: I/O threads, fibers, clocks and signals
 
 /// IP address and port of a listener.
@@ -474,7 +510,7 @@
 /// @return false if `text` is none of these; `level` is then unchanged.
 bool parseLogLevel(std::string_view text, LogLevel& level);
 
-/// Writes log lines with the name of a part as prefix.
+/// Writes log lines with the name of a part as prefix. Control characters become `\xHH`.
 class Log {
 public:
     explicit Log(const char* part);
--- a/transport/src/http_client_beast.cpp
+++ b/transport/src/http_client_beast.cpp
@@ -1,7 +1,6 @@
 /// HTTP/1.1 client over Boost.Beast with a pool of idle connections per thread.
 #include "transport_p.h"
 
-#include <charconv>
 #include <deque>
 #include <map>
 #include <netinet/tcp.h>
@@ -41,19 +40,16 @@
 
     /// Returns how long a connection may stay in the pool: the timeout that the peer announced in its Keep-Alive header, minus
     /// `idleTimeoutMargin`, but at most `clientIdleTimeout`.
-    std::chrono::nanoseconds pooledIdleTime(std::string_view keepAlive)
+    std::chrono::milliseconds pooledIdleTime(std::string_view keepAlive)
     {
         constexpr std::string_view key = "timeout=";
         auto start = keepAlive.find(key);
-        int64_t seconds = 0;
         if (start == std::string_view::npos)
             return clientIdleTimeout;
         auto digits = keepAlive.substr(start + key.size());
-        auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
-        if (error != std::errc {})
-            return clientIdleTimeout;
-        std::chrono::nanoseconds announcedTimeout = std::chrono::seconds { seconds } - idleTimeoutMargin;
-        return std::min<std::chrono::nanoseconds>(announcedTimeout, clientIdleTimeout);
+        digits = digits.substr(0, digits.find_first_not_of("0123456789"));
+        auto announced = parseForeignDuration(digits, std::chrono::seconds { 1 });
+        return announced ? std::min(*announced - idleTimeoutMargin, clientIdleTimeout) : clientIdleTimeout;
     }
 
     /// The message refers to the body of `request`, which bodies of some megabytes would otherwise copy.
@@ -496,9 +492,8 @@
         return IoError::Malformed;
     Endpoint endpoint;
     endpoint.address = std::string(text.substr(0, colon));
-    auto port = text.substr(colon + 1);
-    auto [end, error] = std::from_chars(port.data(), port.data() + port.size(), endpoint.port);
-    if (error != std::errc {} || end != port.data() + port.size() || endpoint.port == 0)
+    endpoint.port = parseNumber<uint16_t>(text.substr(colon + 1)).value_or(0);
+    if (endpoint.port == 0)
         return IoError::Malformed;
     ErrorCode addressError;
     asio::ip::make_address(endpoint.address, addressError);
--- a/transport/src/http_server_beast.cpp
+++ b/transport/src/http_server_beast.cpp
@@ -429,7 +429,7 @@
             this->handler(request, writer);
             return true;
         } catch (const std::exception& exception) {
-            this->log.error(std::string("event=unexpected_error method=") + request.method + " path=" + std::string(targetPath(request.target)) + " error=\"" + exception.what() + "\"");
+            this->log.error(std::string("event=unexpected_error method=") + request.method + " path=" + escapeForLog(targetPath(request.target)) + " error=\"" + exception.what() + "\"");
             writer.abort();
             return false;
         }
--- a/transport/src/logging_log4cxx.cpp
+++ b/transport/src/logging_log4cxx.cpp
@@ -84,6 +84,29 @@
 
 namespace {
 
+    bool isControl(unsigned char byte)
+    {
+        return byte < 0x20 || byte == 0x7f;
+    }
+
+    void appendEscaped(std::string& out, unsigned char byte)
+    {
+        std::array<char, 8> text {};
+        std::snprintf(text.data(), text.size(), "\\x%02x", byte);
+        out += text.data();
+    }
+
+    /// Returns a line in which control characters are escaped.
+    std::string toLine(const std::string& text)
+    {
+        if (std::none_of(text.begin(), text.end(), isControl))
+            return text;
+        std::string line;
+        for (char byte : text)
+            isControl(static_cast<unsigned char>(byte)) ? appendEscaped(line, static_cast<unsigned char>(byte)) : line.push_back(byte);
+        return line;
+    }
+
     log4cxx::LevelPtr toLevel(LogLevel level)
     {
         switch (level) {
@@ -131,6 +154,16 @@
     return false;
 }
 
+std::string escapeForLog(std::string_view name)
+{
+    std::string word;
+    for (char byte : name.substr(0, maxLoggedNameBytes)) {
+        bool isVisible = byte > ' ' && byte < '\x7f' && byte != '"' && byte != '\\';
+        isVisible ? word.push_back(byte) : appendEscaped(word, static_cast<unsigned char>(byte));
+    }
+    return name.size() > maxLoggedNameBytes ? word + "..." : word;
+}
+
 Log::Log(const char* part)
     : part(part)
 {
@@ -138,22 +171,22 @@
 
 void Log::debug(const std::string& text) const
 {
-    LOG4CXX_DEBUG(log4cxx::Logger::getLogger(this->part), text);
+    LOG4CXX_DEBUG(log4cxx::Logger::getLogger(this->part), toLine(text));
 }
 
 void Log::info(const std::string& text) const
 {
-    LOG4CXX_INFO(log4cxx::Logger::getLogger(this->part), text);
+    LOG4CXX_INFO(log4cxx::Logger::getLogger(this->part), toLine(text));
 }
 
 void Log::warn(const std::string& text) const
 {
-    LOG4CXX_WARN(log4cxx::Logger::getLogger(this->part), text);
+    LOG4CXX_WARN(log4cxx::Logger::getLogger(this->part), toLine(text));
 }
 
 void Log::error(const std::string& text) const
 {
-    LOG4CXX_ERROR(log4cxx::Logger::getLogger(this->part), text);
+    LOG4CXX_ERROR(log4cxx::Logger::getLogger(this->part), toLine(text));
 }
 
 } // namespace comfreypier::transport
