Heartbeats that one datagram can't hold are split, and none is dropped unseen

A VM that reads the news of hundreds of workers at once forwarded none of it.

Cause: all records that wait to be forwarded, each five times, went into every heartbeat. Beyond 60 KiB DatagramSocket::send dropped it without a word, with the loads and everything else that it carries; after five heartbeats the records were gone from the queue.

Evidence, the test on the code before:

peers_test.cpp:278: the group got the news of 1 of 500 workers [FAIL] edge::news_of_hundreds_of_workers_reach_the_group: (4.28s)

Now - ForwardQueue puts at most 16 KiB of records into a heartbeat, first those that were sent least, and the next heartbeat follows after the minimum gap while some are unsent. No field is added to the messages. - A heartbeat names at most 200 missing items; those held back, split heartbeats and datagrams that the socket does not take (also with a full send buffer) are counted, dropped ones logged every 10 s at most.

A summary or a state beyond 60 KiB is still one datagram, which is counted and logged when it is dropped.

--- a/edge/src/counters.h
+++ b/edge/src/counters.h
@@ -52,6 +52,9 @@
     StoreFailures,
     BeatsSent, ///< Heartbeats sent to other VMs.
     BeatBytesSent, ///< Bytes of these heartbeats.
+    BeatsDropped, ///< Heartbeats that the socket did not take: too large, or its buffer was full.
+    BeatsSplit, ///< Heartbeats that were sent as several datagrams.
+    MissingItemsHeldBack, ///< Missing items beyond those that a heartbeat names, once for each heartbeat.
     BeatsReceived, ///< Decodable heartbeats received from other VMs.
     Orders, ///< Load and unload orders sent to workers.
     ConfigurationsApplied,
--- a/edge/src/fleet.cpp
+++ b/edge/src/fleet.cpp
@@ -240,10 +240,11 @@
 
 void Fleet::applyHeartbeat(const std::string& peer, const Heartbeat& heartbeat)
 {
-    if (heartbeat.partial)
+    if (heartbeat.partial && heartbeat.sentPrefixes.empty())
         return;
     std::lock_guard lock(this->mutex);
-    this->replacePeerLoad(peer, heartbeat, monotonicNow());
+    if (!heartbeat.partial)
+        this->replacePeerLoad(peer, heartbeat, monotonicNow());
     for (const auto& prefix : heartbeat.sentPrefixes) {
         auto workerId = this->workerIds.find(prefix.worker);
         auto found = workerId == this->workerIds.end() ? this->workers.end() : this->workers.find(workerId->second);
--- a/edge/src/forward_tracker.cpp
+++ b/edge/src/forward_tracker.cpp
@@ -6,7 +6,8 @@
 
 void ForwardTracker::record(const Heartbeat& heartbeat, Time now)
 {
-    auto known = std::exchange(this->forwarded, heartbeat.forwardedCount);
+    auto known = this->forwarded;
+    this->forwarded = std::max(known.value_or(0), heartbeat.forwardedCount);
     auto arrived = std::count_if(heartbeat.forwardedEntries.begin(), heartbeat.forwardedEntries.end(), [&known](const auto& entry) { return known && entry.number > *known; });
     bool complete = known && *known + static_cast<uint64_t>(arrived) >= heartbeat.forwardedCount;
     if (!complete)
--- a/edge/src/forward_tracker.h
+++ b/edge/src/forward_tracker.h
@@ -11,7 +11,8 @@
 /// that have not arrived by then are lost, and the worker stream must be read for them.
 class ForwardTracker {
 public:
-    /// Records a full heartbeat of the peer. Records that it forwarded before the first one count as lost.
+    /// Records a heartbeat of the peer that carries records or their number: a full one, or a part of one. Records that it forwarded before the
+    /// first one count as lost.
     void record(const Heartbeat& heartbeat, Time now);
     /// Returns whether all records that the peer has read are known.
     /// @param ownReadAt when this VM's last complete read of the worker stream began.
--- a/edge/src/heartbeat_codec.h
+++ b/edge/src/heartbeat_codec.h
@@ -76,8 +76,8 @@
     ownership::LogPosition leasePosition; ///< From the lease holder: position of the newest lease record.
     uint64_t storeEra = 0; ///< Newest era of the store that the VM knows of; 0 from VMs that know none.
     uint64_t configVersion = 0; ///< Version of the configuration in force, or 0.
-    /// Sent for an urgent change. Of the lists it carries only the missing items and, from the lease holder, the newest changes of
-    /// `resident`; the others are empty.
+    /// Sent for an urgent change, or part of a full heartbeat, see `splitHeartbeat`. Loads, outcomes and demand are left out and stay as they
+    /// are. For an urgent change it carries only the missing items and, from the lease holder, the newest changes of `resident`.
     bool partial = false;
     bool readsWorkers = false; ///< The VM has recently read the worker stream and forwards its new records.
     std::vector<ForwardedEntry> forwardedEntries; ///< Records of the worker stream, each in `forwardRepeats` heartbeats.
--- a/edge/src/peers.cpp
+++ b/edge/src/peers.cpp
@@ -1,5 +1,7 @@
 #include "peers.h"
 
+#include "heartbeat_split.h"
+
 #include <random>
 
 namespace comfreypier::edge {
@@ -22,6 +24,14 @@
     /// Minimum demand for a model that is sent to other VMs, in worker seconds per second.
     constexpr double minSentDemand = 0.005;
 
+    /// Maximum size of the worker records in a heartbeat. The rest follows in the next ones: the receive buffers of the other VMs hold a few
+    /// datagrams of the largest size only.
+    constexpr size_t maxForwardedBytes = 16 * 1024;
+    /// Maximum number of missing items that a heartbeat names. They are in each of its parts.
+    constexpr size_t maxSentMissingItems = 200;
+    /// Minimum interval between two log lines about dropped heartbeats.
+    constexpr std::chrono::seconds dropLogInterval { 10 };
+
     /// Time for which heartbeats of an unknown member come before the members are read on a new connection. Longer than a read usually
     /// takes to learn of it.
     constexpr milliseconds unknownMemberDelay { 1500 };
@@ -154,8 +164,7 @@
 {
     {
         std::lock_guard lock(this->mutex);
-        this->forwardQueue.emplace_back(entry, forwardRepeats);
-        this->forwardQueue.back().first.number = ++this->forwardedCount;
+        this->forwardQueue.push(entry);
     }
     this->sendHeartbeat();
 }
@@ -208,8 +217,12 @@
         heartbeat.leaveReports = this->vm.fleet.takeLeaveReports(monotonicNow());
     }
     std::lock_guard lock(this->mutex);
-    for (const auto& [item, count] : this->missingItems)
-        heartbeat.missingItems.push_back(item);
+    for (const auto& [item, count] : this->missingItems) {
+        if (heartbeat.missingItems.size() < maxSentMissingItems)
+            heartbeat.missingItems.push_back(item);
+        else
+            increment(this->vm.counters, CountedEvent::MissingItemsHeldBack);
+    }
     heartbeat.leaseToken = this->leaseToken;
     heartbeat.leasePosition = this->leasePosition;
     if (partial)
@@ -218,12 +231,7 @@
         if (rate >= minSentDemand)
             heartbeat.demand[model] = rate;
     }
-    for (auto& [entry, remaining] : this->forwardQueue) {
-        heartbeat.forwardedEntries.push_back(entry);
-        remaining--;
-    }
-    heartbeat.forwardedCount = this->forwardedCount;
-    std::erase_if(this->forwardQueue, [](const auto& item) { return item.second <= 0; });
+    this->forwardQueue.fill(heartbeat, maxForwardedBytes);
     heartbeat.usedAdapters.assign(this->usedAdapters.begin(), this->usedAdapters.end());
     this->usedAdapters.clear();
     this->fillResident(heartbeat);
@@ -295,6 +303,14 @@
     heartbeat.outcomes.clear();
     this->sendTo(targets.crossGroup, heartbeat);
     this->sendSummary();
+    bool hasUnsent = false;
+    {
+        std::lock_guard lock(this->mutex);
+        hasUnsent = this->forwardQueue.hasUnsent();
+    }
+    // Sent after the minimum gap.
+    if (hasUnsent)
+        this->sendHeartbeat();
 }
 
 bool Peers::isGroupLeader(Time now) const
@@ -372,11 +388,24 @@
 {
     if (targets.empty())
         return;
-    auto bytes = encodeHeartbeat(heartbeat);
-    for (const auto& target : targets)
-        this->socket.send(target, bytes);
-    increment(this->vm.counters, CountedEvent::BeatsSent, targets.size());
-    increment(this->vm.counters, CountedEvent::BeatBytesSent, targets.size() * bytes.size());
+    auto parts = splitHeartbeat(heartbeat, transport::maxDatagramBytes);
+    if (parts.size() > 1)
+        increment(this->vm.counters, CountedEvent::BeatsSplit);
+    for (size_t i = 0; i < parts.size(); i++) {
+        if (i > 0)
+            parts[i].sequence = ++this->sequence;
+        auto bytes = encodeHeartbeat(parts[i]);
+        auto sent = std::count_if(targets.begin(), targets.end(), [&](const auto& target) { return this->socket.send(target, bytes); });
+        increment(this->vm.counters, CountedEvent::BeatsSent, static_cast<size_t>(sent));
+        increment(this->vm.counters, CountedEvent::BeatBytesSent, static_cast<size_t>(sent) * bytes.size());
+        if (static_cast<size_t>(sent) == targets.size())
+            continue;
+        increment(this->vm.counters, CountedEvent::BeatsDropped, targets.size() - static_cast<size_t>(sent));
+        if (monotonicNow() - this->dropLoggedAt < dropLogInterval)
+            continue;
+        this->dropLoggedAt = monotonicNow();
+        this->log.warn("event=heartbeats_dropped bytes=" + std::to_string(bytes.size()) + " sent=" + std::to_string(sent) + " dropped=" + std::to_string(targets.size() - static_cast<size_t>(sent)));
+    }
 }
 
 Peers::Targets Peers::chooseTargets(Time now)
@@ -444,7 +473,7 @@
     // A partial heartbeat carries no demand.
     if (!heartbeat->partial)
         peer.demand = heartbeat->demand;
-    if (!heartbeat->partial && peer.inGroup)
+    if ((!heartbeat->partial || heartbeat->forwardedCount > 0) && peer.inGroup)
         peer.forwards.record(*heartbeat, monotonicNow());
     // The lease holder gets full heartbeats of all VMs. The loads of other groups are in their summaries already.
     if (!peer.inGroup) {
--- a/edge/src/peers.h
+++ b/edge/src/peers.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "crash_tracker.h"
+#include "forward_queue.h"
 #include "forward_tracker.h"
 
 #include <deque>
@@ -128,7 +129,7 @@
     /// Chooses the VMs that receive the next full heartbeat: the lease holder, because it plans by the demand, and the group. VMs of
     /// other groups take turns, some of them in each heartbeat. Sets `Peer::lastSentAt` of those chosen.
     Targets chooseTargets(Time now);
-    /// Sends a heartbeat to each of `targets` and counts it.
+    /// Sends a heartbeat to each of `targets`, in parts if it is too large for a datagram, and counts what was sent and what was dropped.
     void sendTo(const std::vector<transport::Endpoint>& targets, const Heartbeat& heartbeat);
     // The caller must hold the lock for the next six functions.
     /// Updates which peers are in this VM's group, after the members have changed.
@@ -194,8 +195,7 @@
     size_t groupPeerCount = 0; ///< Number of peers in this VM's group.
     placement::WorkAverage averageWork; ///< This VM's demand.
     std::map<MissingItem, uint32_t> missingItems; ///< With the number of requests that wait for each.
-    uint64_t forwardedCount = 0; ///< Number of records that were queued.
-    std::vector<std::pair<ForwardedEntry, int>> forwardQueue; ///< With the number of heartbeats that still carry each.
+    ForwardQueue forwardQueue;
     std::set<MissingItem> usedAdapters; ///< Since the last full heartbeat.
     // The next three are set by `setLeaseState`.
     uint64_t leaseToken = 0;
@@ -204,6 +204,7 @@
     std::map<std::string, Time> residentChangedAt; ///< When the items of a worker in `resident` last changed.
     std::string lastResidentSent; ///< Last worker that was sent in turn; the next heartbeat continues after it.
     bool heartbeatPending = false; ///< A full heartbeat is scheduled.
+    Time dropLoggedAt { -std::chrono::hours { 1 } }; ///< When dropped heartbeats were last logged.
     transport::Log log { "peers" };
 };
 
--- a/tests/unit/peers_test.cpp
+++ b/tests/unit/peers_test.cpp
@@ -1,7 +1,9 @@
 /// Tests of the heartbeats between VMs: a VM in this process among peers that the test simulates.
 #include "edge_world.h"
 #include "fleet.h"
+#include "forward_queue.h"
 #include "forward_tracker.h"
+#include "heartbeat_split.h"
 
 #include <rapidcheck.h>
 
@@ -44,6 +46,12 @@
     int receivedHeartbeats() const { return this->heartbeatCount; }
     /// Returns the number of worker records that these heartbeats forwarded; one that arrives several times counts each time.
     int receivedEntries() const { return this->entryCount; }
+    /// Returns how many workers these records were about.
+    size_t receivedWorkers()
+    {
+        std::lock_guard lock(this->mutex);
+        return this->workers.size();
+    }
 
 private:
     /// Sends the peers' heartbeats to `vm0`, until the process ends.
@@ -57,7 +65,7 @@
                 heartbeat.incarnation = this->incarnation;
                 heartbeat.sequence = sequence;
                 heartbeat.ready = true;
-                this->socket.send(loopback(this->cluster.base + 23), edge::encodeHeartbeat(heartbeat));
+                (void)this->socket.send(loopback(this->cluster.base + 23), edge::encodeHeartbeat(heartbeat));
             }
             transport::sleepFor(heartbeatPause);
         }
@@ -69,12 +77,16 @@
         cr_assert(heartbeat.has_value());
         this->heartbeatCount++;
         this->entryCount += static_cast<int>(heartbeat->forwardedEntries.size());
+        std::lock_guard lock(this->mutex);
+        for (const auto& entry : heartbeat->forwardedEntries)
+            this->workers.insert(entry.worker);
     }
 
     TestCluster& cluster;
     std::vector<std::string> names;
     std::mutex mutex;
     std::map<std::string, edge::Heartbeat> heartbeats; ///< What each peer sends. Guarded by `mutex`.
+    std::set<std::string> workers; ///< Of the records that the heartbeats to these peers forwarded. Guarded by `mutex`.
     std::atomic<uint64_t> incarnation { 1 };
     std::atomic<int> heartbeatCount { 0 };
     std::atomic<int> entryCount { 0 };
@@ -324,6 +336,139 @@
     cr_assert(absent.dropRemoved(now + seconds { 2 }).empty());
 }
 
+// Heartbeats that a datagram can't hold were dropped without a word, with all the news that they carry. Every part must fit, the parts must
+// carry each item once, and a receiver must notice each part that is lost.
+Test(heartbeat_split, parts_fit_a_datagram_and_carry_everything)
+{
+    constexpr uint64_t firstNumber = 1001;
+    edge::Heartbeat heartbeat;
+    heartbeat.node = "vm1";
+    heartbeat.sequence = 7;
+    heartbeat.readsWorkers = true;
+    heartbeat.leaseToken = 5;
+    for (uint64_t i = 0; i < 700; i++) {
+        auto name = "worker-" + std::to_string(i);
+        heartbeat.forwardedEntries.push_back({ name, std::string(i % 40 == 0 ? 8000 : 400, 'v'), i, firstNumber + i });
+        heartbeat.sentPrefixes.push_back({ edge::workerKey(name), i * 0x9e3779b97f4a7c15, 500 });
+        heartbeat.usedAdapters.push_back({ name, "model", "adapter-" + std::to_string(i) });
+        heartbeat.limitReports.push_back({ i, 5, milliseconds { 10 } });
+        for (int k = 0; k < 20; k++)
+            heartbeat.resident[name].insert("model/adapter-" + std::to_string(k));
+    }
+    heartbeat.forwardedCount = firstNumber + 699;
+    for (int i = 0; i < 2000; i++)
+        heartbeat.loads[static_cast<edge::WorkerKey>(i)] = { 1000, 20000, 7 };
+    heartbeat.demand["model"] = 3;
+    heartbeat.missingItems = { { "w", "m", "a" } };
+    cr_assert_gt(edge::encodeHeartbeat(heartbeat).size(), transport::maxDatagramBytes, "the heartbeat is small, so the test proves nothing");
+    auto parts = edge::splitHeartbeat(heartbeat, transport::maxDatagramBytes);
+    cr_assert_lt(parts.size(), 40);
+    std::set<uint64_t> numbers;
+    std::set<std::string> resident;
+    size_t prefixes = 0;
+    size_t adapters = 0;
+    size_t limits = 0;
+    for (size_t i = 0; i < parts.size(); i++) {
+        const auto& part = parts[i];
+        auto size = edge::encodeHeartbeat(part).size();
+        cr_assert_leq(size, transport::maxDatagramBytes, "part %zu has %zu bytes", i, size);
+        cr_assert(part.node == "vm1" && part.readsWorkers && part.leaseToken == 5 && part.missingItems.size() == 1);
+        cr_assert(part.partial == (i > 0) && part.loads.size() == (i == 0 ? 2000 : 0) && part.demand.size() == (i == 0 ? 1 : 0));
+        for (const auto& entry : part.forwardedEntries)
+            cr_assert(numbers.insert(entry.number).second && entry.number <= part.forwardedCount);
+        for (const auto& [worker, items] : part.resident)
+            cr_assert(resident.insert(worker).second && items.size() == 20);
+        prefixes += part.sentPrefixes.size();
+        adapters += part.usedAdapters.size();
+        limits += part.limitReports.size();
+    }
+    cr_assert(numbers.size() == 700 && resident.size() == 700 && prefixes == 700 && adapters == 700 && limits == 700);
+    // `lost` is the part that does not arrive; none for the last value.
+    for (size_t lost = 0; lost <= parts.size(); lost++) {
+        edge::ForwardTracker tracker;
+        edge::Heartbeat before;
+        before.forwardedCount = firstNumber - 1;
+        tracker.record(before, edge::Time { seconds { 1 } });
+        bool carriesEntries = lost < parts.size() && !parts[lost].forwardedEntries.empty();
+        for (size_t i = 0; i < parts.size(); i++) {
+            if (i != lost)
+                tracker.record(parts[i], edge::Time { seconds { 10 } });
+        }
+        edge::Heartbeat next;
+        next.forwardedCount = heartbeat.forwardedCount;
+        tracker.record(next, edge::Time { seconds { 10 } });
+        cr_assert_eq(tracker.isComplete(edge::Time { seconds { 5 } }), !carriesEntries, "part %zu", lost);
+    }
+    edge::Heartbeat small;
+    small.node = "vm1";
+    cr_assert_eq(edge::splitHeartbeat(small, transport::maxDatagramBytes).size(), 1U);
+    // A summary has loads only, and must not be followed by an empty one.
+    edge::Heartbeat summary;
+    summary.summaryOf = "dc";
+    for (int i = 0; i < 10'000; i++)
+        summary.loads[static_cast<edge::WorkerKey>(i)] = { 1000, 20000, 7 };
+    cr_assert_eq(edge::splitHeartbeat(summary, transport::maxDatagramBytes).size(), 1U);
+}
+
+// However many records there are at once, each must be sent in as many heartbeats as promised, none may be overtaken by repeated ones, and
+// a receiver that gets all heartbeats must need no read of its own.
+Test(forward_queue, records_are_sent_in_order_and_within_the_bound)
+{
+    cr_assert(rc::check("", [] {
+        constexpr size_t maxBytes = 1000;
+        edge::ForwardQueue queue;
+        edge::ForwardTracker tracker;
+        tracker.record({}, edge::Time { seconds { 1 } });
+        std::map<uint64_t, int> sends; // By number of the record.
+        uint64_t pushed = 0;
+        for (int round = 0; round < 200; round++) {
+            for (int count = round < 30 ? *rc::gen::inRange(0, 12) : 0; count > 0; count--, pushed++)
+                queue.push({ "w", std::string(*rc::gen::inRange<size_t>(0, 1300), 'v'), pushed, 0 });
+            edge::Heartbeat heartbeat;
+            queue.fill(heartbeat, maxBytes);
+            tracker.record(heartbeat, edge::Time { seconds { 10 } });
+            size_t bytes = 0;
+            bool unsentLeft = sends.size() < pushed;
+            for (const auto& entry : heartbeat.forwardedEntries) {
+                bytes += entry.worker.size() + entry.value.size();
+                sends[entry.number]++;
+            }
+            RC_ASSERT((bytes <= maxBytes || heartbeat.forwardedEntries.size() == 1));
+            RC_ASSERT(heartbeat.forwardedCount == sends.size());
+            RC_ASSERT((sends.empty() || sends.rbegin()->first == sends.size()));
+            RC_ASSERT((!unsentLeft || !heartbeat.forwardedEntries.empty()));
+            RC_ASSERT(queue.hasUnsent() == (sends.size() < pushed));
+            RC_ASSERT(tracker.isComplete(edge::Time { seconds { 5 } }));
+        }
+        while (true) {
+            edge::Heartbeat heartbeat;
+            queue.fill(heartbeat, maxBytes);
+            if (heartbeat.forwardedEntries.empty())
+                break;
+            for (const auto& entry : heartbeat.forwardedEntries)
+                sends[entry.number]++;
+        }
+        RC_ASSERT(sends.size() == pushed);
+        for (const auto& [number, count] : sends)
+            RC_ASSERT(count == edge::forwardRepeats);
+    }));
+}
+
+// The same for a VM that reads the news of hundreds of workers at once: its group must get them all.
+CLUSTER_TEST(news_of_hundreds_of_workers_reach_the_group, 12300)
+{
+    constexpr size_t workerCount = 500;
+    SimulatedPeers peers(cluster, 12350, { "near0", "near1" }, "dc");
+    cluster.configureAndWait();
+    std::this_thread::sleep_for(milliseconds { 1500 });
+    for (size_t i = 0; i < workerCount; i++)
+        cluster.store.write("keyed.servers", "many" + std::to_string(i), R"({"service":"other","addr":"127.0.0.1:9","zone":"dc","version":")" + std::string(300, 'v') + R"(","slots":8,"state":"draining","born":1,"models":[]})");
+    auto complete = [&] { return peers.receivedWorkers() >= workerCount; };
+    cr_assert(cluster.waitUntil(complete, milliseconds { 2500 }), "the group got the news of %zu of %zu workers", peers.receivedWorkers(), workerCount);
+    auto metrics = cluster.call(cluster.metrics(), { "GET", "/metrics", {}, {} }).value().body;
+    cr_assert_neq(metrics.find("event=\"beats_dropped\"} 0\n"), std::string::npos, "heartbeats were dropped: %s", metrics.c_str());
+}
+
 // After a restart a VM knows the workers from the store only. A peer may still forward the record of a worker that has left since; the
 // worker must not be used again.
 Test(edge, worker_that_left_before_a_restart_is_not_used_again, .timeout = 40)
--- a/tests/unit/transport_test.cpp
+++ b/tests/unit/transport_test.cpp
@@ -137,7 +137,7 @@
         cr_assert_not(client.call({ "127.0.0.1", port }, { "GET", "/bad", {}, "" }, {}).has_value());
         cr_assert_eq(client.call({ "127.0.0.1", port }, { "GET", "/good", {}, "" }, {}).value().status, 200U);
         for (const auto* bytes : { "bad", "good" }) {
-            socket.send({ "127.0.0.1", port }, bytes);
+            cr_assert(socket.send({ "127.0.0.1", port }, bytes));
             sleepFor(std::chrono::milliseconds { 50 });
         }
         done = true;
--- a/transport/include/transport/transport.h
+++ b/transport/include/transport/transport.h
@@ -469,9 +469,10 @@
     /// Binds the address and starts the receiving fiber. Blocks until the address is bound, so it must not be called on an I/O thread.
     /// @return false if the address can't be bound.
     bool start();
-    /// Sends without waiting. The datagram is dropped if it is too large or the socket's send buffer is full. `start` must have
-    /// succeeded before.
-    void send(const Endpoint& to, std::string_view bytes);
+    /// Sends without waiting. `start` must have succeeded before.
+    /// @return false if the datagram was dropped: it is larger than `maxDatagramBytes`, the socket's send buffer is full, or the system
+    /// refused it.
+    [[nodiscard]] bool send(const Endpoint& to, std::string_view bytes);
     /// Closes the socket and ends the receiving fiber.
     void stop();
 
--- a/transport/src/datagram_asio.cpp
+++ b/transport/src/datagram_asio.cpp
@@ -85,12 +85,14 @@
     return bindResult == 1;
 }
 
-void DatagramSocket::send(const Endpoint& to, std::string_view bytes)
+bool DatagramSocket::send(const Endpoint& to, std::string_view bytes)
 {
     ErrorCode error;
     auto address = asio::ip::make_address(to.address, error);
-    if (!error && bytes.size() <= maxDatagramBytes)
-        this->impl->socket->send_to(asio::buffer(bytes.data(), bytes.size()), Udp::endpoint(address, to.port), 0, error);
+    if (error || bytes.size() > maxDatagramBytes)
+        return false;
+    this->impl->socket->send_to(asio::buffer(bytes.data(), bytes.size()), Udp::endpoint(address, to.port), 0, error);
+    return !error;
 }
 
 void DatagramSocket::stop()
