Idle connections to a worker are closed when it goes

What was seen: connections to a worker that is gone stayed open at its address, where they count against the limit of whatever comes there next, and kept their descriptors.

Cause: the pool looked at a connection only when the next request to the same address wanted one. For a worker that is gone there is none, so not even the idle timeout of 20 s applied.

Evidence, before:

edge_faults_test.cpp:658: 4 connections to the worker are open [FAIL] edge::idle_connections_close_when_their_worker_goes: (3.05s) transport_test.cpp:609: the connection is still open [FAIL] http_client::unusable_idle_connections_are_closed_while_others_are_used: (3.03s)

Now a worker that is dropped, or has restarted, has its pooled connections closed in both clients; the edge runs on one I/O thread, whose pool that is. What is returned to the pool later, and the own front's pools, are covered by a search for connections that are too old or closed by their peer, at most once a second while any connection is returned.

Result: both tests pass, and the whole of transport_test and edge_test.

--- a/edge/src/fleet.cpp
+++ b/edge/src/fleet.cpp
@@ -118,13 +118,13 @@
     return newlyRemoved;
 }
 
-std::vector<std::string> Fleet::dropRemoved(Time now)
+std::vector<Fleet::DroppedWorker> Fleet::dropRemoved(Time now)
 {
     std::lock_guard lock(this->mutex);
-    std::vector<std::string> ids;
+    std::vector<DroppedWorker> droppedNow;
     for (auto it = this->workers.begin(); it != this->workers.end();) {
         if (it->second.removedAt != Time { 0 } && now >= it->second.removedAt + it->second.grace) {
-            ids.push_back(it->first);
+            droppedNow.push_back({ it->first, it->second.worker.entry.address });
             this->dropped[it->first] = { it->second.newerFrom, it->second.worker.entry.startedAt };
             this->workerIds.erase(workerKey(it->first));
             it = this->workers.erase(it);
@@ -133,7 +133,7 @@
     }
     while (this->dropped.size() > maxDroppedWorkers)
         this->dropped.erase(this->dropped.begin());
-    return ids;
+    return droppedNow;
 }
 
 std::optional<Time> Fleet::nextDropAt() const
--- a/edge/src/fleet.h
+++ b/edge/src/fleet.h
@@ -51,9 +51,13 @@
     /// @param end position up to which the stream was read; workers with a newer record are left.
     /// @return ids of the workers that were not marked yet.
     std::vector<std::string> markRemovedExcept(const std::set<std::string>& present, const LogPosition& end, Time now, Time grace);
+    /// A worker that has left the fleet.
+    struct DroppedWorker {
+        std::string id;
+        transport::Endpoint address;
+    };
     /// Drops workers whose entries did not come back within their grace period.
-    /// @return their ids.
-    std::vector<std::string> dropRemoved(Time now);
+    std::vector<DroppedWorker> dropRemoved(Time now);
     /// Returns when the first grace period of a removed entry ends; nothing if no entry is removed.
     std::optional<Time> nextDropAt() const;
 
@@ -151,7 +155,7 @@
         Time grace { 0 }; ///< Time after `removedAt` within which the entry may come back.
     };
     /// What is kept of a worker that was dropped.
-    struct DroppedWorker {
+    struct DroppedEntry {
         LogPosition newerFrom; ///< Records before this position are outdated.
         int64_t startedAt = 0; ///< See `routing::WorkerEntry`.
     };
@@ -177,7 +181,7 @@
     ConfigurationPtr current; ///< Configuration in force, or null.
     std::map<std::string, KnownWorker> workers;
     std::map<std::string, SummarySource> summaries; ///< By data centre.
-    std::map<std::string, DroppedWorker> dropped; ///< By worker id.
+    std::map<std::string, DroppedEntry> dropped; ///< By worker id.
     std::map<WorkerKey, std::string> workerIds; ///< Ids of the known workers, by the key that heartbeats use.
     std::vector<SentPrefix> sentPrefixes; ///< Prefixes for the next heartbeat.
     std::atomic<uint64_t> changeCount { 0 };
--- a/edge/src/store_task.cpp
+++ b/edge/src/store_task.cpp
@@ -309,9 +309,10 @@
 
 void StoreTask::dropMissingWorkers()
 {
-    for (const auto& id : this->vm.fleet.dropRemoved(monotonicNow())) {
-        this->log.info("event=worker_gone worker=" + transport::escapeForLog(id));
-        this->onWorkerGone(id);
+    for (const auto& worker : this->vm.fleet.dropRemoved(monotonicNow())) {
+        this->log.info("event=worker_gone worker=" + transport::escapeForLog(worker.id));
+        this->closeIdleConnections(worker.address);
+        this->onWorkerGone(worker.id);
     }
     auto next = this->vm.fleet.nextDropAt();
     if (!next || std::exchange(this->dropScheduled, true))
@@ -323,6 +324,12 @@
     });
 }
 
+void StoreTask::closeIdleConnections(const transport::Endpoint& worker)
+{
+    this->vm.client.closeIdleConnections(worker);
+    this->vm.controlClient.closeIdleConnections(worker);
+}
+
 void StoreTask::applyWorkers(const platform::StorePage& page, bool fullRead)
 {
     auto grace = this->entryGracePeriod();
@@ -363,10 +370,16 @@
     }
     // Stays false for a worker that was not known.
     bool restarted = false;
-    this->vm.fleet.updateWorker(entry->id, [&](routing::Worker& worker) { restarted = worker.entry.startedAt != entry->startedAt; });
+    transport::Endpoint addressBefore;
+    this->vm.fleet.updateWorker(entry->id, [&](routing::Worker& worker) {
+        restarted = worker.entry.startedAt != entry->startedAt;
+        addressBefore = worker.entry.address;
+    });
     auto change = this->vm.fleet.applyEntry(*entry, position, fromCopy, now);
-    if (change != EntryChange::None && restarted)
+    if (change != EntryChange::None && restarted) {
+        this->closeIdleConnections(addressBefore);
         this->onWorkerGone(entry->id);
+    }
     // Changes of a worker's models and adapters are neither logged nor forwarded here: the lease holder logs its orders
     // and publishes what the workers hold.
     if (change != EntryChange::Status)
--- a/edge/src/store_task.h
+++ b/edge/src/store_task.h
@@ -90,6 +90,8 @@
     /// Drops the workers whose entries did not come back within their grace period, and those whose grace period has not ended yet as
     /// soon as it does.
     void dropMissingWorkers();
+    /// Closes the pooled connections to a worker that is gone.
+    void closeIdleConnections(const transport::Endpoint& worker);
     /// Returns whether the next read of the worker stream may be left to other VMs.
     bool canSkipWorkerRead() const;
     void applyMembers(const platform::StorePage& page, bool fullRead);
--- a/tests/unit/edge_faults_test.cpp
+++ b/tests/unit/edge_faults_test.cpp
@@ -871,3 +871,23 @@
     cr_assert_neq(text.find("id=id-odd"), std::string::npos, "the request is not logged: %s", text.c_str());
     cr_assert_eq(text.find(" outcome=forged"), std::string::npos, "%s", text.c_str());
 }
+
+// Connections to a worker that is gone hold a slot at whatever comes to its address next, and a descriptor of this VM. They must be closed
+// when the worker goes, although the worker doesn't close them.
+CLUSTER_TEST(idle_connections_close_when_their_worker_goes, 12400)
+{
+    std::atomic<int> open { 0 };
+    auto serve = [&open](int connection) {
+        open++;
+        for (auto bytes = RawPeer::readRequest(connection); !bytes.empty(); bytes = RawPeer::readRequest(connection))
+            RawPeer::write(connection, answer(TestCluster::requestId(bytes)));
+        open--;
+    };
+    cluster.useRawWorker(0, "app", serve);
+    cluster.configureAndWait();
+    cr_assert(cluster.waitUntil([&] { return cluster.sendRequest("/status/1", "id-first").status == 200; }));
+    callAtOnce(6, [&](int i) { cr_assert_eq(cluster.sendRequest("/status/1", "id-" + std::to_string(i)).status, 200U); });
+    cr_assert_gt(open, 0, "no connection is kept, so the test proves nothing");
+    cluster.store.write("keyed.servers", "raw0", "");
+    cr_assert(cluster.waitUntil([&] { return open == 0; }, milliseconds { 3000 }), "%d connections to the worker are open", open.load());
+}
--- a/tests/unit/transport_test.cpp
+++ b/tests/unit/transport_test.cpp
@@ -516,6 +516,46 @@
     cr_assert(runtime.stop(std::chrono::seconds { 5 }));
 }
 
+// A connection that is too old to be used must not stay open at the peer until the next request to that peer, which may never come.
+Test(http_client, unusable_idle_connections_are_closed_while_others_are_used)
+{
+    signal(SIGPIPE, SIG_IGN);
+    constexpr uint16_t idlePort = 26985;
+    constexpr uint16_t usedPort = 26986;
+    std::atomic<int> opened { 0 };
+    std::atomic<int> open { 0 };
+    const std::string answer = "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\nContent-Length: 2\r\n\r\nok";
+    standins::RawPeer idlePeer(idlePort, [&](int connection) {
+        opened++;
+        open++;
+        while (!standins::RawPeer::readRequest(connection).empty())
+            standins::RawPeer::write(connection, answer);
+        open--;
+    });
+    standins::RawPeer usedPeer(usedPort, [&](int connection) {
+        while (!standins::RawPeer::readRequest(connection).empty())
+            standins::RawPeer::write(connection, answer);
+    });
+    Runtime runtime(1);
+    HttpClient client;
+    std::atomic<bool> done { false };
+    runtime.spawn([&] {
+        auto call = [&client](uint16_t port) { return client.call({ "127.0.0.1", port }, { "GET", "/", {}, "" }, {}).has_value(); };
+        cr_assert(call(idlePort));
+        cr_assert_eq(open, 1);
+        for (int i = 0; i < 30 && open > 0; i++) {
+            sleepFor(std::chrono::milliseconds { 100 });
+            cr_assert(call(usedPort));
+        }
+        done = true;
+    });
+    while (!done)
+        std::this_thread::sleep_for(std::chrono::milliseconds { 10 });
+    cr_assert_eq(opened, 1);
+    cr_assert_eq(open, 0, "the connection is still open");
+    cr_assert(runtime.stop(std::chrono::seconds { 5 }));
+}
+
 // Guards against durations of others that overflow, and against names of others that look like further fields or lines of the log.
 Test(foreign_values, numbers_are_bounded_and_names_are_one_word)
 {
--- a/transport/include/transport/transport.h
+++ b/transport/include/transport/transport.h
@@ -51,6 +51,8 @@
 constexpr uint32_t maxIdleConnectionsPerEndpoint = 64;
 /// Time after which the client stops using an idle pooled connection.
 constexpr std::chrono::milliseconds clientIdleTimeout { 20000 };
+/// Minimum interval between two searches of a thread's pool for connections that it no longer uses. They are closed.
+constexpr std::chrono::milliseconds idleSweepInterval { 1000 };
 /// Lower bound of the learned idle timeout. When a peer has dropped a pooled connection, the client learns half of the time
 /// that this connection was idle as the idle timeout of all pooled connections.
 constexpr std::chrono::milliseconds minLearnedIdleTimeout { 50 };
--- a/transport/src/http_client_beast.cpp
+++ b/transport/src/http_client_beast.cpp
@@ -33,6 +33,7 @@
     /// Idle connections of one client on one thread.
     struct ConnectionPool {
         std::map<Endpoint, std::deque<ConnectionPtr>> idle; ///< By peer; the one that was pooled last is at the end.
+        std::chrono::nanoseconds sweptAt { 0 }; ///< When unusable connections were last closed.
     };
 
     /// Pools of the calling thread, by the `HttpClient::Impl` of their client.
@@ -124,7 +125,7 @@
                 continue;
             auto connection = std::move(idle[i]);
             idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i));
-            if (now < connection->reusableUntil && now - connection->idleSince < limit && this->isUsable(*connection))
+            if (isReusable(*connection, now, limit))
                 return connection;
         }
         return nullptr;
@@ -174,7 +175,7 @@
     /// See `HttpClient::closeIdleConnections`.
     void closeIdleConnections(const Endpoint& endpoint) const
     {
-        threadPools[this].idle[endpoint].clear();
+        threadPools[this].idle.erase(endpoint);
     }
 
     /// Adds a connection to the pool of the calling thread, or closes it if the pool is full.
@@ -184,6 +185,26 @@
         connection->stream.expires_never();
         if (idle.size() < maxIdleConnectionsPerEndpoint)
             idle.push_back(std::move(connection));
+        this->closeUnusableConnections(threadPools[this]);
+    }
+
+    /// Closes the pooled connections that are too old for `takeIdleConnection` or that their peers have closed.
+    void closeUnusableConnections(ConnectionPool& pool) const
+    {
+        auto now = monotonicNow();
+        if (now - pool.sweptAt < idleSweepInterval)
+            return;
+        pool.sweptAt = now;
+        auto limit = this->currentIdleTimeout(now);
+        for (auto& [endpoint, idle] : pool.idle)
+            std::erase_if(idle, [&](const auto& connection) { return !isReusable(*connection, now, limit); });
+        std::erase_if(pool.idle, [](const auto& item) { return item.second.empty(); });
+    }
+
+    /// @param limit result of `currentIdleTimeout`.
+    static bool isReusable(ClientConnection& connection, std::chrono::nanoseconds now, std::chrono::nanoseconds limit)
+    {
+        return now < connection.reusableUntil && now - connection.idleSince < limit && isUsable(connection);
     }
 
     mutable std::mutex mutex;
