A silent stream is read while its worker and another one are asked

Callers saw: events of a worker that had gone on waited until the probe or the other worker had answered, both could run at once meanwhile, and a request could last beyond its time limit.

Cause: the probe and the attempt at another worker ran on the fiber that reads the stream, with the callers' patience as the limit of each wait.

Change: Relay::StreamRescue does both on a fiber of its own. The stream is read in the meantime and goes on as soon as it has an event, which cancels the rescue; the request ends at its deadline whatever the rescue does; if the silent connection breaks, the rescue is waited for. ResponseStream::setCancelToken hands the new response over to the request.

--- a/edge/src/relay.cpp
+++ b/edge/src/relay.cpp
@@ -27,6 +27,8 @@
     /// whichever is longer: callers give up after eight gaps, and resuming takes time.
     constexpr milliseconds minStreamIdleTimeout { 700 };
     constexpr int streamIdleTargetGaps = 4;
+    /// Interval at which the end of a `StreamRescue` is noticed.
+    constexpr milliseconds rescuePollInterval { 10 };
     /// Retry-After for conditions that usually pass soon.
     constexpr milliseconds retryAfterTransient { 200 };
     /// Retry-After while no configuration is known: the store is unreachable, or this VM has just started.
@@ -195,7 +197,6 @@
     Time headReceivedAt;
     Time lastEventAt; ///< Of a stream. Bytes that complete no event are no progress.
     Time nextSilenceCheckAt { 0 }; ///< Not before the stream counts as silent.
-    std::optional<routing::RunEvidence> evidence; ///< Found since the last event; the stream was not read since.
     bool awaitsFirstEvent = true;
 };
 
@@ -588,7 +589,9 @@
     if (canRetry && !context.route->streaming)
         timeLimit = std::min(remaining, std::max(minAttemptTimeout, std::chrono::duration_cast<milliseconds>(context.route->targetLatency * attemptTimeoutTargetLatencies)));
     auto sentAt = monotonicNow();
-    auto started = this->startAttempt(context, selection, timeLimit);
+    auto started = this->startAttempt(context, selection, timeLimit, context.cancel);
+    if (!started && started.error() == SendResult::CallerGone)
+        this->refuse(context, 0, RefusalReason::CallerGone, std::nullopt);
     if (!started)
         return started.error();
     auto& stream = *started.value()->stream;
@@ -604,7 +607,7 @@
     return result;
 }
 
-Result<std::unique_ptr<Relay::Attempt>, Relay::SendResult> Relay::startAttempt(RequestContext& context, const Fleet::Selection& selection, milliseconds timeLimit)
+Result<std::unique_ptr<Relay::Attempt>, Relay::SendResult> Relay::startAttempt(RequestContext& context, const Fleet::Selection& selection, milliseconds timeLimit, transport::CancelToken& cancel)
 {
     auto remaining = context.remaining();
     const auto& shape = context.head.shape;
@@ -637,12 +640,12 @@
     limits.response = timeLimit;
     // Streams have no size. Everything else is bounded by the buffer memory while it is read.
     limits.maxBodyBytes = UINT64_MAX;
-    limits.cancel = &context.cancel;
+    limits.cancel = &cancel;
     limits.idHeader = platform::requestIdHeader;
     limits.avoidedConnections = &context.usedConnections;
     auto opened = this->vm.client.open(selection.entry.address, request, limits);
     if (!opened)
-        return this->handleSendError(context, selection, opened.error());
+        return this->recordSendError(context, selection, opened.error());
     auto stream = std::move(opened.value());
     context.usedConnections.insert(stream->connectionNumber());
     auto head = platform::decodeResponseHead(stream->status(), stream->headers());
@@ -705,13 +708,19 @@
 }
 
 Relay::SendResult Relay::handleSendError(RequestContext& context, const Fleet::Selection& selection, IoError error)
+{
+    auto result = this->recordSendError(context, selection, error);
+    if (result == SendResult::CallerGone)
+        this->refuse(context, 0, RefusalReason::CallerGone, std::nullopt);
+    return result;
+}
+
+Relay::SendResult Relay::recordSendError(RequestContext& context, const Fleet::Selection& selection, IoError error)
 {
     if (context.endedByShutdown)
         return SendResult::TimedOut; // That is no fault of the worker.
-    if (context.isCallerGone() || error == IoError::Cancelled) {
-        this->refuse(context, 0, RefusalReason::CallerGone, std::nullopt);
+    if (context.isCallerGone() || error == IoError::Cancelled)
         return SendResult::CallerGone;
-    }
     auto now = monotonicNow();
     context.excludedWorkers.insert(selection.id);
     if (transport::isConnectError(error)) {
@@ -831,7 +840,6 @@
     if (events.count == 0)
         return std::nullopt;
     attempt.lastEventAt = monotonicNow();
-    attempt.evidence.reset();
     if (!std::exchange(attempt.awaitsFirstEvent, false)) {
         attempt.reservation.recordStreamData();
         return std::nullopt;
@@ -867,33 +875,43 @@
     return selection;
 }
 
-Result<std::unique_ptr<Relay::Attempt>, Relay::SendResult> Relay::resumeElsewhere(RequestContext& context, const Attempt& silent, milliseconds timeLimit)
+routing::RunEvidence Relay::askAboutRun(const RequestContext& context, const routing::WorkerEntry& worker, transport::CancelToken& cancel)
+{
+    auto reply = platform::probeRun(this->vm.controlClient, worker, context.head.id, cancel);
+    if (reply.leaving && routing::isStatementOf(reply.source, worker))
+        this->peers.recordLeaving(worker, "probe");
+    return reply.value;
+}
+
+std::unique_ptr<Relay::Attempt> Relay::resumeElsewhere(RequestContext& context, const std::string& worker, Time deadline, transport::CancelToken& cancel)
 {
-    auto selection = this->chooseResumeWorker(context, silent.selection.id);
+    auto selection = this->chooseResumeWorker(context, worker);
     if (!selection)
-        return SendResult::NotSent;
+        return nullptr;
     if (context.hasUsableBackup()) {
         context.resumeWorker = std::exchange(context.backupWorker, std::nullopt);
         this->waitForAdapter(context, *context.resumeWorker);
     }
     increment(this->vm.counters, RetryReason::Resumed);
-    auto started = this->startAttempt(context, *selection, timeLimit);
+    auto timeLimit = std::chrono::duration_cast<milliseconds>(deadline - monotonicNow());
+    Result<std::unique_ptr<Attempt>, SendResult> started = SendResult::NotSent;
+    if (timeLimit > milliseconds { 0 } && !cancel.isCancelled())
+        started = this->startAttempt(context, *selection, timeLimit, cancel);
     context.resumeWorker.reset();
-    auto failure = started ? this->awaitEvent(context, *started.value(), timeLimit) : started.error();
+    auto failure = started ? this->awaitEvent(context, *started.value(), deadline) : started.error();
     if (!failure)
-        return started;
+        return std::move(started.value());
     // It was chosen for the attempt that failed.
     context.backupWorker.reset();
-    return *failure;
+    return nullptr;
 }
 
-std::optional<Relay::SendResult> Relay::awaitEvent(RequestContext& context, Attempt& attempt, milliseconds timeLimit)
+std::optional<Relay::SendResult> Relay::awaitEvent(RequestContext& context, Attempt& attempt, Time deadline)
 {
-    auto deadline = attempt.headReceivedAt + timeLimit;
     while (monotonicNow() < deadline) {
         auto chunk = attempt.stream->read(std::chrono::ceil<milliseconds>(deadline - monotonicNow()));
         if (!chunk)
-            return this->handleSendError(context, attempt.selection, chunk.error());
+            return this->recordSendError(context, attempt.selection, chunk.error());
         attempt.buffer.append(chunk.value());
         auto events = platform::findEvents(attempt.buffer, context.lastEventId);
         if (events.count > 0)
@@ -904,54 +922,84 @@
     return this->handleInvalidAnswer(context, attempt.selection);
 }
 
-Result<std::unique_ptr<Relay::Attempt>, Relay::SendResult> Relay::handleSilence(RequestContext& context, Attempt& attempt)
-{
-    std::unique_ptr<Attempt> staysHere;
-    auto now = monotonicNow();
-    auto idleTimeout = streamIdleTimeout(*context.route);
-    const auto& worker = attempt.selection;
-    attempt.nextSilenceCheckAt = now + idleTimeout;
-    if (!this->vm.fleet.isSilent(worker.id, idleTimeout, now))
-        return staysHere;
-    if (!attempt.evidence) {
-        auto reply = platform::probeRun(this->vm.controlClient, worker.entry, context.head.id);
-        if (reply.leaving && routing::isStatementOf(reply.source, worker.entry))
-            this->peers.recordLeaving(worker.entry, "probe");
-        attempt.evidence = reply.value;
-        // Events may have arrived in the meantime.
-        attempt.nextSilenceCheckAt = monotonicNow();
-        return staysHere;
-    }
-    auto evidence = *attempt.evidence;
-    auto patience = callerPatience(*context.route);
-    auto silenceBeforeResume = routing::silenceBeforeResume(evidence, patience);
-    auto silentFor = now - attempt.lastEventAt;
-    if (silenceBeforeResume && silentFor < *silenceBeforeResume) {
-        attempt.nextSilenceCheckAt = attempt.lastEventAt + *silenceBeforeResume;
-        return staysHere;
-    }
-    attempt.evidence.reset();
-    Result<std::unique_ptr<Attempt>, SendResult> next = SendResult::NotSent;
-    if (silenceBeforeResume)
-        next = this->resumeElsewhere(context, attempt, std::max(minAttemptTimeout, std::chrono::duration_cast<milliseconds>(patience - silentFor)));
-    this->log.info("event=stream_silent id=" + escapeForLog(context.head.id) + " worker=" + escapeForLog(worker.id) + " silent_ms=" + formatMilliseconds(silentFor) + " evidence=" + routing::name(evidence)
-        + " last_event=" + context.lastEventId.value_or("-") + " resumed_on=" + (next ? next.value()->selection.id : "-"));
-    if (next) {
-        // The run at the silent worker ends with its connection.
-        context.possibleRuns++;
-        this->recordFailedWorker(context, worker.id);
-        return next;
-    }
-    if (next.error() == SendResult::CallerGone)
-        return next;
-    context.workerId = worker.id;
-    return staysHere;
-}
+/// Finds out what has become of the run of a silent stream, and has it go on elsewhere if need be, on a fiber of its own: the stream is
+/// read in the meantime.
+class Relay::StreamRescue {
+public:
+    StreamRescue(Relay& relay, RequestContext& context, const Attempt& silent)
+        : relay(relay)
+        , context(context)
+        , worker(silent.selection)
+        , lastEventAt(silent.lastEventAt)
+    {
+        transport::spawnOnCurrentThread([this] {
+            this->run();
+            this->done = true;
+        });
+    }
+    ~StreamRescue()
+    {
+        this->abandon();
+        this->wait();
+        // Backup copies were asked for in the attempt that is dropped.
+        if (this->attempt)
+            this->context.backupWorker.reset();
+    }
+    StreamRescue(const StreamRescue&) = delete;
+    StreamRescue& operator=(const StreamRescue&) = delete;
+
+    bool isDone() const { return this->done; }
+    /// Returns whether the rescue has ended with an attempt that goes on elsewhere.
+    bool hasAttempt() const { return this->done && this->attempt && !this->cancel.isCancelled(); }
+    /// Gives the rescue up because the stream has gone on.
+    void abandon() { this->cancel.cancel(); }
+    /// Waits until the rescue has ended, or the request was cancelled.
+    void wait()
+    {
+        while (!this->done) {
+            if (this->context.isCancelled())
+                this->abandon();
+            sleepFor(rescuePollInterval);
+        }
+    }
+    /// Returns the attempt that replaces the silent one; null if there is none or the rescue was given up.
+    std::unique_ptr<Attempt> takeAttempt()
+    {
+        if (!this->hasAttempt())
+            return nullptr;
+        this->attempt->stream->setCancelToken(&this->context.cancel);
+        return std::move(this->attempt);
+    }
+
+private:
+    void run()
+    {
+        auto patience = callerPatience(*this->context.route);
+        auto evidence = this->relay.askAboutRun(this->context, this->worker.entry, this->cancel);
+        auto silence = routing::silenceBeforeResume(evidence, patience);
+        while (silence && !this->cancel.isCancelled() && monotonicNow() < this->lastEventAt + *silence)
+            sleepFor(rescuePollInterval);
+        auto now = monotonicNow();
+        auto deadline = std::min<Time>(this->context.deadline - replyReserve, std::max<Time>(now + minAttemptTimeout, this->lastEventAt + patience));
+        if (silence && !this->cancel.isCancelled())
+            this->attempt = this->relay.resumeElsewhere(this->context, this->worker.id, deadline, this->cancel);
+        this->relay.log.info("event=stream_silent id=" + escapeForLog(this->context.head.id) + " worker=" + escapeForLog(this->worker.id) + " silent_ms=" + formatMilliseconds(now - this->lastEventAt) + " evidence=" + routing::name(evidence)
+            + " last_event=" + escapeForLog(this->context.lastEventId.value_or("-")) + " resumed_on=" + (this->attempt ? escapeForLog(this->attempt->selection.id) : "-"));
+    }
+
+    Relay& relay;
+    RequestContext& context;
+    const Fleet::Selection worker;
+    const Time lastEventAt;
+    transport::CancelToken cancel;
+    std::unique_ptr<Attempt> attempt; ///< Set at the end if the run goes on elsewhere.
+    bool done = false;
+};
 
 Relay::SendResult Relay::relayStream(RequestContext& context, std::unique_ptr<Attempt> attempt)
 {
+    std::unique_ptr<StreamRescue> rescue; // Null unless the stream is silent.
     while (true) {
-        auto wait = std::max(context.remaining(), milliseconds { 1 });
         // Bytes may arrive without end, so that no read ever times out.
         if (context.remaining() <= milliseconds { 0 }) {
             auto result = this->handleSendError(context, attempt->selection, IoError::Timeout);
@@ -961,24 +1009,40 @@
             auto result = this->handleOversizedAnswer(context, attempt->selection, attempt->buffer.size());
             return context.streamStarted ? SendResult::Resumable : result;
         }
+        if (rescue && rescue->isDone()) {
+            auto next = rescue->takeAttempt();
+            rescue.reset();
+            context.workerId = attempt->selection.id;
+            attempt->nextSilenceCheckAt = monotonicNow() + streamIdleTimeout(*context.route);
+            if (next) {
+                this->replaceAttempt(context, attempt, std::move(next));
+                if (auto result = this->forwardEvents(context, *attempt))
+                    return *result;
+            }
+        }
         // `possibleRuns` does not count the current attempt yet.
         bool canResume = context.hasUsableBackup() || (context.route->resumable && context.possibleRuns + 1 < context.route->maxAttempts);
         auto silenceCheckAt = std::max(attempt->lastEventAt + streamIdleTimeout(*context.route), attempt->nextSilenceCheckAt);
-        bool checksSilence = canResume && context.streamStarted && silenceCheckAt < context.deadline;
-        if (checksSilence)
+        bool checksSilence = !rescue && canResume && context.streamStarted && silenceCheckAt < context.deadline;
+        auto wait = std::max(context.remaining(), milliseconds { 1 });
+        if (rescue)
+            wait = std::min(wait, rescuePollInterval);
+        else if (checksSilence)
             wait = std::max(milliseconds { 1 }, std::chrono::ceil<milliseconds>(silenceCheckAt - monotonicNow()));
         auto chunk = attempt->stream->read(wait);
-        if (!chunk && chunk.error() == IoError::Timeout && checksSilence) {
-            auto next = this->handleSilence(context, *attempt);
-            if (!next)
-                return next.error();
-            if (next.value()) {
-                attempt = std::move(next.value());
-                if (auto result = this->forwardEvents(context, *attempt))
-                    return *result;
-            }
+        if (!chunk && chunk.error() == IoError::Timeout && (rescue || checksSilence)) {
+            bool silent = this->vm.fleet.isSilent(attempt->selection.id, streamIdleTimeout(*context.route), monotonicNow());
+            if (!rescue && silent)
+                rescue = std::make_unique<StreamRescue>(*this, context, *attempt);
+            else if (!rescue)
+                attempt->nextSilenceCheckAt = monotonicNow() + streamIdleTimeout(*context.route);
             continue;
         }
+        if (!chunk && rescue) {
+            rescue->wait();
+            if (rescue->hasAttempt())
+                continue;
+        }
         if (!chunk) {
             auto result = this->handleSendError(context, attempt->selection, chunk.error());
             if (result == SendResult::CallerGone || !context.streamStarted)
@@ -988,8 +1052,11 @@
         if (chunk.value().empty())
             break;
         attempt->buffer.append(chunk.value());
+        auto eventBefore = attempt->lastEventAt;
         if (auto result = this->forwardEvents(context, *attempt))
             return *result;
+        if (rescue && attempt->lastEventAt != eventBefore)
+            rescue->abandon();
     }
     // The answer ended within an event or before its first one. A resumed stream without an event may be an error just as well.
     if (!attempt->buffer.empty() || attempt->awaitsFirstEvent)
@@ -1002,4 +1069,13 @@
     return SendResult::Answered;
 }
 
+void Relay::replaceAttempt(RequestContext& context, std::unique_ptr<Attempt>& attempt, std::unique_ptr<Attempt> next)
+{
+    // The run at the silent worker ends with its connection.
+    context.possibleRuns++;
+    this->recordFailedWorker(context, attempt->selection.id);
+    context.workerId = next->selection.id;
+    attempt = std::move(next);
+}
+
 } // namespace comfreypier::edge
--- a/edge/src/relay.h
+++ b/edge/src/relay.h
@@ -23,6 +23,7 @@
     struct RequestContext;
     struct Attempt;
     class ScopedMissingItem;
+    class StreamRescue;
     class ScopedOpenRequest;
     /// Result of one attempt to send a request to a worker.
     enum class SendResult {
@@ -58,24 +59,26 @@
     SendResult sendOnce(RequestContext& context, const Fleet::Selection& selection);
     /// Sends the request to the selected worker and checks the head of its answer.
     /// @param timeLimit for the head.
+    /// @param cancel ends the attempt early.
     /// @return the failure, recorded for the choice of later workers.
-    Result<std::unique_ptr<Attempt>, SendResult> startAttempt(RequestContext& context, const Fleet::Selection& selection, milliseconds timeLimit);
+    Result<std::unique_ptr<Attempt>, SendResult> startAttempt(RequestContext& context, const Fleet::Selection& selection, milliseconds timeLimit, transport::CancelToken& cancel);
     /// Reads an answer whole, then forwards it unless it can be retried, is invalid or exceeds the buffer memory.
     SendResult relayWholeAnswer(RequestContext& context, const Fleet::Selection& selection, transport::ResponseStream& stream);
     /// Forwards a stream event by event. While its worker is silent it may go on at another one.
     SendResult relayStream(RequestContext& context, std::unique_ptr<Attempt> attempt);
+    /// Replaces a silent attempt by the one that goes on with its run.
+    void replaceAttempt(RequestContext& context, std::unique_ptr<Attempt>& attempt, std::unique_ptr<Attempt> next);
     /// Forwards the complete events that an attempt has received.
     /// @return the reason why the attempt ends, or nothing if it goes on.
     std::optional<SendResult> forwardEvents(RequestContext& context, Attempt& attempt);
-    /// Handles the silence of a stream: asks its worker about the run, or has the run go on elsewhere.
-    /// @return the attempt that replaces a silent one, or nothing if this one goes on.
-    Result<std::unique_ptr<Attempt>, SendResult> handleSilence(RequestContext& context, Attempt& attempt);
-    /// Has the run of a silent stream go on at another worker. The silent stream stays open.
-    /// @return an attempt whose worker has sent an event that continues the stream.
-    Result<std::unique_ptr<Attempt>, SendResult> resumeElsewhere(RequestContext& context, const Attempt& silent, milliseconds timeLimit);
+    /// Asks the worker of a silent stream whether it still has the run.
+    routing::RunEvidence askAboutRun(const RequestContext& context, const routing::WorkerEntry& worker, transport::CancelToken& cancel);
+    /// Has the run of a stream that is silent at `worker` go on at another one. The silent stream stays open.
+    /// @return an attempt whose worker has sent an event that continues the stream; null if there is none.
+    std::unique_ptr<Attempt> resumeElsewhere(RequestContext& context, const std::string& worker, Time deadline, transport::CancelToken& cancel);
     /// Waits until the worker of an attempt has sent an event that continues the stream.
     /// @return the reason why it has not, or nothing if it has.
-    std::optional<SendResult> awaitEvent(RequestContext& context, Attempt& attempt, milliseconds timeLimit);
+    std::optional<SendResult> awaitEvent(RequestContext& context, Attempt& attempt, Time deadline);
     /// Records what the head of an answer says about its worker, whatever becomes of the answer.
     /// @param matchesRequest whether it answers this request.
     /// @param signatureDue whether an answer of this status carries the worker's signature.
@@ -91,6 +94,8 @@
     // The next four record the failed attempt for the choice of later workers.
     void recordFailedWorker(RequestContext& context, const std::string& worker);
     SendResult handleInvalidAnswer(RequestContext& context, const Fleet::Selection& selection);
+    SendResult recordSendError(RequestContext& context, const Fleet::Selection& selection, transport::IoError error);
+    /// Records the failed attempt, and ends the request if its caller has gone.
     SendResult handleSendError(RequestContext& context, const Fleet::Selection& selection, transport::IoError error);
     SendResult handleNotRun(RequestContext& context, const Fleet::Selection& selection, const platform::ResponseHead& head);
     /// Returns whether the request is sent again after an attempt with this result; the retry then counts against the budget. Also
--- a/tests/unit/edge_faults_test.cpp
+++ b/tests/unit/edge_faults_test.cpp
@@ -632,6 +632,7 @@
     RunMissing, ///< A report in which neither the run nor a waiting request is left.
     OtherProcess, ///< A refusal: another process listens at the address.
     None,
+    Held, ///< No answer, also after the silence.
 };
 
 /// Two workers of the service `llm`. The one that a stream reaches first sends two events and is silent; the other one is asked to go on
@@ -659,20 +660,21 @@
             if (!this->otherGoesOn)
                 return RawPeer::write(connection, refusal(id));
             RawPeer::write(connection, head);
-            return sendEvents(connection, id, eventsBeforeSilence + 1);
+            if (!isClosedWithin(connection, this->readingTime))
+                sendEvents(connection, id, eventsBeforeSilence + 1);
+            return;
         }
         this->currentId = id;
+        this->currentPort = portOf(connection);
         RawPeer::write(connection, head);
         sendEvents(connection, id, 1, eventsBeforeSilence);
+        for (auto end = transport::monotonicNow() + this->commentTime.load(); transport::monotonicNow() < end;) {
+            RawPeer::write(connection, "3\r\n:\n\n\r\n");
+            std::this_thread::sleep_for(milliseconds { 100 });
+        }
         this->silentSince = transport::monotonicNow();
         this->silent = true;
-        std::array<char, 1> byte {};
-        auto end = transport::monotonicNow() + this->silence.load();
-        bool closed = false;
-        while (!closed && transport::monotonicNow() < end) {
-            std::this_thread::sleep_for(milliseconds { 5 });
-            closed = ::recv(connection, byte.data(), byte.size(), MSG_DONTWAIT) == 0;
-        }
+        bool closed = isClosedWithin(connection, this->silence);
         this->silent = false;
         if (closed)
             this->closedAt = transport::monotonicNow();
@@ -680,6 +682,28 @@
             sendEvents(connection, id, eventsBeforeSilence + 1);
     }
 
+    /// Waits until the VM closes a connection, for up to `time`.
+    /// @return whether it has.
+    static bool isClosedWithin(int connection, milliseconds time)
+    {
+        std::array<char, 1> byte {};
+        bool closed = false;
+        for (auto end = transport::monotonicNow() + time; !closed && transport::monotonicNow() < end;) {
+            std::this_thread::sleep_for(milliseconds { 5 });
+            closed = ::recv(connection, byte.data(), byte.size(), MSG_DONTWAIT) == 0;
+        }
+        return closed;
+    }
+
+    /// Returns the port of the worker that accepted a connection.
+    static uint16_t portOf(int connection)
+    {
+        sockaddr_in address {};
+        socklen_t length = sizeof address;
+        cr_assert_eq(::getsockname(connection, reinterpret_cast<sockaddr*>(&address), &length), 0);
+        return ntohs(address.sin_port);
+    }
+
     void serveReport(int connection)
     {
         auto report = [](const std::string& more) {
@@ -697,6 +721,19 @@
             RawPeer::write(connection, "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n");
         while (answer == ReportAnswer::None && this->silent)
             std::this_thread::sleep_for(milliseconds { 5 });
+        if (answer == ReportAnswer::Held)
+            isClosedWithin(connection, milliseconds { 5000 });
+    }
+
+    /// Waits until the VM sends the requests of a route to these workers.
+    void waitForRequests(TestCluster& cluster, const std::string& path)
+    {
+        int count = 0;
+        auto reached = [&] {
+            auto id = "id-first" + std::to_string(++count);
+            return cluster.sendChat(id, path).status == 200 && this->sendings.of(id) > 0;
+        };
+        cr_assert(cluster.waitUntil(reached));
     }
 
     /// Sends the events from `first` to `last`, and the end of the stream after the last of all.
@@ -723,14 +760,20 @@
     std::atomic<milliseconds> silence { milliseconds { 0 } };
     std::atomic<ReportAnswer> reportAnswer { ReportAnswer::Report };
     std::atomic<bool> otherGoesOn { false };
+    std::atomic<milliseconds> readingTime { milliseconds { 0 } }; ///< Between the head of the other worker's answer and its first event.
+    std::atomic<milliseconds> commentTime { milliseconds { 0 } }; ///< For which comments follow the events before the silence.
     std::atomic<bool> silent { false };
     std::atomic<std::chrono::nanoseconds> silentSince { std::chrono::nanoseconds { 0 } };
     std::atomic<std::chrono::nanoseconds> resumedAt { std::chrono::nanoseconds { 0 } }; ///< When the other worker was asked to go on.
     std::atomic<std::chrono::nanoseconds> closedAt { std::chrono::nanoseconds { 0 } }; ///< When the VM gave up the silent worker.
     std::string currentId;
+    std::atomic<uint16_t> currentPort { 0 }; ///< Port of the worker that the current stream reached first.
     Tally sendings;
 };
 
+/// A streaming route that may be resumed and whose callers wait for eight seconds.
+constexpr const char* patientRoute = R"(,{"name":"patient","host":"h.example","path-prefix":"/patient/","kind":"streaming","timeout-ms":6000,"target-latency-ms":2000,"priority":0,"service":"llm","max-attempts":2,"sticky":true,"resumable":true,"target-gap-ms":100})";
+
 } // namespace
 
 // A sound worker that is silent for longer than the idle timeout must keep its streams when no other worker can go on with them.
@@ -782,6 +825,86 @@
     }
 }
 
+// A worker that goes on must neither be kept waiting nor run beside the worker that was asked to go on in its place.
+CLUSTER_TEST(stream_goes_on_at_its_worker_when_that_wakes_before_the_other_one_sends, 15300)
+{
+    constexpr milliseconds maxOverlap { 400 };
+    auto* workers = new SilentWorkers(cluster);
+    cluster.configureAndWait();
+    cluster.configure(2, patientRoute);
+    workers->waitForRequests(cluster, "/patient/x");
+    workers->silence = milliseconds { 1700 };
+    workers->otherGoesOn = true;
+    workers->readingTime = milliseconds { 1000 };
+    workers->reportAnswer = ReportAnswer::None;
+    auto startedAt = transport::monotonicNow();
+    auto response = cluster.sendRequest("/patient/x", "id-wakes", { { "Model", "m1" }, { "Token-Count", "500,100" } }, 0);
+    auto elapsed = std::chrono::duration_cast<milliseconds>(transport::monotonicNow() - startedAt);
+    cr_assert_eq(response.body, SilentWorkers::wholeStream("id-wakes"), "got %u %s", response.status, response.body.c_str());
+    cr_assert_lt(elapsed, workers->silence.load() + maxOverlap, "the events that followed after %ld ms arrived after %ld ms", static_cast<long>(workers->silence.load().count()), static_cast<long>(elapsed.count()));
+}
+
+// A stream that waits for another worker to go on must still end with its caller's time limit.
+CLUSTER_TEST(silent_stream_ends_at_its_time_limit_while_another_worker_is_asked, 15500)
+{
+    constexpr milliseconds timeLimit { 3000 };
+    constexpr milliseconds slack { 250 };
+    auto* workers = new SilentWorkers(cluster);
+    cluster.configureAndWait();
+    cluster.configure(2, patientRoute);
+    workers->waitForRequests(cluster, "/patient/x");
+    workers->silence = milliseconds { 10000 };
+    workers->otherGoesOn = true;
+    workers->readingTime = milliseconds { 10000 };
+    workers->reportAnswer = ReportAnswer::RunMissing;
+    auto startedAt = transport::monotonicNow();
+    cluster.sendRequest("/patient/x", "id-late", { { "Model", "m1" }, { "Token-Count", "500,100" } }, 0);
+    auto elapsed = std::chrono::duration_cast<milliseconds>(transport::monotonicNow() - startedAt);
+    cr_assert_lt(elapsed, timeLimit + slack, "ended after %ld ms", static_cast<long>(elapsed.count()));
+}
+
+// A backup worker that has begun to leave while a stream runs must not get its request after the drain time.
+CLUSTER_TEST(silent_stream_does_not_go_on_at_a_backup_worker_that_has_left, 15600)
+{
+    constexpr milliseconds drainTime { 3000 };
+    auto* workers = new SilentWorkers(cluster);
+    cluster.configureAndWait();
+    workers->waitForRequests(cluster, "/chat/x");
+    workers->silence = milliseconds { 6000 };
+    workers->commentTime = drainTime + milliseconds { 500 };
+    workers->otherGoesOn = true;
+    workers->reportAnswer = ReportAnswer::RunMissing;
+    std::atomic<std::chrono::nanoseconds> drainingSince { std::chrono::nanoseconds { 0 } };
+    std::thread operators([&] {
+        cr_assert(cluster.waitUntil([&] { return workers->sendings.of("id-leaves") == 1; }));
+        std::this_thread::sleep_for(milliseconds { 100 });
+        int other = workers->currentPort == cluster.base + 10 ? 1 : 0;
+        cluster.store.write("keyed.servers", "raw" + std::to_string(other), R"({"service":"llm","addr":"127.0.0.1:)" + std::to_string(cluster.base + 10 + other) + R"(","zone":"dc","version":"v1","slots":8,"state":"draining","born":1,"models":[{"name":"m1","version":1,"adapters":[]}]})");
+        drainingSince = transport::monotonicNow();
+    });
+    HttpRequest request { "POST", "/chat/x", { { "Host", "h.example" }, { "Attempt-Id", "id-leaves" }, { "Deadline-Ms", "6000" }, { "Model", "m1" }, { "Token-Count", "500,100" } }, "the body" };
+    static_cast<void>(cluster.call(cluster.front(), request));
+    operators.join();
+    auto after = std::chrono::duration_cast<milliseconds>(workers->resumedAt.load() - drainingSince.load());
+    cr_assert_lt(after, drainTime, "asked to go on %ld ms after it began to leave", static_cast<long>(after.count()));
+}
+
+// Events that arrive while the worker is asked about the run must not wait for the answer.
+CLUSTER_TEST(events_do_not_wait_until_the_worker_answers_a_probe, 15700)
+{
+    constexpr milliseconds maxDelay { 250 };
+    auto* workers = new SilentWorkers(cluster);
+    cluster.configureAndWait();
+    workers->waitForRequests(cluster, "/chat/x");
+    workers->silence = milliseconds { 800 };
+    workers->reportAnswer = ReportAnswer::Held;
+    auto startedAt = transport::monotonicNow();
+    auto response = cluster.sendRequest("/chat/x", "id-probed", { { "Model", "m1" }, { "Token-Count", "500,100" } }, 0);
+    auto elapsed = std::chrono::duration_cast<milliseconds>(transport::monotonicNow() - startedAt);
+    cr_assert_eq(response.body, SilentWorkers::wholeStream("id-probed"), "got %u %s", response.status, response.body.c_str());
+    cr_assert_lt(elapsed, workers->silence.load() + maxDelay, "events sent after %ld ms arrived after %ld ms", static_cast<long>(workers->silence.load().count()), static_cast<long>(elapsed.count()));
+}
+
 namespace {
 
 /// Sends `bytes` to the VM on a new connection, and returns everything that it sends until it closes, or is silent for some seconds.
--- a/transport/include/transport/transport.h
+++ b/transport/include/transport/transport.h
@@ -424,6 +424,9 @@
     virtual uint64_t connectionNumber() const = 0;
     /// Returns whether the request was the first one on its connection. Only then is the answer certainly not that of an earlier request.
     virtual bool isFirstOnConnection() const = 0;
+    /// Replaces `CallLimits::cancel` for the rest of the response.
+    /// @param token may be null; else it must outlive the stream.
+    virtual void setCancelToken(CancelToken* token) = 0;
     /// Waits for the next bytes of the body. An empty view marks its end.
     /// @param timeout maximum time to wait. No bytes are lost on `IoError::Timeout`: the next call continues the body.
     virtual Result<std::string_view, IoError> read(std::chrono::milliseconds timeout) = 0;
--- a/transport/src/http_client_beast.cpp
+++ b/transport/src/http_client_beast.cpp
@@ -83,15 +83,25 @@
 class CancelRegistration {
 public:
     CancelRegistration(CancelToken* cancel, ClientConnection& connection)
-        : cancel(cancel)
-        , connection(connection)
+        : connection(connection)
     {
-        if (cancel != nullptr)
-            cancel->registrations.insert(this);
+        this->attach(cancel);
     }
     ~CancelRegistration() { this->release(); }
     CancelRegistration(const CancelRegistration&) = delete;
     CancelRegistration& operator=(const CancelRegistration&) = delete;
+    /// Replaces the token. Closes the connection if the new one is cancelled already.
+    /// @param next may be null.
+    void attach(CancelToken* next)
+    {
+        this->release();
+        this->cancel = next;
+        if (next == nullptr)
+            return;
+        next->registrations.insert(this);
+        if (next->isCancelled())
+            this->closeConnection();
+    }
     void release()
     {
         if (this->cancel != nullptr)
@@ -101,7 +111,7 @@
     void closeConnection() { this->connection.stream.close(); }
 
 private:
-    CancelToken* cancel;
+    CancelToken* cancel = nullptr;
     ClientConnection& connection;
 };
 
@@ -302,6 +312,11 @@
 
         bool isCancelled() const { return this->cancel != nullptr && this->cancel->isCancelled(); }
         void storeHeaders() { this->responseHeaders = toHeaders(this->parser->get()); }
+        void setCancelToken(CancelToken* token) override
+        {
+            this->cancel = token;
+            this->cancelRegistration.attach(token);
+        }
         unsigned status() const override { return this->parser->get().result_int(); }
         const std::vector<Header>& headers() const override { return this->responseHeaders; }
         uint64_t connectionNumber() const override { return this->connection->number; }
