A worker that was asked to go on counts as one of the attempts of its request

Callers' requests reached more workers than their route allows while their first worker was silent (BUDGET).

Cause: an attempt to go on elsewhere that failed after the worker may have run the request was not counted, so that each later check asked one more worker.

--- a/edge/src/relay.cpp
+++ b/edge/src/relay.cpp
@@ -901,6 +901,8 @@
     auto failure = started ? this->awaitEvent(context, *started.value(), deadline) : started.error();
     if (!failure)
         return std::move(started.value());
+    if (*failure != SendResult::NotSent && *failure != SendResult::NotRun)
+        context.possibleRuns++;
     // It was chosen for the attempt that failed.
     context.backupWorker.reset();
     return nullptr;
--- a/tests/unit/edge_faults_test.cpp
+++ b/tests/unit/edge_faults_test.cpp
@@ -844,6 +844,23 @@
     cr_assert_lt(elapsed, workers->silence.load() + maxOverlap, "the events that followed after %ld ms arrived after %ld ms", static_cast<long>(workers->silence.load().count()), static_cast<long>(elapsed.count()));
 }
 
+// Asking one worker after the other to go on must not exceed the attempts that the route allows.
+CLUSTER_TEST(silent_stream_runs_at_no_more_workers_than_its_route_allows, 15400)
+{
+    constexpr int maxAttempts = 2;
+    auto* workers = new SilentWorkers(cluster);
+    for (int i = 2; i < 5; i++)
+        cluster.addRawWorker(i, "llm", [workers](int connection) { workers->serve(connection); });
+    cluster.configureAndWait();
+    workers->waitForRequests(cluster, "/chat/x");
+    workers->silence = milliseconds { 6000 };
+    workers->otherGoesOn = true;
+    workers->readingTime = milliseconds { 6000 };
+    workers->reportAnswer = ReportAnswer::RunMissing;
+    cluster.sendRequest("/draft/x", "id-many", { { "Model", "m1" }, { "Token-Count", "500,100" } }, 0);
+    cr_assert_leq(workers->sendings.of("id-many"), maxAttempts, "%d workers were asked to run it", workers->sendings.of("id-many"));
+}
+
 // A stream that waits for another worker to go on must still end with its caller's time limit.
 CLUSTER_TEST(silent_stream_ends_at_its_time_limit_while_another_worker_is_asked, 15500)
 {
