A request stays at a slow worker while no other one can take it

Callers got 502 for an idempotent request whose only worker needed longer than two target latencies, although there was time left.

Cause: the attempt was given up for a retry before it was certain that another worker could take the request. The same class as a stream that leaves a silent worker too soon.

Change: the shorter time limit of an attempt applies only while another worker can take the request.

Evidence: edge.request_stays_at_a_slow_worker_while_no_other_can_take_it on and on the commit before: "got 502"; now it passes.

--- a/edge/src/relay.cpp
+++ b/edge/src/relay.cpp
@@ -586,7 +586,7 @@
     // `possibleRuns` does not count the current attempt yet.
     bool canRetry = context.isRetryable() && context.possibleRuns + 1 < context.route->maxAttempts;
     auto timeLimit = remaining;
-    if (canRetry && !context.route->streaming)
+    if (canRetry && !context.route->streaming && this->hasOtherWorker(context, selection.id))
         timeLimit = std::min(remaining, std::max(minAttemptTimeout, std::chrono::duration_cast<milliseconds>(context.route->targetLatency * attemptTimeoutTargetLatencies)));
     auto sentAt = monotonicNow();
     auto started = this->startAttempt(context, selection, timeLimit, context.cancel);
@@ -607,6 +607,14 @@
     return result;
 }
 
+bool Relay::hasOtherWorker(RequestContext& context, const std::string& worker)
+{
+    auto excludedWorkers = context.excludedWorkers;
+    excludedWorkers.insert(worker);
+    auto next = this->vm.fleet.chooseWorker(*context.service, context.head.shape, context.prefixHashes, excludedWorkers, context.route->targetLatency, monotonicNow());
+    return next.choice.blockReason == routing::BlockReason::None;
+}
+
 Result<std::unique_ptr<Relay::Attempt>, Relay::SendResult> Relay::startAttempt(RequestContext& context, const Fleet::Selection& selection, milliseconds timeLimit, transport::CancelToken& cancel)
 {
     auto remaining = context.remaining();
--- a/edge/src/relay.h
+++ b/edge/src/relay.h
@@ -57,6 +57,8 @@
     bool waitForWorker(RequestContext& context, Fleet::Selection& selection);
     /// Makes one attempt to send the request to the selected worker.
     SendResult sendOnce(RequestContext& context, const Fleet::Selection& selection);
+    /// Returns whether a worker other than `worker` can take the request now.
+    bool hasOtherWorker(RequestContext& context, const std::string& worker);
     /// Sends the request to the selected worker and checks the head of its answer.
     /// @param timeLimit for the head.
     /// @param cancel ends the attempt early.
--- a/tests/unit/edge_faults_test.cpp
+++ b/tests/unit/edge_faults_test.cpp
@@ -922,6 +922,30 @@
     cr_assert_lt(elapsed, workers->silence.load() + maxDelay, "events sent after %ld ms arrived after %ld ms", static_cast<long>(workers->silence.load().count()), static_cast<long>(elapsed.count()));
 }
 
+// A request must not be taken from a slow worker when no other one can take it.
+CLUSTER_TEST(request_stays_at_a_slow_worker_while_no_other_can_take_it, 15450)
+{
+    constexpr milliseconds answerTime { 600 };
+    auto* requests = new Tally;
+    cluster.useRawWorker(0, "app", [requests, answerTime](int connection) {
+        auto id = TestCluster::requestId(RawPeer::readRequest(connection));
+        requests->add(id);
+        if (id.starts_with("id-slow"))
+            std::this_thread::sleep_for(answerTime);
+        RawPeer::write(connection, "HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nServer-Seal: s\r\nContent-Length: 2\r\n\r\nok");
+    });
+    cluster.configureAndWait();
+    int count = 0;
+    auto reached = [&] {
+        auto id = "id-first" + std::to_string(++count);
+        return cluster.sendRequest("/status/x", id).status == 200 && requests->of(id) > 0;
+    };
+    cr_assert(cluster.waitUntil(reached));
+    std::this_thread::sleep_for(seconds { 3 }); // The workers that this one replaces are dropped.
+    auto response = cluster.sendRequest("/status/x", "id-slow");
+    cr_assert_eq(response.status, 200U, "got %u", response.status);
+}
+
 namespace {
 
 /// Sends `bytes` to the VM on a new connection, and returns everything that it sends until it closes, or is silent for some seconds.
