A VM's own failure to connect is not taken for the end of a worker

Seen by review: with no free descriptors a VM took all workers that it probed for ended and their crashes for those of requests.

Cause: the client reported every failure to connect that was no time-out as refused by the peer.

Change: IoError::NotConnected for all others; only a refusal or reset by the peer shows that nothing listens there.

--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -2,8 +2,10 @@
 #include "raw_peer.h"
 
 #include <criterion/criterion.h>
+#include <fcntl.h>
 #include <platform/platform.h>
 #include <rapidcheck.h>
+#include <sys/resource.h>
 #include <thread>
 
 using namespace comfreypier;
@@ -490,3 +492,47 @@
         std::this_thread::sleep_for(milliseconds { 10 });
     cr_assert(runtime.stop(std::chrono::seconds { 5 }));
 }
+
+// A VM without free descriptors must not take its own failure to connect for the end of its workers.
+Test(probes, worker_is_not_taken_for_ended_when_this_process_has_no_descriptors)
+{
+    constexpr uint16_t port = 15350;
+    constexpr rlim_t descriptorLimit = 64;
+    standins::RawPeer peer(port, [](int connection) {
+        standins::RawPeer::readRequest(connection);
+        standins::RawPeer::write(connection, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{\"seq\":1}");
+    });
+    transport::Runtime runtime(1);
+    transport::HttpClient client;
+    auto before = WorkerState::Unknown;
+    auto state = WorkerState::Unknown;
+    auto evidence = routing::RunEvidence::Count;
+    std::atomic<bool> done { false };
+    runtime.spawn([&] {
+        routing::WorkerEntry worker;
+        worker.id = "i-1";
+        worker.address = { "127.0.0.1", port };
+        before = probeWorker(client, worker).value;
+        rlimit limit {};
+        ::getrlimit(RLIMIT_NOFILE, &limit);
+        auto softLimit = std::exchange(limit.rlim_cur, descriptorLimit);
+        ::setrlimit(RLIMIT_NOFILE, &limit);
+        std::vector<int> descriptors;
+        for (int descriptor = 0; (descriptor = ::open("/dev/null", O_RDONLY | O_CLOEXEC)) >= 0;)
+            descriptors.push_back(descriptor);
+        state = probeWorker(client, worker).value;
+        transport::CancelToken cancel;
+        evidence = probeRun(client, worker, "id", cancel).value;
+        for (int descriptor : descriptors)
+            ::close(descriptor);
+        limit.rlim_cur = softLimit;
+        ::setrlimit(RLIMIT_NOFILE, &limit);
+        done = true;
+    });
+    while (!done)
+        std::this_thread::sleep_for(milliseconds { 10 });
+    cr_assert(runtime.stop(std::chrono::seconds { 5 }));
+    cr_assert_eq(before, WorkerState::Running);
+    cr_assert_neq(state, WorkerState::Ended, "the worker counts as ended");
+    cr_assert_neq(evidence, routing::RunEvidence::Ended, "the run counts as ended");
+}
--- a/transport/include/transport/transport.h
+++ b/transport/include/transport/transport.h
@@ -85,7 +85,8 @@
 
 /// Why an I/O operation failed.
 enum class IoError {
-    Refused, ///< The connection could not be established. No byte was sent.
+    Refused, ///< The peer refused the connection. No byte was sent.
+    NotConnected, ///< The connection could not be established for another reason, such as a lack of descriptors. No byte was sent.
     ConnectTimeout, ///< The connection was not established in time. No byte was sent.
     Timeout, ///< The peer did not answer in time.
     Closed, ///< The peer closed the connection, or the connection failed.
--- a/transport/src/http_client_beast.cpp
+++ b/transport/src/http_client_beast.cpp
@@ -224,13 +224,12 @@
     std::chrono::nanoseconds provenIdleAt { -std::chrono::hours { 1 } }; ///< When it served. Guarded by `mutex`.
 
     /// Opens a new connection.
-    /// @return `IoError::Refused` for every failure that is neither a timeout nor a cancellation.
     Result<ConnectionPtr, IoError> connect(const Endpoint& endpoint, const CallLimits& limits)
     {
         ErrorCode error;
         auto address = asio::ip::make_address(endpoint.address, error);
         if (error)
-            return IoError::Refused;
+            return IoError::NotConnected;
         auto connection = std::make_unique<ClientConnection>(*currentContext());
         connection->stream.expires_after(limits.connect);
         CancelRegistration cancelRegistration(limits.cancel, *connection);
@@ -240,8 +239,10 @@
             return IoError::Cancelled;
         if (result.error == beast::error::timeout)
             return IoError::ConnectTimeout;
-        if (result.error)
+        if (result.error == asio::error::connection_refused || result.error == asio::error::connection_reset)
             return IoError::Refused;
+        if (result.error)
+            return IoError::NotConnected;
         connection->stream.socket().set_option(Tcp::no_delay(true), error);
         setTcpKeepAlive(connection->stream.socket());
         return connection;
@@ -481,14 +482,14 @@
 const char* name(IoError error)
 {
     constexpr std::array<const char*, static_cast<size_t>(IoError::Count)> names {
-        "refused", "connect_timeout", "timeout", "closed", "malformed", "too_large", "cancelled"
+        "refused", "not_connected", "connect_timeout", "timeout", "closed", "malformed", "too_large", "cancelled"
     };
     return names[static_cast<size_t>(error)];
 }
 
 bool isConnectError(IoError error)
 {
-    return error == IoError::Refused || error == IoError::ConnectTimeout;
+    return error == IoError::Refused || error == IoError::NotConnected || error == IoError::ConnectTimeout;
 }
 
 void setTcpKeepAlive(Stream::socket_type& socket)
