Records of a new store count whatever their offsets are

After a change of the store's address, workers that leave by the new store stayed in use if its offsets were lower.

Cause: the fleet kept the offsets of the store before. The read loops did not.

Change: Fleet::forgetPositions. A new store whose era is lower than that of the store before is still not handled (docs/incidents/restored-store.md).

--- a/edge/src/fleet.cpp
+++ b/edge/src/fleet.cpp
@@ -118,6 +118,14 @@
     return newlyRemoved;
 }
 
+void Fleet::forgetPositions()
+{
+    std::lock_guard lock(this->mutex);
+    for (auto& [id, known] : this->workers)
+        known.newerFrom = {};
+    this->dropped.clear();
+}
+
 std::vector<Fleet::DroppedWorker> Fleet::dropRemoved(Time now)
 {
     std::lock_guard lock(this->mutex);
--- a/edge/src/fleet.h
+++ b/edge/src/fleet.h
@@ -51,6 +51,8 @@
     /// @param end position up to which the stream was read; workers with a newer record are left.
     /// @return ids of the workers that were not marked yet.
     std::vector<std::string> markRemovedExcept(const std::set<std::string>& present, const LogPosition& end, Time now, Time grace);
+    /// Forgets where the records of the workers stood in the store, which another one replaces. What is known of the workers stays.
+    void forgetPositions();
     /// A worker that has left the fleet.
     struct DroppedWorker {
         std::string id;
--- a/edge/src/store_task.cpp
+++ b/edge/src/store_task.cpp
@@ -162,6 +162,8 @@
 {
     this->addressChanges++;
     this->configurationNext.reset();
+    this->workersFullReadEnd = {};
+    this->vm.fleet.forgetPositions();
     this->restartPendingReads("address");
     // A read loop may be waiting before its next read, so these streams are read at once.
     transport::spawnOnCurrentThread([this] {
--- a/tests/unit/edge_faults_test.cpp
+++ b/tests/unit/edge_faults_test.cpp
@@ -946,6 +946,31 @@
     cr_assert_eq(response.status, 200U, "got %u", response.status);
 }
 
+// After a change of the store's address, records with lower offsets than those of the store before must count.
+CLUSTER_TEST(worker_that_leaves_by_a_new_store_with_lower_offsets_gets_no_requests, 15550)
+{
+    constexpr int requestCount = 20;
+    cluster.configureAndWait();
+    for (int i = 0; i < 200; i++)
+        cluster.store.write("keyed.servers", "other", "{}");
+    for (int i = 0; i < 2; i++)
+        cluster.app(i).publish();
+    cr_assert(cluster.waitUntil([&] { return cluster.sendRequest("/status/x", "id-first").status == 200; }));
+    auto settings = cluster.settingsOf(0);
+    settings.store = loopback(static_cast<uint16_t>(cluster.base + 9));
+    StoreStandin next(cluster.runtime, settings.store);
+    cr_assert(next.start());
+    next.write("keyed.op", "config", standins::makePlatformConfiguration(2));
+    for (int i = 0; i < 2; i++)
+        next.write("keyed.servers", "app" + std::to_string(i), R"({"service":"app","addr":"127.0.0.1:)" + std::to_string(cluster.base + 1 + i) + R"(","zone":"dc","version":"v1","slots":8,"state":")" + (i == 0 ? "draining" : "ready") + R"(","born":1700000000000})");
+    cluster.vms[0]->reload(settings);
+    std::this_thread::sleep_for(seconds { 4 });
+    int before = cluster.app(0).runs;
+    for (int i = 0; i < requestCount; i++)
+        cluster.sendRequest("/status/x", "id-" + std::to_string(i));
+    cr_assert_eq(cluster.app(0).runs, before, "%d requests reached it", cluster.app(0).runs - before);
+}
+
 namespace {
 
 /// Sends `bytes` to the VM on a new connection, and returns everything that it sends until it closes, or is silent for some seconds.
