Tests of the HTTP client listen on ports of their own

Seen: in the whole suite on http_client.unusable_idle_connections_are_closed_while_others_are_used ended with a signal, and in a run of transport_test alone http_client.peers_that_reset_while_a_request_is_written_end_no_process failed with "round 4".

Cause: both listen on port 26986, and Criterion runs two tests at a time; the stand-in that finds its port in use aborts the process, and the other test's peer resets connections that are not meant for it. Port 26987 was shared by two more.

Change: ports 26984 and 26983 for one test of each pair; nothing else in the tests.

--- a/tests/unit/transport_test.cpp
+++ b/tests/unit/transport_test.cpp
@@ -474,7 +474,7 @@
 Test(http_client, absurd_idle_timeouts_of_peers_are_bounded)
 {
     signal(SIGPIPE, SIG_IGN);
-    constexpr uint16_t peerPort = 26987;
+    constexpr uint16_t peerPort = 26983;
     const std::vector<std::pair<std::string, bool>> cases {
         // With whether the connection is reused.
         { "timeout=5", true },
@@ -521,7 +521,7 @@
 {
     signal(SIGPIPE, SIG_IGN);
     constexpr uint16_t idlePort = 26985;
-    constexpr uint16_t usedPort = 26986;
+    constexpr uint16_t usedPort = 26984;
     std::atomic<int> opened { 0 };
     std::atomic<int> open { 0 };
     const std::string answer = "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\nContent-Length: 2\r\n\r\nok";
