Statements of workers that don't count are logged and counted

Callers' requests reached workers that had said that they leave or named a time, and the logs can't tell why: an answer whose statement is dropped leaves no line, and the line of a leave does not name the start that the answer names beside the one in the entry.

Change: event=statement_ignored with status, id, signature and sender of the answer, counted as statements_ignored; sender_started= in event=worker_leaving. The four places that asked whether an answer counts now ask in Peers::recordLeaving. What counts is unchanged.

--- a/edge/src/counters.h
+++ b/edge/src/counters.h
@@ -61,6 +61,7 @@
     BlamedCrashes, ///< Crashes of workers that requests of this VM are blamed for.
     OversizedAnswers, ///< Answers of workers that were given up because they exceed the buffer memory.
     WorkerHolds, ///< Refusals of workers that named a time until which they want no request of this VM.
+    StatementsIgnored, ///< Answers that say that a worker leaves, or name a time, and are no statement of the worker that was called.
     Count
 };
 
--- a/edge/src/crash_tracker.cpp
+++ b/edge/src/crash_tracker.cpp
@@ -38,8 +38,8 @@
 {
     auto reply = platform::probeWorker(this->vm.controlClient, worker);
     auto state = reply.value;
-    if (reply.leaving && routing::isStatementOf(reply.source, worker) && this->onLeaving)
-        this->onLeaving(worker);
+    if (reply.leaving && this->onLeaving)
+        this->onLeaving(worker, reply.source);
     {
         std::lock_guard lock(this->mutex);
         this->probedWorkers.erase(worker.id);
--- a/edge/src/crash_tracker.h
+++ b/edge/src/crash_tracker.h
@@ -30,8 +30,8 @@
 
     /// Called after a crash that requests are blamed for, so that other VMs hear of it soon.
     std::function<void()> onCrash;
-    /// Called if a worker says that it leaves when it is asked whether it still runs.
-    std::function<void(const routing::WorkerEntry&)> onLeaving;
+    /// Called if the answer of a worker that is asked whether it still runs says that its sender leaves.
+    std::function<void(const routing::WorkerEntry&, const routing::AnswerSource&)> onLeaving;
 
 private:
     /// Asks a worker whether it still runs.
--- a/edge/src/edge.cpp
+++ b/edge/src/edge.cpp
@@ -83,7 +83,7 @@
         this->peers.onForwardedEntries = [this](const auto& entries) { this->store.applyForwardedEntries(entries); };
         this->peers.onUnknownMember = [this] { this->store.refreshMembers(); };
         this->crashes.onCrash = [this] { this->peers.sendHeartbeat(); };
-        this->crashes.onLeaving = [this](const auto& worker) { this->peers.recordLeaving(worker, "probe"); };
+        this->crashes.onLeaving = [this](const auto& worker, const auto& source) { this->peers.recordLeaving(worker, source, "probe"); };
         this->peers.onConfigurationVersion = [this](uint64_t version) { this->store.refreshIfOlderThan(version); };
     }
 
--- a/edge/src/order_task.cpp
+++ b/edge/src/order_task.cpp
@@ -410,8 +410,8 @@
     auto requestedAt = monotonicNow();
     auto entry = worker.entry;
     auto reply = platform::fetchReport(this->vm.controlClient, entry);
-    if (reply.leaving && routing::isStatementOf(reply.source, entry))
-        this->peers.recordLeaving(entry, "report");
+    if (reply.leaving)
+        this->peers.recordLeaving(entry, reply.source, "report");
     const auto& report = reply.value;
     std::lock_guard lock(this->mutex);
     if (!report) {
@@ -439,8 +439,8 @@
     auto sentAt = monotonicNow();
     auto entry = worker.entry;
     auto reply = platform::sendOrder(this->vm.controlClient, entry, order, source);
-    if (reply.leaving && routing::isStatementOf(reply.source, entry))
-        this->peers.recordLeaving(entry, "order");
+    if (reply.leaving)
+        this->peers.recordLeaving(entry, reply.source, "order");
     auto outcome = reply.value;
     bool isLoad = order.kind == placement::OrderKind::Load;
     bool accepted = outcome == placement::OrderOutcome::Accepted || outcome == placement::OrderOutcome::AlreadyDone;
--- a/edge/src/peers.cpp
+++ b/edge/src/peers.cpp
@@ -349,11 +349,21 @@
     this->sendTo(targets, heartbeat);
 }
 
-void Peers::recordLeaving(const routing::WorkerEntry& worker, const char* evidence)
+void Peers::recordIgnored(const routing::WorkerEntry& worker, const routing::AnswerSource& source, const std::string& statement)
 {
+    increment(this->vm.counters, CountedEvent::StatementsIgnored);
+    this->log.info("event=statement_ignored worker=" + transport::escapeForLog(worker.id) + " started=" + std::to_string(worker.startedAt) + " " + statement + " status=" + std::to_string(source.status)
+        + " matches=" + (source.matchesRequest ? "yes" : "no") + " signed=" + (source.signedByWorker ? "yes" : "no") + " sender=" + (source.worker.empty() ? "-" : transport::escapeForLog(source.worker))
+        + " sender_started=" + (source.startedAt ? std::to_string(*source.startedAt) : "-"));
+}
+
+void Peers::recordLeaving(const routing::WorkerEntry& worker, const routing::AnswerSource& source, const char* evidence)
+{
+    if (!routing::isStatementOf(source, worker))
+        return this->recordIgnored(worker, source, "leaving=yes");
     if (!this->vm.fleet.recordLeaving(worker, monotonicNow()))
         return;
-    this->log.info("event=worker_leaving worker=" + worker.id + " started=" + std::to_string(worker.startedAt) + " evidence=" + evidence);
+    this->log.info("event=worker_leaving worker=" + transport::escapeForLog(worker.id) + " started=" + std::to_string(worker.startedAt) + " sender_started=" + (source.startedAt ? std::to_string(*source.startedAt) : "-") + " evidence=" + evidence);
     this->sendHeartbeat();
 }
 
--- a/edge/src/peers.h
+++ b/edge/src/peers.h
@@ -86,10 +86,15 @@
     /// Returns whether at least half of the other members are reachable, which makes a majority with this VM.
     bool reachesMajority() const;
 
-    /// Records that a worker said in an answer that it leaves, and tells the other VMs if it is news.
+    /// Records that a worker said in an answer that it leaves, and tells the other VMs if it is news. An answer that is no statement of that
+    /// worker is only logged and counted.
     /// @param worker the worker as it was called.
+    /// @param source what the answer shows about its sender.
     /// @param evidence kind of the answer, for the log.
-    void recordLeaving(const routing::WorkerEntry& worker, const char* evidence);
+    void recordLeaving(const routing::WorkerEntry& worker, const routing::AnswerSource& source, const char* evidence);
+    /// Logs and counts a statement that is not one of the worker that was called.
+    /// @param statement what the answer says, for the log.
+    void recordIgnored(const routing::WorkerEntry& worker, const routing::AnswerSource& source, const std::string& statement);
 
     /// Called when a VM, this one included, reports missing items.
     std::function<void()> onMissingItems;
--- a/edge/src/relay.cpp
+++ b/edge/src/relay.cpp
@@ -684,12 +684,13 @@
 
 void Relay::recordSignals(const Fleet::Selection& selection, unsigned status, const platform::ResponseHead& head, bool matchesRequest, bool signatureDue)
 {
-    if (!routing::isStatementOf({ status, matchesRequest, head.workerId, std::nullopt, signatureDue, head.signedByWorker }, selection.entry))
-        return;
+    const routing::AnswerSource source { status, matchesRequest, head.workerId, std::nullopt, signatureDue, head.signedByWorker };
     if (head.leaving)
-        this->peers.recordLeaving(selection.entry, "answer");
+        this->peers.recordLeaving(selection.entry, source, "answer");
     if (status != 503 || !head.retryAfter)
         return;
+    if (!routing::isStatementOf(source, selection.entry))
+        return this->peers.recordIgnored(selection.entry, source, "ms=" + std::to_string(head.retryAfter->count()));
     increment(this->vm.counters, CountedEvent::WorkerHolds);
     this->log.info("event=worker_hold worker=" + escapeForLog(selection.id) + " ms=" + std::to_string(head.retryAfter->count()));
     this->vm.fleet.recordHold(selection.entry, *head.retryAfter, monotonicNow());
@@ -886,8 +887,8 @@
 routing::RunEvidence Relay::askAboutRun(const RequestContext& context, const routing::WorkerEntry& worker, transport::CancelToken& cancel)
 {
     auto reply = platform::probeRun(this->vm.controlClient, worker, context.head.id, cancel);
-    if (reply.leaving && routing::isStatementOf(reply.source, worker))
-        this->peers.recordLeaving(worker, "probe");
+    if (reply.leaving)
+        this->peers.recordLeaving(worker, reply.source, "probe");
     return reply.value;
 }
 
