--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -91,10 +91,10 @@
     return "id: " + std::to_string(number) + "\ndata: piece " + std::to_string(number) + " of " + std::string(requestId) + "\n\n";
 }
 
-std::string makePlatformRoute(const std::string& name, const std::string& path)
+std::string makePlatformRoute(const std::string& name, const std::string& path, milliseconds timeout)
 {
     return R"(,{"name":")" + name + R"(","host":"h.example","path-prefix":")" + path
-        + R"(","kind":"idempotent","timeout-ms":1500,"target-latency-ms":150,"priority":1,"service":"app","max-attempts":2})";
+        + R"(","kind":"idempotent","timeout-ms":)" + std::to_string(timeout.count()) + R"(,"target-latency-ms":150,"priority":1,"service":"app","max-attempts":2})";
 }
 
 StoreStandin::StoreStandin(transport::Runtime& runtime, transport::Endpoint address)
--- a/tests/standins/platform_standin.h
+++ b/tests/standins/platform_standin.h
@@ -26,7 +26,7 @@
 
 /// Returns the JSON of a route for idempotent requests under `path`, with a comma before it, as `extraRoutes` of
 /// `makePlatformConfiguration`.
-std::string makePlatformRoute(const std::string& name, const std::string& path);
+std::string makePlatformRoute(const std::string& name, const std::string& path, milliseconds timeout = milliseconds { 1500 });
 
 /// Returns event `number` (from 1) of the stream that a worker sends in response to the request.
 std::string streamEvent(int number, std::string_view requestId);
--- a/tests/unit/edge_world.h
+++ b/tests/unit/edge_world.h
@@ -75,8 +75,14 @@
     /// Adds such a worker beside the others.
     void addRawWorker(int number, const std::string& service, standins::RawPeer::ConnectionHandler serve)
     {
-        auto port = static_cast<uint16_t>(this->base + 10 + number);
-        new standins::RawPeer(port, std::move(serve));
+        new standins::RawPeer(static_cast<uint16_t>(this->base + 10 + number), std::move(serve));
+        this->publishRawWorker(number, service);
+    }
+
+    /// Writes the entry of such a worker to the store.
+    void publishRawWorker(int number, const std::string& service)
+    {
+        auto port = this->base + 10 + number;
         this->store.write("keyed.servers", "raw" + std::to_string(number), R"({"service":")" + service + R"(","addr":"127.0.0.1:)" + std::to_string(port) + R"(","zone":"dc","version":"v1","slots":8,"state":"ready","born":1,"models":[{"name":"m1","version":1,"adapters":[]}]})");
     }
 
@@ -93,6 +99,22 @@
         return "HTTP/1.1 " + status + "\r\nAttempt-Id: " + id + "\r\nServer-Seal: s\r\n";
     }
 
+    /// Returns a worker's answer that says that it leaves.
+    static std::string leavingAnswer(const std::string& id)
+    {
+        return answerHead(id) + "Server-Leaving: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+    }
+
+    /// Returns a worker's refusal that names a time.
+    /// @param id empty for a refusal without one.
+    /// @param seconds the time, as in the header.
+    /// @param keepsConnection whether the worker reads further requests on the connection.
+    static std::string refusal(const std::string& id, const std::string& seconds, bool keepsConnection = false)
+    {
+        return "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nRetry-After: " + seconds + "\r\n" + (id.empty() ? "" : "Attempt-Id: " + id + "\r\n")
+            + (keepsConnection ? "" : "Connection: close\r\n") + "Content-Length: 0\r\n\r\n";
+    }
+
     /// Starts the VM with this number.
     /// @param processorShare cores that the VM may use, which sets its capacity.
     void startVm(int number, double processorShare = 1)
@@ -157,12 +179,19 @@
         return std::move(*response);
     }
 
-    /// Sends a request of a caller whose time limit is three seconds: a GET below `/status`, whose route is idempotent, otherwise a
-    /// POST.
+    /// Returns a request of a caller: a GET below `/status`, whose route is idempotent, otherwise a POST.
+    /// @param timeLimit the caller's.
+    static HttpRequest makeRequest(const std::string& path, const std::string& id, milliseconds timeLimit, const std::string& body = "the body")
+    {
+        bool isGet = path.starts_with("/status");
+        return { isGet ? "GET" : "POST", path, { { "Host", "h.example" }, { "Attempt-Id", id }, { "Deadline-Ms", std::to_string(timeLimit.count()) } }, isGet ? "" : body };
+    }
+
+    /// Sends such a request of a caller whose time limit is three seconds.
     /// @return the answer. If the call failed, its status is 0 and its body the name of the error.
     HttpResponse sendRequest(const std::string& path, const std::string& id, std::vector<transport::Header> extraHeaders = {}, int vm = 0, const std::string& body = "the body")
     {
-        HttpRequest request { path.starts_with("/status") ? "GET" : "POST", path, { { "Host", "h.example" }, { "Attempt-Id", id }, { "Deadline-Ms", "3000" } }, path.starts_with("/status") ? "" : body };
+        auto request = makeRequest(path, id, milliseconds { 3000 }, body);
         request.headers.insert(request.headers.end(), extraHeaders.begin(), extraHeaders.end());
         auto response = this->call(this->front(vm), request);
         return response ? response.value() : HttpResponse { 0, {}, transport::name(response.error()) };
