A leave is not kept for another start of its worker than the one that said so

Callers' requests reached a worker seconds after it had told the VM that it leaves (DRAIN).

Cause: most answers don't name the start of their worker, so a statement was kept under the start in the entry that the VM knew. If the worker had started again and the VM had not read that yet, beside a silent store or within the time of one read, the statement ended with the arrival of the new entry. A report that names its start was dropped if the VM knew another one. Both file what one process said under the identity of another.

Change: a start that follows one which is said to leave is in doubt and counts as leaving until it was asked (LeaveChecker, one report at the worker, event=leave_checked). The doubt arises in whichever order entries and statements of the worker and of other VMs arrive, also if the entry changes during a call. A statement that names a start is kept under it, and an entry of an earlier one counts as leaving too, as its process has ended.

--- a/edge/src/edge.cpp
+++ b/edge/src/edge.cpp
@@ -1,4 +1,5 @@
 /// Creates and connects the parts of the daemon and controls its start, reload and shutdown.
+#include "leave_checker.h"
 #include "order_task.h"
 #include "relay.h"
 #include "store_task.h"
@@ -56,9 +57,13 @@
         , vm(this->settings, this->client, this->controlClient)
         , crashes(this->vm)
         , peers(this->vm, this->runtime, this->crashes)
+        , leaveChecker(this->vm, this->peers)
         , store(
               this->vm, [this](const auto& records) { this->peers.applyMembers(records); },
-              [this](const auto& worker) { this->crashes.recordCrash(worker, "entry"); },
+              [this](const auto& worker) {
+                  this->crashes.recordCrash(worker, "entry");
+                  this->leaveChecker.checkWorkers();
+              },
               [this](const auto& configuration) { this->callerServer.setLimits(callerServerLimits(this->settings, configuration.limits)); },
               [this] { this->peers.sendHeartbeat(); },
               [this](const auto& entry) { this->peers.forwardEntry(entry); }, [this](Time ownReadAt) { return this->peers.enoughPeersReadWorkers(ownReadAt); })
@@ -82,6 +87,7 @@
         this->peers.readsWorkers = [this] { return this->store.hasReadWorkersRecently(); };
         this->peers.onForwardedEntries = [this](const auto& entries) { this->store.applyForwardedEntries(entries); };
         this->peers.onUnknownMember = [this] { this->store.refreshMembers(); };
+        this->peers.onLeaveNews = [this] { this->leaveChecker.checkWorkers(); };
         this->crashes.onCrash = [this] { this->peers.sendHeartbeat(); };
         this->crashes.onLeaving = [this](const auto& worker, const auto& source) { this->peers.recordLeaving(worker, source, "probe"); };
         this->peers.onConfigurationVersion = [this](uint64_t version) { this->store.refreshIfOlderThan(version); };
@@ -124,6 +130,8 @@
             sleepFor(peerTimeout);
             this->peers.forgetUnreachablePeers();
             this->vm.fleet.forgetOldSummaries(monotonicNow() - summaryTimeout);
+            // Also of workers that are back after they were dropped.
+            this->leaveChecker.checkWorkers();
             auto suspended = transport::bootTimeNow() - monotonicNow();
             if (suspended - suspendedBefore > minSuspension)
                 this->log.warn("event=suspended ms=" + formatMilliseconds(suspended - suspendedBefore));
@@ -177,6 +185,7 @@
     Vm vm;
     CrashTracker crashes;
     Peers peers;
+    LeaveChecker leaveChecker;
     StoreTask store;
     OrderTask orders;
     Relay relay;
--- a/edge/src/fleet.cpp
+++ b/edge/src/fleet.cpp
@@ -63,6 +63,13 @@
         this->changeCount++;
         return EntryChange::Status;
     }
+    int64_t startBefore = found != this->workers.end() ? found->second.worker.entry.startedAt : droppedWorker != this->dropped.end() ? droppedWorker->second.startedAt
+                                                                                                                                     : entry.startedAt;
+    if (startBefore != entry.startedAt) {
+        auto before = entry;
+        before.startedAt = startBefore;
+        this->leavingWorkers.recordRestart(routing::workerStart(before), routing::workerStart(entry));
+    }
     auto& known = this->workers[entry.id];
     known.newerFrom = after(position);
     known.key = workerKey(entry.id);
@@ -396,9 +403,39 @@
     worker.leaving = !this->leavingWorkers.isEmpty() && this->leavingWorkers.isLeaving(routing::workerStart(worker.entry));
 }
 
-bool Fleet::recordLeaving(const routing::WorkerEntry& worker, Time now)
+void Fleet::updateLeaving()
+{
+    for (auto& [id, known] : this->workers)
+        this->updateLeaving(known.worker);
+    this->changeCount++;
+}
+
+bool Fleet::recordLeaving(const routing::WorkerEntry& worker, std::optional<int64_t> namedStart, Time now)
+{
+    std::lock_guard lock(this->mutex);
+    auto found = this->workers.find(worker.id);
+    if (!this->leavingWorkers.recordAnswer(worker, namedStart, found == this->workers.end() ? nullptr : &found->second.worker.entry, now))
+        return false;
+    this->updateLeaving();
+    return true;
+}
+
+std::vector<routing::WorkerEntry> Fleet::workersInDoubt() const
 {
-    return this->applyLeaveReports({ routing::workerStart(worker) }, now) > 0;
+    std::lock_guard lock(this->mutex);
+    std::vector<routing::WorkerEntry> entries;
+    for (const auto& [id, known] : this->workers) {
+        if (this->leavingWorkers.isInDoubt(routing::workerStart(known.worker.entry)))
+            entries.push_back(known.worker.entry);
+    }
+    return entries;
+}
+
+void Fleet::settleLeave(const routing::WorkerEntry& worker)
+{
+    std::lock_guard lock(this->mutex);
+    this->leavingWorkers.settle(routing::workerStart(worker));
+    this->updateLeaving();
 }
 
 std::vector<uint64_t> Fleet::takeLeaveReports(Time now)
@@ -418,9 +455,7 @@
     auto news = static_cast<size_t>(std::count_if(reports.begin(), reports.end(), [&](auto worker) { return this->leavingWorkers.record(worker, now); }));
     if (news == 0)
         return 0;
-    for (auto& [id, known] : this->workers)
-        this->updateLeaving(known.worker);
-    this->changeCount++;
+    this->updateLeaving();
     return news;
 }
 
--- a/edge/src/fleet.h
+++ b/edge/src/fleet.h
@@ -117,8 +117,13 @@
 
     /// Records that a worker said in an answer that it leaves. From now on it counts as draining in this start of it.
     /// @param worker the worker as it was called.
+    /// @param namedStart start that the answer names; nothing if it names none.
     /// @return whether it is news.
-    bool recordLeaving(const routing::WorkerEntry& worker, Time now);
+    bool recordLeaving(const routing::WorkerEntry& worker, std::optional<int64_t> namedStart, Time now);
+    /// Returns the workers of which it is in doubt whether they leave, see `routing::LeavingWorkers`.
+    std::vector<routing::WorkerEntry> workersInDoubt() const;
+    /// Ends that doubt for a start of a worker, which was asked.
+    void settleLeave(const routing::WorkerEntry& worker);
     /// Returns the leaving workers that the next heartbeat names.
     std::vector<uint64_t> takeLeaveReports(Time now);
     /// Applies the leaving workers that another VM names.
@@ -174,6 +179,8 @@
     void updateLimits(const std::vector<routing::Worker*>& workers, Time now) const;
     /// Sets whether a worker has said that it leaves. The caller must hold the lock.
     void updateLeaving(routing::Worker& worker) const;
+    /// Sets that for all workers. The caller must hold the lock.
+    void updateLeaving();
     /// Subtracts a load of this VM from a worker.
     void release(const std::string& id, const routing::WorkerLoad& load);
 
--- /dev/null
+++ b/edge/src/leave_checker.cpp
@@ -0,0 +1,52 @@
+#include "leave_checker.h"
+
+namespace comfreypier::edge {
+
+namespace {
+
+    /// Interval between two calls to a worker that does not answer.
+    constexpr milliseconds checkInterval { 250 };
+
+} // namespace
+
+LeaveChecker::LeaveChecker(Vm& vm, Peers& peers)
+    : vm(vm)
+    , peers(peers)
+{
+}
+
+void LeaveChecker::checkWorkers()
+{
+    for (const auto& worker : this->vm.fleet.workersInDoubt()) {
+        std::lock_guard lock(this->mutex);
+        if (this->checkedStarts.insert(routing::workerStart(worker)).second)
+            transport::spawnOnCurrentThread([this, worker] { this->check(worker); });
+    }
+}
+
+bool LeaveChecker::isInDoubt(const routing::WorkerEntry& worker) const
+{
+    auto workers = this->vm.fleet.workersInDoubt();
+    return std::any_of(workers.begin(), workers.end(), [&worker](const auto& other) { return routing::workerStart(other) == routing::workerStart(worker); });
+}
+
+void LeaveChecker::check(const routing::WorkerEntry& worker)
+{
+    auto begin = monotonicNow();
+    while (!this->vm.status.stopping && this->isInDoubt(worker)) {
+        auto reply = platform::probeWorker(this->vm.controlClient, worker);
+        if (reply.leaving)
+            this->peers.recordLeaving(worker, reply.source, "probe");
+        auto elapsed = monotonicNow() - begin;
+        if (reply.value == platform::WorkerState::Running || elapsed > routing::leaveMemoryTime) {
+            this->vm.fleet.settleLeave(worker);
+            this->log.info("event=leave_checked worker=" + transport::escapeForLog(worker.id) + " started=" + std::to_string(worker.startedAt) + " leaving=" + (reply.leaving ? "yes" : "no") + " ms=" + formatMilliseconds(elapsed));
+            break;
+        }
+        sleepFor(checkInterval);
+    }
+    std::lock_guard lock(this->mutex);
+    this->checkedStarts.erase(routing::workerStart(worker));
+}
+
+} // namespace comfreypier::edge
--- a/edge/src/peers.cpp
+++ b/edge/src/peers.cpp
@@ -361,16 +361,19 @@
 {
     if (!routing::isStatementOf(source, worker))
         return this->recordIgnored(worker, source, "leaving=yes");
-    if (!this->vm.fleet.recordLeaving(worker, monotonicNow()))
+    if (!this->vm.fleet.recordLeaving(worker, source.startedAt, monotonicNow()))
         return;
     this->log.info("event=worker_leaving worker=" + transport::escapeForLog(worker.id) + " started=" + std::to_string(worker.startedAt) + " sender_started=" + (source.startedAt ? std::to_string(*source.startedAt) : "-") + " evidence=" + evidence);
     this->sendHeartbeat();
+    this->onLeaveNews();
 }
 
 void Peers::applyLeaveReports(const Heartbeat& heartbeat)
 {
-    if (auto news = this->vm.fleet.applyLeaveReports(heartbeat.leaveReports, monotonicNow()); news > 0)
+    if (auto news = this->vm.fleet.applyLeaveReports(heartbeat.leaveReports, monotonicNow()); news > 0) {
         this->log.info("event=workers_leaving_heard node=" + heartbeat.node + " workers=" + std::to_string(news));
+        this->onLeaveNews();
+    }
 }
 
 void Peers::receiveSummary(Heartbeat summary)
--- a/edge/src/peers.h
+++ b/edge/src/peers.h
@@ -96,6 +96,8 @@
     /// @param statement what the answer says, for the log.
     void recordIgnored(const routing::WorkerEntry& worker, const routing::AnswerSource& source, const std::string& statement);
 
+    /// Called when this VM has learnt that a worker leaves. Set before `start`.
+    std::function<void()> onLeaveNews = [] {};
     /// Called when a VM, this one included, reports missing items.
     std::function<void()> onMissingItems;
     /// Forwards a record of the worker stream to the other VMs of the group.
--- a/routing/include/routing/routing.h
+++ b/routing/include/routing/routing.h
@@ -643,8 +643,8 @@
     bool signedByWorker = false;
 };
 
-/// Returns whether an answer to a call to `worker` is a statement of this start of it. Another worker may have its address by now; only
-/// a rejection that names its sender tells the two apart.
+/// Returns whether an answer to a call to `worker` is a statement of it, of whichever start. Another worker may have its address by now;
+/// only a rejection that names its sender tells the two apart.
 bool isStatementOf(const AnswerSource& answer, const WorkerEntry& worker);
 
 /// Time for which a worker that leaves is remembered after its entry was last known. An entry may come back.
@@ -654,21 +654,39 @@
 
 /// Remembers which workers have said that they leave, by their start: a worker that has started again does not leave. All VMs tell each
 /// other of those whose entries they know, so that a VM that starts later learns of them too.
+///
+/// A VM may know a worker by the entry of an earlier start, and most answers don't name theirs. A start that follows one which is said to leave
+/// is therefore in doubt, and counts as leaving, until the worker was asked.
 class LeavingWorkers {
 public:
     /// Records that a worker, or another VM, said so.
     /// @param worker result of `workerStart`.
     /// @return whether it is news.
     bool record(uint64_t worker, Time now);
-    /// Returns whether a worker has said so.
-    bool isLeaving(uint64_t worker) const { return this->lastKnownAt.contains(worker); }
-    bool isEmpty() const { return this->lastKnownAt.empty(); }
+    /// Records that a worker said so in an answer.
+    /// @param called its entry with which it was called.
+    /// @param namedStart start that the answer names; nothing if it names none.
+    /// @param known its entry that is known now; null if there is none.
+    /// @return whether it is news.
+    bool recordAnswer(const WorkerEntry& called, std::optional<int64_t> namedStart, const WorkerEntry* known, Time now);
+    /// Records that the entry of a worker tells of another start of it than the entry before.
+    /// @param before, after results of `workerStart`.
+    void recordRestart(uint64_t before, uint64_t after);
+    /// Ends the doubt whether a start leaves: it was asked, and what it said is recorded.
+    void settle(uint64_t worker);
+    /// Returns whether it is not clear if a start or one before it has said so.
+    bool isInDoubt(uint64_t worker) const { return this->doubts.contains(worker); }
+    /// Returns whether a worker has said so, or may have.
+    bool isLeaving(uint64_t worker) const { return this->lastKnownAt.contains(worker) || this->doubts.contains(worker); }
+    bool isEmpty() const { return this->lastKnownAt.empty() && this->earlierStarts.empty(); }
     /// Returns the workers that the next heartbeat names, in turn if they are more than `maxLeaveReports`. Forgets those of the past.
     /// @param known starts of the workers whose entries are known.
     std::vector<uint64_t> takeReports(const std::set<uint64_t>& known, Time now);
 
 private:
     std::map<uint64_t, Time> lastKnownAt; ///< By worker: when it was last heard of, or its entry was last known.
+    std::map<uint64_t, uint64_t> earlierStarts; ///< By start that was not asked yet: the one in the entry before.
+    std::set<uint64_t> doubts; ///< Starts in doubt.
     uint64_t lastSentInTurn = 0; ///< The next heartbeat continues after this worker.
 };
 
