A request is not written to a worker that has said meanwhile that it leaves

Callers' requests reached a worker after it had told the VM that it leaves (DRAIN), if they were sent on a connection that was being opened then.

Cause: a worker was chosen before the connection was opened, which may take up to a quarter of the time that the request has left, and nothing was asked again before the first byte.

Change: CallLimits::maySend is asked once there is a connection; if it returns false, nothing is written and the call fails as withdrawn. Requests ask routing::wantsRequests: whether the worker is known and does not leave, by its entry or by what it has said. A withdrawn request is no attempt and takes no retry from the budget; another worker is chosen, or it is refused truthfully. A resumption from a backup copy ends the stream as before, as the copy is at that worker. event=send_withdrawn, counted as withdrawals.

--- a/edge/src/counters.h
+++ b/edge/src/counters.h
@@ -62,6 +62,7 @@
     OversizedAnswers, ///< Answers of workers that were given up because they exceed the buffer memory.
     WorkerHolds, ///< Refusals of workers that named a time until which they want no request of this VM.
     StatementsIgnored, ///< Answers that say that a worker leaves, or name a time, and are no statement of the worker that was called.
+    Withdrawals, ///< Requests that were not sent as their worker wanted none any more when the connection was open.
     Count
 };
 
--- a/edge/src/fleet.cpp
+++ b/edge/src/fleet.cpp
@@ -467,6 +467,13 @@
         routing::recordHold(found->second.worker, delay, now);
 }
 
+bool Fleet::wantsRequests(const std::string& id, Time now) const
+{
+    std::lock_guard lock(this->mutex);
+    auto found = this->workers.find(id);
+    return found != this->workers.end() && routing::wantsRequests(found->second.worker, now);
+}
+
 bool Fleet::mayResume(const std::string& id, Time now)
 {
     std::lock_guard lock(this->mutex);
--- a/edge/src/fleet.h
+++ b/edge/src/fleet.h
@@ -132,6 +132,8 @@
     /// Records that a worker turned a request away and named a time after which it wants the next one.
     /// @param worker the worker as it was called; the time does not hold for a later start of it.
     void recordHold(const routing::WorkerEntry& worker, Time delay, Time now);
+    /// Returns whether a worker takes requests of this VM now, see `routing::wantsRequests`. False if the worker is unknown.
+    bool wantsRequests(const std::string& id, Time now) const;
     /// Returns whether a run may resume at a worker now: see `routing::mayResumeAt`. False if the worker is unknown.
     bool mayResume(const std::string& id, Time now);
 
--- a/edge/src/relay.cpp
+++ b/edge/src/relay.cpp
@@ -337,9 +337,14 @@
     return found->second;
 }
 
+bool Relay::mayHaveRun(SendResult result)
+{
+    return result != SendResult::NotSent && result != SendResult::NotRun && result != SendResult::Withdrawn;
+}
+
 bool Relay::prepareRetry(RequestContext& context, SendResult result)
 {
-    bool mayHaveRun = result != SendResult::NotSent && result != SendResult::NotRun;
+    bool mayHaveRun = Relay::mayHaveRun(result);
     bool canRunAgain = context.isRetryable() && context.possibleRuns < context.route->maxAttempts;
     if (context.remaining() <= replyReserve || context.endedByShutdown)
         return false;
@@ -511,19 +516,25 @@
                 return;
         }
         auto result = this->sendOnce(context, selection);
-        context.resumeWorker.reset();
+        bool resumed = std::exchange(context.resumeWorker, std::nullopt).has_value();
+        if (result == SendResult::Withdrawn) {
+            // The copy from which the run was to resume is at that worker.
+            if (resumed || context.isCancelled() || context.remaining() <= replyReserve)
+                return this->finish(context, context.lastResult);
+            continue;
+        }
         context.lastResult = result;
         if (result == SendResult::Answered)
             this->recordStreamTime(context);
         if (result == SendResult::Answered || result == SendResult::CallerGone)
             return;
-        if (result != SendResult::NotSent && result != SendResult::NotRun)
+        if (mayHaveRun(result))
             context.possibleRuns++;
         if (!this->prepareRetry(context, result))
             return this->finish(context, result);
-        // By result of the attempt. Those of `Answered` and `CallerGone` are never used.
+        // By result of the attempt. Those of `Answered`, `CallerGone` and `Withdrawn` are never used.
         constexpr std::array<RetryReason, static_cast<size_t>(SendResult::Count)> reasons {
-            RetryReason::Failed, RetryReason::NotSent, RetryReason::NotRun, RetryReason::Broken, RetryReason::Silent, RetryReason::Unusable, RetryReason::Failed, RetryReason::Resumed, RetryReason::Failed
+            RetryReason::Failed, RetryReason::NotSent, RetryReason::NotRun, RetryReason::Broken, RetryReason::Silent, RetryReason::Unusable, RetryReason::Failed, RetryReason::Resumed, RetryReason::Failed, RetryReason::Failed
         };
         increment(this->vm.counters, reasons[static_cast<size_t>(result)]);
         this->log.info("event=repeat id=" + escapeForLog(context.head.id) + " worker=" + escapeForLog(selection.id) + " reason=" + name(reasons[static_cast<size_t>(result)]) + " left_ms=" + std::to_string(context.remaining().count()));
@@ -651,7 +662,14 @@
     limits.cancel = &cancel;
     limits.idHeader = platform::requestIdHeader;
     limits.avoidedConnections = &context.usedConnections;
+    limits.maySend = [this, &selection] { return this->vm.fleet.wantsRequests(selection.id, monotonicNow()); };
     auto opened = this->vm.client.open(selection.entry.address, request, limits);
+    if (!opened && opened.error() == IoError::Withdrawn) {
+        context.sendCount--;
+        increment(this->vm.counters, CountedEvent::Withdrawals);
+        this->log.info("event=send_withdrawn id=" + escapeForLog(context.head.id) + " worker=" + escapeForLog(selection.id) + " left_ms=" + std::to_string(context.remaining().count()));
+        return SendResult::Withdrawn;
+    }
     if (!opened)
         return this->recordSendError(context, selection, opened.error());
     auto stream = std::move(opened.value());
@@ -910,7 +928,7 @@
     auto failure = started ? this->awaitEvent(context, *started.value(), deadline) : started.error();
     if (!failure)
         return std::move(started.value());
-    if (*failure != SendResult::NotSent && *failure != SendResult::NotRun)
+    if (mayHaveRun(*failure))
         context.possibleRuns++;
     // It was chosen for the attempt that failed.
     context.backupWorker.reset();
--- a/edge/src/relay.h
+++ b/edge/src/relay.h
@@ -36,6 +36,7 @@
         WorkerError, ///< The worker ran it and answered with an error, stored in the context.
         Resumable, ///< A stream was interrupted and may resume on another worker.
         CallerGone, ///< The caller closed its connection.
+        Withdrawn, ///< Nothing was sent: while the connection was opened, the worker has said that it wants no requests.
         Count
     };
 
@@ -100,6 +101,8 @@
     /// Records the failed attempt, and ends the request if its caller has gone.
     SendResult handleSendError(RequestContext& context, const Fleet::Selection& selection, transport::IoError error);
     SendResult handleNotRun(RequestContext& context, const Fleet::Selection& selection, const platform::ResponseHead& head);
+    /// Returns whether a worker may have run the request in an attempt with this result.
+    static bool mayHaveRun(SendResult result);
     /// Returns whether the request is sent again after an attempt with this result; the retry then counts against the budget. Also
     /// chooses the worker that resumes the run, if it must resume from its backup copy.
     bool prepareRetry(RequestContext& context, SendResult result);
--- a/routing/include/routing/routing.h
+++ b/routing/include/routing/routing.h
@@ -331,6 +331,10 @@
 /// Decides whether this VM may send a worker a request now. Of several blocks the one that ends last is returned.
 WorkerAvailability checkWorker(const Worker& worker, Time now);
 
+/// Returns whether a worker takes requests of this VM now, by what it has said. Asked again before a request is written, as backoffs and load,
+/// which don't count, were considered in the choice.
+bool wantsRequests(const Worker& worker, Time now);
+
 /// Returns whether a run may resume now from its backup copy at a worker. Backoffs and silence, unlike what the worker has said, don't
 /// count: it has the copy, and without that the stream is cut.
 bool mayResumeAt(const Worker& worker, Time now);
--- a/tests/unit/transport_test.cpp
+++ b/tests/unit/transport_test.cpp
@@ -516,6 +516,39 @@
     cr_assert(runtime.stop(std::chrono::seconds { 5 }));
 }
 
+// Guards against a request that is written although it became unwanted while the connection was opened, and against a connection that is lost by that.
+Test(http_client, nothing_is_written_if_the_request_is_unwanted_once_there_is_a_connection)
+{
+    signal(SIGPIPE, SIG_IGN);
+    constexpr uint16_t peerPort = 26982;
+    std::atomic<int> connections { 0 };
+    std::atomic<int> requests { 0 };
+    standins::RawPeer peer(peerPort, [&](int connection) {
+        connections++;
+        for (; !standins::RawPeer::readRequest(connection).empty(); requests++)
+            standins::RawPeer::write(connection, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    });
+    Runtime runtime(1);
+    HttpClient client;
+    std::string results;
+    std::atomic<bool> done { false };
+    runtime.spawn([&] {
+        for (bool wanted : { false, true, false, true }) {
+            CallLimits limits;
+            limits.maySend = [wanted] { return wanted; };
+            auto response = client.call({ "127.0.0.1", peerPort }, { "GET", "/", {}, "" }, limits);
+            results += response ? "answered " : std::string(name(response.error())) + " ";
+        }
+        done = true;
+    });
+    while (!done)
+        std::this_thread::sleep_for(std::chrono::milliseconds { 10 });
+    cr_assert_str_eq(results.c_str(), "withdrawn answered withdrawn answered ");
+    cr_assert_eq(requests, 2);
+    cr_assert_eq(connections, 2, "the one that was idle is used again");
+    cr_assert(runtime.stop(std::chrono::seconds { 5 }));
+}
+
 // A connection that is too old to be used must not stay open at the peer until the next request to that peer, which may never come.
 Test(http_client, unusable_idle_connections_are_closed_while_others_are_used)
 {
--- a/transport/include/transport/transport.h
+++ b/transport/include/transport/transport.h
@@ -93,6 +93,7 @@
     Malformed, ///< The received bytes are not valid HTTP.
     TooLarge, ///< Head or body exceeds the limit.
     Cancelled, ///< Cancelled through `CancelToken`.
+    Withdrawn, ///< `CallLimits::maySend` returned false. No byte was sent.
     Count
 };
 
@@ -405,6 +406,9 @@
     std::chrono::milliseconds response { 10000 };
     uint64_t maxBodyBytes = defaultMaxBodyBytes; ///< A larger response body fails with `IoError::TooLarge`.
     CancelToken* cancel = nullptr; ///< Optional. Must outlive the call and its response stream.
+    /// Asked once there is a connection, before the first byte is written: opening it may take long. If it returns false, the call fails with
+    /// `IoError::Withdrawn`. Optional.
+    std::function<bool()> maySend;
     /// Uses a new connection for this call only: the peer of a pooled one may have become unreachable, and may answer an earlier call
     /// once more.
     bool freshConnection = false;
--- a/transport/src/http_client_beast.cpp
+++ b/transport/src/http_client_beast.cpp
@@ -424,6 +424,11 @@
         connection = std::move(connected.value());
     }
     auto idleSince = connection->idleSince; // 0 for a new connection.
+    if (limits.maySend && !limits.maySend()) {
+        if (idleSince.count() > 0)
+            this->impl->returnToPool(endpoint, std::move(connection));
+        return IoError::Withdrawn;
+    }
     auto sentAt = monotonicNow();
     BeastResponseStream::ReturnToPool returnToPool;
     if (!limits.freshConnection)
@@ -482,7 +487,7 @@
 const char* name(IoError error)
 {
     constexpr std::array<const char*, static_cast<size_t>(IoError::Count)> names {
-        "refused", "not_connected", "connect_timeout", "timeout", "closed", "malformed", "too_large", "cancelled"
+        "refused", "not_connected", "connect_timeout", "timeout", "closed", "malformed", "too_large", "cancelled", "withdrawn"
     };
     return names[static_cast<size_t>(error)];
 }
