The time in a refusal without an id is read

Callers got 502 from workers that had named a time in which they wanted nothing, and those got all their requests in it (BUDGET): 60 requests in 1.8 s of a named 3 s at two workers.

Cause: a refusal without an id, on a connection that was used before, may be a late copy of the one to an earlier request, so that a repeat would not be safe. The same check dropped what the answer says of its worker.

Change: whether the request may be sent again and whether the worker wants requests are asked separately. An answer that carries no id of another request counts for the second: only the worker answers on that connection, and a late copy of its refusal at most prolongs the time by its age. For the first nothing changes.

--- a/edge/src/relay.cpp
+++ b/edge/src/relay.cpp
@@ -676,12 +676,13 @@
     context.usedConnections.insert(stream->connectionNumber());
     auto head = platform::decodeResponseHead(stream->status(), stream->headers());
     context.requestLimit = head.requestLimit;
-    // A worker that did not run the request may leave its id out. On a connection with earlier requests it may refuse one of those.
+    // A worker that did not run the request may leave its id out. On a connection with earlier requests it may refuse one of those: the request
+    // may run, but what the worker says of itself holds.
     bool refusedWithoutId = head.notExecuted && head.requestId.empty() && stream->isFirstOnConnection();
     bool matchesRequest = head.requestId == context.head.id || refusedWithoutId;
     // Only an answer with an error or a redirect may lack the worker's signature header.
     bool signatureDue = stream->status() < 300;
-    this->recordSignals(selection, stream->status(), head, matchesRequest, signatureDue);
+    this->recordSignals(selection, stream->status(), head, matchesRequest || head.requestId.empty(), signatureDue);
     if (!matchesRequest) {
         this->log.warn("event=answer_unmatched id=" + escapeForLog(context.head.id) + " worker=" + escapeForLog(selection.id) + " status=" + std::to_string(stream->status()) + " answered_id=" + (head.requestId.empty() ? "-" : "other")
             + " first_on_connection=" + (stream->isFirstOnConnection() ? "yes" : "no"));
--- a/edge/src/relay.h
+++ b/edge/src/relay.h
@@ -83,7 +83,7 @@
     /// @return the reason why it has not, or nothing if it has.
     std::optional<SendResult> awaitEvent(RequestContext& context, Attempt& attempt, Time deadline);
     /// Records what the head of an answer says about its worker, whatever becomes of the answer.
-    /// @param matchesRequest whether it answers this request.
+    /// @param matchesRequest see `routing::AnswerSource`.
     /// @param signatureDue whether an answer of this status carries the worker's signature.
     void recordSignals(const Fleet::Selection& selection, unsigned status, const platform::ResponseHead& head, bool matchesRequest, bool signatureDue);
     /// Records which workers a choice passed over.
--- a/routing/include/routing/routing.h
+++ b/routing/include/routing/routing.h
@@ -640,7 +640,7 @@
 /// What an answer shows about the worker that sent it.
 struct AnswerSource {
     unsigned status = 0;
-    bool matchesRequest = true; ///< It answers the request that was sent, by its id or because the connection carried no other.
+    bool matchesRequest = true; ///< It carries the id of the request that was sent, or none: not that of another one.
     std::string worker; ///< Id of the worker that it names as its sender. Empty if it names none.
     std::optional<int64_t> startedAt; ///< Start of that worker that it names, see `WorkerEntry::startedAt`.
     bool signatureDue = false; ///< Answers of this kind carry the worker's signature.
