A request is not written to a worker that has named a time meanwhile

Callers' requests reached a worker within the time that it had named (BUDGET), if they were sent on a connection that was being opened when it did.

Cause: as for leaves, a worker was chosen before the connection was opened and nothing was asked again before the first byte.

Change: routing::wantsRequests, which is asked then, also counts the time that the worker has named.

--- a/routing/src/choice.cpp
+++ b/routing/src/choice.cpp
@@ -290,14 +290,14 @@
     return result;
 }
 
-bool wantsRequests(const Worker& worker, [[maybe_unused]] Time now)
+bool wantsRequests(const Worker& worker, Time now)
 {
-    return !worker.entry.draining && !worker.leaving;
+    return !worker.entry.draining && !worker.leaving && worker.heldUntil <= now;
 }
 
 bool mayResumeAt(const Worker& worker, Time now)
 {
-    return wantsRequests(worker, now) && worker.heldUntil <= now && worker.limitedUntil <= now;
+    return wantsRequests(worker, now) && worker.limitedUntil <= now;
 }
 
 Choice chooseWorker(const std::vector<Worker*>& workers, const ChoiceInputs& inputs)
--- a/tests/unit/worker_holds_test.cpp
+++ b/tests/unit/worker_holds_test.cpp
@@ -63,6 +63,23 @@
     cr_assert_eq(checkWorker(worker, now + seconds { 3 }).block, WorkerBlock::Leaving);
 }
 
+// Guards against a request that is written because its worker was chosen before it said something, and against one that is held back for a backoff.
+Test(worker_holds, only_what_a_worker_has_said_counts_before_a_request_is_written)
+{
+    Worker worker;
+    recordUnreachable(worker, now);
+    worker.limitedUntil = now + seconds { 1 }; // Its own share of the limit is used up by the request itself.
+    cr_assert(wantsRequests(worker, now));
+    recordHold(worker, seconds { 1 }, now);
+    cr_assert_not(wantsRequests(worker, now));
+    cr_assert(wantsRequests(worker, now + seconds { 1 }));
+    worker.leaving = true;
+    cr_assert_not(wantsRequests(worker, now + seconds { 1 }));
+    worker.leaving = false;
+    worker.entry.draining = true;
+    cr_assert_not(wantsRequests(worker, now + seconds { 1 }));
+}
+
 // Guards against a time that is cut short by a later refusal, and against one that shuts a worker out for ever.
 Test(worker_holds, latest_end_of_several_times_counts_and_none_lasts_for_ever)
 {
