A named time holds when the entry of the start that named it arrives

Callers' requests reached a worker within the time that it had named (BUDGET), as soon as the VM read that the worker had started again.

Cause: the time was kept for the start in the entry that the VM knew, and ended with the next one, although the process that named it may be the later one; a time that came while the entry changed was dropped. The same class as for leaves: what one process said is filed under the identity of another.

Change: the wall-clock time of the refusal is kept. Only a start that begins after it ends the time (routing::mayHaveSaid). Unlike a leave, a time ends by itself, so that clocks that differ cost a worker's requests of one VM for at most that time, or one more refusal, and nobody needs to be asked.

The stand-ins of workers tell their true start time, as workers do; before, all had started in 2023 and each restart came a millisecond later.

--- a/edge/src/fleet.cpp
+++ b/edge/src/fleet.cpp
@@ -86,7 +86,9 @@
         worker.prefixCache.clear();
         worker.announced.clear();
         worker.avoidUntil = Time { 0 };
-        worker.heldUntil = Time { 0 };
+        // The refusal may have come from the new process, before its entry.
+        if (!routing::mayHaveSaid(entry, known.holdNamedAt))
+            worker.heldUntil = Time { 0 };
         worker.connectFailures = 0;
         worker.runningStreams = 0;
         worker.outcomes = {};
@@ -459,12 +461,18 @@
     return news;
 }
 
-void Fleet::recordHold(const routing::WorkerEntry& worker, Time delay, Time now)
+void Fleet::recordHold(const routing::WorkerEntry& worker, Time delay, Time now, milliseconds wallNow)
 {
     std::lock_guard lock(this->mutex);
     auto found = this->workers.find(worker.id);
-    if (found != this->workers.end() && found->second.worker.entry.startedAt == worker.startedAt)
-        routing::recordHold(found->second.worker, delay, now);
+    if (found == this->workers.end())
+        return;
+    auto& known = found->second;
+    // The entry may have changed since the call.
+    if (known.worker.entry.startedAt != worker.startedAt && !routing::mayHaveSaid(known.worker.entry, wallNow))
+        return;
+    routing::recordHold(known.worker, delay, now);
+    known.holdNamedAt = wallNow;
 }
 
 bool Fleet::wantsRequests(const std::string& id, Time now) const
--- a/edge/src/fleet.h
+++ b/edge/src/fleet.h
@@ -130,8 +130,9 @@
     /// @return number of workers of which this VM had not heard that.
     size_t applyLeaveReports(const std::vector<uint64_t>& reports, Time now);
     /// Records that a worker turned a request away and named a time after which it wants the next one.
-    /// @param worker the worker as it was called; the time does not hold for a later start of it.
-    void recordHold(const routing::WorkerEntry& worker, Time delay, Time now);
+    /// @param worker the worker as it was called; the time does not hold for a process of it that started later.
+    /// @param wallNow wall-clock time since the Unix epoch.
+    void recordHold(const routing::WorkerEntry& worker, Time delay, Time now, milliseconds wallNow);
     /// Returns whether a worker takes requests of this VM now, see `routing::wantsRequests`. False if the worker is unknown.
     bool wantsRequests(const std::string& id, Time now) const;
     /// Returns whether a run may resume at a worker now: see `routing::mayResumeAt`. False if the worker is unknown.
@@ -162,6 +163,7 @@
         Time lastRecordAt { 0 }; ///< When a record of its entry was last applied.
         Time removedAt { 0 }; ///< When its entry was removed; 0 while it is present.
         Time grace { 0 }; ///< Time after `removedAt` within which the entry may come back.
+        milliseconds holdNamedAt { 0 }; ///< Wall-clock time of the refusal that `Worker::heldUntil` is from.
     };
     /// What is kept of a worker that was dropped.
     struct DroppedEntry {
--- a/edge/src/relay.cpp
+++ b/edge/src/relay.cpp
@@ -712,7 +712,7 @@
         return this->peers.recordIgnored(selection.entry, source, "ms=" + std::to_string(head.retryAfter->count()));
     increment(this->vm.counters, CountedEvent::WorkerHolds);
     this->log.info("event=worker_hold worker=" + escapeForLog(selection.id) + " ms=" + std::to_string(head.retryAfter->count()));
-    this->vm.fleet.recordHold(selection.entry, *head.retryAfter, monotonicNow());
+    this->vm.fleet.recordHold(selection.entry, *head.retryAfter, monotonicNow(), transport::wallNow());
 }
 
 void Relay::recordLimit(const routing::WorkerEntry& worker, std::optional<double> limit)
--- a/routing/include/routing/routing.h
+++ b/routing/include/routing/routing.h
@@ -307,6 +307,11 @@
 /// @param delay longer ones count as `maxWorkerHold`.
 void recordHold(Worker& worker, Time delay, Time now);
 
+/// Returns whether the process of an entry may have made a statement that came from its worker at `saidAt`: it had started by then. The clocks of
+/// VMs and workers may differ by seconds, so this decides only about statements that end by themselves.
+/// @param saidAt wall-clock time since the Unix epoch.
+bool mayHaveSaid(const WorkerEntry& worker, milliseconds saidAt);
+
 /// Why a worker may be sent no request now, whatever the request is.
 enum class WorkerBlock {
     None, ///< It may be sent requests.
--- a/routing/src/choice.cpp
+++ b/routing/src/choice.cpp
@@ -273,6 +273,11 @@
     worker.heldUntil = std::max(worker.heldUntil, now + std::min<Time>(delay, maxWorkerHold));
 }
 
+bool mayHaveSaid(const WorkerEntry& worker, milliseconds saidAt)
+{
+    return worker.startedAt <= saidAt.count();
+}
+
 WorkerAvailability checkWorker(const Worker& worker, Time now)
 {
     if (worker.entry.draining || worker.leaving)
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -226,7 +226,7 @@
                 worker.unpublish();
                 return this->startFault(worker.id + " crashes", this->drawInt(500, 5000), [this, &worker, &proxy, number, finishFault] {
                     // The worker is back as after a restart: with a later start time and without adapters. Its models stay loaded.
-                    worker.startedAtMs += 1000;
+                    worker.markRestarted();
                     {
                         std::lock_guard lock(worker.mutex);
                         worker.adapters.clear();
@@ -309,7 +309,7 @@
             this->markConnectionsDisturbed(number);
             this->cluster.workerProxies[number]->reset();
             worker.leaving = false;
-            worker.startedAtMs += 1000;
+            worker.markRestarted();
             {
                 std::lock_guard lock(worker.mutex);
                 worker.adapters.clear();
--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -294,7 +294,7 @@
         this->highestToken = 0;
         this->runningOrder.reset();
     }
-    this->startedAtMs++;
+    this->markRestarted();
     this->leaving = false;
     this->server = this->makeServer();
     this->down = !this->server->start();
@@ -302,6 +302,11 @@
     return !this->down;
 }
 
+void WorkerStandin::markRestarted()
+{
+    this->startedAtMs = std::max<int64_t>(this->startedAtMs + 1, transport::wallNow().count());
+}
+
 void setModelMemory(WorkerStandin& worker)
 {
     worker.memoryMegabytes = 100;
--- a/tests/standins/platform_standin.h
+++ b/tests/standins/platform_standin.h
@@ -134,6 +134,8 @@
     /// its entry. Must not be called on an I/O thread.
     /// @return false if the address can't be bound.
     bool restart();
+    /// Sets the start time in the worker's entry to now.
+    void markRestarted();
     /// Writes the worker's entry to the store.
     void publish();
     /// Deletes the worker's entry from the store.
@@ -156,7 +158,7 @@
     std::atomic<bool> leaving { false }; ///< All answers say that the worker leaves; its entry does not. Ends with a restart.
     /// Time that a refusal of `WorkerFault::Full` names, in seconds; negative for none.
     std::atomic<double> retryAfterSeconds { -1 };
-    std::atomic<int64_t> startedAtMs { 1700000000000 }; ///< Start time in the worker's entry, in Unix milliseconds.
+    std::atomic<int64_t> startedAtMs { transport::wallNow().count() }; ///< Start time in the worker's entry, in Unix milliseconds.
     std::atomic<int> eventsPerStream { 8 }; ///< Number of the last event of each stream.
     std::atomic<int> eventDelayMs { 5 }; ///< Delay after each event of a stream.
     std::atomic<int> responseDelayMs { 0 }; ///< Delay between the run of a request and its response.
--- a/tests/unit/edge_faults_test.cpp
+++ b/tests/unit/edge_faults_test.cpp
@@ -962,7 +962,7 @@
     cr_assert(next.start());
     next.write("keyed.op", "config", standins::makePlatformConfiguration(2));
     for (int i = 0; i < 2; i++)
-        next.write("keyed.servers", "app" + std::to_string(i), R"({"service":"app","addr":"127.0.0.1:)" + std::to_string(cluster.base + 1 + i) + R"(","zone":"dc","version":"v1","slots":8,"state":")" + (i == 0 ? "draining" : "ready") + R"(","born":1700000000000})");
+        next.write("keyed.servers", "app" + std::to_string(i), R"({"service":"app","addr":"127.0.0.1:)" + std::to_string(cluster.base + 1 + i) + R"(","zone":"dc","version":"v1","slots":8,"state":")" + (i == 0 ? "draining" : "ready") + R"(","born":)" + std::to_string(cluster.app(i).startedAtMs) + "}");
     cluster.vms[0]->reload(settings);
     std::this_thread::sleep_for(seconds { 4 });
     int before = cluster.app(0).runs;
--- a/tests/unit/worker_holds_test.cpp
+++ b/tests/unit/worker_holds_test.cpp
@@ -80,6 +80,16 @@
     cr_assert_not(wantsRequests(worker, now + seconds { 1 }));
 }
 
+// Guards against a time that is forgotten with the entry of an earlier start, and against one that binds a process which has not named it.
+Test(worker_holds, processes_that_had_started_by_then_may_have_named_a_time)
+{
+    WorkerEntry entry;
+    entry.startedAt = 5000;
+    cr_assert(mayHaveSaid(entry, milliseconds { 5000 }));
+    cr_assert(mayHaveSaid(entry, milliseconds { 6000 }));
+    cr_assert_not(mayHaveSaid(entry, milliseconds { 4999 }));
+}
+
 // Guards against a time that is cut short by a later refusal, and against one that shuts a worker out for ever.
 Test(worker_holds, latest_end_of_several_times_counts_and_none_lasts_for_ever)
 {
