Reports, probes and orders wait for the time that a worker has named

Cause: the time was kept for callers' requests only.

Change: the lease holder sends a held worker neither reports nor orders, plans no model orders there, and marks it for the other VMs like one that carries out an order, so that missing adapters are asked for elsewhere. Probes after broken answers are left out, those of silent streams count as unanswered, those of doubtful leaves wait. The time is read from the answers to all of them.

--- a/edge/src/crash_tracker.cpp
+++ b/edge/src/crash_tracker.cpp
@@ -36,10 +36,13 @@
 
 void CrashTracker::probe(const routing::WorkerEntry& worker)
 {
-    auto reply = platform::probeWorker(this->vm.controlClient, worker);
+    auto reply = platform::WorkerReply<platform::WorkerState> { platform::WorkerState::Unknown, false, {}, std::nullopt };
+    // A worker that has named a time wants no probes either.
+    if (!this->vm.fleet.isHeld(worker.id, monotonicNow()))
+        reply = platform::probeWorker(this->vm.controlClient, worker);
     auto state = reply.value;
-    if (reply.leaving && this->onLeaving)
-        this->onLeaving(worker, reply.source);
+    if (this->onReply)
+        this->onReply(worker, reply);
     {
         std::lock_guard lock(this->mutex);
         this->probedWorkers.erase(worker.id);
--- a/edge/src/crash_tracker.h
+++ b/edge/src/crash_tracker.h
@@ -30,8 +30,8 @@
 
     /// Called after a crash that requests are blamed for, so that other VMs hear of it soon.
     std::function<void()> onCrash;
-    /// Called if the answer of a worker that is asked whether it still runs says that its sender leaves.
-    std::function<void(const routing::WorkerEntry&, const routing::AnswerSource&)> onLeaving;
+    /// Called after a worker was asked whether it still runs.
+    std::function<void(const routing::WorkerEntry&, const platform::WorkerReply<platform::WorkerState>&)> onReply;
 
 private:
     /// Asks a worker whether it still runs.
--- a/edge/src/edge.cpp
+++ b/edge/src/edge.cpp
@@ -89,7 +89,7 @@
         this->peers.onUnknownMember = [this] { this->store.refreshMembers(); };
         this->peers.onLeaveNews = [this] { this->leaveChecker.checkWorkers(); };
         this->crashes.onCrash = [this] { this->peers.sendHeartbeat(); };
-        this->crashes.onLeaving = [this](const auto& worker, const auto& source) { this->peers.recordLeaving(worker, source, "probe"); };
+        this->crashes.onReply = [this](const auto& worker, const auto& reply) { this->peers.recordStatements(worker, reply, "probe"); };
         this->peers.onConfigurationVersion = [this](uint64_t version) { this->store.refreshIfOlderThan(version); };
     }
 
--- a/edge/src/fleet.cpp
+++ b/edge/src/fleet.cpp
@@ -475,6 +475,24 @@
     known.holdNamedAt = wallNow;
 }
 
+std::set<std::string> Fleet::heldWorkers(Time now) const
+{
+    std::lock_guard lock(this->mutex);
+    std::set<std::string> held;
+    for (const auto& [id, known] : this->workers) {
+        if (known.worker.heldUntil > now)
+            held.insert(id);
+    }
+    return held;
+}
+
+bool Fleet::isHeld(const std::string& id, Time now) const
+{
+    std::lock_guard lock(this->mutex);
+    auto found = this->workers.find(id);
+    return found != this->workers.end() && found->second.worker.heldUntil > now;
+}
+
 bool Fleet::wantsRequests(const std::string& id, Time now) const
 {
     std::lock_guard lock(this->mutex);
--- a/edge/src/fleet.h
+++ b/edge/src/fleet.h
@@ -133,6 +133,10 @@
     /// @param worker the worker as it was called; the time does not hold for a process of it that started later.
     /// @param wallNow wall-clock time since the Unix epoch.
     void recordHold(const routing::WorkerEntry& worker, Time delay, Time now, milliseconds wallNow);
+    /// Returns the workers that have named a time which has not ended: this VM sends them nothing.
+    std::set<std::string> heldWorkers(Time now) const;
+    /// Returns whether a worker is one of these.
+    bool isHeld(const std::string& id, Time now) const;
     /// Returns whether a worker takes requests of this VM now, see `routing::wantsRequests`. False if the worker is unknown.
     bool wantsRequests(const std::string& id, Time now) const;
     /// Returns whether a run may resume at a worker now: see `routing::mayResumeAt`. False if the worker is unknown.
--- a/edge/src/leave_checker.cpp
+++ b/edge/src/leave_checker.cpp
@@ -34,9 +34,12 @@
 {
     auto begin = monotonicNow();
     while (!this->vm.status.stopping && this->isInDoubt(worker)) {
+        if (this->vm.fleet.isHeld(worker.id, monotonicNow())) {
+            sleepFor(checkInterval);
+            continue;
+        }
         auto reply = platform::probeWorker(this->vm.controlClient, worker);
-        if (reply.leaving)
-            this->peers.recordLeaving(worker, reply.source, "probe");
+        this->peers.recordStatements(worker, reply, "probe");
         auto elapsed = monotonicNow() - begin;
         if (reply.value == platform::WorkerState::Running || elapsed > routing::leaveMemoryTime) {
             this->vm.fleet.settleLeave(worker);
--- a/edge/src/order_task.cpp
+++ b/edge/src/order_task.cpp
@@ -257,8 +257,11 @@
             missingByWorker[item.worker].push_back(std::move(item));
     }
     auto now = monotonicNow();
+    auto held = this->vm.fleet.heldWorkers(now);
     std::lock_guard lock(this->mutex);
     for (auto& [id, worker] : this->managedWorkers) {
+        if (held.contains(id))
+            continue;
         auto missing = missingByWorker.find(id);
         bool callNeeded = placement::hasUnsentModelOrder(worker->tracked) || worker->prefetch || missing != missingByWorker.end() || placement::needsReport(worker->tracked, now);
         if (!callNeeded || std::exchange(worker->callInProgress, true))
@@ -292,6 +295,7 @@
 void OrderTask::updateManagedWorkers()
 {
     auto configuration = this->vm.fleet.configuration();
+    auto held = this->vm.fleet.heldWorkers(monotonicNow());
     std::lock_guard lock(this->mutex);
     std::set<std::string> present;
     for (const auto& entry : this->vm.fleet.entries()) {
@@ -307,7 +311,7 @@
         inventory.dataCentre = entry.dataCentre;
         inventory.active = !entry.draining;
         placement::updateCachedModels(worker->tracked, entry.onDisk);
-        inventory.acceptsModelOrders = !entry.draining && placement::mayOrderModel(worker->tracked);
+        inventory.acceptsModelOrders = !entry.draining && !held.contains(entry.id) && placement::mayOrderModel(worker->tracked);
     }
     std::erase_if(this->managedWorkers, [&present](const auto& item) { return !present.contains(item.first); });
 }
@@ -410,8 +414,7 @@
     auto requestedAt = monotonicNow();
     auto entry = worker.entry;
     auto reply = platform::fetchReport(this->vm.controlClient, entry);
-    if (reply.leaving)
-        this->peers.recordLeaving(entry, reply.source, "report");
+    this->peers.recordStatements(entry, reply, "report");
     const auto& report = reply.value;
     std::lock_guard lock(this->mutex);
     if (!report) {
@@ -431,7 +434,7 @@
     placement::OrderSource source;
     {
         std::lock_guard lock(this->mutex);
-        if (!worker.tracked.synced || !this->mayIssueOrders())
+        if (!worker.tracked.synced || !this->mayIssueOrders() || this->vm.fleet.isHeld(worker.entry.id, monotonicNow()))
             return false;
         source = { this->vm.settings.node, this->lease.token(), worker.tracked.ordersAccepted };
     }
@@ -439,8 +442,7 @@
     auto sentAt = monotonicNow();
     auto entry = worker.entry;
     auto reply = platform::sendOrder(this->vm.controlClient, entry, order, source);
-    if (reply.leaving)
-        this->peers.recordLeaving(entry, reply.source, "order");
+    this->peers.recordStatements(entry, reply, "order");
     auto outcome = reply.value;
     bool isLoad = order.kind == placement::OrderKind::Load;
     bool accepted = outcome == placement::OrderOutcome::Accepted || outcome == placement::OrderOutcome::AlreadyDone;
@@ -526,6 +528,7 @@
     uint64_t token = 0;
     LogPosition position;
     auto now = monotonicNow();
+    auto held = this->vm.fleet.heldWorkers(now);
     {
         std::lock_guard lock(this->mutex);
         if (!this->mayIssueOrders())
@@ -548,7 +551,8 @@
             }
             for (const auto& model : tracked.inventory.unloading)
                 items.insert("!" + model);
-            if (!placement::mayOrderAdapter(tracked))
+            // Other workers are preferred for missing adapters.
+            if (!placement::mayOrderAdapter(tracked) || held.contains(id))
                 items.insert(routing::orderInProgressMark);
         }
     }
--- a/edge/src/peers.cpp
+++ b/edge/src/peers.cpp
@@ -357,6 +357,15 @@
         + " sender_started=" + (source.startedAt ? std::to_string(*source.startedAt) : "-"));
 }
 
+void Peers::recordHold(const routing::WorkerEntry& worker, const routing::AnswerSource& source, milliseconds delay, const char* evidence)
+{
+    if (!routing::isStatementOf(source, worker))
+        return this->recordIgnored(worker, source, "ms=" + std::to_string(delay.count()));
+    increment(this->vm.counters, CountedEvent::WorkerHolds);
+    this->log.info("event=worker_hold worker=" + transport::escapeForLog(worker.id) + " ms=" + std::to_string(delay.count()) + " evidence=" + evidence);
+    this->vm.fleet.recordHold(worker, delay, monotonicNow(), transport::wallNow());
+}
+
 void Peers::recordLeaving(const routing::WorkerEntry& worker, const routing::AnswerSource& source, const char* evidence)
 {
     if (!routing::isStatementOf(source, worker))
--- a/edge/src/peers.h
+++ b/edge/src/peers.h
@@ -92,6 +92,17 @@
     /// @param source what the answer shows about its sender.
     /// @param evidence kind of the answer, for the log.
     void recordLeaving(const routing::WorkerEntry& worker, const routing::AnswerSource& source, const char* evidence);
+    /// Records that a worker turned this VM away and named the time after which it wants the next call. The parameters are as above.
+    void recordHold(const routing::WorkerEntry& worker, const routing::AnswerSource& source, milliseconds delay, const char* evidence);
+    /// Records what a worker's answer to a report, a probe or an order says of it.
+    template <class Value>
+    void recordStatements(const routing::WorkerEntry& worker, const platform::WorkerReply<Value>& reply, const char* evidence)
+    {
+        if (reply.leaving)
+            this->recordLeaving(worker, reply.source, evidence);
+        if (reply.retryAfter)
+            this->recordHold(worker, reply.source, *reply.retryAfter, evidence);
+    }
     /// Logs and counts a statement that is not one of the worker that was called.
     /// @param statement what the answer says, for the log.
     void recordIgnored(const routing::WorkerEntry& worker, const routing::AnswerSource& source, const std::string& statement);
--- a/edge/src/relay.cpp
+++ b/edge/src/relay.cpp
@@ -706,13 +706,8 @@
     const routing::AnswerSource source { status, matchesRequest, head.workerId, std::nullopt, signatureDue, head.signedByWorker };
     if (head.leaving)
         this->peers.recordLeaving(selection.entry, source, "answer");
-    if (status != 503 || !head.retryAfter)
-        return;
-    if (!routing::isStatementOf(source, selection.entry))
-        return this->peers.recordIgnored(selection.entry, source, "ms=" + std::to_string(head.retryAfter->count()));
-    increment(this->vm.counters, CountedEvent::WorkerHolds);
-    this->log.info("event=worker_hold worker=" + escapeForLog(selection.id) + " ms=" + std::to_string(head.retryAfter->count()));
-    this->vm.fleet.recordHold(selection.entry, *head.retryAfter, monotonicNow(), transport::wallNow());
+    if (status == 503 && head.retryAfter)
+        this->peers.recordHold(selection.entry, source, *head.retryAfter, "answer");
 }
 
 void Relay::recordLimit(const routing::WorkerEntry& worker, std::optional<double> limit)
@@ -905,9 +900,10 @@
 
 routing::RunEvidence Relay::askAboutRun(const RequestContext& context, const routing::WorkerEntry& worker, transport::CancelToken& cancel)
 {
+    if (this->vm.fleet.isHeld(worker.id, monotonicNow()))
+        return routing::RunEvidence::NoAnswer;
     auto reply = platform::probeRun(this->vm.controlClient, worker, context.head.id, cancel);
-    if (reply.leaving)
-        this->peers.recordLeaving(worker, reply.source, "probe");
+    this->peers.recordStatements(worker, reply, "probe");
     return reply.value;
 }
 
