The soak plays restarts that the store tells late and refusals without an id

Cause: none of the faults of this incident showed in the soak. Its workers said that they leave under the start in their entries, and each refusal carried the id of its request.

Change: half of the leaves come just after a restart that the entry tells 2.5 to 4 s later; half of the refusals that name a time carry no id. After a withdrawn send a request waits for one poll interval before it chooses again, so that a choice which disagrees with the check can't spin.

--- a/edge/src/relay.cpp
+++ b/edge/src/relay.cpp
@@ -521,6 +521,7 @@
             // The copy from which the run was to resume is at that worker.
             if (resumed || context.isCancelled() || context.remaining() <= replyReserve)
                 return this->finish(context, context.lastResult);
+            sleepFor(workerPollInterval);
             continue;
         }
         context.lastResult = result;
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -268,14 +268,22 @@
             }
         }
 
-        /// Lets a worker say that it leaves, without a change of its entry. It ends after a while and is back.
+        /// Lets a worker say that it leaves, without a change of its entry. It ends after a while and is back. At times it has started again just
+        /// before, and its entry tells that late.
         void startLeave(size_t number)
         {
             auto& worker = *this->cluster.workers[number];
             this->hasFault[number] = true;
             this->markWorkersDisturbed();
+            int entryDelayMs = 0;
+            if (drawFrom(this->signalRandom, 0, 1) == 0) {
+                this->unpublished[number] = true;
+                this->startNextProcess(number);
+                entryDelayMs = drawFrom(this->signalRandom, 2500, 4000);
+                this->startSignalFault(worker.id + " tells late that it has restarted", entryDelayMs, [this, number] { this->unpublished[number] = false; });
+            }
             worker.leaving = true;
-            this->startSignalFault(worker.id + " says that it leaves", drawFrom(this->signalRandom, 3000, 6000), [this, number] { this->restartWorker(number); });
+            this->startSignalFault(worker.id + " says that it leaves", entryDelayMs + drawFrom(this->signalRandom, 3000, 6000), [this, number] { this->restartWorker(number); });
         }
 
         /// Lets a worker refuse requests for a while and name a time, which is short mostly. A worker that has named a long one is back
@@ -288,10 +296,12 @@
             auto delayMs = drawFrom(this->signalRandom, 0, 3) == 0 ? drawFrom(this->signalRandom, 3000, 30000) : drawFrom(this->signalRandom, 200, 3000);
             auto burstMs = drawFrom(this->signalRandom, 300, 2500);
             worker.retryAfterSeconds = delayMs / 1000.0;
+            worker.refusesWithoutId = drawFrom(this->signalRandom, 0, 1) == 0;
             worker.fault = standins::WorkerFault::Full;
             this->startSignalFault(worker.id + " is full", burstMs, [&worker] {
                 worker.fault = standins::WorkerFault::None;
                 worker.retryAfterSeconds = -1;
+                worker.refusesWithoutId = false;
             });
             bool restarts = delayMs > maxNamedTimeMs;
             this->startSignalFault(worker.id + " has named " + std::to_string(delayMs) + " ms", burstMs + std::min(delayMs, maxNamedTimeMs), [this, number, restarts] {
@@ -302,18 +312,23 @@
             });
         }
 
-        /// Brings a worker back under the same id and address, with a later start time and without adapters. Its models stay loaded.
-        void restartWorker(size_t number)
+        /// Ends the connections of a worker and lets it go on as its next process: under the same id and address, with a later start time and
+        /// without adapters. Its models stay loaded.
+        void startNextProcess(size_t number)
         {
             auto& worker = *this->cluster.workers[number];
             this->markConnectionsDisturbed(number);
             this->cluster.workerProxies[number]->reset();
-            worker.leaving = false;
             worker.markRestarted();
-            {
-                std::lock_guard lock(worker.mutex);
-                worker.adapters.clear();
-            }
+            std::lock_guard lock(worker.mutex);
+            worker.adapters.clear();
+        }
+
+        /// Brings a worker back whose fault has ended.
+        void restartWorker(size_t number)
+        {
+            this->cluster.workers[number]->leaving = false;
+            this->startNextProcess(number);
             this->hasFault[number] = false;
             this->markWorkersDisturbed();
         }
--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -477,7 +477,7 @@
             loaded = loaded && this->adapters.contains(model);
         if (!loaded || fault == WorkerFault::Full) {
             // The response states that the request did not run and has no signature.
-            std::erase_if(headers, [](const auto& header) { return header.name == "Server-Seal"; });
+            std::erase_if(headers, [this](const auto& header) { return header.name == "Server-Seal" || (this->refusesWithoutId && header.name == "Attempt-Id"); });
             headers.push_back({ "Not-Executed", "1" });
             if (auto retryAfter = this->retryAfterSeconds.load(); loaded && retryAfter >= 0) {
                 headers.push_back({ "Retry-After", std::to_string(retryAfter) });
--- a/tests/standins/platform_standin.h
+++ b/tests/standins/platform_standin.h
@@ -158,6 +158,7 @@
     std::atomic<bool> leaving { false }; ///< All answers say that the worker leaves; its entry does not. Ends with a restart.
     /// Time that a refusal of `WorkerFault::Full` names, in seconds; negative for none.
     std::atomic<double> retryAfterSeconds { -1 };
+    std::atomic<bool> refusesWithoutId { false }; ///< Refusals don't carry the id of the request.
     std::atomic<int64_t> startedAtMs { transport::wallNow().count() }; ///< Start time in the worker's entry, in Unix milliseconds.
     std::atomic<int> eventsPerStream { 8 }; ///< Number of the last event of each stream.
     std::atomic<int> eventDelayMs { 5 }; ///< Delay after each event of a stream.
