A limit holds for the start that may have named it

Found while looking for the same class: a limit that a worker names (LIMIT) was kept under the start in the entry that the VM knew, and ended when the entry of the process that had named it arrived; one in a refusal without an id on a used connection was dropped with the answer.

Change: the limit goes over to a start that had begun when it was named; the next answer of the worker itself corrects it, as before. Answers that carry no id of another request may name a limit; only an answer to the request shows that there is none any more.

--- a/edge/src/fleet.cpp
+++ b/edge/src/fleet.cpp
@@ -69,6 +69,8 @@
         auto before = entry;
         before.startedAt = startBefore;
         this->leavingWorkers.recordRestart(routing::workerStart(before), routing::workerStart(entry));
+        Time age = transport::wallNow() - milliseconds { entry.startedAt };
+        this->limits.recordRestart(routing::workerStart(before), routing::workerStart(entry), now - age, now);
     }
     auto& known = this->workers[entry.id];
     known.newerFrom = after(position);
--- a/edge/src/relay.cpp
+++ b/edge/src/relay.cpp
@@ -683,15 +683,16 @@
     bool matchesRequest = head.requestId == context.head.id || refusedWithoutId;
     // Only an answer with an error or a redirect may lack the worker's signature header.
     bool signatureDue = stream->status() < 300;
-    this->recordSignals(selection, stream->status(), head, matchesRequest || head.requestId.empty(), signatureDue);
+    bool mayBeToRequest = matchesRequest || head.requestId.empty();
+    this->recordSignals(selection, stream->status(), head, mayBeToRequest, signatureDue);
+    // Another worker may have sent a 421. Only an answer of the worker itself shows that it no longer names a limit.
+    if (mayBeToRequest && !head.misdirected && (head.requestLimit || (matchesRequest && head.signedByWorker)))
+        this->recordLimit(selection.entry, head.requestLimit);
     if (!matchesRequest) {
         this->log.warn("event=answer_unmatched id=" + escapeForLog(context.head.id) + " worker=" + escapeForLog(selection.id) + " status=" + std::to_string(stream->status()) + " answered_id=" + (head.requestId.empty() ? "-" : "other")
             + " first_on_connection=" + (stream->isFirstOnConnection() ? "yes" : "no"));
         return this->handleInvalidAnswer(context, selection);
     }
-    // Another worker may have sent a 421. Only an answer of the worker itself shows that it no longer names a limit.
-    if (!head.misdirected && (head.requestLimit || head.signedByWorker))
-        this->recordLimit(selection.entry, head.requestLimit);
     if (head.notExecuted)
         return this->handleNotRun(context, selection, head);
     if (!head.identityEncoding || (!head.signedByWorker && signatureDue))
--- a/routing/include/routing/routing.h
+++ b/routing/include/routing/routing.h
@@ -597,6 +597,11 @@
     /// @param limit requests per second; nothing if the answer named no limit.
     /// @return whether the worker's limit is another one now.
     bool recordAnswer(uint64_t worker, std::optional<double> limit, Time now);
+    /// Records that the entry of a worker tells of another start of it than the entry before. A limit that the later process may have named,
+    /// before its entry, holds for it.
+    /// @param before, after results of `workerStart`.
+    /// @param startedAt when the later process started.
+    void recordRestart(uint64_t before, uint64_t after, Time startedAt, Time now);
     /// Applies reports of another VM. The newest answer counts, and the lower limit if it is not clear which one is newer.
     /// @param relay whether `takeReports` returns what was new to this VM.
     /// @return the workers whose limits are other ones now.
--- a/routing/src/worker_limits.cpp
+++ b/routing/src/worker_limits.cpp
@@ -90,6 +90,15 @@
     return this->set(worker, limit ? std::max(*limit, minWorkerLimit) : 0, now, ownRepeats, now);
 }
 
+void WorkerLimits::recordRestart(uint64_t before, uint64_t after, Time startedAt, Time now)
+{
+    auto found = this->limits.find(before);
+    if (found == this->limits.end() || found->second.limit == 0 || found->second.answeredAt < startedAt || this->limits.contains(after))
+        return;
+    auto named = found->second;
+    this->set(after, named.limit, named.answeredAt, ownRepeats, now);
+}
+
 std::vector<uint64_t> WorkerLimits::merge(const std::vector<LimitReport>& reports, bool relay, Time now)
 {
     std::vector<uint64_t> changed;
--- a/tests/unit/limit_shares_test.cpp
+++ b/tests/unit/limit_shares_test.cpp
@@ -54,6 +54,23 @@
     }
 }
 
+// Guards against requests beyond a limit that was named before the entry of its process arrived, and against one that binds a later process.
+Test(worker_limits, limit_holds_for_the_start_that_may_have_named_it)
+{
+    for (bool startedBefore : { true, false }) {
+        WorkerLimits limits("vm0");
+        limits.setMembers(makeNames(1));
+        limits.recordAnswer(7, 2, now);
+        auto entryAt = now + seconds { 1 };
+        limits.recordRestart(7, 8, startedBefore ? now - seconds { 1 } : now + milliseconds { 1 }, entryAt);
+        cr_assert_eq(limits.limitOf(8), startedBefore ? 2 : 0);
+        auto sent = countSends(limits, 8, entryAt, seconds { 2 });
+        cr_assert(startedBefore ? sent <= 4 : sent == 2000, "%d requests", sent);
+        limits.recordAnswer(8, std::nullopt, entryAt + seconds { 2 });
+        cr_assert_eq(limits.limitOf(8), 0, "its own answer counts");
+    }
+}
+
 // Guards against a burst of all VMs after a time without requests.
 Test(worker_limits, unused_shares_add_up_to_few_requests)
 {
