A start time of a worker is compared, not added to

Change: WorkerLimits::recordRestart compares it as it is, with routing::mayHaveSaid, like the time of a refusal; both take the entries. LeavingWorkers::isEmpty also counts doubts.

--- a/edge/src/fleet.cpp
+++ b/edge/src/fleet.cpp
@@ -68,9 +68,8 @@
     if (startBefore != entry.startedAt) {
         auto before = entry;
         before.startedAt = startBefore;
-        this->leavingWorkers.recordRestart(routing::workerStart(before), routing::workerStart(entry));
-        Time age = transport::wallNow() - milliseconds { entry.startedAt };
-        this->limits.recordRestart(routing::workerStart(before), routing::workerStart(entry), now - age, now);
+        this->leavingWorkers.recordRestart(before, entry);
+        this->limits.recordRestart(before, entry, now, transport::wallNow());
     }
     auto& known = this->workers[entry.id];
     known.newerFrom = after(position);
--- a/routing/include/routing/routing.h
+++ b/routing/include/routing/routing.h
@@ -599,9 +599,8 @@
     bool recordAnswer(uint64_t worker, std::optional<double> limit, Time now);
     /// Records that the entry of a worker tells of another start of it than the entry before. A limit that the later process may have named,
     /// before its entry, holds for it.
-    /// @param before, after results of `workerStart`.
-    /// @param startedAt when the later process started.
-    void recordRestart(uint64_t before, uint64_t after, Time startedAt, Time now);
+    /// @param wallNow wall-clock time since the Unix epoch.
+    void recordRestart(const WorkerEntry& before, const WorkerEntry& after, Time now, milliseconds wallNow);
     /// Applies reports of another VM. The newest answer counts, and the lower limit if it is not clear which one is newer.
     /// @param relay whether `takeReports` returns what was new to this VM.
     /// @return the workers whose limits are other ones now.
@@ -684,15 +683,14 @@
     /// @return whether it is news.
     bool recordAnswer(const WorkerEntry& called, std::optional<int64_t> namedStart, const WorkerEntry* known, Time now);
     /// Records that the entry of a worker tells of another start of it than the entry before.
-    /// @param before, after results of `workerStart`.
-    void recordRestart(uint64_t before, uint64_t after);
+    void recordRestart(const WorkerEntry& before, const WorkerEntry& after);
     /// Ends the doubt whether a start leaves: it was asked, and what it said is recorded.
     void settle(uint64_t worker);
     /// Returns whether it is not clear if a start or one before it has said so.
     bool isInDoubt(uint64_t worker) const { return this->doubts.contains(worker); }
     /// Returns whether a worker has said so, or may have.
     bool isLeaving(uint64_t worker) const { return this->lastKnownAt.contains(worker) || this->doubts.contains(worker); }
-    bool isEmpty() const { return this->lastKnownAt.empty() && this->earlierStarts.empty(); }
+    bool isEmpty() const { return this->lastKnownAt.empty() && this->earlierStarts.empty() && this->doubts.empty(); }
     /// Returns the workers that the next heartbeat names, in turn if they are more than `maxLeaveReports`. Forgets those of the past.
     /// @param known starts of the workers whose entries are known.
     std::vector<uint64_t> takeReports(const std::set<uint64_t>& known, Time now);
--- a/routing/src/leaving_workers.cpp
+++ b/routing/src/leaving_workers.cpp
@@ -44,12 +44,12 @@
     return (!this->lastKnownAt.contains(workerStart(*known)) && this->doubts.insert(workerStart(*known)).second) || isNews;
 }
 
-void LeavingWorkers::recordRestart(uint64_t before, uint64_t after)
+void LeavingWorkers::recordRestart(const WorkerEntry& before, const WorkerEntry& after)
 {
-    this->earlierStarts[after] = before;
-    if (this->isLeaving(before))
-        this->doubts.insert(after);
-    this->settle(before);
+    this->earlierStarts[workerStart(after)] = workerStart(before);
+    if (this->isLeaving(workerStart(before)))
+        this->doubts.insert(workerStart(after));
+    this->settle(workerStart(before));
 }
 
 void LeavingWorkers::settle(uint64_t worker)
--- a/routing/src/worker_limits.cpp
+++ b/routing/src/worker_limits.cpp
@@ -90,13 +90,14 @@
     return this->set(worker, limit ? std::max(*limit, minWorkerLimit) : 0, now, ownRepeats, now);
 }
 
-void WorkerLimits::recordRestart(uint64_t before, uint64_t after, Time startedAt, Time now)
+void WorkerLimits::recordRestart(const WorkerEntry& before, const WorkerEntry& after, Time now, milliseconds wallNow)
 {
-    auto found = this->limits.find(before);
-    if (found == this->limits.end() || found->second.limit == 0 || found->second.answeredAt < startedAt || this->limits.contains(after))
+    auto found = this->limits.find(workerStart(before));
+    if (found == this->limits.end() || found->second.limit == 0 || this->limits.contains(workerStart(after)))
         return;
     auto named = found->second;
-    this->set(after, named.limit, named.answeredAt, ownRepeats, now);
+    if (mayHaveSaid(after, wallNow - std::chrono::duration_cast<milliseconds>(now - named.answeredAt)))
+        this->set(workerStart(after), named.limit, named.answeredAt, ownRepeats, now);
 }
 
 std::vector<uint64_t> WorkerLimits::merge(const std::vector<LimitReport>& reports, bool relay, Time now)
--- a/tests/unit/leaving_workers_test.cpp
+++ b/tests/unit/leaving_workers_test.cpp
@@ -125,10 +125,10 @@
     auto third = makeEntry("i-1", 7);
     LeavingWorkers leaving;
     leaving.recordAnswer(first, std::nullopt, &first, now);
-    leaving.recordRestart(workerStart(first), workerStart(second));
+    leaving.recordRestart(first, second);
     cr_assert(leaving.isInDoubt(workerStart(second)));
     cr_assert(leaving.isLeaving(workerStart(second)));
-    leaving.recordRestart(workerStart(second), workerStart(third));
+    leaving.recordRestart(second, third);
     cr_assert(leaving.isInDoubt(workerStart(third)), "no one was asked");
     leaving.settle(workerStart(third));
     cr_assert_not(leaving.isLeaving(workerStart(third)));
@@ -136,7 +136,7 @@
     cr_assert_not(leaving.isLeaving(workerStart(third)), "known news opens no doubt");
     // The news of the earlier start comes after the entry of the later one.
     LeavingWorkers heard;
-    heard.recordRestart(workerStart(first), workerStart(second));
+    heard.recordRestart(first, second);
     cr_assert_not(heard.isLeaving(workerStart(second)));
     heard.record(workerStart(first), now);
     cr_assert(heard.isInDoubt(workerStart(second)));
@@ -145,7 +145,7 @@
     cr_assert_not(heard.isInDoubt(workerStart(second)), "its entry is gone");
     // The entry changes while the worker is called.
     LeavingWorkers during;
-    during.recordRestart(workerStart(first), workerStart(second));
+    during.recordRestart(first, second);
     during.settle(workerStart(second));
     cr_assert(during.recordAnswer(first, std::nullopt, &second, now));
     cr_assert(during.isInDoubt(workerStart(second)));
--- a/tests/unit/limit_shares_test.cpp
+++ b/tests/unit/limit_shares_test.cpp
@@ -57,17 +57,22 @@
 // Guards against requests beyond a limit that was named before the entry of its process arrived, and against one that binds a later process.
 Test(worker_limits, limit_holds_for_the_start_that_may_have_named_it)
 {
-    for (bool startedBefore : { true, false }) {
+    constexpr milliseconds wallNow { 1700000000000 };
+    for (auto startedAt : { wallNow.count() - 1, wallNow.count() + 1, INT64_MAX, INT64_MIN }) {
+        bool mayHaveNamed = startedAt < wallNow.count();
+        WorkerEntry before { .id = "i-1", .startedAt = 5 };
+        WorkerEntry entry { .id = "i-1", .startedAt = startedAt };
+        auto start = workerStart(entry);
         WorkerLimits limits("vm0");
         limits.setMembers(makeNames(1));
-        limits.recordAnswer(7, 2, now);
+        limits.recordAnswer(workerStart(before), 2, now);
         auto entryAt = now + seconds { 1 };
-        limits.recordRestart(7, 8, startedBefore ? now - seconds { 1 } : now + milliseconds { 1 }, entryAt);
-        cr_assert_eq(limits.limitOf(8), startedBefore ? 2 : 0);
-        auto sent = countSends(limits, 8, entryAt, seconds { 2 });
-        cr_assert(startedBefore ? sent <= 4 : sent == 2000, "%d requests", sent);
-        limits.recordAnswer(8, std::nullopt, entryAt + seconds { 2 });
-        cr_assert_eq(limits.limitOf(8), 0, "its own answer counts");
+        limits.recordRestart(before, entry, entryAt, wallNow + seconds { 1 });
+        cr_assert_eq(limits.limitOf(start), mayHaveNamed ? 2 : 0);
+        auto sent = countSends(limits, start, entryAt, seconds { 2 });
+        cr_assert(mayHaveNamed ? sent <= 4 : sent == 2000, "%d requests", sent);
+        limits.recordAnswer(start, std::nullopt, entryAt + seconds { 2 });
+        cr_assert_eq(limits.limitOf(start), 0, "its own answer counts");
     }
 }
 
