A time that a worker has named outlives its entry

Callers' requests reached a worker within the time that it had named (BUDGET), if its entry lapsed and came back meanwhile, as entries do around an outage of the store.

Cause: the time was kept with the entry, and dropped with it when the entry did not come back within its grace period.

Change: the time is kept beside the position of the dropped entry; it holds for a start that had begun when it was named. One that is named while the entry is gone is kept there too.

--- a/edge/src/fleet.cpp
+++ b/edge/src/fleet.cpp
@@ -71,7 +71,12 @@
         this->leavingWorkers.recordRestart(before, entry);
         this->limits.recordRestart(before, entry, now, transport::wallNow());
     }
+    bool isBack = found == this->workers.end() && droppedWorker != this->dropped.end();
     auto& known = this->workers[entry.id];
+    if (isBack) {
+        known.worker.heldUntil = droppedWorker->second.heldUntil;
+        known.holdNamedAt = droppedWorker->second.holdNamedAt;
+    }
     known.newerFrom = after(position);
     known.key = workerKey(entry.id);
     this->workerIds[known.key] = entry.id;
@@ -143,7 +148,7 @@
     for (auto it = this->workers.begin(); it != this->workers.end();) {
         if (it->second.removedAt != Time { 0 } && now >= it->second.removedAt + it->second.grace) {
             droppedNow.push_back({ it->first, it->second.worker.entry.address });
-            this->dropped[it->first] = { it->second.newerFrom, it->second.worker.entry.startedAt };
+            this->dropped[it->first] = { it->second.newerFrom, it->second.worker.entry.startedAt, it->second.worker.heldUntil, it->second.holdNamedAt };
             this->workerIds.erase(workerKey(it->first));
             it = this->workers.erase(it);
         } else
@@ -466,8 +471,14 @@
 {
     std::lock_guard lock(this->mutex);
     auto found = this->workers.find(worker.id);
-    if (found == this->workers.end())
+    if (found == this->workers.end()) {
+        // Its entry may come back.
+        if (auto gone = this->dropped.find(worker.id); gone != this->dropped.end()) {
+            gone->second.heldUntil = std::max(gone->second.heldUntil, routing::holdEnd(delay, now));
+            gone->second.holdNamedAt = wallNow;
+        }
         return;
+    }
     auto& known = found->second;
     // The entry may have changed since the call.
     if (known.worker.entry.startedAt != worker.startedAt && !routing::mayHaveSaid(known.worker.entry, wallNow))
--- a/edge/src/fleet.h
+++ b/edge/src/fleet.h
@@ -173,6 +173,8 @@
     struct DroppedEntry {
         LogPosition newerFrom; ///< Records before this position are outdated.
         int64_t startedAt = 0; ///< See `routing::WorkerEntry`.
+        Time heldUntil { 0 }; ///< See `routing::Worker`.
+        milliseconds holdNamedAt { 0 }; ///< See `KnownWorker`.
     };
     /// Source and time of the last summary of a data centre.
     struct SummarySource {
--- a/routing/include/routing/routing.h
+++ b/routing/include/routing/routing.h
@@ -303,8 +303,10 @@
 void recordUnreachable(Worker& worker, Time now);
 /// Records that the worker refused a request because it is full, and starts a backoff. It does not count as a failure.
 void recordFull(Worker& worker, Time now);
-/// Records that the worker turned a request away and named the time after which it wants the next one. Of several the latest counts.
+/// Returns when the time ends that a worker names in a refusal.
 /// @param delay longer ones count as `maxWorkerHold`.
+Time holdEnd(Time delay, Time now);
+/// Records that the worker turned a request away and named the time after which it wants the next one. Of several the latest counts.
 void recordHold(Worker& worker, Time delay, Time now);
 
 /// Returns whether the process of an entry may have made a statement that came from its worker at `saidAt`: it had started by then. The clocks of
--- a/routing/src/choice.cpp
+++ b/routing/src/choice.cpp
@@ -268,9 +268,14 @@
     worker.avoidUntil = std::max<Time>(worker.avoidUntil, now + fullBackoff);
 }
 
+Time holdEnd(Time delay, Time now)
+{
+    return now + std::min<Time>(delay, maxWorkerHold);
+}
+
 void recordHold(Worker& worker, Time delay, Time now)
 {
-    worker.heldUntil = std::max(worker.heldUntil, now + std::min<Time>(delay, maxWorkerHold));
+    worker.heldUntil = std::max(worker.heldUntil, holdEnd(delay, now));
 }
 
 bool mayHaveSaid(const WorkerEntry& worker, milliseconds saidAt)
--- a/tests/unit/stale_statements_test.cpp
+++ b/tests/unit/stale_statements_test.cpp
@@ -143,6 +143,35 @@
     }
 }
 
+// Guards against a time that is forgotten with the entry of its worker, which may be gone while the store is and come back.
+CLUSTER_TEST(time_that_a_worker_has_named_outlives_its_entry, 16400)
+{
+    constexpr double hold = 9;
+    cluster.configureAndWait();
+    auto& worker = cluster.app(0);
+    cluster.app(1).responseDelayMs = 50;
+    sendUntilRun(cluster, worker, "id-before-");
+    worker.retryAfterSeconds = hold;
+    worker.fault = WorkerFault::Full;
+    auto before = arrivalsAt(worker);
+    cr_assert(cluster.waitUntil([&] {
+        cluster.sendRequest("/order/x", "id-tells-" + std::to_string(arrivalsAt(worker)));
+        return arrivalsAt(worker) > before;
+    }));
+    auto named = transport::monotonicNow();
+    worker.unpublish();
+    // Longer than the entry has to come back.
+    std::this_thread::sleep_for(seconds { 5 });
+    for (int i = 0; transport::monotonicNow() < named + seconds { 8 }; i++) {
+        worker.publish();
+        cr_assert_eq(cluster.sendRequest("/order/x", "id-held-" + std::to_string(i)).status, 200U);
+        cr_assert_eq(arrivalsAt(worker), before + 1, "a request reached the worker within the time that it had named");
+    }
+    worker.fault = WorkerFault::None;
+    std::this_thread::sleep_for(seconds { 2 });
+    sendUntilRun(cluster, worker, "id-after-");
+}
+
 namespace {
 
 /// Worker that accepts connections only when it is told to: meanwhile connections to it take as long as those to a worker in overload.
