--- a/tests/unit/edge_world.h
+++ b/tests/unit/edge_world.h
@@ -248,6 +248,19 @@
         return false;
     }
 
+    /// Sends plain requests to a VM until a worker has run one more of them.
+    /// @param prefix start of the requests' ids.
+    void sendUntilRun(const WorkerStandin& worker, const std::string& prefix, int vm = 0)
+    {
+        auto before = worker.runs.load();
+        int count = 0;
+        cr_assert(this->waitUntil([&] {
+            this->sendRequest("/order/x", prefix + std::to_string(count++), {}, vm);
+            return worker.runs > before;
+        }),
+            "no request reaches %s", worker.id.c_str());
+    }
+
     /// Returns whether a VM answers the platform's readiness check with 200.
     bool isReady(int vm = 0)
     {
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -433,8 +433,10 @@
         worker.id = "i-1";
         worker.startedAt = 5;
         worker.address = { "127.0.0.1", port };
+        int calls = 0;
         auto check = [&](const auto& reply) {
-            cr_assert(reply.leaving);
+            calls++;
+            cr_assert(reply.leaving, "call %d got status %u", calls, reply.source.status);
             cr_assert(routing::isStatementOf(reply.source, worker));
             routing::WorkerEntry other;
             other.id = "i-2";
--- a/tests/unit/stale_statements_test.cpp
+++ b/tests/unit/stale_statements_test.cpp
@@ -16,18 +16,6 @@
 /// Longer than a worker is avoided after it was full or unreachable once.
 constexpr milliseconds backoffTime { 600 };
 
-/// Sends plain requests to a VM until a worker has run one more of them.
-void sendUntilRun(TestCluster& cluster, const WorkerStandin& worker, const std::string& prefix, int vm = 0)
-{
-    auto before = worker.runs.load();
-    int count = 0;
-    cr_assert(cluster.waitUntil([&] {
-        cluster.sendRequest("/order/x", prefix + std::to_string(count++), {}, vm);
-        return worker.runs > before;
-    }),
-        "no request reaches %s", worker.id.c_str());
-}
-
 /// Returns the number of requests of callers that have arrived at a worker.
 size_t arrivalsAt(WorkerStandin& worker)
 {
@@ -35,6 +23,19 @@
     return worker.arrivals.size();
 }
 
+/// Lets a worker refuse a request and name a time in seconds.
+void nameTime(TestCluster& cluster, WorkerStandin& worker, double time)
+{
+    worker.retryAfterSeconds = time;
+    worker.fault = WorkerFault::Full;
+    auto before = arrivalsAt(worker);
+    cr_assert(cluster.waitUntil([&] {
+        cluster.sendRequest("/order/x", "id-tells-" + std::to_string(arrivalsAt(worker)));
+        return arrivalsAt(worker) > before;
+    }),
+        "no request reaches %s", worker.id.c_str());
+}
+
 /// Restarts a worker whose new entry the VMs can't read, as the store is silent.
 void restartUnseen(TestCluster& cluster, WorkerStandin& worker)
 {
@@ -57,11 +58,11 @@
     auto& worker = cluster->app(0);
     // So slow that the VMs prefer the worker that leaves.
     cluster->app(1).responseDelayMs = 50;
-    sendUntilRun(*cluster, worker, "id-before-");
+    cluster->sendUntilRun(worker, "id-before-");
     std::this_thread::sleep_for(seconds { 2 });
     restartUnseen(*cluster, worker);
     worker.leaving = true;
-    sendUntilRun(*cluster, worker, "id-tells-");
+    cluster->sendUntilRun(worker, "id-tells-");
     std::this_thread::sleep_for(seconds { 1 });
     auto told = arrivalsAt(worker);
     cluster->store.unresponsive = false;
@@ -75,7 +76,7 @@
     worker.crash();
     cr_assert(cluster->waitUntil([&] { return worker.restart(); }));
     for (int vm = 0; vm < vms; vm++)
-        sendUntilRun(*cluster, worker, "id-back-" + std::to_string(vm) + "-", vm);
+        cluster->sendUntilRun(worker, "id-back-" + std::to_string(vm) + "-", vm);
     exitProcess();
 }
 
@@ -125,15 +126,10 @@
     cluster.configureAndWait();
     auto& worker = cluster.app(0);
     cluster.app(1).responseDelayMs = 50;
-    sendUntilRun(cluster, worker, "id-before-");
+    cluster.sendUntilRun(worker, "id-before-");
     restartUnseen(cluster, worker);
-    worker.retryAfterSeconds = hold;
-    worker.fault = WorkerFault::Full;
     auto before = arrivalsAt(worker);
-    cr_assert(cluster.waitUntil([&] {
-        cluster.sendRequest("/order/x", "id-tells-" + std::to_string(arrivalsAt(worker)));
-        return arrivalsAt(worker) > before;
-    }));
+    nameTime(cluster, worker, hold);
     auto named = transport::monotonicNow();
     cluster.store.unresponsive = false;
     for (int i = 0; transport::monotonicNow() < named + seconds { 4 }; i++) {
@@ -150,14 +146,9 @@
     cluster.configureAndWait();
     auto& worker = cluster.app(0);
     cluster.app(1).responseDelayMs = 50;
-    sendUntilRun(cluster, worker, "id-before-");
-    worker.retryAfterSeconds = hold;
-    worker.fault = WorkerFault::Full;
+    cluster.sendUntilRun(worker, "id-before-");
     auto before = arrivalsAt(worker);
-    cr_assert(cluster.waitUntil([&] {
-        cluster.sendRequest("/order/x", "id-tells-" + std::to_string(arrivalsAt(worker)));
-        return arrivalsAt(worker) > before;
-    }));
+    nameTime(cluster, worker, hold);
     auto named = transport::monotonicNow();
     worker.unpublish();
     // Longer than the entry has to come back.
@@ -169,7 +160,7 @@
     }
     worker.fault = WorkerFault::None;
     std::this_thread::sleep_for(seconds { 2 });
-    sendUntilRun(cluster, worker, "id-after-");
+    cluster.sendUntilRun(worker, "id-after-");
 }
 
 namespace {
--- a/tests/unit/worker_signals_test.cpp
+++ b/tests/unit/worker_signals_test.cpp
@@ -22,18 +22,6 @@
     return worker.runs - before;
 }
 
-/// Sends plain requests to a VM until a worker has run one more of them.
-void sendUntilRun(TestCluster& cluster, const WorkerStandin& worker, const std::string& prefix, int vm = 0)
-{
-    auto before = worker.runs.load();
-    int count = 0;
-    cr_assert(cluster.waitUntil([&] {
-        cluster.sendRequest("/order/x", prefix + std::to_string(count++), {}, vm);
-        return worker.runs > before;
-    }),
-        "no request reaches %s", worker.id.c_str());
-}
-
 } // namespace
 
 // Guards against requests to a worker that has said that it leaves, from the VM that it told, from others, from one that has started
@@ -47,12 +35,12 @@
     // So slow that the VMs prefer the worker that leaves.
     cluster->app(1).responseDelayMs = 50;
     for (int vm = 0; vm < vms; vm++)
-        sendUntilRun(*cluster, worker, "id-before-" + std::to_string(vm) + "-", vm);
+        cluster->sendUntilRun(worker, "id-before-" + std::to_string(vm) + "-", vm);
     // The VMs learn of each other from the store.
     std::this_thread::sleep_for(2 * newsTime);
     cluster->store.unresponsive = true;
     worker.leaving = true;
-    sendUntilRun(*cluster, worker, "id-tells-");
+    cluster->sendUntilRun(worker, "id-tells-");
     cr_assert_eq(countRuns(*cluster, worker, 30, "id-told-"), 0, "the VM that the worker told goes on");
     std::this_thread::sleep_for(newsTime);
     for (int vm = 1; vm < vms; vm++)
@@ -68,7 +56,7 @@
     // The listener is closed on another thread.
     cr_assert(cluster->waitUntil([&] { return worker.restart(); }));
     for (int vm = 0; vm <= vms; vm++)
-        sendUntilRun(*cluster, worker, "id-back-" + std::to_string(vm) + "-", vm);
+        cluster->sendUntilRun(worker, "id-back-" + std::to_string(vm) + "-", vm);
     exitProcess();
 }
 
@@ -109,7 +97,7 @@
     cr_assert_eq(complete, 2, "a stream that ran when its worker said that it leaves was cut");
     for (int i = 0; i < 2; i++) {
         cluster.app(i).leaving = true;
-        sendUntilRun(cluster, cluster.app(i), "id-app-" + std::to_string(i) + "-");
+        cluster.sendUntilRun(cluster.app(i), "id-app-" + std::to_string(i) + "-");
     }
     for (int i = 0; i < 10; i++) {
         auto start = transport::monotonicNow();
@@ -128,7 +116,7 @@
     auto& worker = cluster.app(0);
     // So slow that the VM prefers the worker that is full.
     cluster.app(1).responseDelayMs = 100;
-    sendUntilRun(cluster, worker, "id-before-");
+    cluster.sendUntilRun(worker, "id-before-");
     {
         std::lock_guard lock(worker.mutex);
         worker.arrivals.clear();
@@ -155,7 +143,7 @@
     cr_assert_eq(countRuns(cluster, worker, 20, "id-held-"), 0);
     worker.crash();
     cr_assert(cluster.waitUntil([&] { return worker.restart(); }));
-    sendUntilRun(cluster, worker, "id-back-");
+    cluster.sendUntilRun(worker, "id-back-");
 }
 
 // Guards against requests that wait, or callers that come back, before any worker wants requests.
