The sound peer of a client's test closes its connections openly

The client kept the connection, and the next round wrote to it just before the peer's thread came to close it.

Change: the answer says Connection: close. Every round opens a connection, which before was so only if the peer closed in time. No check changes.

--- a/tests/unit/transport_test.cpp
+++ b/tests/unit/transport_test.cpp
@@ -446,7 +446,7 @@
     constexpr int rounds = 20;
     standins::RawPeer sound(soundPort, [](int connection) {
         standins::RawPeer::readRequest(connection);
-        standins::RawPeer::write(connection, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        standins::RawPeer::write(connection, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok");
     });
     standins::RawPeer resetting(resettingPort, [](int connection) {
         standins::RawPeer::readRequest(connection, 1000);
