A wake-up from another thread is not lost between two looks for ready fibers

Seen by reading before, now shown: a fiber that another thread wakes may go on only with the next event of its own thread, up to the end of its time-out.

Cause: IoScheduler::pick_next polled the I/O also when no fiber was ready. The scheduler of Boost.Fiber has looked for fibers of other threads by then; if the poll runs the empty handler that announces one, nothing ends the wait that follows.

Change: no poll while no fiber is ready; the wait runs the I/O and the scheduler looks again after it. The number of resumes between two polls is a parameter, so that the test can poll at each choice.

--- a/tests/unit/transport_test.cpp
+++ b/tests/unit/transport_test.cpp
@@ -1,6 +1,7 @@
 /// The HTTP server with malformed requests, and the HTTP client with a peer that drops idle connections.
 #include "generators.h"
 #include "raw_peer.h"
+#include "transport_p.h"
 
 #include <arpa/inet.h>
 #include <boost/json.hpp>
@@ -716,3 +717,34 @@
     server.closeAll();
     cr_assert(runtime.stop(std::chrono::seconds { 5 }));
 }
+
+// Guards against a wake-up from another thread that is lost while the fiber's thread looks for ready fibers: the fiber waits until some other event.
+Test(runtime, fibers_that_other_threads_wake_run_at_once)
+{
+    constexpr int rounds = 300'000;
+    constexpr std::chrono::milliseconds limit { 1000 };
+    Event event;
+    std::atomic<int> woken { 0 };
+    std::atomic<int> late { 0 };
+    boost::asio::io_context context(1);
+    auto guard = boost::asio::make_work_guard(context);
+    std::thread waiter([&] {
+        installFiberScheduler(context, 1);
+        for (int i = 0; i < rounds; i++) {
+            auto begin = monotonicNow();
+            event.waitFor(limit);
+            late += monotonicNow() - begin < limit / 2 ? 0 : 1;
+            woken++;
+        }
+    });
+    for (int i = 0; i < rounds; i++) {
+        event.signal();
+        while (woken <= i)
+            std::this_thread::yield();
+        // Varies the moment of the next wake-up.
+        for (volatile int spins = i % 1000; spins > 0;)
+            spins = spins - 1;
+    }
+    waiter.join();
+    cr_assert_eq(late, 0, "%d of %d wake-ups were lost", late.load(), rounds);
+}
--- a/transport/src/fiber_scheduler.cpp
+++ b/transport/src/fiber_scheduler.cpp
@@ -5,15 +5,13 @@
 
 namespace {
 
-    /// Number of fibers resumed between two polls for I/O, so that ready fibers don't starve I/O.
-    constexpr unsigned resumesPerPoll = 64;
-
     thread_local asio::io_context* threadContext = nullptr;
 
     class IoScheduler : public boost::fibers::algo::algorithm {
     public:
-        explicit IoScheduler(asio::io_context& context)
+        IoScheduler(asio::io_context& context, unsigned resumesPerPoll)
             : context(context)
+            , resumesPerPoll(resumesPerPoll)
         {
         }
 
@@ -24,12 +22,13 @@
 
         boost::fibers::context* pick_next() noexcept override
         {
-            if (++this->resumesSincePoll >= resumesPerPoll) {
+            // `suspend_until` runs the I/O then. A poll here could run the handler of `notify` after the scheduler has looked for what it announces.
+            if (this->ready.empty())
+                return nullptr;
+            if (++this->resumesSincePoll >= this->resumesPerPoll) {
                 this->resumesSincePoll = 0;
                 this->context.poll();
             }
-            if (this->ready.empty())
-                return nullptr;
             auto* fiber = &this->ready.front();
             this->ready.pop_front();
             return fiber;
@@ -58,6 +57,7 @@
 
     private:
         asio::io_context& context;
+        const unsigned resumesPerPoll;
         boost::fibers::scheduler::ready_queue_type ready;
         unsigned resumesSincePoll = 0;
     };
@@ -69,10 +69,10 @@
     return threadContext;
 }
 
-void installFiberScheduler(asio::io_context& context)
+void installFiberScheduler(asio::io_context& context, unsigned resumesPerPoll)
 {
     threadContext = &context;
-    boost::fibers::use_scheduling_algorithm<IoScheduler>(context);
+    boost::fibers::use_scheduling_algorithm<IoScheduler>(context, resumesPerPoll);
 }
 
 } // namespace comfreypier::transport
--- a/transport/src/transport_p.h
+++ b/transport/src/transport_p.h
@@ -26,8 +26,11 @@
 /// Returns the io_context of the calling I/O thread, or null on other threads.
 asio::io_context* currentContext();
 
+/// Number of fibers resumed between two polls for I/O, so that ready fibers don't starve I/O.
+constexpr unsigned defaultResumesPerPoll = 64;
+
 /// Installs a fiber scheduler on the calling thread that runs `context` while no fiber is ready.
-void installFiberScheduler(asio::io_context& context);
+void installFiberScheduler(asio::io_context& context, unsigned resumesPerPoll = defaultResumesPerPoll);
 
 /// Result of an Asio operation.
 struct IoResult {
