Heartbeats reach all VMs of a group although a link drops the last of a burst

Cause: a VM sent a heartbeat to the 22 others of its group in the order of their names, all at once. Most links have 10 Mbit/s; 22 datagrams of 5 KB fill them, and a full link drops the last ones.

Change: the order moves on by a fifth with each heartbeat (SendOrder), so that of five repeats each VM has one among the first fifth of a burst. The same for summaries that are passed on.

--- a/edge/src/peers.cpp
+++ b/edge/src/peers.cpp
@@ -294,7 +294,7 @@
     // Only the lease holder uses the demand and the use of adapters, for its plans.
     heartbeat.demand.clear();
     heartbeat.usedAdapters.clear();
-    this->sendTo(targets.group, heartbeat);
+    this->sendTo(this->groupOrder.next(std::move(targets.group)), heartbeat);
     // The prompt prefixes that workers have cached and the forwarded worker records matter only within the group. The loads of a
     // whole group reach the others as a summary.
     heartbeat.sentPrefixes.clear();
@@ -403,7 +403,7 @@
                 targets.push_back(peer.member.inner);
         }
     }
-    this->sendTo(targets, summary);
+    this->sendTo(this->relayOrder.next(std::move(targets)), summary);
 }
 
 void Peers::sendTo(const std::vector<transport::Endpoint>& targets, const Heartbeat& heartbeat)
--- a/edge/src/peers.h
+++ b/edge/src/peers.h
@@ -4,6 +4,7 @@
 #include "crash_tracker.h"
 #include "forward_queue.h"
 #include "forward_tracker.h"
+#include "send_order.h"
 
 #include <deque>
 
@@ -214,6 +215,8 @@
     placement::WorkAverage averageWork; ///< This VM's demand.
     std::map<MissingItem, uint32_t> missingItems; ///< With the number of requests that wait for each.
     ForwardQueue forwardQueue;
+    SendOrder groupOrder; ///< Of full heartbeats. Used only on the I/O thread.
+    SendOrder relayOrder; ///< Of summaries that are passed on. Used only on the I/O thread.
     std::set<MissingItem> usedAdapters; ///< Since the last full heartbeat.
     // The next three are set by `setLeaseState`.
     uint64_t leaseToken = 0;
--- a/tests/unit/peers_test.cpp
+++ b/tests/unit/peers_test.cpp
@@ -4,6 +4,7 @@
 #include "forward_queue.h"
 #include "forward_tracker.h"
 #include "heartbeat_split.h"
+#include "send_order.h"
 
 #include <rapidcheck.h>
 
@@ -454,6 +455,38 @@
     }));
 }
 
+// Guards against VMs that a full link keeps from all news of the workers: it drops the last datagrams of a burst, in whatever order they are.
+Test(forward_order, full_link_keeps_no_vm_from_any_record)
+{
+    cr_assert(rc::check("", [] {
+        auto targetCount = *rc::gen::inRange<size_t>(1, 60);
+        auto repeats = static_cast<size_t>(edge::forwardRepeats);
+        auto delivered = (targetCount + repeats - 1) / repeats; // Datagrams of a burst that the link takes.
+        std::vector<transport::Endpoint> targets;
+        for (size_t i = 0; i < targetCount; i++)
+            targets.push_back(loopback(static_cast<uint16_t>(1000 + i)));
+        edge::ForwardQueue queue;
+        edge::SendOrder order;
+        std::map<uint16_t, std::set<uint64_t>> received; // By target: numbers of the records.
+        uint64_t pushed = 0;
+        constexpr size_t recordRounds = 20;
+        for (size_t round = 0; round < recordRounds + repeats; round++) {
+            for (int count = round < recordRounds ? *rc::gen::inRange(0, 3) : 0; count > 0; count--)
+                queue.push({ "w", "v", ++pushed, 0 });
+            edge::Heartbeat heartbeat;
+            queue.fill(heartbeat, 1000);
+            auto sent = order.next(targets);
+            RC_ASSERT(std::is_permutation(sent.begin(), sent.end(), targets.begin(), targets.end()));
+            for (size_t i = 0; i < delivered; i++) {
+                for (const auto& entry : heartbeat.forwardedEntries)
+                    received[sent[i].port].insert(entry.number);
+            }
+        }
+        for (const auto& target : targets)
+            RC_ASSERT(received[target.port].size() == pushed);
+    }));
+}
+
 // The same for a VM that reads the news of hundreds of workers at once: its group must get them all.
 CLUSTER_TEST(news_of_hundreds_of_workers_reach_the_group, 12300)
 {
