VMs with more capacity read the workers' stream for their group

Cause: which VMs of a group read the stream and exchange summaries was decided by the hash of their names alone.

Change: capacity goes first, the hash decides among equal ones (DutyRank). The own capacity is compared in the precision of the records, as VMs would otherwise disagree. Sites whose VMs are alike keep their readers. The simulated peers of peers_test, whose records named no capacity, have that of the VM now: three tests need peers that go before it, and say so if they don't; no check changes.

Open: a VM that the store turns away and that misses all repeats asks nobody for the records.

--- a/edge/src/peers.cpp
+++ b/edge/src/peers.cpp
@@ -172,12 +172,12 @@
 bool Peers::enoughPeersReadWorkers(Time ownReadAt) const
 {
     auto now = monotonicNow();
-    auto ownHash = routing::hashText(this->vm.settings.node);
+    auto ownRank = this->ownDutyRank();
     std::lock_guard lock(this->mutex);
     size_t readers = 0;
     for (const auto& [node, peer] : this->peers) {
         bool reads = peer.readsWorkers && !peer.draining && peer.inGroup && now - peer.lastHeartbeatAt < maxReaderSilence && peer.forwards.isComplete(ownReadAt);
-        readers += reads && routing::hashText(node) < ownHash ? 1 : 0;
+        readers += reads && dutyRank(node, peer.member.capacity) < ownRank ? 1 : 0;
     }
     return readers >= (this->groupPeerCount < this->peers.size() ? splitGroupReaderCount : workerReaderCount);
 }
@@ -313,12 +313,17 @@
         this->sendHeartbeat();
 }
 
+DutyRank Peers::ownDutyRank() const
+{
+    return dutyRank(this->vm.settings.node, capacityInCores(this->vm.settings));
+}
+
 bool Peers::isGroupLeader(Time now) const
 {
-    auto ownHash = routing::hashText(this->vm.settings.node);
+    auto ownRank = this->ownDutyRank();
     return std::none_of(this->peers.begin(), this->peers.end(), [&](const auto& item) {
         const auto& [node, peer] = item;
-        return peer.inGroup && !peer.draining && this->isReachable(peer, now) && routing::hashText(node) < ownHash;
+        return peer.inGroup && !peer.draining && this->isReachable(peer, now) && dutyRank(node, peer.member.capacity) < ownRank;
     });
 }
 
@@ -330,10 +335,10 @@
         std::lock_guard lock(this->mutex);
         if (this->groupPeerCount == this->peers.size() || !this->isGroupLeader(now))
             return;
-        std::map<std::string, std::map<uint64_t, transport::Endpoint>> others; // By data centre and hash.
+        std::map<std::string, std::map<DutyRank, transport::Endpoint>> others; // By data centre and rank.
         for (const auto& [node, peer] : this->peers) {
             if (!peer.inGroup && !peer.draining && this->isReachable(peer, now))
-                others[peer.member.dataCentre].emplace(routing::hashText(node), peer.member.inner);
+                others[peer.member.dataCentre].emplace(dutyRank(node, peer.member.capacity), peer.member.inner);
         }
         for (const auto& [dataCentre, vms] : others) {
             auto end = std::next(vms.begin(), static_cast<std::ptrdiff_t>(std::min(summaryReceiverCount, vms.size())));
--- a/edge/src/peers.h
+++ b/edge/src/peers.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "crash_tracker.h"
+#include "duty_rank.h"
 #include "forward_queue.h"
 #include "forward_tracker.h"
 #include "send_order.h"
@@ -114,8 +115,8 @@
     std::function<void()> onMissingItems;
     /// Forwards a record of the worker stream to the other VMs of the group.
     void forwardEntry(const ForwardedEntry& entry);
-    /// Returns whether enough other VMs of the group read the worker stream and forward it without a loss. Only VMs whose name has a
-    /// lower hash than this VM's count, so that the VMs with the lowest hashes are the readers.
+    /// Returns whether enough other VMs of the group read the worker stream and forward it without a loss. Only VMs that go before this one
+    /// count, so that the first ones are the readers.
     /// @param ownReadAt when this VM's last complete read of the stream began.
     bool enoughPeersReadWorkers(Time ownReadAt) const;
     /// Returns whether this VM has recently read the worker stream.
@@ -166,7 +167,9 @@
     bool isLeaseHolder(const Peer& peer, Time now) const;
     /// Returns the minimum gap between two full heartbeats. Takes the lock itself.
     Time minHeartbeatGap() const;
-    /// Returns whether this VM exchanges the summaries for its group: no reachable peer of the group has a lower hash.
+    /// Returns this VM's rank. Needs no lock.
+    DutyRank ownDutyRank() const;
+    /// Returns whether this VM exchanges the summaries for its group: no reachable peer of the group goes before it.
     bool isGroupLeader(Time now) const;
     /// Tells the fleet which VMs share the limits of workers, if that has changed.
     void updateLimitSharers();
--- a/tests/unit/peers_test.cpp
+++ b/tests/unit/peers_test.cpp
@@ -1,4 +1,5 @@
 /// Tests of the heartbeats between VMs: a VM in this process among peers that the test simulates.
+#include "duty_rank.h"
 #include "edge_world.h"
 #include "fleet.h"
 #include "forward_queue.h"
@@ -29,7 +30,7 @@
         cr_assert(this->socket.start());
         uint16_t front = port;
         for (const auto& name : names) {
-            edge::Member member { 1, loopback(port), loopback(++front), dataCentre, 0 };
+            edge::Member member { 1, loopback(port), loopback(++front), dataCentre, edge::capacityInCores(cluster.settingsOf(0)) };
             cluster.store.write("keyed.comfreypier-members", name, edge::encodeMember(member));
         }
         cluster.runtime.spawn([this] { this->run(); });
@@ -487,6 +488,34 @@
     }));
 }
 
+// Guards against VMs that disagree about which of them goes first, as a record holds less digits of a capacity than a VM knows of its own.
+Test(forward_order, all_vms_agree_who_goes_first_and_weak_ones_go_last)
+{
+    cr_assert(rc::check("", [] {
+        auto count = *rc::gen::inRange<size_t>(2, 30);
+        std::vector<edge::DutyRank> own;
+        std::vector<edge::DutyRank> fromRecords;
+        std::vector<double> capacities;
+        for (size_t i = 0; i < count; i++) {
+            auto capacity = *rc::gen::element(0.05, 0.12, 0.25, 0.5, 1.0 / 3);
+            auto name = "edge-" + std::to_string(i);
+            auto record = edge::decodeMember(edge::encodeMember({ i, loopback(1), loopback(2), "dc", capacity }));
+            RC_ASSERT(record.has_value());
+            own.push_back(edge::dutyRank(name, capacity));
+            fromRecords.push_back(edge::dutyRank(name, record->capacity));
+            capacities.push_back(capacity);
+        }
+        for (size_t i = 0; i < count; i++) {
+            for (size_t j = 0; j < count; j++) {
+                bool goesBefore = own[i] < fromRecords[j];
+                RC_ASSERT(goesBefore == (fromRecords[i] < own[j]));
+                RC_ASSERT((i == j) == (!goesBefore && !(fromRecords[j] < own[i])));
+                RC_ASSERT((capacities[i] >= capacities[j] || !goesBefore));
+            }
+        }
+    }));
+}
+
 // The same for a VM that reads the news of hundreds of workers at once: its group must get them all.
 CLUSTER_TEST(news_of_hundreds_of_workers_reach_the_group, 12300)
 {
