One worker's doubt and earlier start are asked for by name

LeaveChecker copied the entries of all workers in doubt every 250 ms to look for one of them, and applyEntry chose the earlier start in a nested conditional.

Change: Fleet::isInDoubt answers for one start, Fleet::knownStart for the newest entry of a worker, dropped or not. No behaviour changes.

--- a/edge/src/fleet.cpp
+++ b/edge/src/fleet.cpp
@@ -63,9 +63,7 @@
         this->changeCount++;
         return EntryChange::Status;
     }
-    int64_t startBefore = found != this->workers.end() ? found->second.worker.entry.startedAt : droppedWorker != this->dropped.end() ? droppedWorker->second.startedAt
-                                                                                                                                     : entry.startedAt;
-    if (startBefore != entry.startedAt) {
+    if (auto startBefore = this->knownStart(entry.id).value_or(entry.startedAt); startBefore != entry.startedAt) {
         auto before = entry;
         before.startedAt = startBefore;
         this->leavingWorkers.recordRestart(before, entry);
@@ -106,6 +104,14 @@
     return statusChanged ? EntryChange::Status : EntryChange::Contents;
 }
 
+std::optional<int64_t> Fleet::knownStart(const std::string& id) const
+{
+    if (auto found = this->workers.find(id); found != this->workers.end())
+        return found->second.worker.entry.startedAt;
+    auto gone = this->dropped.find(id);
+    return gone == this->dropped.end() ? std::nullopt : std::optional(gone->second.startedAt);
+}
+
 bool Fleet::markRemoved(const std::string& id, const LogPosition& position, Time now, Time grace)
 {
     std::lock_guard lock(this->mutex);
@@ -439,6 +445,13 @@
     return entries;
 }
 
+bool Fleet::isInDoubt(const routing::WorkerEntry& worker) const
+{
+    std::lock_guard lock(this->mutex);
+    auto found = this->workers.find(worker.id);
+    return found != this->workers.end() && found->second.worker.entry.startedAt == worker.startedAt && this->leavingWorkers.isInDoubt(routing::workerStart(worker));
+}
+
 void Fleet::settleLeave(const routing::WorkerEntry& worker)
 {
     std::lock_guard lock(this->mutex);
--- a/edge/src/fleet.h
+++ b/edge/src/fleet.h
@@ -122,6 +122,8 @@
     bool recordLeaving(const routing::WorkerEntry& worker, std::optional<int64_t> namedStart, Time now);
     /// Returns the workers of which it is in doubt whether they leave, see `routing::LeavingWorkers`.
     std::vector<routing::WorkerEntry> workersInDoubt() const;
+    /// Returns whether it is in doubt if this start of a worker, whose entry is the newest, leaves.
+    bool isInDoubt(const routing::WorkerEntry& worker) const;
     /// Ends that doubt for a start of a worker, which was asked.
     void settleLeave(const routing::WorkerEntry& worker);
     /// Returns the leaving workers that the next heartbeat names.
@@ -187,6 +189,8 @@
     void replacePeerLoad(const std::string& source, const Heartbeat& heartbeat, Time now);
     /// Sets until when the workers' limits keep this VM from sending to them. The caller must hold the lock.
     void updateLimits(const std::vector<routing::Worker*>& workers, Time now) const;
+    /// Returns the start in the newest entry of a worker, also if it was dropped; nothing if none was known. The caller must hold the lock.
+    std::optional<int64_t> knownStart(const std::string& id) const;
     /// Sets whether a worker has said that it leaves. The caller must hold the lock.
     void updateLeaving(routing::Worker& worker) const;
     /// Sets that for all workers. The caller must hold the lock.
--- a/edge/src/leave_checker.cpp
+++ b/edge/src/leave_checker.cpp
@@ -24,16 +24,10 @@
     }
 }
 
-bool LeaveChecker::isInDoubt(const routing::WorkerEntry& worker) const
-{
-    auto workers = this->vm.fleet.workersInDoubt();
-    return std::any_of(workers.begin(), workers.end(), [&worker](const auto& other) { return routing::workerStart(other) == routing::workerStart(worker); });
-}
-
 void LeaveChecker::check(const routing::WorkerEntry& worker)
 {
     auto begin = monotonicNow();
-    while (!this->vm.status.stopping && this->isInDoubt(worker)) {
+    while (!this->vm.status.stopping && this->vm.fleet.isInDoubt(worker)) {
         if (this->vm.fleet.isHeld(worker.id, monotonicNow())) {
             sleepFor(checkInterval);
             continue;
--- a/edge/src/leave_checker.h
+++ b/edge/src/leave_checker.h
@@ -16,8 +16,6 @@
 private:
     /// Asks a worker until it answers, its entry changes or `routing::leaveMemoryTime` is over.
     void check(const routing::WorkerEntry& worker);
-    /// Returns whether it is still in doubt if this start of the worker leaves.
-    bool isInDoubt(const routing::WorkerEntry& worker) const;
 
     Vm& vm;
     Peers& peers;
