A leave in a rejection counts for the worker that says it

Callers saw, in a test: requests went on to a worker that had told this VM that it leaves, in a 421 to a request for the worker that had its address before: 20 of 20.

An answer that names another worker than the one that was called was dropped whole, although it says who speaks.

Change: routing::statementSender returns whose statement an answer is; leaves and times are filed under that worker, if its entry is known.

--- a/edge/src/fleet.cpp
+++ b/edge/src/fleet.cpp
@@ -256,6 +256,13 @@
         change(found->second.worker);
 }
 
+std::optional<routing::WorkerEntry> Fleet::entryOf(const std::string& id) const
+{
+    std::lock_guard lock(this->mutex);
+    auto found = this->workers.find(id);
+    return found == this->workers.end() ? std::nullopt : std::optional(found->second.worker.entry);
+}
+
 std::vector<routing::WorkerEntry> Fleet::entries() const
 {
     std::lock_guard lock(this->mutex);
--- a/edge/src/fleet.h
+++ b/edge/src/fleet.h
@@ -88,6 +88,8 @@
     void updateWorker(const std::string& id, const std::function<void(routing::Worker&)>& change);
     /// Returns the entries of all workers that have not been dropped. Those that have said that they leave are draining in it.
     std::vector<routing::WorkerEntry> entries() const;
+    /// Returns the entry of one worker; nothing if none is known.
+    std::optional<routing::WorkerEntry> entryOf(const std::string& id) const;
 
     /// Applies a peer's load, its failure counts and the prefixes it sent. Ignores partial heartbeats.
     void applyHeartbeat(const std::string& peer, const Heartbeat& heartbeat);
--- a/edge/src/peers.cpp
+++ b/edge/src/peers.cpp
@@ -362,22 +362,32 @@
         + " sender_started=" + (source.startedAt ? std::to_string(*source.startedAt) : "-"));
 }
 
+std::optional<routing::WorkerEntry> Peers::findSender(const routing::WorkerEntry& called, const routing::AnswerSource& source) const
+{
+    auto sender = routing::statementSender(source, called);
+    if (!sender || *sender == called.id)
+        return sender ? std::optional(called) : std::nullopt;
+    return this->vm.fleet.entryOf(*sender);
+}
+
 void Peers::recordHold(const routing::WorkerEntry& worker, const routing::AnswerSource& source, milliseconds delay, const char* evidence)
 {
-    if (!routing::isStatementOf(source, worker))
+    auto sender = this->findSender(worker, source);
+    if (!sender)
         return this->recordIgnored(worker, source, "ms=" + std::to_string(delay.count()));
     increment(this->vm.counters, CountedEvent::WorkerHolds);
-    this->log.info("event=worker_hold worker=" + transport::escapeForLog(worker.id) + " ms=" + std::to_string(delay.count()) + " evidence=" + evidence);
-    this->vm.fleet.recordHold(worker, delay, monotonicNow(), transport::wallNow());
+    this->log.info("event=worker_hold worker=" + transport::escapeForLog(sender->id) + " ms=" + std::to_string(delay.count()) + " evidence=" + evidence);
+    this->vm.fleet.recordHold(*sender, delay, monotonicNow(), transport::wallNow());
 }
 
 void Peers::recordLeaving(const routing::WorkerEntry& worker, const routing::AnswerSource& source, const char* evidence)
 {
-    if (!routing::isStatementOf(source, worker))
+    auto sender = this->findSender(worker, source);
+    if (!sender)
         return this->recordIgnored(worker, source, "leaving=yes");
-    if (!this->vm.fleet.recordLeaving(worker, source.startedAt, monotonicNow()))
+    if (!this->vm.fleet.recordLeaving(*sender, source.startedAt, monotonicNow()))
         return;
-    this->log.info("event=worker_leaving worker=" + transport::escapeForLog(worker.id) + " started=" + std::to_string(worker.startedAt) + " sender_started=" + (source.startedAt ? std::to_string(*source.startedAt) : "-") + " evidence=" + evidence);
+    this->log.info("event=worker_leaving worker=" + transport::escapeForLog(sender->id) + " started=" + std::to_string(sender->startedAt) + " sender_started=" + (source.startedAt ? std::to_string(*source.startedAt) : "-") + " evidence=" + evidence);
     this->sendHeartbeat();
     this->onLeaveNews();
 }
--- a/edge/src/peers.h
+++ b/edge/src/peers.h
@@ -88,9 +88,9 @@
     /// Returns whether at least half of the other members are reachable, which makes a majority with this VM.
     bool reachesMajority() const;
 
-    /// Records that a worker said in an answer that it leaves, and tells the other VMs if it is news. An answer that is no statement of that
+    /// Records that a worker said in an answer that it leaves, and tells the other VMs if it is news. An answer that is no statement of a known
     /// worker is only logged and counted.
-    /// @param worker the worker as it was called.
+    /// @param worker the worker as it was called. Another one may have answered, see `routing::statementSender`.
     /// @param source what the answer shows about its sender.
     /// @param evidence kind of the answer, for the log.
     void recordLeaving(const routing::WorkerEntry& worker, const routing::AnswerSource& source, const char* evidence);
@@ -105,7 +105,7 @@
         if (reply.retryAfter)
             this->recordHold(worker, reply.source, *reply.retryAfter, evidence);
     }
-    /// Logs and counts a statement that is not one of the worker that was called.
+    /// Logs and counts a statement that is none of a known worker.
     /// @param statement what the answer says, for the log.
     void recordIgnored(const routing::WorkerEntry& worker, const routing::AnswerSource& source, const std::string& statement);
 
@@ -133,6 +133,8 @@
     std::function<void(const MissingItem&)> onAdapterUse;
 
 private:
+    /// Returns the entry of the worker whose statement an answer is; nothing if it is none, or the worker is unknown.
+    std::optional<routing::WorkerEntry> findSender(const routing::WorkerEntry& called, const routing::AnswerSource& source) const;
     /// Builds this VM's next heartbeat.
     /// @param partial includes only this VM's state and missing items.
     Heartbeat makeHeartbeat(bool partial);
--- a/routing/include/routing/routing.h
+++ b/routing/include/routing/routing.h
@@ -658,8 +658,11 @@
     bool signedByWorker = false;
 };
 
-/// Returns whether an answer to a call to `worker` is a statement of it, of whichever start. Another worker may have its address by now;
-/// only a rejection that names its sender tells the two apart.
+/// Returns the id of the worker, of whichever start, whose statement an answer is; nothing if it is none. Another worker may have the address by
+/// now; only a rejection that names its sender tells the two apart.
+/// @param called the worker that was called.
+std::optional<std::string> statementSender(const AnswerSource& answer, const WorkerEntry& called);
+/// Returns whether an answer to a call to `worker` is a statement of it.
 bool isStatementOf(const AnswerSource& answer, const WorkerEntry& worker);
 
 /// Time for which a worker that leaves is remembered after its entry was last known. An entry may come back.
--- a/routing/src/leaving_workers.cpp
+++ b/routing/src/leaving_workers.cpp
@@ -10,14 +10,19 @@
 
 } // namespace
 
-bool isStatementOf(const AnswerSource& answer, const WorkerEntry& worker)
+std::optional<std::string> statementSender(const AnswerSource& answer, const WorkerEntry& called)
 {
     if (!answer.matchesRequest || (answer.signatureDue && !answer.signedByWorker))
-        return false;
-    if (!answer.worker.empty() && answer.worker != worker.id)
-        return false;
+        return std::nullopt;
+    if (!answer.worker.empty())
+        return answer.worker;
     // Whichever worker has the address now rejects a request for another one, and a worker rejects a model that it does not hold.
-    return answer.status != misdirectedStatus || answer.worker == worker.id;
+    return answer.status == misdirectedStatus ? std::nullopt : std::optional(called.id);
+}
+
+bool isStatementOf(const AnswerSource& answer, const WorkerEntry& worker)
+{
+    return statementSender(answer, worker) == worker.id;
 }
 
 bool LeavingWorkers::record(uint64_t worker, Time now)
--- a/tests/unit/edge_world.h
+++ b/tests/unit/edge_world.h
@@ -80,10 +80,11 @@
     }
 
     /// Writes the entry of such a worker to the store.
-    void publishRawWorker(int number, const std::string& service)
+    /// @param id empty for `raw` with the number.
+    void publishRawWorker(int number, const std::string& service, const std::string& id = "")
     {
         auto port = this->base + 10 + number;
-        this->store.write("keyed.servers", "raw" + std::to_string(number), R"({"service":")" + service + R"(","addr":"127.0.0.1:)" + std::to_string(port) + R"(","zone":"dc","version":"v1","slots":8,"state":"ready","born":1,"models":[{"name":"m1","version":1,"adapters":[]}]})");
+        this->store.write("keyed.servers", id.empty() ? "raw" + std::to_string(number) : id, R"({"service":")" + service + R"(","addr":"127.0.0.1:)" + std::to_string(port) + R"(","zone":"dc","version":"v1","slots":8,"state":"ready","born":1,"models":[{"name":"m1","version":1,"adapters":[]}]})");
     }
 
     /// Returns the id of a request whose id begins with `id-`, or an empty string.
@@ -105,6 +106,18 @@
         return answerHead(id) + "Server-Leaving: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
     }
 
+    /// Returns the rejection of a request for another worker, in which `worker` names itself and says that it leaves.
+    static std::string leavingRejection(const std::string& id, const std::string& worker)
+    {
+        return "HTTP/1.1 421 Misdirected\r\nNot-Executed: 1\r\nAttempt-Id: " + id + "\r\nInstance-Id: " + worker + "\r\nServer-Leaving: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+    }
+
+    /// Returns whether a request is for this worker.
+    static bool isFor(const std::string& request, const std::string& worker)
+    {
+        return request.find("Expect-Instance: " + worker + "\r\n") != std::string::npos;
+    }
+
     /// Returns a worker's refusal that names a time.
     /// @param id empty for a refusal without one.
     /// @param seconds the time, as in the header.
--- a/tests/unit/leaving_workers_test.cpp
+++ b/tests/unit/leaving_workers_test.cpp
@@ -52,6 +52,9 @@
     };
     for (const auto& item : cases)
         cr_assert_eq(isStatementOf(item.answer, makeEntry("i-1", 5)), item.counts, "%s", item.name);
+    // What another worker says at the address counts for that one.
+    cr_assert_eq(statementSender({ 421, true, "i-2", std::nullopt, false, false }, makeEntry("i-1", 5)).value_or(""), "i-2");
+    cr_assert_not(statementSender({ 421, true, "", std::nullopt, false, false }, makeEntry("i-1", 5)).has_value());
 }
 
 // Guards against new work on a leaving worker, and against requests that wait although no worker will come.
--- a/tests/unit/stale_statements_test.cpp
+++ b/tests/unit/stale_statements_test.cpp
@@ -80,6 +80,40 @@
     exitProcess();
 }
 
+// Guards against a leave that is dropped because the worker says it in a rejection of a request for the one that had its address before.
+CLUSTER_TEST(leave_in_a_rejection_counts_for_the_worker_that_names_itself, 16175)
+{
+    std::atomic<bool> leaves { false };
+    std::atomic<int> after { 0 }; // Requests for it after it has said so.
+    cluster.useRawWorker(0, "app", [&](int connection) {
+        auto request = RawPeer::readRequest(connection);
+        auto id = TestCluster::requestId(request);
+        if (id.empty())
+            return;
+        if (!TestCluster::isFor(request, "raw0")) {
+            leaves = true;
+            return RawPeer::write(connection, TestCluster::leavingRejection(id, "raw0"));
+        }
+        after += leaves ? 1 : 0;
+        // So slow that the VM prefers the other one.
+        std::this_thread::sleep_for(milliseconds { 50 });
+        RawPeer::write(connection, TestCluster::answerHead(id) + "Connection: close\r\nContent-Length: 0\r\n\r\n");
+    });
+    cluster.configureAndWait();
+    cr_assert(cluster.waitUntil([&] { return cluster.sendRequest("/order/x", "id-before").status == 200; }));
+    cluster.publishRawWorker(0, "app", "former");
+    int count = 0;
+    cr_assert(cluster.waitUntil([&] {
+        cluster.sendRequest("/order/x", "id-tells-" + std::to_string(count++));
+        return leaves.load();
+    }),
+        "no request is sent for the former worker");
+    after = 0; // The request that was told may go on there.
+    for (int i = 0; i < 20; i++)
+        cluster.sendRequest("/order/x", "id-told-" + std::to_string(i));
+    cr_assert_eq(after, 0, "%d requests reached the worker after it had said that it leaves", after.load());
+}
+
 // Guards against requests to a worker before the time that it named in refusals without an id, on connections used before.
 CLUSTER_TEST(time_is_read_from_refusals_without_an_id, 16150)
 {
