--- a/edge/src/counters.cpp
+++ b/edge/src/counters.cpp
@@ -29,7 +29,7 @@
 const char* name(RefusalReason reason)
 {
     constexpr std::array<const char*, static_cast<size_t>(RefusalReason::Count)> names {
-        "no_configuration", "no_route", "no_service", "no_worker", "unreachable", "no_model", "no_adapter", "no_room",
+        "no_configuration", "no_route", "unknown_key", "outdated_keys", "no_service", "no_worker", "unreachable", "no_model", "no_adapter", "no_room",
         "worker_hold", "worker_limit", "hopeless", "leaving", "crashes_workers", "worker_failed", "timed_out", "caller_gone", "malformed"
     };
     return names[static_cast<size_t>(reason)];
--- a/edge/src/counters.h
+++ b/edge/src/counters.h
@@ -12,6 +12,8 @@
 enum class RefusalReason {
     NoConfiguration, ///< This VM has not read a configuration or the worker stream yet.
     NoRoute, ///< No route matches the request.
+    UnknownKey, ///< The request has no key of a client account, and its route takes no others.
+    OutdatedKeys, ///< The same, but another VM has a newer configuration, which may have the key.
     NoService, ///< The route has no known service.
     NoWorker, ///< The service has no known worker, or all are draining.
     Unreachable, ///< No worker could be reached, or all were full a moment ago.
--- a/edge/src/peers.cpp
+++ b/edge/src/peers.cpp
@@ -207,6 +207,7 @@
     heartbeat.readsWorkers = this->readsWorkers && this->readsWorkers();
     heartbeat.storeEra = this->vm.storeEra.known();
     heartbeat.configVersion = configuration ? configuration->version : 0;
+    this->newestVersion = std::max<uint64_t>(this->newestVersion, heartbeat.configVersion);
     if (!partial) {
         heartbeat.loads = this->vm.fleet.ownLoads();
         heartbeat.outcomes = this->vm.fleet.ownFailures(monotonicNow());
@@ -537,6 +538,7 @@
         this->onMissingItems();
     if (this->onForwardedEntries)
         this->onForwardedEntries(heartbeat->forwardedEntries);
+    this->newestVersion = std::max<uint64_t>(this->newestVersion, heartbeat->configVersion);
     if (this->onConfigurationVersion)
         this->onConfigurationVersion(heartbeat->configVersion);
     for (const auto& use : heartbeat->usedAdapters) {
--- a/edge/src/peers.h
+++ b/edge/src/peers.h
@@ -58,6 +58,8 @@
     bool hasStrongerPeer() const;
     /// Discards the load of unreachable peers.
     void forgetUnreachablePeers();
+    /// Returns the newest version of the configuration that any VM, this one included, has reported to be in force; 0 if none has.
+    uint64_t newestConfigurationVersion() const { return this->newestVersion; }
     /// Returns the number of VMs with a member record, reachable or not, this one included; 0 until the records have been read.
     uint32_t memberCount() const;
 
@@ -205,6 +207,7 @@
     LogPosition publishedAt; ///< Position of that record.
     uint64_t sequence = 0; ///< Sequence number of the last heartbeat.
     Time lastFullHeartbeatAt { 0 }; ///< When the last full heartbeat was sent.
+    std::atomic<uint64_t> newestVersion { 0 }; ///< See `newestConfigurationVersion`.
     mutable std::mutex mutex;
     std::map<std::string, Peer> peers; ///< By VM name; without this VM.
     /// Heartbeats of a VM or of a start of it that is not known as a member.
--- a/edge/src/relay.cpp
+++ b/edge/src/relay.cpp
@@ -48,13 +48,15 @@
     /// Maximum number of prompt parts whose ids a log line names.
     constexpr size_t maxLoggedParts = 8;
 
-    /// Returns the urgency that is sent to the workers, from 0 for the most urgent requests to 9: the route's priority, subdivided
-    /// by how tight its latency target is.
-    uint32_t computeUrgency(const routing::Route& route)
+    /// Returns the urgency that is sent to the workers, from 0 for the most urgent requests to 9: the priority, subdivided by how tight the
+    /// route's latency target is.
+    /// @param account account of the caller, whose priority replaces that of the route; null if it has none.
+    uint32_t computeUrgency(const routing::Route& route, const accounts::ClientAccount* account)
     {
         constexpr uint32_t maxPriority = 4; // Higher values, which are less urgent, count as this one.
         constexpr milliseconds tightLatency { 1000 };
-        return std::min(route.priority, maxPriority) * 2 + (route.targetLatency > tightLatency ? 1 : 0);
+        auto priority = account != nullptr ? account->priority.value_or(route.priority) : route.priority;
+        return std::min(priority, maxPriority) * 2 + (route.targetLatency > tightLatency ? 1 : 0);
     }
 
     /// Estimates the worker time that a request takes, in seconds.
@@ -140,6 +142,7 @@
     ConfigurationPtr configuration;
     const routing::Route* route = nullptr;
     const routing::Service* service = nullptr;
+    const accounts::ClientAccount* account = nullptr; ///< Account of the caller; null if it has none.
     std::set<routing::CrashCause> crashCauses;
     bool progressed = false; ///< An answer got beyond its first event, or is complete.
     std::vector<uint64_t> prefixHashes; ///< Result of `routing::hashPrefixes`; empty if the service has no engine.
@@ -258,7 +261,7 @@
 
 void Relay::logRequest(const RequestContext& context)
 {
-    this->log.info("event=request id=" + escapeForLog(context.head.id) + " route=" + (context.route ? escapeForLog(context.route->name) : "-") + " version=" + (context.configuration ? std::to_string(context.configuration->version) : "-")
+    this->log.info("event=request id=" + escapeForLog(context.head.id) + " route=" + (context.route ? escapeForLog(context.route->name) : "-") + (context.account ? " account=" + escapeForLog(context.account->name) : "") + " version=" + (context.configuration ? std::to_string(context.configuration->version) : "-")
         + " model=" + escapeForLog(context.head.shape.model) + (context.head.shape.adapter.empty() ? "" : "/" + escapeForLog(context.head.shape.adapter))
         + " parts=" + formatParts(context.head.shape.parts) + " tokens=" + std::to_string(context.head.shape.promptTokens) + " kept=" + std::to_string(context.cachedTokens)
         + " worker=" + (context.workerId.empty() ? "-" : escapeForLog(context.workerId)) + " entry_age_ms=" + formatMilliseconds(context.entryAge) + " sends=" + std::to_string(context.sendCount)
@@ -297,6 +300,8 @@
         this->refuse(context, 404, RefusalReason::NoRoute, std::nullopt);
         return false;
     }
+    if (!this->resolveAccount(context))
+        return false;
     context.service = routing::pickService(*context.configuration, *context.route, context.head.id);
     if (context.service == nullptr) {
         this->refuse(context, 503, RefusalReason::NoService, retryAfterTransient);
@@ -324,6 +329,26 @@
     return true;
 }
 
+bool Relay::resolveAccount(RequestContext& context)
+{
+    const auto& configuration = *context.configuration;
+    if (!configuration.accounts)
+        return true;
+    auto position = configuration.keys->find(context.head.key);
+    if (position)
+        context.account = &(*configuration.accounts)[*position];
+    switch (accounts::decideKey(!context.route->open, position.has_value(), configuration.version, this->peers.newestConfigurationVersion())) {
+    case accounts::KeyDecision::Unknown:
+        this->refuse(context, 401, RefusalReason::UnknownKey, std::nullopt);
+        return false;
+    case accounts::KeyDecision::Outdated:
+        this->refuse(context, 503, RefusalReason::OutdatedKeys, retryAfterTransient);
+        return false;
+    default:
+        return true;
+    }
+}
+
 void Relay::recordProgress(RequestContext& context)
 {
     if (!std::exchange(context.progressed, true))
@@ -644,9 +669,12 @@
             this->peers.recordAdapterUse({ selection.id, shape.model, shape.adapter });
     }
     // A resumed stream starts after the last event that was forwarded, a new one after the event that the caller names, if any.
-    platform::WorkerCallOptions call { selection.id, remaining - replyReserve, computeUrgency(*context.route), context.lastEventId ? context.lastEventId : context.head.lastEventId };
+    platform::WorkerCallOptions call { selection.id, remaining - replyReserve, computeUrgency(*context.route, context.account), context.lastEventId ? context.lastEventId : context.head.lastEventId };
     if (context.resumeWorker)
         call.backupSource = selection.entry.address;
+    call.hasAccounts = context.configuration->accounts.has_value();
+    if (context.account != nullptr)
+        call.account = context.account->name;
     // The worker that was to keep a copy of the last attempt keeps none of this one. Resumable streams need no copy.
     context.backupWorker.reset();
     if (context.route->streaming && !context.route->resumable && routing::isBackupWorthwhile(*context.service, shape))
--- a/edge/src/relay.h
+++ b/edge/src/relay.h
@@ -45,6 +45,9 @@
     /// Finds the route and the service of a request, sets its deadlines.
     /// @return false if the request was refused.
     bool resolveRoute(RequestContext& context);
+    /// Finds the account of a request by its key, if the configuration has accounts.
+    /// @return false if the request was refused.
+    bool resolveAccount(RequestContext& context);
     /// Records that an answer got beyond its first event, or is complete: its request does not crash workers.
     void recordProgress(RequestContext& context);
     /// Ends a request that crashes workers, unless its answer has made progress.
--- a/routing/include/routing/routing.h
+++ b/routing/include/routing/routing.h
@@ -5,11 +5,13 @@
 /// entry VMs.
 #pragma once
 
+#include <accounts/accounts.h>
 #include <chrono>
 #include <cstdint>
 #include <deque>
 #include <list>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -103,6 +105,7 @@
     milliseconds targetGap { 0 }; ///< Target for the longest pause between two events; 0 if not configured.
     uint32_t priority = 0; ///< 0 is the most urgent.
     uint32_t maxAttempts = 1; ///< Maximum number of attempts in which a worker may have run the request, at least 1.
+    bool open = false; ///< Takes requests without a key, if the configuration has client accounts.
 };
 
 /// A model that the workers of a service can hold.
@@ -148,6 +151,9 @@
     std::vector<Route> routes;
     std::map<std::string, Service> services; ///< By name.
     CallerLimits limits;
+    /// Client accounts, without their keys. Nothing if the configuration has no such list: then callers need no key.
+    std::optional<std::vector<accounts::ClientAccount>> accounts;
+    std::shared_ptr<const accounts::KeyTable> keys; ///< Set if `accounts` is.
 };
 
 /// Returns the route of `host` with the longest path prefix that matches `path`, or null if there is none.
