Tests of keys and accounts at the platform's boundary

Cause: nothing showed that a key is left out of what workers get, and that accounts are decoded without their keys.

Change: two cases of platform_test.

--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -351,6 +351,48 @@
         cr_assert(findHeader(out.headers, name).empty(), "%s", name);
 }
 
+// A key of a client account is a secret between its caller and the VMs, and a worker believes the account that it is told.
+Test(requests, workers_are_told_the_account_and_never_the_key)
+{
+    transport::HttpRequest request { "POST", "/p", { { "authorization", "bearer secret-1" }, { "TENANT", "forged" }, { "Token-Count", "7,5" }, { "Length-Hint", "9" } }, "" };
+    auto head = decodeRequestHead(request);
+    cr_assert_eq(head.key, "secret-1");
+    cr_assert_eq(*head.tokens, 12U, "what the caller states counts, not its estimate");
+    WorkerCallOptions options;
+    options.hasAccounts = true;
+    options.account = "a1";
+    auto out = makeWorkerRequest(request, options);
+    cr_assert(findHeader(out.headers, "Authorization").empty());
+    cr_assert_eq(findHeader(out.headers, "Tenant"), "a1");
+    cr_assert_eq(std::count_if(out.headers.begin(), out.headers.end(), [](const auto& header) { return header.value == "forged"; }), 0);
+    options.account.clear();
+    cr_assert(findHeader(makeWorkerRequest(request, options).headers, "Tenant").empty(), "a caller without an account names none");
+    cr_assert_eq(findHeader(makeWorkerRequest(request, {}).headers, "Authorization"), "bearer secret-1", "without accounts headers are forwarded as before");
+    for (const auto* value : { "", "Bearer", "Bearer ", "Basic secret-1", "secret-1" })
+        cr_assert(decodeRequestHead({ "GET", "/", { { "Authorization", value } }, "" }).key.empty(), "'%s'", value);
+    cr_assert_not(decodeRequestHead({ "GET", "/", {}, "" }).tokens);
+}
+
+Test(configurations, client_accounts_are_decoded_without_their_keys)
+{
+    std::string error;
+    auto configuration = decodeConfiguration(R"({"version":3,"routes":[{"host":"h","path-prefix":"/","kind":"idempotent","service":"s","public":true}],"services":[{"name":"s"}],"tenants":[
+        {"name":"a","api-keys":["k1","k2",5],"priority":1,"unit":"token_count","raw-tokens":200,"rate-per-s":50,"burst":-3},{"name":"b","api-keys":[""]}]})",
+        error);
+    cr_assert(configuration && configuration->accounts && configuration->routes[0].open);
+    const auto& account = configuration->accounts->at(0);
+    cr_assert(account.keys.empty());
+    cr_assert_eq(*account.priority, 1U);
+    cr_assert(account.quota == (accounts::Quota { accounts::QuotaUnit::Tokens, 50, 0, 200 }));
+    cr_assert_eq(*configuration->keys->find("k2"), 0U);
+    cr_assert_eq(configuration->keys->size(), 2U);
+    cr_assert_not(configuration->keys->find(""));
+    cr_assert_not(configuration->accounts->at(1).priority);
+    cr_assert_not(decodeConfiguration(R"({"version":3,"routes":[],"services":[],"tenants":[{}]})", error));
+    cr_assert_eq(error, "client account 0 lacks a name");
+    cr_assert_not(decodeConfiguration(R"({"version":3,"routes":[],"services":[]})", error)->accounts);
+}
+
 // A request counts as not executed only if the worker says so by header or by status 421. Any other error leaves it open
 // whether the request ran, so that it must not be retried as if it had not.
 Test(responses, only_the_worker_marks_a_request_as_not_executed)
