comfreypier check-configuration: a check before a configuration is sent

Cause: operators find a wrong entry, a limit that contradicts another one or a key of two accounts only when requests fail.

Change: `routing::checkConfiguration` and `compareConfigurations`, pure functions over the decoded configuration; `checkConfigurationText` in the platform adapter for types, signs and keys, which decoding passes over; the command with exit codes, text and JSON.

--- a/client/include/client/client.h
+++ b/client/include/client/client.h
@@ -8,7 +8,7 @@
 /// Exit codes of `comfreypier`.
 enum ExitCode {
     ExitOk = 0,
-    ExitProblemsFound = 1, ///< `check` found invalid files, `diff` found differences, `publish --remove` named an
+    ExitProblemsFound = 1, ///< `check` found invalid files, `check-configuration` found errors, `diff` found differences, `publish --remove` named an
                            ///< unpublished service, or `explain-request` found no log line of the request.
     ExitUsage = 2, ///< Invalid arguments, or a log file that cannot be read.
     ExitUnreachable = 3, ///< No node responded, or the log service did not.
@@ -27,6 +27,7 @@
     std::vector<std::string> baseOverrides; ///< `SERVICE=OFFSET`: version that a change is based on, in place of the current one.
     bool json = false; ///< Prints JSON.
     bool dryRun = false; ///< `publish` only checks the change.
+    std::string inForce; ///< `check-configuration`: file with the configuration in force; empty to compare with none.
     bool remove = false; ///< `publish` removes the services named by the arguments.
     /// Time limit for `publish`, until the change is active on all live nodes.
     std::chrono::milliseconds publishTimeout { 10000 };
--- a/client/src/client_p.h
+++ b/client/src/client_p.h
@@ -54,6 +54,7 @@
 int runDiff(const Invocation& invocation, transport::HttpClient& client);
 int runPublish(const Invocation& invocation, transport::HttpClient& client);
 int runExplainRequest(const Invocation& invocation);
+int runCheckConfiguration(const Invocation& invocation);
 int runShow(const Invocation& invocation, transport::HttpClient& client);
 
 /// Prints the lines that differ between two texts, under a heading with `name`.
--- a/client/src/main.cpp
+++ b/client/src/main.cpp
@@ -30,6 +30,7 @@
     CommandHelp { "placement", "", "shows the models and adapters on each worker", 0, 0 },
     CommandHelp { "history", "", "lists the published changes and their verdicts", 0, 0 },
     CommandHelp { "explain", "MODEL", "shows the latest placement decisions for a model or adapter", 1, 1 },
+    CommandHelp { "check-configuration", "FILE", "checks a configuration of the users' platform before it is sent: errors, entries without effect, contradicting limits", 1, 1 },
     CommandHelp { "explain-request", "ID LOG...", "reports from the VMs' logs how a request ended and why", 2, unlimitedArguments },
 };
 
@@ -43,6 +44,7 @@
     description.add_options()("json", "print JSON")("author", options::value<std::string>()->default_value("operator"), "author of the change, kept in the history");
     description.add_options()("base", options::value<std::vector<std::string>>()->composing(), "publish: SERVICE=OFFSET that the change is based on");
     description.add_options()("remove", "publish: remove the services named by the arguments")("dry-run", "publish: only check the change");
+    description.add_options()("in-force", options::value<std::string>(), "check-configuration: file with the configuration in force, with which to compare");
     description.add_options()("wait-ms", options::value<int64_t>()->default_value(10000), "publish: time limit in milliseconds");
     description.add_options()("version", "print the version")("help", "print this help");
     return description;
@@ -75,6 +77,8 @@
     invocation.dryRun = values.count("dry-run") > 0;
     invocation.author = values["author"].as<std::string>();
     invocation.publishTimeout = std::chrono::milliseconds { values["wait-ms"].as<int64_t>() };
+    if (values.count("in-force") > 0)
+        invocation.inForce = values["in-force"].as<std::string>();
     if (values.count("base") > 0)
         invocation.baseOverrides = values["base"].as<std::vector<std::string>>();
     auto command = std::find_if(commands.begin(), commands.end(), [&](const CommandHelp& help) { return invocation.command == help.name; });
@@ -91,7 +95,7 @@
             invocation.nodes.push_back(node.value());
         }
     }
-    if (invocation.nodes.empty() && invocation.command != "check" && invocation.command != "explain-request")
+    if (invocation.nodes.empty() && invocation.command != "check" && invocation.command != "check-configuration" && invocation.command != "explain-request")
         return "--node is missing";
     return {};
 }
--- a/client/src/show.cpp
+++ b/client/src/show.cpp
@@ -127,6 +127,8 @@
 {
     if (invocation.command == "check")
         return runCheck(invocation);
+    if (invocation.command == "check-configuration")
+        return runCheckConfiguration(invocation);
     if (invocation.command == "explain-request")
         return runExplainRequest(invocation);
     if (invocation.command == "diff")
--- a/routing/include/routing/routing.h
+++ b/routing/include/routing/routing.h
@@ -156,6 +156,44 @@
     std::shared_ptr<const accounts::KeyTable> keys; ///< Set if `accounts` is.
 };
 
+/// How grave a finding of `checkConfiguration` is.
+enum class FindingLevel {
+    Warning, ///< The configuration works, but an entry has no effect or hardly the wanted one.
+    Error, ///< Requests fail because of it, or it can't be read.
+    Count
+};
+
+/// Something that is wrong with a configuration.
+struct ConfigurationFinding {
+    FindingLevel level = FindingLevel::Error;
+    std::string entry; ///< Kind and name of the entry, for example `route orders`; empty for the whole configuration.
+    std::string text; ///< What is wrong, without the entry.
+    bool operator==(const ConfigurationFinding&) const = default;
+};
+
+/// Checks a configuration for entries that can never match, names that don't exist and limits that contradict each other.
+std::vector<ConfigurationFinding> checkConfiguration(const Configuration& configuration);
+
+/// How an entry differs between two configurations.
+struct ConfigurationChange {
+    enum class Kind {
+        Added,
+        Removed,
+        Changed,
+        Count
+    };
+    Kind kind = Kind::Changed;
+    std::string entry; ///< As in `ConfigurationFinding`.
+    std::string text; ///< The fields that differ, with both values; empty unless the entry was changed.
+    bool operator==(const ConfigurationChange&) const = default;
+};
+
+/// Returns the name of the kind, for example `added`.
+const char* name(ConfigurationChange::Kind kind);
+
+/// Compares two configurations, entry by entry. Keys of accounts are not compared.
+std::vector<ConfigurationChange> compareConfigurations(const Configuration& before, const Configuration& after);
+
 /// Returns the route of `host` with the longest path prefix that matches `path`, or null if there is none.
 /// @param host value of the Host header; case and port are ignored.
 const Route* findRoute(const Configuration& configuration, std::string_view host, std::string_view path);
