--- a/edge/src/beat.capnp
+++ b/edge/src/beat.capnp
@@ -83,9 +83,35 @@
   fromCopy @5 :Bool;
 }
 
+# Asks the receiver to charge a request. `number` is unique over all VMs and starts.
+struct QuotaAsk {
+  account @0 :Text;
+  number @1 :UInt64;
+  cost @2 :Float64;
+}
+
+# Answers a `QuotaAsk`. `outcome` is a value of `accounts::ChargeOutcome`.
+struct QuotaAnswer {
+  number @0 :UInt64;
+  outcome @1 :UInt8;
+  retryAfterMs @2 :UInt32;
+}
+
+# See `accounts::LevelReport`. Times are in nanoseconds.
+struct QuotaLevel {
+  account @0 :Text;
+  known @1 :Bool;
+  level @2 :Float64;
+  charged @3 :Float64;
+  seen @4 :Float64;
+  sentAt @5 :Int64;
+  answers @6 :Int64;
+  wantsAnswer @7 :Bool;
+}
+
 # A heartbeat. `heartbeat_codec.h` describes the fields. Some have other names there: `number` is `sequence`, `leaving` `draining`,
 # `strained` `overloaded`, `sent` `sentPrefixes`, `wants` `missingItems`, `used` `usedAdapters`, `entries` `forwardedEntries`,
-# `crashes` `crashReports`, `limits` `limitReports` and `leavingWorkers` `leaveReports`. `leaseOffset` and `leaseEra` make up
+# `crashes` `crashReports`, `limits` `limitReports` and `leavingWorkers` `leaveReports`. The four about quotas make up `quota`. `leaseOffset` and `leaseEra` make up
 # `leasePosition`.
 struct Beat {
   node @0 :Text;
@@ -116,4 +142,8 @@
   leavingWorkers @25 :List(UInt64); # Stand for id and start, as in `Limit`.
   storeEra @26 :UInt64;
   leaseEra @27 :UInt64;
+  quotaAsks @28 :List(QuotaAsk);
+  quotaAnswers @29 :List(QuotaAnswer);
+  quotaLevels @30 :List(QuotaLevel);
+  quotaReturns @31 :List(UInt64); # Numbers of asks whose charge is given back.
 }
--- a/edge/src/beat.capnp.h
+++ b/edge/src/beat.capnp.h
@@ -27,6 +27,9 @@
 CAPNP_DECLARE_SCHEMA(9f4bbdef28d3f39b);
 CAPNP_DECLARE_SCHEMA(a5a501a39d130684);
 CAPNP_DECLARE_SCHEMA(81e2ca8cdcaea04c);
+CAPNP_DECLARE_SCHEMA(eca4fae2e0e812df);
+CAPNP_DECLARE_SCHEMA(d249f29f9696341a);
+CAPNP_DECLARE_SCHEMA(ff533ce9bde1d849);
 CAPNP_DECLARE_SCHEMA(ed1775a394c07423);
 
 }  // namespace schemas
@@ -201,6 +204,51 @@
   };
 };
 
+struct QuotaAsk {
+  QuotaAsk() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(eca4fae2e0e812df, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct QuotaAnswer {
+  QuotaAnswer() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d249f29f9696341a, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct QuotaLevel {
+  QuotaLevel() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ff533ce9bde1d849, 6, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Beat {
   Beat() = delete;
 
@@ -209,7 +257,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ed1775a394c07423, 9, 14)
+    CAPNP_DECLARE_STRUCT_HEADER(ed1775a394c07423, 9, 18)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1250,6 +1298,299 @@
 };
 #endif  // !CAPNP_LITE
 
+class QuotaAsk::Reader {
+public:
+  typedef QuotaAsk Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAccount() const;
+  inline  ::capnp::Text::Reader getAccount() const;
+
+  inline  ::uint64_t getNumber() const;
+
+  inline double getCost() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class QuotaAsk::Builder {
+public:
+  typedef QuotaAsk Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAccount();
+  inline  ::capnp::Text::Builder getAccount();
+  inline void setAccount( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAccount(unsigned int size);
+  inline void adoptAccount(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAccount();
+
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+  inline double getCost();
+  inline void setCost(double value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class QuotaAsk::Pipeline {
+public:
+  typedef QuotaAsk Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class QuotaAnswer::Reader {
+public:
+  typedef QuotaAnswer Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber() const;
+
+  inline  ::uint8_t getOutcome() const;
+
+  inline  ::uint32_t getRetryAfterMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class QuotaAnswer::Builder {
+public:
+  typedef QuotaAnswer Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+  inline  ::uint8_t getOutcome();
+  inline void setOutcome( ::uint8_t value);
+
+  inline  ::uint32_t getRetryAfterMs();
+  inline void setRetryAfterMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class QuotaAnswer::Pipeline {
+public:
+  typedef QuotaAnswer Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class QuotaLevel::Reader {
+public:
+  typedef QuotaLevel Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAccount() const;
+  inline  ::capnp::Text::Reader getAccount() const;
+
+  inline bool getKnown() const;
+
+  inline double getLevel() const;
+
+  inline double getCharged() const;
+
+  inline double getSeen() const;
+
+  inline  ::int64_t getSentAt() const;
+
+  inline  ::int64_t getAnswers() const;
+
+  inline bool getWantsAnswer() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class QuotaLevel::Builder {
+public:
+  typedef QuotaLevel Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAccount();
+  inline  ::capnp::Text::Builder getAccount();
+  inline void setAccount( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAccount(unsigned int size);
+  inline void adoptAccount(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAccount();
+
+  inline bool getKnown();
+  inline void setKnown(bool value);
+
+  inline double getLevel();
+  inline void setLevel(double value);
+
+  inline double getCharged();
+  inline void setCharged(double value);
+
+  inline double getSeen();
+  inline void setSeen(double value);
+
+  inline  ::int64_t getSentAt();
+  inline void setSentAt( ::int64_t value);
+
+  inline  ::int64_t getAnswers();
+  inline void setAnswers( ::int64_t value);
+
+  inline bool getWantsAnswer();
+  inline void setWantsAnswer(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class QuotaLevel::Pipeline {
+public:
+  typedef QuotaLevel Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Beat::Reader {
 public:
   typedef Beat Reads;
@@ -1337,6 +1678,18 @@
 
   inline  ::uint64_t getLeaseEra() const;
 
+  inline bool hasQuotaAsks() const;
+  inline  ::capnp::List< ::comfreypier::edge::wire::QuotaAsk,  ::capnp::Kind::STRUCT>::Reader getQuotaAsks() const;
+
+  inline bool hasQuotaAnswers() const;
+  inline  ::capnp::List< ::comfreypier::edge::wire::QuotaAnswer,  ::capnp::Kind::STRUCT>::Reader getQuotaAnswers() const;
+
+  inline bool hasQuotaLevels() const;
+  inline  ::capnp::List< ::comfreypier::edge::wire::QuotaLevel,  ::capnp::Kind::STRUCT>::Reader getQuotaLevels() const;
+
+  inline bool hasQuotaReturns() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getQuotaReturns() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1506,6 +1859,35 @@
   inline  ::uint64_t getLeaseEra();
   inline void setLeaseEra( ::uint64_t value);
 
+  inline bool hasQuotaAsks();
+  inline  ::capnp::List< ::comfreypier::edge::wire::QuotaAsk,  ::capnp::Kind::STRUCT>::Builder getQuotaAsks();
+  inline void setQuotaAsks( ::capnp::List< ::comfreypier::edge::wire::QuotaAsk,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::comfreypier::edge::wire::QuotaAsk,  ::capnp::Kind::STRUCT>::Builder initQuotaAsks(unsigned int size);
+  inline void adoptQuotaAsks(::capnp::Orphan< ::capnp::List< ::comfreypier::edge::wire::QuotaAsk,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::comfreypier::edge::wire::QuotaAsk,  ::capnp::Kind::STRUCT>> disownQuotaAsks();
+
+  inline bool hasQuotaAnswers();
+  inline  ::capnp::List< ::comfreypier::edge::wire::QuotaAnswer,  ::capnp::Kind::STRUCT>::Builder getQuotaAnswers();
+  inline void setQuotaAnswers( ::capnp::List< ::comfreypier::edge::wire::QuotaAnswer,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::comfreypier::edge::wire::QuotaAnswer,  ::capnp::Kind::STRUCT>::Builder initQuotaAnswers(unsigned int size);
+  inline void adoptQuotaAnswers(::capnp::Orphan< ::capnp::List< ::comfreypier::edge::wire::QuotaAnswer,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::comfreypier::edge::wire::QuotaAnswer,  ::capnp::Kind::STRUCT>> disownQuotaAnswers();
+
+  inline bool hasQuotaLevels();
+  inline  ::capnp::List< ::comfreypier::edge::wire::QuotaLevel,  ::capnp::Kind::STRUCT>::Builder getQuotaLevels();
+  inline void setQuotaLevels( ::capnp::List< ::comfreypier::edge::wire::QuotaLevel,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::comfreypier::edge::wire::QuotaLevel,  ::capnp::Kind::STRUCT>::Builder initQuotaLevels(unsigned int size);
+  inline void adoptQuotaLevels(::capnp::Orphan< ::capnp::List< ::comfreypier::edge::wire::QuotaLevel,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::comfreypier::edge::wire::QuotaLevel,  ::capnp::Kind::STRUCT>> disownQuotaLevels();
+
+  inline bool hasQuotaReturns();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getQuotaReturns();
+  inline void setQuotaReturns( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setQuotaReturns(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initQuotaReturns(unsigned int size);
+  inline void adoptQuotaReturns(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownQuotaReturns();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2304,6 +2686,242 @@
       ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool QuotaAsk::Reader::hasAccount() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool QuotaAsk::Builder::hasAccount() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader QuotaAsk::Reader::getAccount() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder QuotaAsk::Builder::getAccount() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void QuotaAsk::Builder::setAccount( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder QuotaAsk::Builder::initAccount(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void QuotaAsk::Builder::adoptAccount(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> QuotaAsk::Builder::disownAccount() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t QuotaAsk::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t QuotaAsk::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void QuotaAsk::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline double QuotaAsk::Reader::getCost() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline double QuotaAsk::Builder::getCost() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void QuotaAsk::Builder::setCost(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t QuotaAnswer::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t QuotaAnswer::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void QuotaAnswer::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t QuotaAnswer::Reader::getOutcome() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t QuotaAnswer::Builder::getOutcome() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void QuotaAnswer::Builder::setOutcome( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t QuotaAnswer::Reader::getRetryAfterMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t QuotaAnswer::Builder::getRetryAfterMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void QuotaAnswer::Builder::setRetryAfterMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool QuotaLevel::Reader::hasAccount() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool QuotaLevel::Builder::hasAccount() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader QuotaLevel::Reader::getAccount() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder QuotaLevel::Builder::getAccount() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void QuotaLevel::Builder::setAccount( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder QuotaLevel::Builder::initAccount(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void QuotaLevel::Builder::adoptAccount(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> QuotaLevel::Builder::disownAccount() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool QuotaLevel::Reader::getKnown() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool QuotaLevel::Builder::getKnown() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void QuotaLevel::Builder::setKnown(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline double QuotaLevel::Reader::getLevel() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline double QuotaLevel::Builder::getLevel() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void QuotaLevel::Builder::setLevel(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline double QuotaLevel::Reader::getCharged() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline double QuotaLevel::Builder::getCharged() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void QuotaLevel::Builder::setCharged(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline double QuotaLevel::Reader::getSeen() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline double QuotaLevel::Builder::getSeen() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void QuotaLevel::Builder::setSeen(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t QuotaLevel::Reader::getSentAt() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t QuotaLevel::Builder::getSentAt() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void QuotaLevel::Builder::setSentAt( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t QuotaLevel::Reader::getAnswers() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t QuotaLevel::Builder::getAnswers() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void QuotaLevel::Builder::setAnswers( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool QuotaLevel::Reader::getWantsAnswer() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline bool QuotaLevel::Builder::getWantsAnswer() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void QuotaLevel::Builder::setWantsAnswer(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Beat::Reader::hasNode() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2980,6 +3598,146 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Beat::Reader::hasQuotaAsks() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS).isNull();
+}
+inline bool Beat::Builder::hasQuotaAsks() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::comfreypier::edge::wire::QuotaAsk,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getQuotaAsks() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreypier::edge::wire::QuotaAsk,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::comfreypier::edge::wire::QuotaAsk,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getQuotaAsks() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreypier::edge::wire::QuotaAsk,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS));
+}
+inline void Beat::Builder::setQuotaAsks( ::capnp::List< ::comfreypier::edge::wire::QuotaAsk,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::comfreypier::edge::wire::QuotaAsk,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::comfreypier::edge::wire::QuotaAsk,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initQuotaAsks(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreypier::edge::wire::QuotaAsk,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS), size);
+}
+inline void Beat::Builder::adoptQuotaAsks(
+    ::capnp::Orphan< ::capnp::List< ::comfreypier::edge::wire::QuotaAsk,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::comfreypier::edge::wire::QuotaAsk,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::comfreypier::edge::wire::QuotaAsk,  ::capnp::Kind::STRUCT>> Beat::Builder::disownQuotaAsks() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreypier::edge::wire::QuotaAsk,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS));
+}
+
+inline bool Beat::Reader::hasQuotaAnswers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS).isNull();
+}
+inline bool Beat::Builder::hasQuotaAnswers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::comfreypier::edge::wire::QuotaAnswer,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getQuotaAnswers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreypier::edge::wire::QuotaAnswer,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::comfreypier::edge::wire::QuotaAnswer,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getQuotaAnswers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreypier::edge::wire::QuotaAnswer,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS));
+}
+inline void Beat::Builder::setQuotaAnswers( ::capnp::List< ::comfreypier::edge::wire::QuotaAnswer,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::comfreypier::edge::wire::QuotaAnswer,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::comfreypier::edge::wire::QuotaAnswer,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initQuotaAnswers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreypier::edge::wire::QuotaAnswer,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS), size);
+}
+inline void Beat::Builder::adoptQuotaAnswers(
+    ::capnp::Orphan< ::capnp::List< ::comfreypier::edge::wire::QuotaAnswer,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::comfreypier::edge::wire::QuotaAnswer,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::comfreypier::edge::wire::QuotaAnswer,  ::capnp::Kind::STRUCT>> Beat::Builder::disownQuotaAnswers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreypier::edge::wire::QuotaAnswer,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS));
+}
+
+inline bool Beat::Reader::hasQuotaLevels() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS).isNull();
+}
+inline bool Beat::Builder::hasQuotaLevels() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::comfreypier::edge::wire::QuotaLevel,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getQuotaLevels() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreypier::edge::wire::QuotaLevel,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::comfreypier::edge::wire::QuotaLevel,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getQuotaLevels() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreypier::edge::wire::QuotaLevel,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS));
+}
+inline void Beat::Builder::setQuotaLevels( ::capnp::List< ::comfreypier::edge::wire::QuotaLevel,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::comfreypier::edge::wire::QuotaLevel,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::comfreypier::edge::wire::QuotaLevel,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initQuotaLevels(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreypier::edge::wire::QuotaLevel,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS), size);
+}
+inline void Beat::Builder::adoptQuotaLevels(
+    ::capnp::Orphan< ::capnp::List< ::comfreypier::edge::wire::QuotaLevel,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::comfreypier::edge::wire::QuotaLevel,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::comfreypier::edge::wire::QuotaLevel,  ::capnp::Kind::STRUCT>> Beat::Builder::disownQuotaLevels() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::comfreypier::edge::wire::QuotaLevel,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS));
+}
+
+inline bool Beat::Reader::hasQuotaReturns() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<17>() * ::capnp::POINTERS).isNull();
+}
+inline bool Beat::Builder::hasQuotaReturns() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<17>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Beat::Reader::getQuotaReturns() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<17>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Beat::Builder::getQuotaReturns() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<17>() * ::capnp::POINTERS));
+}
+inline void Beat::Builder::setQuotaReturns( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<17>() * ::capnp::POINTERS), value);
+}
+inline void Beat::Builder::setQuotaReturns(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<17>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Beat::Builder::initQuotaReturns(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<17>() * ::capnp::POINTERS), size);
+}
+inline void Beat::Builder::adoptQuotaReturns(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<17>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Beat::Builder::disownQuotaReturns() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<17>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/edge/src/counters.cpp
+++ b/edge/src/counters.cpp
@@ -29,7 +29,7 @@
 const char* name(RefusalReason reason)
 {
     constexpr std::array<const char*, static_cast<size_t>(RefusalReason::Count)> names {
-        "no_configuration", "no_route", "unknown_key", "outdated_keys", "no_service", "no_worker", "unreachable", "no_model", "no_adapter", "no_room",
+        "no_configuration", "no_route", "unknown_key", "outdated_keys", "quota", "quota_unknown", "no_service", "no_worker", "unreachable", "no_model", "no_adapter", "no_room",
         "worker_hold", "worker_limit", "hopeless", "leaving", "crashes_workers", "worker_failed", "timed_out", "caller_gone", "malformed"
     };
     return names[static_cast<size_t>(reason)];
@@ -46,7 +46,7 @@
 const char* name(CountedEvent event)
 {
     constexpr std::array<const char*, static_cast<size_t>(CountedEvent::Count)> names {
-        "requests", "answers", "stream_events", "streams_cut", "store_calls", "store_failures", "beats_sent", "beat_bytes_sent", "beats_dropped", "beats_split", "missing_items_held_back", "beats_received", "orders", "configurations_applied", "blamed_crashes", "oversized_answers", "worker_holds", "statements_ignored", "withdrawals"
+        "requests", "answers", "stream_events", "streams_cut", "store_calls", "store_failures", "beats_sent", "beat_bytes_sent", "beats_dropped", "beats_split", "missing_items_held_back", "beats_received", "orders", "configurations_applied", "blamed_crashes", "oversized_answers", "worker_holds", "statements_ignored", "quota_asks", "quota_asks_unanswered", "quota_fallbacks", "quota_returns", "withdrawals"
     };
     return names[static_cast<size_t>(event)];
 }
--- a/edge/src/counters.h
+++ b/edge/src/counters.h
@@ -14,6 +14,8 @@
     NoRoute, ///< No route matches the request.
     UnknownKey, ///< The request has no key of a client account, and its route takes no others.
     OutdatedKeys, ///< The same, but another VM has a newer configuration, which may have the key.
+    OverQuota, ///< The account of the request has used up its quota.
+    QuotaUnknown, ///< No VM that knows what is left of the account's quota answers, and this VM's recent rate has no room.
     NoService, ///< The route has no known service.
     NoWorker, ///< The service has no known worker, or all are draining.
     Unreachable, ///< No worker could be reached, or all were full a moment ago.
@@ -64,6 +66,10 @@
     OversizedAnswers, ///< Answers of workers that were given up because they exceed the buffer memory.
     WorkerHolds, ///< Refusals of workers that named a time until which they want no request of this VM.
     StatementsIgnored, ///< Answers that say that a worker leaves, or name a time, and are no statement of the worker that was called.
+    QuotaAsks, ///< Asks about quotas sent to other VMs, repeated ones included.
+    QuotaAsksUnanswered, ///< VMs that left all asks about a request unanswered.
+    QuotaFallbacks, ///< Requests that were decided by this VM's own recent rate.
+    QuotaReturns, ///< Charges that were given back, as the request has not run.
     Withdrawals, ///< Requests that were not sent as their worker wanted none any more when the connection was open.
     Count
 };
--- a/edge/src/edge.cpp
+++ b/edge/src/edge.cpp
@@ -68,7 +68,8 @@
               [this] { this->peers.sendHeartbeat(); },
               [this](const auto& entry) { this->peers.forwardEntry(entry); }, [this](Time ownReadAt) { return this->peers.enoughPeersReadWorkers(ownReadAt); })
         , orders(this->vm, this->peers)
-        , relay(this->vm, this->peers, this->crashes)
+        , quota(this->vm, this->peers)
+        , relay(this->vm, this->peers, this->crashes, this->quota)
         , callerServer(
               this->runtime, this->settings.front, callerServerLimits(this->settings, {}), [this](const auto& request, auto& writer) { this->relay.serve(request, writer); },
               Relay::refuseMalformed, &this->vm.bufferMemory)
@@ -87,6 +88,7 @@
         this->peers.readsWorkers = [this] { return this->store.hasReadWorkersRecently(); };
         this->peers.onForwardedEntries = [this](const auto& entries) { this->store.applyForwardedEntries(entries); };
         this->peers.onUnknownMember = [this] { this->store.refreshMembers(); };
+        this->peers.onQuota = [this](const auto& node, uint64_t incarnation, const auto& message) { this->quota.receive(node, incarnation, message); };
         this->peers.onLeaveNews = [this] { this->leaveChecker.checkWorkers(); };
         this->crashes.onCrash = [this] { this->peers.sendHeartbeat(); };
         this->crashes.onReply = [this](const auto& worker, const auto& reply) { this->peers.recordStatements(worker, reply, "probe"); };
@@ -117,7 +119,7 @@
 
     void serveMetrics(transport::ResponseWriter& writer) const
     {
-        auto text = formatCounters(this->vm.counters) + "comfreypier_caller_connections_total " + std::to_string(this->callerServer.stats().accepted) + "\n";
+        auto text = formatCounters(this->vm.counters) + this->quota.formatMetrics() + "comfreypier_caller_connections_total " + std::to_string(this->callerServer.stats().accepted) + "\n";
         writer.send({ 200, { { "Content-Type", "text/plain" } }, text });
     }
 
@@ -164,6 +166,7 @@
         this->runtime.spawn([this] { this->store.followWorkers(); });
         this->runtime.spawn([this] { this->store.followMembers(); });
         this->runtime.spawn([this] { this->peers.run(); });
+        this->runtime.spawn([this] { this->quota.run(); });
         this->runtime.spawn([this] { this->orders.maintainLease(); });
         this->runtime.spawn([this] { this->orders.run(); });
         this->runtime.spawn([this] { this->monitorPeers(); });
@@ -188,6 +191,7 @@
     LeaveChecker leaveChecker;
     StoreTask store;
     OrderTask orders;
+    QuotaTask quota;
     Relay relay;
     transport::HttpServer callerServer;
     transport::HttpServer directoryServer;
--- a/edge/src/heartbeat_codec.h
+++ b/edge/src/heartbeat_codec.h
@@ -64,6 +64,28 @@
     auto operator<=>(const MissingItem&) const = default;
 };
 
+/// Asks another VM to charge a request against the quota of its account.
+struct QuotaAsk {
+    std::string account;
+    uint64_t number = 0; ///< Unique over all VMs and starts.
+    double cost = 0;
+};
+
+/// Answer to a `QuotaAsk`.
+struct QuotaAnswer {
+    uint64_t number = 0; ///< That of the ask.
+    accounts::ChargeAnswer answer;
+};
+
+/// What a VM tells another one about quotas.
+struct QuotaMessage {
+    std::vector<QuotaAsk> asks;
+    std::vector<QuotaAnswer> answers;
+    std::vector<accounts::LevelReport> levels;
+    std::vector<uint64_t> returns; ///< Numbers of asks whose charge is given back.
+    bool isEmpty() const { return this->asks.empty() && this->answers.empty() && this->levels.empty() && this->returns.empty(); }
+};
+
 /// The state that a VM sends to the other VMs at regular intervals.
 struct Heartbeat {
     std::string node;
@@ -98,6 +120,8 @@
     std::vector<routing::LimitReport> limitReports; ///< Limits that workers name, and those that they no longer name.
     std::vector<uint64_t> leaveReports; ///< Workers that have said that they leave, as results of `routing::workerStart`.
     std::vector<routing::CrashReport> crashReports; ///< Crashes of workers and what requests there had in common.
+    /// If it is not empty, only it, `node` and `incarnation` are set, and the message says nothing about the VM's state.
+    QuotaMessage quota;
 };
 
 std::string encodeHeartbeat(const Heartbeat& heartbeat);
--- a/edge/src/heartbeat_codec_capnp.cpp
+++ b/edge/src/heartbeat_codec_capnp.cpp
@@ -5,6 +5,7 @@
 
 #include <capnp/message.h>
 #include <capnp/serialize-packed.h>
+#include <cmath>
 
 namespace comfreypier::edge {
 
@@ -63,6 +64,56 @@
             items.push_back({ toStdString(item.getWorker()), toStdString(item.getModel()), toStdString(item.getAdapter()) });
     }
 
+    void fillQuota(wire::Beat::Builder root, const QuotaMessage& message)
+    {
+        auto asks = root.initQuotaAsks(static_cast<unsigned>(message.asks.size()));
+        for (unsigned i = 0; i < message.asks.size(); i++) {
+            asks[i].setAccount(message.asks[i].account);
+            asks[i].setNumber(message.asks[i].number);
+            asks[i].setCost(message.asks[i].cost);
+        }
+        auto answers = root.initQuotaAnswers(static_cast<unsigned>(message.answers.size()));
+        for (unsigned i = 0; i < message.answers.size(); i++) {
+            answers[i].setNumber(message.answers[i].number);
+            answers[i].setOutcome(static_cast<uint8_t>(message.answers[i].answer.outcome));
+            answers[i].setRetryAfterMs(toAgeMs(std::chrono::ceil<milliseconds>(message.answers[i].answer.retryAfter)));
+        }
+        auto levels = root.initQuotaLevels(static_cast<unsigned>(message.levels.size()));
+        for (unsigned i = 0; i < message.levels.size(); i++) {
+            const auto& report = message.levels[i];
+            levels[i].setAccount(report.account);
+            levels[i].setKnown(report.known);
+            levels[i].setLevel(report.level);
+            levels[i].setCharged(report.charged);
+            levels[i].setSeen(report.seen);
+            levels[i].setSentAt(report.sentAt.count());
+            levels[i].setAnswers(report.answers.count());
+            levels[i].setWantsAnswer(report.wantsAnswer);
+        }
+        auto returns = root.initQuotaReturns(static_cast<unsigned>(message.returns.size()));
+        for (unsigned i = 0; i < message.returns.size(); i++)
+            returns.set(i, message.returns[i]);
+    }
+
+    void readQuota(wire::Beat::Reader root, QuotaMessage& message)
+    {
+        // Negative costs, and numbers that are none, come from no VM.
+        for (auto item : root.getQuotaAsks()) {
+            if (item.getCost() >= 0)
+                message.asks.push_back({ toStdString(item.getAccount()), item.getNumber(), item.getCost() });
+        }
+        for (auto item : root.getQuotaAnswers()) {
+            if (item.getOutcome() < static_cast<uint8_t>(accounts::ChargeOutcome::Count))
+                message.answers.push_back({ item.getNumber(), { static_cast<accounts::ChargeOutcome>(item.getOutcome()), milliseconds { item.getRetryAfterMs() } } });
+        }
+        for (auto item : root.getQuotaLevels()) {
+            if (std::isfinite(item.getLevel()) && std::isfinite(item.getCharged()) && std::isfinite(item.getSeen()))
+                message.levels.push_back({ toStdString(item.getAccount()), item.getKnown(), item.getLevel(), item.getCharged(), item.getSeen(), accounts::Time { item.getSentAt() }, accounts::Time { item.getAnswers() }, item.getWantsAnswer() });
+        }
+        for (auto number : root.getQuotaReturns())
+            message.returns.push_back(number);
+    }
+
     /// Writes the list fields of a heartbeat.
     void fillLists(wire::Beat::Builder root, const Heartbeat& heartbeat)
     {
@@ -229,6 +280,8 @@
     root.setSummaryOf(heartbeat.summaryOf);
     root.setRelayed(heartbeat.relayed);
     fillLists(root, heartbeat);
+    if (!heartbeat.quota.isEmpty())
+        fillQuota(root, heartbeat.quota);
     return encodeMessage(message);
 }
 
@@ -252,6 +305,7 @@
         heartbeat.summaryOf = toStdString(root.getSummaryOf());
         heartbeat.relayed = root.getRelayed();
         readLists(root, heartbeat);
+        readQuota(root, heartbeat.quota);
     });
     return decoded && !heartbeat.node.empty() ? std::optional(std::move(heartbeat)) : std::nullopt;
 }
--- a/edge/src/peers.cpp
+++ b/edge/src/peers.cpp
@@ -496,6 +496,12 @@
             this->onUnknownMember();
         return;
     }
+    if (!heartbeat->quota.isEmpty()) {
+        lock.unlock();
+        if (this->onQuota)
+            this->onQuota(heartbeat->node, heartbeat->incarnation, heartbeat->quota);
+        return;
+    }
     auto& peer = found->second;
     if (heartbeat->sequence <= peer.sequence)
         return;
@@ -672,6 +678,34 @@
     return static_cast<uint32_t>(this->peers.size()) + 1;
 }
 
+std::vector<PeerView> Peers::peerViews() const
+{
+    auto now = monotonicNow();
+    std::vector<PeerView> views;
+    std::lock_guard lock(this->mutex);
+    for (const auto& [node, peer] : this->peers)
+        views.push_back({ node, peer.member.capacity, peer.sequence == 0 || this->isAlive(peer, now), peer.lastHeartbeatAt });
+    return views;
+}
+
+void Peers::sendQuota(const std::string& node, QuotaMessage message)
+{
+    // Its sequence number is that of no heartbeat, so that versions without quotas ignore it.
+    Heartbeat heartbeat;
+    heartbeat.node = this->vm.settings.node;
+    heartbeat.incarnation = this->incarnation;
+    heartbeat.quota = std::move(message);
+    std::vector<transport::Endpoint> target;
+    {
+        std::lock_guard lock(this->mutex);
+        auto found = this->peers.find(node);
+        if (found == this->peers.end())
+            return;
+        target.push_back(found->second.member.inner);
+    }
+    this->sendTo(target, heartbeat);
+}
+
 std::map<std::string, double> Peers::totalDemand() const
 {
     auto now = monotonicNow();
--- a/edge/src/peers.h
+++ b/edge/src/peers.h
@@ -29,6 +29,14 @@
     ForwardTracker forwards; ///< Of a peer in the group: the worker records that it forwards.
 };
 
+/// Another VM, for the choice of the VMs that keep the buckets of quotas.
+struct PeerView {
+    std::string node;
+    double capacity = 0; ///< Result of `capacityInCores`.
+    bool alive = false; ///< Its heartbeats arrive, or it has not had the time to send one.
+    Time heardAt { 0 }; ///< When its last heartbeat arrived.
+};
+
 /// Exchanges heartbeats with the other VMs.
 class Peers {
 public:
@@ -63,6 +71,11 @@
     /// Returns the number of VMs with a member record, reachable or not, this one included; 0 until the records have been read.
     uint32_t memberCount() const;
 
+    /// Returns the other VMs with a member record, by name.
+    std::vector<PeerView> peerViews() const;
+    /// Sends a message about quotas to a VM. Does nothing if it has no member record.
+    void sendQuota(const std::string& node, QuotaMessage message);
+
     /// Returns the demand of all VMs that are alive by model, in worker seconds per second.
     std::map<std::string, double> totalDemand() const;
     /// Adds work that this VM sent to a worker to its demand.
@@ -131,6 +144,8 @@
     std::function<void(uint64_t)> onConfigurationVersion;
     /// Called when heartbeats of a VM without a member record of that start have come for some time: the own read of the members may hang.
     std::function<void()> onUnknownMember;
+    /// Called with each message about quotas, and the name and incarnation of its sender.
+    std::function<void(const std::string&, uint64_t, const QuotaMessage&)> onQuota;
     /// Called for each use of an adapter by any VM, this one included.
     std::function<void(const MissingItem&)> onAdapterUse;
 
--- a/edge/src/relay.cpp
+++ b/edge/src/relay.cpp
@@ -98,6 +98,14 @@
         return std::max({ minCallerPatience, 4 * route.targetLatency, 8 * route.targetGap });
     }
 
+    /// Formats what was decided about a request's quota for log lines: the cost, the VM that decided, and the time that it took.
+    std::string formatQuota(double cost, const QuotaDecision& decision, Time duration)
+    {
+        std::array<char, 32> text {};
+        std::snprintf(text.data(), text.size(), "%.0f", cost);
+        return std::string(text.data()) + ":" + (decision.decidedBy.empty() ? "-" : transport::escapeForLog(decision.decidedBy)) + ":" + formatMilliseconds(duration);
+    }
+
     /// Formats the workers that a request passed over for log lines, for example `w1:held+w2:leaving`; "-" if there are none.
     std::string formatPassedOver(const std::map<std::string, routing::WorkerBlock>& workers)
     {
@@ -143,6 +151,7 @@
     const routing::Route* route = nullptr;
     const routing::Service* service = nullptr;
     const accounts::ClientAccount* account = nullptr; ///< Account of the caller; null if it has none.
+    QuotaCharge quotaCharge; ///< What was charged for the request and not given back.
     std::set<routing::CrashCause> crashCauses;
     bool progressed = false; ///< An answer got beyond its first event, or is complete.
     std::vector<uint64_t> prefixHashes; ///< Result of `routing::hashPrefixes`; empty if the service has no engine.
@@ -171,6 +180,7 @@
     Time timeToFirstByte { 0 }; ///< Time from the request's arrival to the first byte sent to the caller.
     Time entryAge { 0 }; ///< See `Fleet::Selection`.
     std::map<std::string, routing::WorkerBlock> passedOver; ///< Workers that the choices passed over, and the last reason of each.
+    std::string quotaNote; ///< Cost of the request, VM that decided about it and the time that this took; empty without a quota.
     std::optional<double> requestLimit; ///< Limit that the worker named in its answer, in requests per second.
 
     bool isCancelled() const { return this->cancel.isCancelled(); }
@@ -221,10 +231,11 @@
     RequestContext* context;
 };
 
-Relay::Relay(Vm& vm, Peers& peers, CrashTracker& crashes)
+Relay::Relay(Vm& vm, Peers& peers, CrashTracker& crashes, QuotaTask& quota)
     : vm(vm)
     , peers(peers)
     , crashes(crashes)
+    , quota(quota)
     , slackFrom(vm.settings.firstStart ? Time { 0 } : monotonicNow() + vm.settings.retryWindow)
 {
 }
@@ -261,7 +272,7 @@
 
 void Relay::logRequest(const RequestContext& context)
 {
-    this->log.info("event=request id=" + escapeForLog(context.head.id) + " route=" + (context.route ? escapeForLog(context.route->name) : "-") + (context.account ? " account=" + escapeForLog(context.account->name) : "") + " version=" + (context.configuration ? std::to_string(context.configuration->version) : "-")
+    this->log.info("event=request id=" + escapeForLog(context.head.id) + " route=" + (context.route ? escapeForLog(context.route->name) : "-") + (context.account ? " account=" + escapeForLog(context.account->name) : "") + (context.quotaNote.empty() ? "" : " quota=" + context.quotaNote) + " version=" + (context.configuration ? std::to_string(context.configuration->version) : "-")
         + " model=" + escapeForLog(context.head.shape.model) + (context.head.shape.adapter.empty() ? "" : "/" + escapeForLog(context.head.shape.adapter))
         + " parts=" + formatParts(context.head.shape.parts) + " tokens=" + std::to_string(context.head.shape.promptTokens) + " kept=" + std::to_string(context.cachedTokens)
         + " worker=" + (context.workerId.empty() ? "-" : escapeForLog(context.workerId)) + " entry_age_ms=" + formatMilliseconds(context.entryAge) + " sends=" + std::to_string(context.sendCount)
@@ -279,6 +290,8 @@
         this->peers.recordWork(context.head.shape.model, estimateWork(context.head.shape, 0));
     context.outcome = name(refusal);
     context.status = status;
+    if (impliesNotRun(status) || context.sendCount == 0)
+        this->quota.giveBack(context.quotaCharge);
     if (context.isCallerGone()) {
         context.writer.abort();
         return;
@@ -326,7 +339,27 @@
         }
     }
     context.crashCauses = routing::crashCauses(context.head.shape);
-    return true;
+    return this->chargeQuota(context);
+}
+
+bool Relay::chargeQuota(RequestContext& context)
+{
+    if (context.account == nullptr || context.account->quota.ratePerSecond <= 0)
+        return true;
+    auto cost = accounts::quotaCost(context.account->quota, context.head.tokens);
+    auto startedAt = monotonicNow();
+    auto decision = this->quota.charge(*context.account, cost, context.route->targetLatency);
+    context.quotaCharge = std::move(decision.charge);
+    context.quotaNote = formatQuota(cost, decision, monotonicNow() - startedAt);
+    if (decision.granted)
+        return true;
+    auto retryAfter = decision.retryAfter ? std::optional(std::chrono::ceil<milliseconds>(*decision.retryAfter)) : std::nullopt;
+    // Another VM may reach one that knows the level.
+    if (decision.known)
+        this->refuse(context, 429, RefusalReason::OverQuota, retryAfter);
+    else
+        this->refuse(context, 503, RefusalReason::QuotaUnknown, retryAfter);
+    return false;
 }
 
 bool Relay::resolveAccount(RequestContext& context)
--- a/edge/src/relay.h
+++ b/edge/src/relay.h
@@ -1,14 +1,14 @@
 /// Request relay: resolves routes, chooses workers, forwards answers, retries failed attempts and refuses requests.
 #pragma once
 
-#include "peers.h"
+#include "quota_task.h"
 
 namespace comfreypier::edge {
 
 /// Serves the requests that arrive on the callers' address.
 class Relay {
 public:
-    Relay(Vm& vm, Peers& peers, CrashTracker& crashes);
+    Relay(Vm& vm, Peers& peers, CrashTracker& crashes, QuotaTask& quota);
 
     /// Serves one request until its answer is complete. Runs on the request's own fiber.
     void serve(const transport::HttpRequest& request, transport::ResponseWriter& writer);
@@ -48,6 +48,9 @@
     /// Finds the account of a request by its key, if the configuration has accounts.
     /// @return false if the request was refused.
     bool resolveAccount(RequestContext& context);
+    /// Charges a request against the quota of its account, if it has one.
+    /// @return false if the request was refused.
+    bool chargeQuota(RequestContext& context);
     /// Records that an answer got beyond its first event, or is complete: its request does not crash workers.
     void recordProgress(RequestContext& context);
     /// Ends a request that crashes workers, unless its answer has made progress.
@@ -129,6 +132,7 @@
     Vm& vm;
     Peers& peers;
     CrashTracker& crashes;
+    QuotaTask& quota;
     Time slackFrom; ///< When the retry budgets may use their share of the slack, see `routing::RetryBudget`.
     std::mutex mutex;
     std::map<std::string, routing::RetryBudget> retryBudgets; ///< By service. Protected by `mutex`.
--- /dev/null
+++ b/tests/unit/quota_test.cpp
@@ -0,0 +1,132 @@
+/// Tests of the whole daemon with client accounts: keys, what workers are told, and quotas over several VMs.
+#include "edge_world.h"
+
+using namespace comfreypier;
+using namespace comfreypier::testing;
+
+namespace {
+
+/// Publishes a configuration with client accounts.
+/// @param accounts list of accounts, as JSON.
+void configureAccounts(TestCluster& cluster, int version, const std::string& accounts)
+{
+    auto text = standins::makePlatformConfiguration(version, R"(,{"name":"open","host":"h.example","path-prefix":"/open/","kind":"idempotent","timeout-ms":1500,"target-latency-ms":150,"priority":1,"service":"app","max-attempts":2,"public":true})");
+    text.insert(text.find("\"limits\":"), "\"tenants\":" + accounts + ",");
+    cluster.store.write("keyed.op", "config", text);
+}
+
+std::string account(const std::string& name, const std::string& key, double rate, double burst, const std::string& more = "")
+{
+    return R"({"name":")" + name + R"(","api-keys":[")" + key + R"("],"rate-per-s":)" + std::to_string(rate) + R"(,"burst":)" + std::to_string(burst) + more + "}";
+}
+
+std::vector<transport::Header> keyHeader(const std::string& key)
+{
+    return { { "Authorization", "Bearer " + key } };
+}
+
+void waitUntilReady(TestCluster& cluster, int vms)
+{
+    for (int i = 0; i < vms; i++)
+        cr_assert(cluster.waitUntil([&cluster, i] { return cluster.isReady(i); }), "the VM is not ready");
+}
+
+/// Sends requests to all VMs in turn, about 100 a second.
+/// @return number of answers by status.
+std::map<unsigned, int> sendRequests(TestCluster& cluster, int vms, milliseconds duration, const std::string& key)
+{
+    static int count = 0;
+    std::map<unsigned, int> statuses;
+    auto end = transport::monotonicNow() + duration;
+    while (transport::monotonicNow() < end) {
+        count++;
+        statuses[cluster.sendRequest("/order/x", "q" + std::to_string(count), keyHeader(key), count % vms).status]++;
+        std::this_thread::sleep_for(milliseconds { 6 });
+    }
+    return statuses;
+}
+
+} // namespace
+
+// Guards against keys that reach workers, accounts that callers name themselves, and callers without a key that get through.
+Test(quotas, worker_is_told_the_account_and_not_the_key, .timeout = 60)
+{
+    auto* cluster = new TestCluster(33600);
+    configureAccounts(*cluster, 1, "[" + account("ann", "k1", 0, 0) + "," + account("bob", "k2", 0, 0) + "]");
+    waitUntilReady(*cluster, 1);
+    auto headers = keyHeader("k2");
+    headers.push_back({ "Tenant", "ann" });
+    cr_assert_eq(cluster->sendRequest("/order/x", "a1", headers).status, 200U);
+    cr_assert_eq(cluster->sendRequest("/open/x", "a2", { { "Tenant", "ann" } }).status, 200U, "an open route takes requests without a key");
+    int seen = 0;
+    for (int i = 0; i < 2; i++) {
+        std::lock_guard lock(cluster->app(i).mutex);
+        for (const auto& request : cluster->app(i).recentRequests) {
+            seen++;
+            cr_assert(findHeader(request.headers, "Authorization").empty(), "the key was passed on");
+            auto told = std::string(findHeader(request.headers, "Tenant"));
+            cr_assert(told == (findHeader(request.headers, "Attempt-Id") == "a1" ? "bob" : ""), "the worker was told \"%s\"", told.c_str());
+        }
+    }
+    cr_assert_eq(seen, 2);
+    for (const char* key : { "k", "k11", "" })
+        cr_assert_eq(cluster->sendRequest("/order/x", std::string("b") + key, keyHeader(key)).status, 401U);
+    cr_assert_eq(cluster->sendRequest("/order/x", "c", {}).status, 401U);
+    exitProcess();
+}
+
+// Guards against VMs that each grant the whole quota, or refuse what is within it.
+Test(quotas, hold_over_two_vms_together, .timeout = 90)
+{
+    constexpr int vms = 2;
+    auto* cluster = new TestCluster(33900, vms);
+    configureAccounts(*cluster, 1, "[" + account("slow", "k1", 10, 5) + "," + account("fast", "k2", 1000, 1000) + "]");
+    waitUntilReady(*cluster, vms);
+    std::this_thread::sleep_for(seconds { 2 });
+    sendRequests(*cluster, vms, seconds { 2 }, "k1");
+    auto statuses = sendRequests(*cluster, vms, seconds { 8 }, "k1");
+    cr_assert(statuses[200] >= 70 && statuses[200] <= 86, "%d requests pass in 8 s at 10 a second", statuses[200]);
+    cr_assert_gt(statuses[429], 100);
+    cr_assert_eq(statuses.size(), 2U);
+    auto refusal = cluster->sendRequest("/order/x", "r", keyHeader("k1"));
+    for (int i = 0; refusal.status == 200 && i < 50; i++)
+        refusal = cluster->sendRequest("/order/x", "r" + std::to_string(i), keyHeader("k1"));
+    auto retryAfter = std::stod("0" + std::string(findHeader(refusal.headers, "Retry-After")));
+    cr_assert(retryAfter > 0 && retryAfter <= 0.11, "Retry-After is %g at 10 a second", retryAfter);
+    statuses = sendRequests(*cluster, vms, seconds { 2 }, "k2");
+    cr_assert(statuses.size() == 1 && statuses[200] > 50, "another account is not refused");
+    // A raised quota takes effect without a restart.
+    configureAccounts(*cluster, 2, "[" + account("slow", "k1", 1000, 1000) + "]");
+    std::this_thread::sleep_for(seconds { 2 });
+    statuses = sendRequests(*cluster, vms, seconds { 2 }, "k1");
+    cr_assert(statuses.size() == 1 && statuses[200] > 50, "the raised quota is not applied");
+    exitProcess();
+}
+
+// Guards against requests that count though no worker has run them, and against callers that wait for room that never comes.
+Test(quotas, refused_requests_are_given_back_and_too_large_ones_told, .timeout = 60)
+{
+    auto* cluster = new TestCluster(34200);
+    configureAccounts(*cluster, 1, "[" + account("ann", "k1", 50, 100, R"(,"unit":"token_count","raw-tokens":100)") + "]");
+    waitUntilReady(*cluster, 1);
+    std::this_thread::sleep_for(seconds { 3 });
+    for (int i = 0; i < 2; i++)
+        cluster->app(i).fault = WorkerFault::Full;
+    for (int i = 0; i < 3; i++)
+        cr_assert_eq(cluster->sendRequest("/status/x", "f" + std::to_string(i), keyHeader("k1")).status, 503U, "no worker takes it");
+    for (int i = 0; i < 2; i++)
+        cluster->app(i).fault = WorkerFault::None;
+    cr_assert(cluster->waitUntil([&] { return cluster->sendRequest("/open/x", "o", {}).status == 200; }));
+    cr_assert_eq(cluster->sendRequest("/status/x", "g", keyHeader("k1")).status, 200U, "what has not run does not count");
+    auto refusal = cluster->sendRequest("/status/x", "h", keyHeader("k1"));
+    cr_assert_eq(refusal.status, 429U);
+    auto headers = keyHeader("k1");
+    headers.push_back({ "Token-Count", "90,20" });
+    refusal = cluster->sendRequest("/status/x", "i", headers);
+    cr_assert_eq(refusal.status, 429U);
+    cr_assert(findHeader(refusal.headers, "Retry-After").empty(), "there never is room for it");
+    auto metrics = cluster->call(cluster->metrics(), { "GET", "/", {}, {} }).value().body;
+    cr_assert(metrics.find("comfreypier_quota_cost_total{account=\"ann\",outcome=\"granted\"}") != std::string::npos);
+    cr_assert(metrics.find("comfreypier_refusals_total{reason=\"quota\"} 2") != std::string::npos);
+    exitProcess();
+}
