--- a/edge/include/edge/edge.h
+++ b/edge/include/edge/edge.h
@@ -95,6 +95,7 @@
     /// This VM can't have sent retries before: the whole system starts for the first time. Otherwise it uses none of the slack for
     /// the first window.
     bool firstStart = true;
+    bool queueByUrgency = false; ///< Requests that wait for a worker are ordered by urgency, also if the configuration has no client accounts.
     milliseconds grace { 8000 }; ///< Time from SIGTERM to the end of the process.
     milliseconds leaseTime { 3000 }; ///< Minimum time between orders of two different lease holders.
     bool workersCheckTokens = true; ///< Workers reject orders with a fencing token lower than the highest they have seen.
--- a/edge/src/counters.cpp
+++ b/edge/src/counters.cpp
@@ -30,7 +30,7 @@
 {
     constexpr std::array<const char*, static_cast<size_t>(RefusalReason::Count)> names {
         "no_configuration", "no_route", "unknown_key", "outdated_keys", "no_service", "no_worker", "unreachable", "no_model", "no_adapter", "no_room",
-        "worker_hold", "worker_limit", "hopeless", "leaving", "crashes_workers", "worker_failed", "timed_out", "caller_gone", "malformed"
+        "worker_hold", "worker_limit", "hopeless", "outranked", "leaving", "crashes_workers", "worker_failed", "timed_out", "caller_gone", "malformed"
     };
     return names[static_cast<size_t>(reason)];
 }
@@ -78,6 +78,13 @@
     appendMetric<static_cast<size_t>(RetryReason::Count), RetryReason>(out, "repeats_total", "reason", counters.retries);
     appendMetric<static_cast<size_t>(CountedEvent::Count), CountedEvent>(out, "events_total", "event", counters.events);
     appendMetric<static_cast<size_t>(routing::WorkerBlock::Count), routing::WorkerBlock>(out, "passed_over_total", "reason", counters.passedOver);
+    for (size_t priority = 0; priority < counters.waited.size(); priority++) {
+        if (counters.waited[priority] == 0)
+            continue;
+        auto label = "{priority=\"" + std::to_string(priority) + "\"} ";
+        out += "comfreypier_waiting" + label + std::to_string(counters.waiting[priority]) + "\n";
+        out += "comfreypier_waited_total" + label + std::to_string(counters.waited[priority]) + "\n";
+    }
     appendMetric(out, "first_byte", counters.timeToFirstByte);
     appendMetric(out, "whole_answer", counters.totalTime);
     out += "comfreypier_log_lines_dropped_total " + std::to_string(transport::droppedLogLines()) + "\n";
--- a/edge/src/counters.h
+++ b/edge/src/counters.h
@@ -23,6 +23,7 @@
     WorkerHold, ///< All suitable workers have named a time until which they want no request of this VM.
     WorkerLimit, ///< All suitable workers name limits on their requests, and this VM's shares are used up.
     Hopeless, ///< The first byte is expected after the caller's deadline.
+    Outranked, ///< The same, because requests that go before it take the room.
     Leaving, ///< This VM is shutting down.
     CrashesWorkers, ///< Poison request: its content, or a part of its prompt, has crashed several workers.
     WorkerFailed, ///< A worker may have run the request and gave no usable answer.
@@ -80,6 +81,9 @@
     std::array<std::atomic<uint64_t>, static_cast<size_t>(CountedEvent::Count)> events {};
     /// How often requests passed over a worker that holds their model, by reason. A request counts a worker again if the reason changes.
     std::array<std::atomic<uint64_t>, static_cast<size_t>(routing::WorkerBlock::Count)> passedOver {};
+    /// By priority: requests that wait now in a queue, and those that have waited in one.
+    std::array<std::atomic<uint64_t>, routing::maxQueuePriority + 1> waiting {};
+    std::array<std::atomic<uint64_t>, routing::maxQueuePriority + 1> waited {};
     transport::Distribution timeToFirstByte; ///< From receiving a request to sending the answer's first byte.
     transport::Distribution totalTime; ///< From receiving a request to the end of its handling.
 };
--- a/edge/src/fleet.cpp
+++ b/edge/src/fleet.cpp
@@ -60,7 +60,7 @@
         if (position < found->second.newerFrom || !entry.draining || current.draining || entry.startedAt != current.startedAt)
             return EntryChange::None;
         current.draining = true;
-        this->changeCount++;
+        this->recordChange();
         return EntryChange::Status;
     }
     if (auto startBefore = this->knownStart(entry.id).value_or(entry.startedAt); startBefore != entry.startedAt) {
@@ -100,7 +100,7 @@
     }
     worker.entry = entry;
     this->updateLeaving(worker);
-    this->changeCount++;
+    this->recordChange();
     return statusChanged ? EntryChange::Status : EntryChange::Contents;
 }
 
@@ -308,6 +308,8 @@
         else
             known.worker.peerOutcomes[source] = { outcomes->second.failures, outcomes->second.total, now };
     }
+    if (this->onRoom)
+        this->onRoom();
 }
 
 Heartbeat Fleet::summarizeGroup(Time now) const
@@ -379,7 +381,7 @@
         auto& worker = found->second.worker;
         if (worker.announced == items)
             continue;
-        this->changeCount++;
+        this->recordChange();
         worker.announced = items;
         // Removes items that the worker has unloaded since its entry was read, so that requests for them are not sent to it. Its
         // next entry replaces the corrected one.
@@ -419,6 +421,19 @@
     return this->limits.merge(reports, relay, now).size();
 }
 
+void Fleet::setRoomListener(std::function<void()> listener)
+{
+    std::lock_guard lock(this->mutex);
+    this->onRoom = std::move(listener);
+}
+
+void Fleet::recordChange()
+{
+    this->changeCount++;
+    if (this->onRoom)
+        this->onRoom();
+}
+
 void Fleet::updateLeaving(routing::Worker& worker) const
 {
     worker.leaving = !this->leavingWorkers.isEmpty() && this->leavingWorkers.isLeaving(routing::workerStart(worker.entry));
@@ -428,7 +443,7 @@
 {
     for (auto& [id, known] : this->workers)
         this->updateLeaving(known.worker);
-    this->changeCount++;
+    this->recordChange();
 }
 
 bool Fleet::recordLeaving(const routing::WorkerEntry& worker, std::optional<int64_t> namedStart, Time now)
@@ -599,11 +614,11 @@
     auto found = this->workers.find(id);
     if (found == this->workers.end())
         return;
-    this->changeCount++;
     auto& ownLoad = found->second.worker.ownLoad;
     ownLoad.prefillTokens = std::max(0.0, ownLoad.prefillTokens - load.prefillTokens);
     ownLoad.memoryTokens = std::max(0.0, ownLoad.memoryTokens - load.memoryTokens);
     ownLoad.requests -= std::min(ownLoad.requests, load.requests);
+    this->recordChange();
 }
 
 LoadReservation::LoadReservation(Fleet& fleet, std::string worker, routing::WorkerLoad load)
--- a/edge/src/fleet.h
+++ b/edge/src/fleet.h
@@ -149,6 +149,11 @@
     /// Returns a counter that increases with each change after which a waiting request may find a worker.
     uint64_t changes() const { return this->changeCount; }
 
+    /// Sets what is called when a waiting request may find a worker: after each of these changes, and when another VM has told its load. Called
+    /// with the lock held, on any thread; must neither suspend nor use the fleet.
+    /// @param listener empty for none.
+    void setRoomListener(std::function<void()> listener);
+
     /// Returns this VM's load by worker, for heartbeats.
     std::map<WorkerKey, routing::WorkerLoad> ownLoads() const;
     /// Returns the recent outcomes of workers that failed requests of this VM, for heartbeats.
@@ -197,6 +202,8 @@
     void updateLeaving(routing::Worker& worker) const;
     /// Sets that for all workers. The caller must hold the lock.
     void updateLeaving();
+    /// Counts a change after which a waiting request may find a worker. The caller must hold the lock.
+    void recordChange();
     /// Subtracts a load of this VM from a worker.
     void release(const std::string& id, const routing::WorkerLoad& load);
 
@@ -210,6 +217,7 @@
     std::map<WorkerKey, std::string> workerIds; ///< Ids of the known workers, by the key that heartbeats use.
     std::vector<SentPrefix> sentPrefixes; ///< Prefixes for the next heartbeat.
     std::atomic<uint64_t> changeCount { 0 };
+    std::function<void()> onRoom; ///< See `setRoomListener`.
     std::atomic<Time> peerUpdateAge { Time { 0 } }; ///< See `setPeerUpdateAge`.
     routing::WorkerLimits limits;
     routing::LeavingWorkers leavingWorkers;
--- a/edge/src/relay.cpp
+++ b/edge/src/relay.cpp
@@ -48,6 +48,22 @@
     /// Maximum number of prompt parts whose ids a log line names.
     constexpr size_t maxLoggedParts = 8;
 
+    /// Returns the priority of a request, 0 for the most urgent.
+    /// @param account account of the caller, whose priority replaces that of the route; null if it has none.
+    uint32_t computePriority(const routing::Route& route, const accounts::ClientAccount* account)
+    {
+        return account != nullptr ? account->priority.value_or(route.priority) : route.priority;
+    }
+
+    /// Returns the share of an account relative to the others: its quota. 0 if the operators don't state comparable quotas.
+    double accountWeight(const routing::Configuration& configuration, const accounts::ClientAccount* account)
+    {
+        if (account == nullptr)
+            return 0;
+        bool comparable = std::all_of(configuration.accounts->begin(), configuration.accounts->end(), [account](const auto& other) { return other.quota.unit == account->quota.unit && other.quota.ratePerSecond > 0; });
+        return comparable ? account->quota.ratePerSecond : 0;
+    }
+
     /// Returns the urgency that is sent to the workers, from 0 for the most urgent requests to 9: the priority, subdivided by how tight the
     /// route's latency target is.
     /// @param account account of the caller, whose priority replaces that of the route; null if it has none.
@@ -55,8 +71,7 @@
     {
         constexpr uint32_t maxPriority = 4; // Higher values, which are less urgent, count as this one.
         constexpr milliseconds tightLatency { 1000 };
-        auto priority = account != nullptr ? account->priority.value_or(route.priority) : route.priority;
-        return std::min(priority, maxPriority) * 2 + (route.targetLatency > tightLatency ? 1 : 0);
+        return std::min(computePriority(route, account), maxPriority) * 2 + (route.targetLatency > tightLatency ? 1 : 0);
     }
 
     /// Estimates the worker time that a request takes, in seconds.
@@ -147,6 +162,7 @@
     bool progressed = false; ///< An answer got beyond its first event, or is complete.
     std::vector<uint64_t> prefixHashes; ///< Result of `routing::hashPrefixes`; empty if the service has no engine.
     transport::CancelToken cancel; ///< Cancelled when the caller closes its connection or the VM's shutdown ends. Aborts the call to the worker.
+    WaitingRoom::Place* place = nullptr; ///< Set while the request waits in a queue.
     bool endedByShutdown = false; ///< The shutdown has ended the request: nothing more is sent to a worker.
     std::set<std::string> excludedWorkers; ///< Workers that failed this request.
     /// Connections on which an attempt was answered. All attempts have the same id, so on such a connection a late copy of the answer to
@@ -168,11 +184,19 @@
     uint32_t cachedTokens = 0; ///< Prompt tokens that the worker is estimated to have cached.
     Time expectedFirstByte { 0 }; ///< Expected time from sending the request to the first byte.
     Time waitTime { 0 }; ///< Time for which the request waited for a worker.
+    std::optional<size_t> queuePosition; ///< Number of requests before it when it began to wait in a queue.
     Time timeToFirstByte { 0 }; ///< Time from the request's arrival to the first byte sent to the caller.
     Time entryAge { 0 }; ///< See `Fleet::Selection`.
     std::map<std::string, routing::WorkerBlock> passedOver; ///< Workers that the choices passed over, and the last reason of each.
     std::optional<double> requestLimit; ///< Limit that the worker named in its answer, in requests per second.
 
+    /// Ends what the request waits for.
+    void end()
+    {
+        this->cancel.cancel();
+        if (this->place != nullptr)
+            this->place->wake();
+    }
     bool isCancelled() const { return this->cancel.isCancelled(); }
     bool isCallerGone() const { return this->cancel.isCancelled() && !this->endedByShutdown; }
     /// Returns the time until the deadline; negative after it.
@@ -226,7 +250,14 @@
     , peers(peers)
     , crashes(crashes)
     , slackFrom(vm.settings.firstStart ? Time { 0 } : monotonicNow() + vm.settings.retryWindow)
+    , waitingRoom(vm.counters)
+{
+    this->vm.fleet.setRoomListener([this] { this->waitingRoom.wakeFirsts(); });
+}
+
+Relay::~Relay()
 {
+    this->vm.fleet.setRoomListener({});
 }
 
 transport::HttpResponse Relay::refuseMalformed(unsigned status, std::string_view reason)
@@ -239,7 +270,7 @@
 {
     increment(this->vm.counters, CountedEvent::Requests);
     RequestContext context(this->vm.bufferMemory, request, writer);
-    writer.watchCaller([&context] { context.cancel.cancel(); });
+    writer.watchCaller([&context] { context.end(); });
     const ScopedOpenRequest open(this->openRequests, context);
     if (this->resolveRoute(context))
         this->run(context);
@@ -254,7 +285,7 @@
         if (context->isCancelled())
             continue;
         context->endedByShutdown = true;
-        context->cancel.cancel();
+        context->end();
     }
     return this->openRequests.size();
 }
@@ -265,7 +296,7 @@
         + " model=" + escapeForLog(context.head.shape.model) + (context.head.shape.adapter.empty() ? "" : "/" + escapeForLog(context.head.shape.adapter))
         + " parts=" + formatParts(context.head.shape.parts) + " tokens=" + std::to_string(context.head.shape.promptTokens) + " kept=" + std::to_string(context.cachedTokens)
         + " worker=" + (context.workerId.empty() ? "-" : escapeForLog(context.workerId)) + " entry_age_ms=" + formatMilliseconds(context.entryAge) + " sends=" + std::to_string(context.sendCount)
-        + " waited_ms=" + formatMilliseconds(context.waitTime) + " expected_ms=" + formatMilliseconds(context.expectedFirstByte) + " first_ms=" + formatMilliseconds(context.timeToFirstByte)
+        + " waited_ms=" + formatMilliseconds(context.waitTime) + (context.queuePosition ? " position=" + std::to_string(*context.queuePosition) : "") + " expected_ms=" + formatMilliseconds(context.expectedFirstByte) + " first_ms=" + formatMilliseconds(context.timeToFirstByte)
         + " total_ms=" + formatMilliseconds(monotonicNow() - context.startedAt) + " limit=" + formatLimit(context.requestLimit) + " passed_over=" + formatPassedOver(context.passedOver) + " status=" + std::to_string(context.status) + " outcome=" + context.outcome);
 }
 
@@ -274,7 +305,7 @@
     increment(this->vm.counters, refusal);
     // Requests refused for lack of capacity count as demand too: otherwise a model whose workers are full would never get
     // another replica. Requests that were sent are counted already.
-    bool lacksCapacity = refusal == RefusalReason::NoRoom || refusal == RefusalReason::WorkerHold || refusal == RefusalReason::WorkerLimit || refusal == RefusalReason::Hopeless;
+    bool lacksCapacity = refusal == RefusalReason::NoRoom || refusal == RefusalReason::WorkerHold || refusal == RefusalReason::WorkerLimit || refusal == RefusalReason::Hopeless || refusal == RefusalReason::Outranked;
     if (lacksCapacity && context.sendCount == 0 && context.service != nullptr && context.service->engine)
         this->peers.recordWork(context.head.shape.model, estimateWork(context.head.shape, 0));
     context.outcome = name(refusal);
@@ -412,6 +443,60 @@
     std::optional<MissingItem> item;
 };
 
+/// Place of a request in the queue of its service while it goes through `waitForWorker`; does nothing if requests aren't ordered.
+class Relay::ScopedPlace {
+public:
+    explicit ScopedPlace(RequestContext& context)
+        : context(context)
+    {
+    }
+    ~ScopedPlace() { this->context.place = nullptr; }
+    ScopedPlace(const ScopedPlace&) = delete;
+    ScopedPlace& operator=(const ScopedPlace&) = delete;
+
+    void enter(WaitingRoom& room, const routing::WaitingRequest& request)
+    {
+        this->place.emplace(room, this->context.service->name, request, monotonicNow());
+        this->context.place = &*this->place;
+    }
+    /// Without a queue every request is first.
+    routing::QueueDecision decide(const routing::Choice& choice, Time now)
+    {
+        routing::QueueDecision decision;
+        decision.isFirst = true;
+        if (!this->place)
+            return decision;
+        if (choice.blockReason != routing::BlockReason::None)
+            this->place->recordBlocked(choice, now);
+        return this->place->decide(now);
+    }
+    void start(Time now)
+    {
+        if (this->place)
+            this->place->start(now);
+    }
+    void refuse(Time now)
+    {
+        if (this->place)
+            this->place->refuse(now);
+    }
+    /// Waits until the request may find a worker.
+    /// @return false at once if there is no queue.
+    bool wait(const routing::QueueDecision& decision)
+    {
+        if (!this->place)
+            return false;
+        if (!this->context.queuePosition)
+            this->context.queuePosition = decision.position;
+        this->place->wait(workerRetryInterval);
+        return true;
+    }
+
+private:
+    RequestContext& context;
+    std::optional<WaitingRoom::Place> place;
+};
+
 void Relay::recordPassedOver(RequestContext& context, const routing::Choice& choice)
 {
     for (const auto& [worker, block] : choice.passedOver) {
@@ -433,6 +518,41 @@
     this->refuse(context, 503, refusals[static_cast<size_t>(choice.blockReason)], retryAfter);
 }
 
+bool Relay::ordersByUrgency(const routing::Configuration& configuration) const
+{
+    return this->vm.settings.queueByUrgency || configuration.accounts.has_value();
+}
+
+routing::WaitingRequest Relay::makeWaitingRequest(const RequestContext& context)
+{
+    const auto& shape = context.head.shape;
+    bool hasEngine = context.service->engine.has_value();
+    routing::WaitingRequest request;
+    request.model = hasEngine ? shape.model : "";
+    request.adapter = hasEngine ? shape.adapter : "";
+    request.alone = !context.excludedWorkers.empty();
+    request.priority = computePriority(*context.route, context.account);
+    request.account = context.account != nullptr ? context.account->name : "";
+    request.accountWeight = accountWeight(*context.configuration, context.account);
+    request.arrivedAt = context.startedAt;
+    request.deadline = context.firstByteDeadline;
+    request.targetAt = context.route->targetLatency > milliseconds { 0 } ? context.startedAt + context.route->targetLatency : request.deadline;
+    request.workSeconds = hasEngine ? estimateWork(shape, 0) : 0;
+    return request;
+}
+
+bool Relay::refuseInQueue(RequestContext& context, const routing::QueueDecision& decision)
+{
+    if (decision.refusal == routing::QueueRefusal::None)
+        return false;
+    context.place->refuse(monotonicNow());
+    if (context.possibleRuns > 0)
+        this->finish(context, context.lastResult);
+    else
+        this->refuse(context, 503, decision.refusal == routing::QueueRefusal::Outranked ? RefusalReason::Outranked : RefusalReason::Hopeless, decision.retryAfter);
+    return true;
+}
+
 /// Waits until a worker can take the request.
 /// @return false if the request was refused or the caller has gone.
 bool Relay::waitForWorker(RequestContext& context, Fleet::Selection& selection)
@@ -440,6 +560,9 @@
     const auto& shape = context.head.shape;
     ScopedMissingItem missingItem(this->peers);
     auto lastChoiceAt = monotonicNow();
+    ScopedPlace place(context);
+    if (this->ordersByUrgency(*context.configuration))
+        place.enter(this->waitingRoom, Relay::makeWaitingRequest(context));
     while (!context.isCancelled()) {
         // What crashes workers may become known while the request waits, and a shutdown may begin.
         if (this->endIfHeldOff(context) || this->endIfLeaving(context, Time { 0 }))
@@ -449,20 +572,30 @@
         this->recordPassedOver(context, selection.choice);
         auto blockReason = selection.choice.blockReason;
         context.waitTime += now - std::exchange(lastChoiceAt, now);
-        if (blockReason == routing::BlockReason::None)
+        auto turn = place.decide(selection.choice, now);
+        if (blockReason == routing::BlockReason::None && turn.isFirst) {
+            place.start(now);
             return true;
+        }
         if (blockReason == routing::BlockReason::NoModel)
             missingItem.set(MissingItem { "", shape.model, "" });
         else if (blockReason == routing::BlockReason::NoAdapter)
             missingItem.set(MissingItem { selection.id, shape.model, shape.adapter });
+        // The rate at which room becomes free tells nothing of loads, limits and holds that a request waits for.
+        bool lacksRoom = blockReason == routing::BlockReason::NoCapacity || blockReason == routing::BlockReason::None;
+        if (lacksRoom && this->refuseInQueue(context, turn))
+            return false;
         auto decision = routing::decideWait(selection.choice, routing::findModel(*context.service, shape.model), now - context.startedAt, context.firstByteDeadline - context.startedAt);
         if (!decision.admitted) {
+            place.refuse(now);
             if (context.possibleRuns > 0)
                 this->finish(context, context.lastResult);
             else
                 this->refuseBlocked(context, selection.choice, decision.retryAfter);
             return false;
         }
+        if (place.wait(turn))
+            continue;
         auto seenChanges = this->vm.fleet.changes();
         do
             sleepFor(workerPollInterval);
--- a/edge/src/relay.h
+++ b/edge/src/relay.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "peers.h"
+#include "waiting_room.h"
 
 namespace comfreypier::edge {
 
@@ -9,6 +10,9 @@
 class Relay {
 public:
     Relay(Vm& vm, Peers& peers, CrashTracker& crashes);
+    ~Relay();
+    Relay(const Relay&) = delete;
+    Relay& operator=(const Relay&) = delete;
 
     /// Serves one request until its answer is complete. Runs on the request's own fiber.
     void serve(const transport::HttpRequest& request, transport::ResponseWriter& writer);
@@ -23,6 +27,7 @@
     struct RequestContext;
     struct Attempt;
     class ScopedMissingItem;
+    class ScopedPlace;
     class StreamRescue;
     class ScopedOpenRequest;
     /// Result of one attempt to send a request to a worker.
@@ -59,6 +64,13 @@
     bool endIfLeaving(RequestContext& context, Time expected);
     void waitForAdapter(RequestContext& context, const routing::WorkerEntry& worker);
     bool waitForWorker(RequestContext& context, Fleet::Selection& selection);
+    /// Returns whether waiting requests of this configuration are ordered by urgency.
+    bool ordersByUrgency(const routing::Configuration& configuration) const;
+    /// Describes a request for the queue of its service.
+    static routing::WaitingRequest makeWaitingRequest(const RequestContext& context);
+    /// Refuses a request that waits in a queue, if its expected start is too late.
+    /// @return whether it was refused.
+    bool refuseInQueue(RequestContext& context, const routing::QueueDecision& decision);
     /// Makes one attempt to send the request to the selected worker.
     SendResult sendOnce(RequestContext& context, const Fleet::Selection& selection);
     /// Returns whether a worker other than `worker` can take the request now.
@@ -133,6 +145,7 @@
     std::mutex mutex;
     std::map<std::string, routing::RetryBudget> retryBudgets; ///< By service. Protected by `mutex`.
     std::map<std::pair<std::string, std::string>, routing::StreamPace> streamPaces; ///< By service and model. Protected by `mutex`.
+    WaitingRoom waitingRoom;
     std::set<RequestContext*> openRequests; ///< Used on the I/O thread only.
     transport::Log log { "relay" };
 };
--- a/edge/src/settings.cpp
+++ b/edge/src/settings.cpp
@@ -10,12 +10,14 @@
     using protocol::SectionReader;
 
     constexpr milliseconds maxDuration { 3600 * 1000 }; // one hour
+    constexpr std::string_view urgencyOrder = "urgency";
 
     /// Returns the allowed sections. The three flags of each are `IniSectionRule::named`, `required` and `allowUnknownKeys`; the
     /// flag of a key is `IniKey::required`.
     const std::vector<IniSectionRule>& sectionRules()
     {
         static const std::vector<std::string_view> logLevels { "debug", "info", "warn", "error" };
+        static const std::vector<std::string_view> queueOrders { "arrival", urgencyOrder };
         static const std::vector<IniSectionRule> sections {
             { "node", false, true, false, IniType::Text,
                 { { "name", IniType::Name, true, {} },
@@ -38,6 +40,7 @@
             { "orders", false, false, false, IniType::Text,
                 { { "lease_time", IniType::Duration, false, {} },
                     { "workers_check_tokens", IniType::Flag, false, {} } } },
+            { "queue", false, false, false, IniType::Text, { { "order", IniType::Choice, false, queueOrders } } },
             { "drain", false, false, false, IniType::Text, { { "grace", IniType::Duration, false, {} } } },
             { "limits", false, false, false, IniType::Text,
                 { { "connections", IniType::Integer, false, {} },
@@ -87,6 +90,9 @@
     SectionReader orders(document, "orders", errors);
     orders.duration("lease_time", settings.leaseTime, milliseconds { 100 }, maxDuration);
     orders.flag("workers_check_tokens", settings.workersCheckTokens);
+    std::string queueOrder;
+    SectionReader(document, "queue", errors).text("order", queueOrder);
+    settings.queueByUrgency = queueOrder == urgencyOrder;
     SectionReader(document, "drain", errors).duration("grace", settings.grace, milliseconds { 500 }, maxDuration);
     SectionReader limits(document, "limits", errors);
     limits.integer("connections", settings.connectionLimit, 1, 1000000);
--- a/routing/include/routing/routing.h
+++ b/routing/include/routing/routing.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <accounts/accounts.h>
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <deque>
@@ -378,6 +379,7 @@
     uint32_t cachedTokens = 0; ///< Set for `None`: estimated number of prompt tokens in the prefix cache of `worker`.
     /// Set for `NoCapacity`, `Limited` and `Held`: expected time until the first worker has capacity for the request or takes it.
     Time timeToCapacity { 0 };
+    uint32_t fullWorkers = 0; ///< Set for `NoCapacity`: number of suitable workers, none of which has capacity.
     /// Workers that hold the model but may be sent no request now, at most `maxPassedOver`.
     std::vector<std::pair<std::string, WorkerBlock>> passedOver;
 };
@@ -811,4 +813,193 @@
     EvidenceKey lastSentInTurn; ///< The next heartbeat continues after it.
 };
 
+// Waiting requests and their order
+
+/// Share of a request's own time, from its arrival to its deadline, after which it goes before requests that are one step more urgent.
+/// Of the time for which a request may wait this leaves at least two such steps.
+constexpr double queueAgingShare = 0.25;
+/// Shares of requests served, relative to all of them, below which a priority counts as starved and goes first, and relative to their priority
+/// or to all, below which a size, a model or an adapter does and gives way to none.
+constexpr double minServedShareOfKind = 0.4;
+constexpr double minServedShare = 0.6;
+/// Half-life of what a queue has measured: rates of arrivals and starts, and shares of served requests.
+constexpr std::chrono::seconds queueHalfLife { 4 };
+/// Half-life of the demand that counts as usual for an account.
+constexpr std::chrono::minutes usualDemandHalfLife { 2 };
+/// Factor on an account's fair share of the recent starts above which its requests go after those of the others.
+constexpr double fairShareTolerance = 1.1;
+/// Share of its target latency that a request must be expected to have left at its first byte, to be found to meet the target.
+constexpr double queueTargetReserve = 0.125;
+/// Smallest share of a queue's rate of starts that requests are expected to get while more urgent ones arrive.
+constexpr double minRateShare = 0.02;
+/// Interval at which the order is computed anew while no request comes or goes.
+constexpr milliseconds queuePlanInterval { 20 };
+/// Share of their remaining time for which callers wait before they come back, whatever Retry-After says.
+constexpr double maxHonouredRetryShare = 1.0 / 3;
+/// Least urgent level that is told apart; higher priorities count as this one.
+constexpr uint32_t maxQueuePriority = 9;
+
+/// A request that waits for a worker.
+struct WaitingRequest {
+    uint64_t id = 0; ///< Unique within its queue.
+    std::string model; ///< Empty for plain services.
+    std::string adapter; ///< Empty for the base model.
+    bool alone = false; ///< It waits for other workers than the rest, as some have failed it.
+    uint32_t priority = 0; ///< 0 is the most urgent.
+    std::string account; ///< Name of the client account; empty if there is none.
+    Time arrivedAt { 0 };
+    Time targetAt { 0 }; ///< When the first byte should be there.
+    Time deadline { 0 }; ///< When the first byte is worth nothing any more.
+    double workSeconds = 0; ///< Estimated work of a worker, in seconds.
+    double accountWeight = 0; ///< Share of the account relative to the others, if the operators state one; 0 if they don't.
+};
+
+/// Why a queue refuses a request.
+enum class QueueRefusal {
+    None,
+    Outranked, ///< It would be served in time, but requests that go before it take the room.
+    Hopeless, ///< It would not be served in time without them either.
+    Count
+};
+
+/// What a queue says of a request that waits in it.
+struct QueueDecision {
+    bool isFirst = false; ///< No request that waits for the same goes before it: it may be sent as soon as there is room.
+    QueueRefusal refusal = QueueRefusal::None; ///< Whether it is refused now.
+    milliseconds retryAfter { 0 }; ///< Set on refusal: time until there is expected to be room.
+    size_t position = 0; ///< Number of requests for the same that go before it.
+    Time expectedStart { 0 }; ///< Expected time until it is sent.
+};
+
+/// Orders the requests of one service that wait for a worker, and refuses those that could not be served in time.
+///
+/// Answers overload, bursts and accounts that send many times their usual. Requests compete if they wait for the same model and adapter, or for
+/// any worker of a plain service. Order: priority, then accounts within their fair share, then requests that can still meet their target
+/// before those that can't, by the time left. The requests that can meet their targets are found as by J. M. Moore (An n job, one machine
+/// sequencing algorithm for minimizing the number of late jobs, 1968): in the order of their targets, and whenever one would be late,
+/// that with most work for its remaining time gives way. Aging and the shares in which kinds, sizes and models are served keep all of them
+/// from starving.
+class WaitQueue {
+public:
+    /// Adds a request. It stays until one of the three functions below is called.
+    void add(const WaitingRequest& request, Time now);
+    /// Removes a request that is sent to a worker now.
+    void start(uint64_t id, Time now);
+    /// Removes a request that is refused now.
+    void refuse(uint64_t id, Time now);
+    /// Removes a request that ended otherwise: its caller has gone, or the VM shuts down.
+    void remove(uint64_t id, Time now);
+    /// Records whether a request waits for room, rather than for a model to be loaded or a worker to take requests again. The rate of starts is
+    /// measured while one does.
+    /// @param timeToCapacity expected time between places, which is used while no rate of starts is known; 0 if it is not known either.
+    void recordBlocked(uint64_t id, bool lacksRoom, Time timeToCapacity, Time now);
+    /// Returns the position of a request and whether it is refused now. The request stays in the queue.
+    QueueDecision decide(uint64_t id, Time now);
+    /// Returns the first request of each group that waits for the same, in the order of the whole queue, as of the last decisions.
+    std::vector<uint64_t> firsts() const;
+    size_t size() const { return this->entries.size(); }
+    /// Returns the number of waiting requests of a priority.
+    size_t waiting(uint32_t priority) const;
+
+private:
+    /// An amount that decays with a half-life.
+    struct Decayed {
+        double amount = 0;
+        Time at { 0 };
+        /// Decays to `now` and adds.
+        void add(double more, Time now, Time halfLife);
+        double value(Time now, Time halfLife) const;
+    };
+    /// Requests that were served or refused, decayed.
+    struct ServedShare {
+        Decayed ended;
+        Decayed served;
+        Decayed work; ///< Of those that ended, in seconds.
+    };
+    /// Position of a request in the order of its queue; the lower one goes first.
+    struct Rank {
+        bool usual = true; ///< Its priority is not starved.
+        uint32_t level = 0; ///< Priority after aging.
+        bool overShare = false; ///< Its account has had more than its share.
+        bool late = false; ///< It can't meet its target.
+        Time slack { 0 }; ///< Time at which it would have to start.
+        uint64_t id = 0;
+        auto operator<=>(const Rank&) const = default;
+    };
+    struct Entry {
+        WaitingRequest request;
+        std::string group;
+        bool lacksRoom = false; ///< See `recordBlocked`.
+        bool admitted = false; ///< It has been found to meet its target, and gives way to none that comes later.
+        Rank rank;
+        QueueDecision decision;
+    };
+    /// Requests that wait for the same.
+    struct Group {
+        std::vector<uint64_t> order; ///< As of `plannedAt`.
+        bool changed = false; ///< A request has come or gone since.
+        Time plannedAt { 0 };
+        Decayed startedWork; ///< While requests waited, in seconds of work.
+        Decayed busyTime; ///< Time for which requests waited, in seconds.
+        Time busyUntil { 0 }; ///< Until when `busyTime` is counted.
+        /// In seconds of work, by twice the priority, plus one if the account has had more than its share.
+        std::array<Decayed, 2 * (maxQueuePriority + 1)> arrivedWork;
+        std::array<Time, maxQueuePriority + 1> promisedUntil {}; ///< By priority: until when refused callers have been told to come back.
+        Time timeToCapacity { 0 }; ///< See `recordBlocked`.
+    };
+    /// Demand and use of an account.
+    struct AccountUse {
+        Decayed startedWork;
+        Decayed recentWork; ///< Arrived lately.
+        Decayed usualWork; ///< Arrived over a long time, while there was room for all.
+        Time since { 0 }; ///< When its first request came.
+        double weight = 0; ///< See `WaitingRequest::accountWeight`.
+        size_t waiting = 0; ///< Number of its requests that wait.
+    };
+    /// Keys of `served` that a request counts for.
+    struct ShareKeys {
+        std::string kind; ///< Its priority.
+        std::string size; ///< Its priority and whether it is large.
+        std::string group; ///< What it waits for.
+    };
+
+    /// Removes a request.
+    Entry takeOut(uint64_t id, Time now);
+    ShareKeys shareKeys(const Entry& entry, Time now) const;
+    void recordEnd(const Entry& entry, bool wasServed, Time now);
+    /// Returns the share of requests that were served; nothing if too few ended lately.
+    std::optional<double> servedShare(const std::string& key, Time now) const;
+    /// Returns whether the requests of `key` are served much less often than those of `reference`.
+    bool isStarved(const std::string& key, const std::string& reference, double minShare, Time now) const;
+    uint32_t levelOf(const Entry& entry, Time now) const;
+    /// Returns whether the priority of a request is served much less often than all, and not more often than a more urgent one.
+    bool isKindStarved(const WaitingRequest& request, Time now) const;
+    /// Returns the rate at which work of an account usually arrives.
+    static double usualRate(const AccountUse& use, Time now);
+    /// Returns the accounts whose requests have been started for more than their fair share.
+    std::set<std::string> accountsOverShare(Time now) const;
+    /// Returns whether a request of the group waits for room.
+    bool isBusy(const Group& group) const;
+    void countBusyTime(Group& group, Time now) const;
+    /// Returns the work that is started in a second, without that of requests that go first.
+    /// @param classes number of entries of `Group::arrivedWork` that go first.
+    /// @param typicalWork mean work of the waiting requests, in seconds.
+    static double rate(const Group& group, size_t classes, double typicalWork, Time now);
+    void plan(Group& group, Time now);
+    /// Orders the requests of one level and decides on each.
+    /// @param level requests by the time at which they would have to start.
+    /// @param ahead work that goes before them, in seconds.
+    /// @return that with the work of those that stay.
+    double planLevel(const std::vector<Entry*>& level, double ahead, Group& group, double typicalWork, Time now);
+    milliseconds chooseRetryAfter(const Entry& entry, Group& group, double typicalWork, Time now) const;
+    void forgetOld(Time now);
+
+    std::map<uint64_t, Entry> entries;
+    std::map<std::string, Group> groups; ///< By what their requests wait for.
+    std::map<std::string, ServedShare> served; ///< By the result of `shareKeys`.
+    std::map<std::string, AccountUse> accounts;
+    std::set<std::string> overShare; ///< Result of `accountsOverShare` when a group was last planned.
+    Time forgottenAt { 0 }; ///< When what is old was last forgotten.
+};
+
 } // namespace comfreypier::routing
--- a/routing/src/choice.cpp
+++ b/routing/src/choice.cpp
@@ -183,8 +183,10 @@
             if (estimate.cost >= minCost)
                 continue;
             minCost = estimate.cost;
-            choice = { worker, BlockReason::None, nullptr, estimate.timeToFirstByte, estimate.cachedTokens, choice.timeToCapacity };
+            choice = { worker, BlockReason::None, nullptr, estimate.timeToFirstByte, estimate.cachedTokens, choice.timeToCapacity, 0, {} };
         }
+        if (choice.blockReason == BlockReason::NoCapacity)
+            choice.fullWorkers = static_cast<uint32_t>(candidates.size());
         return choice;
     }
 
