Queue: waiting requests are ordered by urgency, and refused early

Cause: a freed place went to whichever waiting request looked first, refusals looked at one request at a time, and Retry-After was clamped to 2 s, so that urgent callers waited behind others and refused ones met the same burst again.

Change: routing::WaitQueue orders the requests of a service that wait for the same, by priority with aging, fair shares of accounts and the time left to their targets, and refuses from the measured rate of starts. edge::WaitingRoom wakes the first ones when a place is released.

--- a/routing/include/routing/routing.h
+++ b/routing/include/routing/routing.h
@@ -930,6 +930,7 @@
         WaitingRequest request;
         std::string group;
         bool lacksRoom = false; ///< See `recordBlocked`.
+        bool mayGiveWay = true; ///< Neither its size nor its model is starved.
         bool admitted = false; ///< It has been found to meet its target, and gives way to none that comes later.
         Rank rank;
         QueueDecision decision;
--- a/routing/src/wait_queue.cpp
+++ b/routing/src/wait_queue.cpp
@@ -323,6 +323,8 @@
         auto& entry = this->entries.at(id);
         const auto& request = entry.request;
         entry.rank = { !this->isKindStarved(request, now), this->levelOf(entry, now), this->overShare.contains(request.account), false, startOf(request.targetAt, request.workSeconds), id };
+        auto keys = this->shareKeys(entry, now);
+        entry.mayGiveWay = !this->isStarved(keys.size, keys.kind, minServedShare, now) && !this->isStarved(keys.group, "", minServedShare, now);
         work += request.workSeconds;
         ordered.push_back(&entry);
     }
@@ -344,10 +346,6 @@
     // Requests of the same level that arrive later go before those that are late already.
     auto lateRate = WaitQueue::rate(group, classes + 1, typicalWork, now);
     auto onTimeRate = WaitQueue::rate(group, classes, typicalWork, now);
-    auto mayGiveWay = [this, now](const Entry& entry) {
-        auto keys = this->shareKeys(entry, now);
-        return !this->isStarved(keys.size, keys.kind, minServedShare, now) && !this->isStarved(keys.group, "", minServedShare, now);
-    };
     std::vector<Entry*> onTime;
     std::vector<Entry*> late;
     double work = 0;
@@ -355,7 +353,7 @@
         const auto& request = entry->request;
         onTime.push_back(entry);
         work += request.workSeconds;
-        if (!mayGiveWay(*entry))
+        if (!entry->mayGiveWay)
             continue;
         auto expectedEnd = now + toTime((ahead + work - request.workSeconds) / onTimeRate) + toTime(request.workSeconds);
         auto reserve = entry->admitted ? Time { 0 } : std::chrono::duration_cast<Time>((request.targetAt - request.arrivedAt) * queueTargetReserve);
@@ -367,7 +365,7 @@
             gives = onTime.end() - 1;
         else {
             for (auto other = onTime.begin(); other != onTime.end(); ++other) {
-                if (!(*other)->admitted && mayGiveWay(**other) && (gives == onTime.end() || density((*other)->request) >= density((*gives)->request)))
+                if (!(*other)->admitted && (*other)->mayGiveWay && (gives == onTime.end() || density((*other)->request) >= density((*gives)->request)))
                     gives = other;
             }
         }
--- a/tests/unit/edge_world.h
+++ b/tests/unit/edge_world.h
@@ -216,6 +216,15 @@
         return this->sendRequest(path, id, { { "Model", model }, { "Token-Count", "500,100" }, { "Prompt-Prefix", "a1:300,b2:200" } }, vm);
     }
 
+    /// Sends such a request to the first VM and gives it up when `cancel` is cancelled.
+    /// @return whether it was answered.
+    bool sendCancellableChat(const std::string& id, transport::CancelToken& cancel)
+    {
+        auto request = makeRequest("/chat/x", id, milliseconds { 3000 });
+        request.headers.insert(request.headers.end(), { { "Model", "m1" }, { "Token-Count", "500,100" } });
+        return this->call(this->front(), request, milliseconds { 8000 }, &cancel).has_value();
+    }
+
     /// What a caller receives of an answer's body.
     struct ReceivedBody {
         std::string bytes;
@@ -288,6 +297,25 @@
         this->store.write("keyed.op", "config", standins::makePlatformConfiguration(version, moreRoutes));
     }
 
+    /// Publishes a configuration in which a worker of the models runs one request at once, with a route for less urgent streams below `/batch/`.
+    void configureOnePlace()
+    {
+        auto configuration = standins::makePlatformConfiguration(1, R"(,{"name":"batch","host":"h.example","path-prefix":"/batch/","kind":"streaming","timeout-ms":6000,"target-latency-ms":4000,"priority":2,"service":"llm","max-attempts":1,"sticky":true,"resumable":false,"target-gap-ms":100})");
+        const std::string slots = R"("slots":8)";
+        configuration.replace(configuration.find(slots), slots.size(), R"("slots":1)");
+        this->store.write("keyed.op", "config", configuration);
+    }
+
+    /// Returns the ids of the newest requests that a worker got, in the order of their arrival.
+    static std::vector<std::string> arrivedIds(WorkerStandin& worker)
+    {
+        std::lock_guard lock(worker.mutex);
+        std::vector<std::string> ids;
+        for (const auto& request : worker.recentRequests)
+            ids.emplace_back(findHeader(request.headers, "Attempt-Id"));
+        return ids;
+    }
+
     /// Publishes version 1 of the configuration and waits until the first `vms` VMs are ready.
     void configureAndWait(int vms = 1)
     {
--- a/tests/unit/wait_queue_test.cpp
+++ b/tests/unit/wait_queue_test.cpp
@@ -167,65 +167,236 @@
     return { "m", "", 2, milliseconds { 8000 }, milliseconds { 12000 }, 0.1, perSecond };
 }
 
-Outcome sum(const std::vector<Outcome>& outcomes)
-{
-    Outcome all;
-    for (const auto& outcome : outcomes) {
-        all.sent += outcome.sent;
-        all.served += outcome.served;
-        all.inTime += outcome.inTime;
-        all.refused += outcome.refused;
-        all.refusedSlowly += outcome.refusedSlowly;
-        all.cameBack += outcome.cameBack;
-        all.refusedTwice += outcome.refusedTwice;
-    }
-    return all;
+/// Share of requests by which a kind may be served less often than a less urgent one.
+constexpr double tolerance = 0.05;
+
+/// Returns the share of the places' time that was used while the callers of `seconds` came.
+double usedShare(const Play& play, double seconds)
+{
+    return play.busySeconds / (seconds * places);
+}
+
+Kind withAccount(Kind kind, const std::string& account, double weight = 0)
+{
+    kind.account = account;
+    kind.weight = weight;
+    return kind;
+}
+
+Kind within(Kind kind, Time from, Time until)
+{
+    kind.from = from;
+    kind.until = until;
+    return kind;
 }
 
-void show(const char* title, const Play& play)
+constexpr std::array<double, 4> loads { 1, 1.5, 2, 3 };
+
+Play playMixedLoad(double load)
 {
-    for (const auto& outcome : play.outcomes)
-        std::fprintf(stderr, "%s sent %d served %.2f in time %.2f refused %d slowly %d with room %d back %d twice %d large %.2f busy %.1f\n", title, outcome.sent, outcome.servedShare(), outcome.inTimeShare(), outcome.refused, outcome.refusedSlowly, outcome.refusedWithRoom, outcome.cameBack, outcome.refusedTwice, outcome.largeServedShare(), play.busySeconds);
+    auto rate = capacity * load;
+    return { { urgentKind(rate * 0.4), normalKind(rate * 0.4), batchKind(rate * 0.2) }, places };
 }
 
 } // namespace
 
-Test(wait_queue, explore)
+Test(wait_queue, with_room_for_all_nobody_is_refused)
 {
-    for (double load : { 0.7, 1.0, 1.5, 2.0, 3.0 }) {
-        auto rate = capacity * load;
-        Play play({ urgentKind(rate * 0.4), normalKind(rate * 0.4), batchKind(rate * 0.2) }, places);
-        show(std::to_string(load).c_str(), play);
+    auto play = playMixedLoad(0.7);
+    for (const auto& outcome : play.outcomes) {
+        cr_assert_eq(outcome.refused, 0);
+        cr_assert_eq(outcome.inTime, outcome.sent);
+    }
+}
+
+// Urgent callers are served first, as long as they alone leave room all of them, and no kind or size starves.
+Test(wait_queue, kinds_are_served_by_urgency_and_none_starves)
+{
+    for (auto load : loads) {
+        auto play = playMixedLoad(load);
+        const auto& [urgent, normal, batch] = std::tie(play.outcomes[0], play.outcomes[1], play.outcomes[2]);
+        if (load <= 1.5)
+            cr_assert_geq(urgent.inTimeShare(), 0.97, "load %g: %g", load, urgent.inTimeShare());
+        cr_assert_geq(urgent.servedShare(), normal.servedShare() - tolerance, "load %g", load);
+        cr_assert_geq(normal.servedShare(), batch.servedShare() - tolerance, "load %g", load);
+        auto all = static_cast<double>(urgent.served + normal.served + batch.served) / (urgent.sent + normal.sent + batch.sent);
+        for (const auto& outcome : play.outcomes) {
+            cr_assert_geq(outcome.servedShare(), all / 4, "load %g: %g of %g", load, outcome.servedShare(), all);
+            cr_assert_geq(outcome.largeServedShare(), outcome.servedShare() / 2, "load %g: %g of %g", load, outcome.largeServedShare(), outcome.servedShare());
+        }
+    }
+}
+
+// However many callers come, the places work, and most of what they do is in time.
+Test(wait_queue, overload_does_not_collapse)
+{
+    for (auto load : loads) {
+        auto play = playMixedLoad(load);
+        if (load > 1)
+            cr_assert_geq(usedShare(play, 60), 0.95, "load %g: %g", load, usedShare(play, 60));
+        const auto& urgent = play.outcomes[0];
+        cr_assert_geq(urgent.inTime, 0.6 * urgent.served, "load %g: %d of %d", load, urgent.inTime, urgent.served);
     }
+}
+
+// A refusal helps a caller only if it comes while there is time to come back, and never while places are free.
+Test(wait_queue, hopeless_requests_are_refused_at_once_and_never_with_free_places)
+{
+    for (auto load : loads) {
+        auto play = playMixedLoad(load);
+        int refused = 0;
+        int slowly = 0;
+        for (const auto& outcome : play.outcomes) {
+            refused += outcome.refused;
+            slowly += outcome.refusedSlowly;
+            cr_assert_eq(outcome.refusedWithRoom, 0);
+        }
+        cr_assert_leq(slowly, refused / 8 + 5, "load %g: %d of %d", load, slowly, refused);
+    }
+}
+
+// A kind that is far more urgent than another, and too much by itself, does not keep the other out.
+Test(wait_queue, urgent_overload_leaves_a_part_to_the_rest)
+{
     for (double load : { 1.5, 2.0, 3.0 }) {
         auto rate = capacity * load;
         Play play({ urgentKind(rate * 0.8), batchKind(rate * 0.2) }, places);
-        show(("u" + std::to_string(load)).c_str(), play);
+        const auto& [urgent, batch] = std::tie(play.outcomes[0], play.outcomes[1]);
+        auto all = static_cast<double>(urgent.served + batch.served) / (urgent.sent + batch.sent);
+        cr_assert_geq(batch.servedShare(), all / 4, "load %g: %g of %g", load, batch.servedShare(), all);
+        cr_assert_geq(urgent.servedShare(), batch.servedShare() - tolerance, "load %g", load);
+        cr_assert_geq(urgent.largeServedShare(), urgent.servedShare() / 2, "load %g: %g of %g", load, urgent.largeServedShare(), urgent.servedShare());
     }
-    {
-        auto hot = urgentKind(capacity * 0.2);
-        hot.account = "hot";
-        auto more = hot;
-        more.perSecond *= 6;
-        more.from = seconds { 20 };
-        more.until = seconds { 40 };
-        auto b = urgentKind(capacity * 0.2), c = urgentKind(capacity * 0.2), d = urgentKind(capacity * 0.2);
-        b.account = "b"; c.account = "c"; d.account = "d";
-        Play play({ hot, more, b, c, d }, places);
-        show("hot", play);
+}
+
+// Guards against an account that sends seven times its usual at the cost of the others, whether or not the operators state shares.
+Test(wait_queue, account_beyond_its_usual_takes_nothing_from_the_others)
+{
+    for (double weight : { 0.0, 1.0 }) {
+        auto usual = urgentKind(capacity * 0.2);
+        auto more = within(urgentKind(capacity * 1.2), seconds { 20 }, seconds { 40 });
+        Play play({ withAccount(usual, "a", weight), withAccount(usual, "b", weight), withAccount(usual, "c", weight), withAccount(usual, "hot", weight), withAccount(more, "hot", weight) }, places);
+        for (size_t i = 0; i < 3; i++)
+            cr_assert_geq(play.outcomes[i].inTimeShare(), 0.9, "account %zu: %g", i, play.outcomes[i].inTimeShare());
+        // What the others leave is used.
+        cr_assert_gt(play.outcomes[4].servedShare(), 0.2, "%g", play.outcomes[4].servedShare());
     }
-    {
-        auto burst = batchKind(capacity * 3);
-        burst.from = seconds { 20 };
-        burst.until = seconds { 24 };
-        Play play({ urgentKind(capacity * 0.5), burst }, places);
-        show("burst", play);
+}
+
+// Large accounts are no worse off than small ones while both send their usual.
+Test(wait_queue, accounts_of_all_sizes_are_served_alike)
+{
+    Play play({ withAccount(urgentKind(capacity * 1.2), "large"), withAccount(urgentKind(capacity * 0.3), "small") }, places);
+    auto [large, small] = std::pair(play.outcomes[0].servedShare(), play.outcomes[1].servedShare());
+    cr_assert_geq(large, small / 2, "%g and %g", large, small);
+    cr_assert_geq(small, large / 2, "%g and %g", large, small);
+}
+
+// A burst of the least urgent kind costs the urgent ones nothing, and those of its callers that come back find room.
+Test(wait_queue, burst_of_the_least_urgent_kind_delays_no_urgent_one)
+{
+    Play play({ urgentKind(capacity * 0.5), within(batchKind(capacity * 3), seconds { 20 }, seconds { 24 }) }, places);
+    cr_assert_geq(play.outcomes[0].inTimeShare(), 0.99, "%g", play.outcomes[0].inTimeShare());
+    // From the start of the burst to the last deadline there is room for 0.67 of it.
+    cr_assert_geq(play.outcomes[1].servedShare(), 0.45, "%g", play.outcomes[1].servedShare());
+}
+
+Test(wait_queue, callers_that_were_refused_come_back_when_there_is_room)
+{
+    // What the burst has left over fits into the room of the two seconds after it.
+    Play play({ urgentKind(capacity * 0.4), within(urgentKind(capacity * 1.5), seconds { 20 }, seconds { 21 }) }, places);
+    int back = play.outcomes[0].cameBack + play.outcomes[1].cameBack;
+    int twice = play.outcomes[0].refusedTwice + play.outcomes[1].refusedTwice;
+    cr_assert_gt(back, 5, "%d", back);
+    cr_assert_leq(twice, back / 4, "%d of %d", twice, back);
+}
+
+Test(wait_queue, models_with_places_in_common_are_served_alike)
+{
+    auto rate = capacity * 2;
+    auto rare = urgentKind(rate * 0.1);
+    rare.model = "rare";
+    Play play({ urgentKind(rate * 0.9), rare }, places);
+    auto [usual, seldom] = std::pair(play.outcomes[0].servedShare(), play.outcomes[1].servedShare());
+    cr_assert_geq(seldom, usual / 2, "%g and %g", usual, seldom);
+}
+
+namespace {
+
+WaitingRequest makeRequest(uint64_t id, uint32_t priority, Time arrivedAt)
+{
+    return { id, "m", "", false, priority, "", arrivedAt, arrivedAt + seconds { 4 }, arrivedAt + seconds { 8 }, 0.1, 0 };
+}
+
+} // namespace
+
+Test(wait_queue, only_requests_for_the_same_compete)
+{
+    WaitQueue queue;
+    queue.add(makeRequest(1, 2, Time { 0 }), Time { 0 });
+    auto other = makeRequest(2, 0, Time { 0 });
+    other.adapter = "a1";
+    queue.add(other, Time { 0 });
+    auto retry = makeRequest(3, 0, Time { 0 });
+    retry.alone = true;
+    queue.add(retry, Time { 0 });
+    for (uint64_t id = 1; id <= 3; id++)
+        cr_assert(queue.decide(id, Time { 0 }).isFirst);
+    queue.add(makeRequest(4, 1, Time { 0 }), Time { 0 });
+    cr_assert(queue.decide(4, Time { 0 }).isFirst);
+    cr_assert_not(queue.decide(1, Time { 0 }).isFirst);
+    cr_assert_eq(queue.decide(1, Time { 0 }).position, 1U);
+    cr_assert_eq(queue.waiting(0), 2U);
+    cr_assert_eq(queue.firsts().size(), 3U);
+    cr_assert_eq(queue.firsts().back(), 4U, "the urgent ones of the other groups are woken first");
+    queue.start(4, Time { 0 });
+    cr_assert(queue.decide(1, Time { 0 }).isFirst);
+}
+
+Test(wait_queue, request_that_waited_for_a_share_of_its_time_goes_before_one_that_is_a_step_more_urgent)
+{
+    WaitQueue queue;
+    queue.add(makeRequest(1, 1, Time { 0 }), Time { 0 });
+    auto later = std::chrono::duration_cast<Time>(seconds { 8 } * queueAgingShare);
+    queue.add(makeRequest(2, 0, later - seconds { 1 }), later - seconds { 1 });
+    cr_assert(queue.decide(2, later - seconds { 1 }).isFirst);
+    cr_assert(queue.decide(1, later).isFirst, "its target is earlier, and its level the same now");
+}
+
+// Time that a model takes to load is no sign that there is little room.
+Test(wait_queue, waiting_for_a_model_refuses_nobody)
+{
+    WaitQueue queue;
+    for (uint64_t id = 1; id <= 40; id++)
+        queue.add(makeRequest(id, 1, Time { 0 }), Time { 0 });
+    for (auto now = Time { 0 }; now < seconds { 3 }; now += milliseconds { 40 }) {
+        for (uint64_t id = 1; id <= 40; id++) {
+            queue.recordBlocked(id, false, Time { 0 }, now);
+            cr_assert_eq(queue.decide(id, now).refusal, QueueRefusal::None);
+        }
     }
-    {
-        auto burst = urgentKind(capacity * 3);
-        burst.from = seconds { 20 };
-        burst.until = seconds { 22 };
-        Play play({ urgentKind(capacity * 0.5), burst }, places);
-        show("burst2", play);
+}
+
+// Requests that are refused one after the other are told different times.
+Test(wait_queue, retry_after_grows_with_what_was_promised)
+{
+    WaitQueue queue;
+    milliseconds last { 0 };
+    queue.add(makeRequest(1, 0, Time { 0 }), Time { 0 });
+    queue.recordBlocked(1, true, seconds { 2 }, Time { 0 });
+    int refused = 0;
+    for (uint64_t id = 2; id <= 12; id++) {
+        queue.add(makeRequest(id, 0, Time { 0 }), Time { 0 });
+        queue.recordBlocked(id, true, seconds { 2 }, Time { 0 });
+        auto decision = queue.decide(id, Time { 0 });
+        if (decision.refusal == QueueRefusal::None)
+            continue;
+        refused++;
+        cr_assert_geq(decision.retryAfter, minRetryAfter);
+        cr_assert_leq(decision.retryAfter, seconds { 8 });
+        last = std::max(last, decision.retryAfter);
+        queue.refuse(id, Time { 0 });
     }
+    cr_assert_gt(refused, 3);
+    cr_assert_gt(last, maxRetryAfter, "room is far off");
 }
