A VM that the store turns away gets the configuration from another VM

Cause: a VM that the store turns away or does not answer hears of a newer version of the configuration in heartbeats and keeps the old one: keys that were taken away stay valid there.

--- /dev/null
+++ b/edge/src/configuration_exchange.cpp
@@ -0,0 +1,77 @@
+#include "configuration_exchange.h"
+
+#include <algorithm>
+#include <charconv>
+#include <routing/routing.h>
+#include <tuple>
+
+namespace comfreypier::edge {
+
+namespace {
+
+    constexpr std::string_view configurationTarget = "/configuration";
+    constexpr std::string_view versionHeader = "Configuration-Version";
+    constexpr std::string_view eraHeader = "Configuration-Era";
+    constexpr std::string_view offsetHeader = "Configuration-Offset";
+
+    std::optional<uint64_t> readNumber(const transport::HttpResponse& response, std::string_view header)
+    {
+        auto text = transport::findHeader(response.headers, header);
+        uint64_t number = 0;
+        auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+        bool isNumber = !text.empty() && error == std::errc {} && end == text.data() + text.size();
+        return isNumber ? std::optional(number) : std::nullopt;
+    }
+
+} // namespace
+
+std::vector<ConfigurationSource> orderConfigurationSources(std::vector<ConfigurationSource> sources, std::string_view node, std::string_view dataCentre)
+{
+    auto key = [&](const ConfigurationSource& source) {
+        return std::tuple(source.dataCentre != dataCentre, routing::hashText(std::string(node) + "/" + source.node));
+    };
+    std::sort(sources.begin(), sources.end(), [&](const auto& a, const auto& b) { return key(a) < key(b); });
+    if (sources.size() > maxConfigurationSources)
+        sources.resize(maxConfigurationSources);
+    return sources;
+}
+
+transport::HttpRequest makeConfigurationRequest()
+{
+    return { "GET", std::string(configurationTarget), {}, {} };
+}
+
+bool isConfigurationRequest(const transport::HttpRequest& request)
+{
+    return request.method == "GET" && request.target == configurationTarget;
+}
+
+transport::HttpResponse makeConfigurationResponse(const ConfigurationRecordPtr& record)
+{
+    if (!record)
+        return { 404, {}, "" };
+    std::vector<transport::Header> headers {
+        { "Content-Type", "application/octet-stream" },
+        { std::string(versionHeader), std::to_string(record->version) },
+        { std::string(eraHeader), std::to_string(record->position.era) },
+        { std::string(offsetHeader), std::to_string(record->position.offset) },
+    };
+    return { 200, std::move(headers), record->value };
+}
+
+transport::HttpResponse makeConfigurationRefusal()
+{
+    return { 503, {}, "" };
+}
+
+std::optional<ConfigurationRecord> decodeConfigurationResponse(const transport::HttpResponse& response)
+{
+    auto version = readNumber(response, versionHeader);
+    auto era = readNumber(response, eraHeader);
+    auto offset = readNumber(response, offsetHeader);
+    if (response.status != 200 || !version || !era || !offset)
+        return std::nullopt;
+    return ConfigurationRecord { response.body, *version, { *era, *offset } };
+}
+
+} // namespace comfreypier::edge
