--- a/edge/src/counters.h
+++ b/edge/src/counters.h
@@ -60,6 +60,7 @@
     BeatsReceived, ///< Decodable heartbeats received from other VMs.
     Orders, ///< Load and unload orders sent to workers.
     ConfigurationsApplied,
+    ConfigurationsFetched, ///< Records of the configuration that another VM passed on.
     BlamedCrashes, ///< Crashes of workers that requests of this VM are blamed for.
     OversizedAnswers, ///< Answers of workers that were given up because they exceed the buffer memory.
     WorkerHolds, ///< Refusals of workers that named a time until which they want no request of this VM.
--- a/edge/src/edge.cpp
+++ b/edge/src/edge.cpp
@@ -66,7 +66,8 @@
               },
               [this](const auto& configuration) { this->callerServer.setLimits(callerServerLimits(this->settings, configuration.limits)); },
               [this] { this->peers.sendHeartbeat(); },
-              [this](const auto& entry) { this->peers.forwardEntry(entry); }, [this](Time ownReadAt) { return this->peers.enoughPeersReadWorkers(ownReadAt); })
+              [this](const auto& entry) { this->peers.forwardEntry(entry); },
+              { [this](Time ownReadAt) { return this->peers.enoughPeersReadWorkers(ownReadAt); }, [this](uint64_t version) { return this->peers.configurationSources(version); } })
         , orders(this->vm, this->peers)
         , relay(this->vm, this->peers, this->crashes)
         , callerServer(
@@ -77,7 +78,7 @@
         , readinessServer(
               this->runtime, this->settings.readiness, auxiliaryServerLimits(), [this](const auto& request, auto& writer) { this->serveReadiness(request, writer); }, Relay::refuseMalformed, &this->vm.bufferMemory)
         , metricsServer(
-              this->runtime, this->settings.metrics, auxiliaryServerLimits(), [this](const auto&, auto& writer) { this->serveMetrics(writer); }, Relay::refuseMalformed, &this->vm.bufferMemory)
+              this->runtime, this->settings.metrics, auxiliaryServerLimits(), [this](const auto& request, auto& writer) { this->serveInner(request, writer); }, Relay::refuseMalformed, &this->vm.bufferMemory)
     {
     }
 
@@ -115,6 +116,17 @@
         writer.send({ ready ? 200U : 503U, {}, "" });
     }
 
+    /// Answers a request of another VM for the record of the configuration, any other request with the counters.
+    void serveInner(const transport::HttpRequest& request, transport::ResponseWriter& writer)
+    {
+        if (!isConfigurationRequest(request))
+            return this->serveMetrics(writer);
+        auto record = this->vm.fleet.configurationRecord();
+        transport::BufferReservation copy(this->vm.bufferMemory);
+        bool hasMemory = !record || copy.tryHold(record->value.size());
+        writer.send(hasMemory ? makeConfigurationResponse(record) : makeConfigurationRefusal());
+    }
+
     void serveMetrics(transport::ResponseWriter& writer) const
     {
         auto text = formatCounters(this->vm.counters) + "comfreypier_caller_connections_total " + std::to_string(this->callerServer.stats().accepted) + "\n";
--- a/edge/src/fleet.cpp
+++ b/edge/src/fleet.cpp
@@ -43,6 +43,18 @@
     return true;
 }
 
+void Fleet::setConfigurationRecord(ConfigurationRecordPtr record)
+{
+    std::lock_guard lock(this->mutex);
+    this->currentRecord = std::move(record);
+}
+
+ConfigurationRecordPtr Fleet::configurationRecord() const
+{
+    std::lock_guard lock(this->mutex);
+    return this->currentRecord;
+}
+
 EntryChange Fleet::applyEntry(const routing::WorkerEntry& entry, const LogPosition& position, bool fromCopy, Time now)
 {
     std::lock_guard lock(this->mutex);
--- a/edge/src/fleet.h
+++ b/edge/src/fleet.h
@@ -1,6 +1,7 @@
 /// This VM's view of the configuration and the workers, protected by one lock.
 #pragma once
 
+#include "configuration_exchange.h"
 #include "heartbeat_codec.h"
 #include "store_era.h"
 
@@ -35,6 +36,10 @@
     /// Puts a configuration in force unless its version is not newer than the current one.
     /// @return true if it was applied.
     bool applyConfiguration(routing::Configuration configuration);
+    /// Keeps the record of the configuration in force, for VMs that can't read it in the store.
+    void setConfigurationRecord(ConfigurationRecordPtr record);
+    /// Returns that record, or null while none is known.
+    ConfigurationRecordPtr configurationRecord() const;
 
     /// Applies a worker's entry.
     /// @param position position of its record; records that are not newer than the last one are ignored.
@@ -204,6 +209,7 @@
     std::string dataCentre;
     mutable std::mutex mutex;
     ConfigurationPtr current; ///< Configuration in force, or null.
+    ConfigurationRecordPtr currentRecord; ///< Its record, or null.
     std::map<std::string, KnownWorker> workers;
     std::map<std::string, SummarySource> summaries; ///< By data centre.
     std::map<std::string, DroppedEntry> dropped; ///< By worker id.
--- a/edge/src/peers.cpp
+++ b/edge/src/peers.cpp
@@ -507,6 +507,7 @@
     peer.draining = heartbeat->draining;
     peer.overloaded = heartbeat->overloaded;
     peer.readsWorkers = heartbeat->readsWorkers;
+    peer.configVersion = heartbeat->configVersion;
     peer.leaseToken = heartbeat->leaseToken;
     // A partial heartbeat carries no demand.
     if (!heartbeat->partial)
@@ -664,6 +665,21 @@
         this->vm.fleet.forgetPeerLoad(node);
 }
 
+std::vector<ConfigurationSource> Peers::configurationSources(uint64_t version) const
+{
+    auto now = monotonicNow();
+    std::vector<ConfigurationSource> sources;
+    {
+        std::lock_guard lock(this->mutex);
+        for (const auto& [node, peer] : this->peers) {
+            // All VMs use the same port for it.
+            if (peer.configVersion >= version && this->isReachable(peer, now))
+                sources.push_back({ node, peer.member.dataCentre, { peer.member.inner.address, this->vm.settings.metrics.port } });
+        }
+    }
+    return orderConfigurationSources(std::move(sources), this->vm.settings.node, this->vm.settings.dataCentre);
+}
+
 uint32_t Peers::memberCount() const
 {
     if (!this->vm.status.membersKnown)
--- a/edge/src/peers.h
+++ b/edge/src/peers.h
@@ -23,6 +23,7 @@
     bool draining = false;
     bool overloaded = false;
     bool readsWorkers = false;
+    uint64_t configVersion = 0;
     uint64_t leaseToken = 0;
     std::map<std::string, double> demand;
     std::vector<MissingItem> missingItems;
@@ -60,6 +61,9 @@
     void forgetUnreachablePeers();
     /// Returns the newest version of the configuration that any VM, this one included, has reported to be in force; 0 if none has.
     uint64_t newestConfigurationVersion() const { return this->newestVersion; }
+    /// Returns the VMs to ask for the record of a configuration, see `orderConfigurationSources`: reachable ones that have this version or a
+    /// newer one.
+    std::vector<ConfigurationSource> configurationSources(uint64_t version) const;
     /// Returns the number of VMs with a member record, reachable or not, this one included; 0 until the records have been read.
     uint32_t memberCount() const;
 
--- a/edge/src/store_task.cpp
+++ b/edge/src/store_task.cpp
@@ -14,14 +14,14 @@
 
 } // namespace
 
-StoreTask::StoreTask(Vm& vm, MemberListener onMembers, WorkerListener onWorkerGone, ConfigurationListener onConfiguration, RestorationListener onRestored, EntryListener onEntry, PeersReadWorkers peersReadWorkers)
+StoreTask::StoreTask(Vm& vm, MemberListener onMembers, WorkerListener onWorkerGone, ConfigurationListener onConfiguration, RestorationListener onRestored, EntryListener onEntry, PeerReads peerReads)
     : vm(vm)
     , onMembers(std::move(onMembers))
     , onWorkerGone(std::move(onWorkerGone))
     , onConfiguration(std::move(onConfiguration))
     , onRestored(std::move(onRestored))
     , onEntry(std::move(onEntry))
-    , peersReadWorkers(std::move(peersReadWorkers))
+    , peerReads(std::move(peerReads))
 {
     this->vm.storeEra.subscribe([this](uint64_t era, bool restored) { this->onEra(era, restored); });
 }
@@ -53,23 +53,67 @@
 
 void StoreTask::refreshIfOlderThan(uint64_t version)
 {
-    auto configuration = this->vm.fleet.configuration();
     auto now = monotonicNow();
-    if (!configuration || version <= configuration->version || now - this->newerVersionReadAt < newerVersionReadDelay)
+    if (this->hasConfiguration(version) || this->refreshesConfiguration || now - this->newerVersionReadAt < newerVersionReadDelay)
         return;
     this->newerVersionReadAt = now;
-    // The read loop usually reads the new version within this delay. If it does not, its read may hang on a dead connection,
-    // and pooled connections may be dead too.
+    this->refreshesConfiguration = true;
     transport::spawnOnCurrentThread([this, version] {
-        sleepFor(newerVersionReadDelay);
-        auto current = this->vm.fleet.configuration();
-        if (current && current->version >= version)
-            return;
-        if (auto page = this->readOnNewConnection(platform::Stream::Configuration))
-            this->applyConfigurationsAside(*page);
+        this->refreshConfiguration(version);
+        this->refreshesConfiguration = false;
     });
 }
 
+bool StoreTask::hasConfiguration(uint64_t version) const
+{
+    auto configuration = this->vm.fleet.configuration();
+    return configuration ? configuration->version >= version : version == 0;
+}
+
+bool StoreTask::isStoreFailing() const
+{
+    return this->streamFailing[static_cast<size_t>(platform::Stream::Configuration)] || this->streamFailing[static_cast<size_t>(platform::Stream::Workers)];
+}
+
+void StoreTask::refreshConfiguration(uint64_t version)
+{
+    auto bound = this->vm.settings.configurationBound;
+    if (this->isStoreFailing() && this->fetchConfiguration(version, bound))
+        return;
+    // The read loop usually reads the new version within this delay. If it does not, its read may hang on a dead connection,
+    // and pooled connections may be dead too.
+    sleepFor(newerVersionReadDelay);
+    if (this->hasConfiguration(version))
+        return;
+    if (auto page = this->readOnNewConnection(platform::Stream::Configuration))
+        this->applyConfigurationsAside(*page);
+    if (!this->hasConfiguration(version))
+        this->fetchConfiguration(version, bound);
+}
+
+bool StoreTask::fetchConfiguration(uint64_t version, milliseconds timeLimit)
+{
+    for (const auto& source : this->peerReads.configurationSources(version)) {
+        transport::CallLimits limits;
+        limits.connect = std::min(platform::storeConnectTimeout, timeLimit);
+        limits.response = timeLimit;
+        limits.maxBodyBytes = platform::maxStoreResponseBytes;
+        limits.freshConnection = true;
+        auto response = this->vm.controlClient.call(source.address, makeConfigurationRequest(), limits);
+        auto record = response ? decodeConfigurationResponse(response.value()) : std::nullopt;
+        this->log.info("event=configuration_fetched node=" + transport::escapeForLog(source.node) + " version=" + std::to_string(record ? record->version : 0)
+            + " outcome=" + (record ? "read" : response ? "refused"
+                                                        : transport::name(response.error())));
+        if (record) {
+            increment(this->vm.counters, CountedEvent::ConfigurationsFetched);
+            this->applyConfiguration({ std::string(platform::configurationKey()), std::move(record->value), record->position.offset }, record->position.era);
+        }
+        if (this->hasConfiguration(version))
+            return true;
+    }
+    return false;
+}
+
 void StoreTask::checkConfiguration()
 {
     Time bound = this->vm.settings.configurationBound;
@@ -277,6 +321,7 @@
     bool applied = this->vm.fleet.applyConfiguration(std::move(*configuration));
     if (applied) {
         increment(this->vm.counters, CountedEvent::ConfigurationsApplied);
+        this->vm.fleet.setConfigurationRecord(std::make_shared<const ConfigurationRecord>(ConfigurationRecord { *record.value, version, { era, record.offset } }));
         this->onConfiguration(*this->vm.fleet.configuration());
     }
     this->log.info(std::string("event=configuration version=") + std::to_string(version) + " routes=" + std::to_string(routes) + " era=" + std::to_string(era) + " offset=" + std::to_string(record.offset) + " outcome=" + (applied ? "in_force" : "older"));
@@ -292,7 +337,7 @@
     // Workers write their entries again after a restoration. Those that bring nothing new to the readers are not forwarded.
     if (monotonicNow() - this->restoredAt < entryRecoveryTime)
         return false;
-    return this->vm.status.workersKnown && this->peersReadWorkers(this->workersReadBeganAt) && monotonicNow() - this->workersReadAt < delegatedReadInterval;
+    return this->vm.status.workersKnown && this->peerReads.workersRead(this->workersReadBeganAt) && monotonicNow() - this->workersReadAt < delegatedReadInterval;
 }
 
 void StoreTask::applyForwardedEntries(const std::vector<ForwardedEntry>& entries)
--- a/edge/src/store_task.h
+++ b/edge/src/store_task.h
@@ -18,10 +18,15 @@
     using RestorationListener = std::function<void()>;
     /// Called with each record of a worker that the other VMs need: it is new, gone, restarted, at another address or draining.
     using EntryListener = std::function<void(const ForwardedEntry& entry)>;
-    /// Returns whether enough other VMs read the worker stream and forward its records, see `Peers::enoughPeersReadWorkers`.
-    using PeersReadWorkers = std::function<bool(Time ownReadAt)>;
+    /// What other VMs know of the store.
+    struct PeerReads {
+        /// Returns whether enough other VMs read the worker stream and forward its records, see `Peers::enoughPeersReadWorkers`.
+        std::function<bool(Time ownReadAt)> workersRead;
+        /// Returns the VMs to ask for a configuration of this version or a newer one, see `Peers::configurationSources`.
+        std::function<std::vector<ConfigurationSource>(uint64_t version)> configurationSources;
+    };
 
-    StoreTask(Vm& vm, MemberListener onMembers, WorkerListener onWorkerGone, ConfigurationListener onConfiguration, RestorationListener onRestored, EntryListener onEntry, PeersReadWorkers peersReadWorkers);
+    StoreTask(Vm& vm, MemberListener onMembers, WorkerListener onWorkerGone, ConfigurationListener onConfiguration, RestorationListener onRestored, EntryListener onEntry, PeerReads peerReads);
 
     /// Returns whether this VM has read the worker stream within the last two read intervals.
     bool hasReadWorkersRecently() const { return monotonicNow() - this->workersReadAt < 2 * workerReadInterval; }
@@ -30,7 +35,8 @@
     void followConfiguration();
     void followWorkers();
     void followMembers();
-    /// Reads the configuration on a new connection if the one in force stays older than `version`, which a peer has.
+    /// Gets the configuration if the one in force stays older than `version`, which a peer has: from the store on a new connection, or from
+    /// such a peer if the store turns this VM away or does not answer.
     void refreshIfOlderThan(uint64_t version);
     /// Reads the members on a new connection, unless such a read is under way. Called if a peer's record seems to be missing.
     void refreshMembers();
@@ -66,6 +72,16 @@
     /// Reads the configuration aside, on a new connection, if the last answer about it is older than the check interval. A pending read
     /// whose answer is lost would otherwise miss all changes until it times out.
     void checkConfiguration();
+    /// Returns whether the configuration in force has this version or a newer one.
+    bool hasConfiguration(uint64_t version) const;
+    /// Gets a configuration that is at least as new as `version`, unless the read loop does.
+    void refreshConfiguration(uint64_t version);
+    /// Asks other VMs for the configuration, one after the other.
+    /// @param timeLimit for the head of each answer, and as much again for its body.
+    /// @return whether the configuration in force is now at least as new as `version`.
+    bool fetchConfiguration(uint64_t version, milliseconds timeLimit);
+    /// Returns whether the last read of the configuration or of the workers has failed.
+    bool isStoreFailing() const;
     /// Applies the newest configuration from a read aside. If the pending read has missed it, the pending reads are begun anew.
     void applyConfigurationsAside(const platform::StorePage& page);
     /// Ends the reads that wait for records and closes idle connections to the store: all of them may be dead.
@@ -105,7 +121,7 @@
     ConfigurationListener onConfiguration;
     RestorationListener onRestored;
     EntryListener onEntry;
-    PeersReadWorkers peersReadWorkers;
+    PeerReads peerReads;
     std::array<bool, static_cast<size_t>(platform::Stream::Count)> streamFailing {}; ///< By stream: its last read failed.
     std::array<std::shared_ptr<transport::CancelToken>, static_cast<size_t>(platform::Stream::Count)> pendingReads; ///< By stream; null if none waits.
     bool dropScheduled = false; ///< A fiber waits for the end of a grace period.
@@ -121,6 +137,7 @@
     std::optional<LogPosition> workersCopyEnd;
     bool readsMembersAside = false; ///< `refreshMembers` is reading.
     Time newerVersionReadAt { 0 }; ///< When the configuration was last read because of a peer's newer version.
+    bool refreshesConfiguration = false; ///< `refreshConfiguration` runs.
     Time workersStreamRegainedAt { -std::chrono::hours { 1 } }; ///< When the worker stream became readable again.
     Time restoredAt { -std::chrono::hours { 1 } }; ///< When a newer era of the store was first seen.
     transport::Log log { "store" };
--- /dev/null
+++ b/tests/unit/configuration_exchange_test.cpp
@@ -0,0 +1,90 @@
+/// Tests of how a VM that can't read the store gets the configuration from other VMs.
+#include "configuration_exchange.h"
+#include "edge_world.h"
+
+using namespace comfreypier;
+using namespace comfreypier::testing;
+
+namespace {
+
+/// Address of the VM that loses the store. Its ports are those of the first VM, as on machines of one deployment.
+constexpr const char* secondAddress = "127.0.0.2";
+
+/// Starts the VM `vm1` at that address and returns its settings.
+edge::Settings startSecondVm(TestCluster& cluster)
+{
+    auto settings = cluster.settingsOf(0);
+    settings.node = "vm1";
+    for (auto* endpoint : { &settings.front, &settings.directory, &settings.readiness, &settings.inner, &settings.metrics })
+        endpoint->address = secondAddress;
+    cluster.vms.push_back(std::make_unique<edge::Edge>(settings));
+    cr_assert(cluster.vms.back()->start());
+    return settings;
+}
+
+/// Returns whether the VM with these settings serves requests below a path.
+bool serves(TestCluster& cluster, const edge::Settings& settings, const std::string& path)
+{
+    auto response = cluster.call(settings.front, TestCluster::makeRequest(path + "x", "id-" + path.substr(1, 3), milliseconds { 2000 }));
+    return response && response.value().status == 200;
+}
+
+edge::ConfigurationSource sourceNamed(const std::string& node, const std::string& dataCentre)
+{
+    return { node, dataCentre, loopback(1) };
+}
+
+} // namespace
+
+// A VM that the store does not answer hears of a newer version from another VM: added routes are served, and those taken away are not.
+CLUSTER_TEST(configuration_is_fetched_from_another_vm_while_the_store_is_out_of_reach, 16700)
+{
+    auto second = startSecondVm(cluster);
+    cluster.configure(1, standins::makePlatformRoute("old", "/old/"));
+    cr_assert(cluster.waitUntil([&] { return cluster.isReady() && serves(cluster, second, "/old/"); }));
+    // No store listens there.
+    second.store = loopback(static_cast<uint16_t>(cluster.base + 19));
+    cluster.vms[1]->reload(second);
+    cluster.configure(2, standins::makePlatformRoute("new", "/new/"));
+    cr_assert(cluster.waitUntil([&] { return serves(cluster, second, "/new/"); }, milliseconds { 4000 }), "the newer configuration is not in force");
+    cr_assert_not(serves(cluster, second, "/old/"), "a route that was taken away is served");
+}
+
+// The record holds keys of client accounts: callers must not get it.
+CLUSTER_TEST(configuration_is_served_to_other_vms_only, 16750)
+{
+    cluster.configureAndWait();
+    auto settings = cluster.settingsOf(0);
+    for (const auto& endpoint : { settings.front, settings.directory, settings.readiness }) {
+        auto response = cluster.call(endpoint, edge::makeConfigurationRequest());
+        cr_assert(response && !edge::decodeConfigurationResponse(response.value()));
+        cr_assert_eq(response.value().body.find("routes"), std::string::npos);
+    }
+    auto response = cluster.call(settings.metrics, edge::makeConfigurationRequest());
+    cr_assert(static_cast<bool>(response));
+    auto record = edge::decodeConfigurationResponse(response.value());
+    cr_assert(record && record->version == 1 && record->value == standins::makePlatformConfiguration(1, ""));
+}
+
+Test(configuration_exchange, sources_of_the_own_data_centre_go_first_and_are_spread)
+{
+    std::map<std::string, int> firstChoices;
+    for (int asker = 0; asker < 300; asker++) {
+        std::vector<edge::ConfigurationSource> sources { sourceNamed("far0", "b"), sourceNamed("far1", "b") };
+        for (int i = 0; i < 4; i++)
+            sources.push_back(sourceNamed("near" + std::to_string(i), "a"));
+        auto ordered = edge::orderConfigurationSources(sources, "asker" + std::to_string(asker), "a");
+        cr_assert_eq(ordered.size(), edge::maxConfigurationSources);
+        firstChoices[ordered.front().node]++;
+    }
+    cr_assert_eq(firstChoices.size(), 4U);
+    for (const auto& [node, count] : firstChoices)
+        cr_assert(node.starts_with("near") && count > 40, "%s is asked first by %d of 300", node.c_str(), count);
+}
+
+Test(configuration_exchange, answer_of_an_earlier_version_is_no_record)
+{
+    cr_assert_not(edge::decodeConfigurationResponse({ 200, { { "Content-Type", "text/plain" } }, "comfreypier_events{} 1" }));
+    cr_assert_not(edge::decodeConfigurationResponse(edge::makeConfigurationResponse(nullptr)));
+    cr_assert_not(edge::decodeConfigurationResponse(edge::makeConfigurationRefusal()));
+}
