Long shared parts of prompts stay on few workers, in one order for all VMs

A prefix that is used five times or more is on 4.5 workers: two thirds of the time that reading it takes decide less than the loads, which are 0.5 to 1 s old for other data centres. Change: the cost of a worker grows with its place in the prefix's order, which all VMs share, by up to four times the time that the shared parts take to read. Prompts with no or short shared parts are chosen as before.

--- a/routing/src/choice.cpp
+++ b/routing/src/choice.cpp
@@ -14,6 +14,9 @@
     /// Bounds of a sample of a worker's slowness.
     constexpr double maxSlowness = 20;
     constexpr double minSlowness = 0.2;
+    /// Times that the shared parts of a prompt are read anew at a worker in the cost of the one that comes last in their order: what it reads
+    /// takes memory and time from the prefixes that belong there, which are then read anew as well.
+    constexpr double sharedPrefixWeight = 4;
     /// Cost of a worker with an expected failure rate of 1, as a multiple of the target latency.
     constexpr double failureCostInTargets = 4;
 
@@ -92,6 +95,26 @@
         return scale(inputs.targetLatency, failureCostInTargets * expectedFailureRate(worker, inputs.now));
     }
 
+    /// Returns the key by which all VMs prefer the same worker for a request. The last of several prompt parts is left out, so that requests
+    /// that differ only in it prefer the same worker. Without parts, all requests for the same model and adapter do.
+    uint64_t affinityKey(const ChoiceInputs& inputs)
+    {
+        const auto& hashes = *inputs.prefixHashes;
+        if (hashes.empty())
+            return hashText(inputs.shape->adapter, hashText(inputs.shape->model));
+        return hashes.size() > 1 ? hashes[hashes.size() - 2] : hashes.front();
+    }
+
+    /// Returns the cost of the worker that comes last in the order for the prompt's shared parts. Long shared parts stay on the first workers of
+    /// that order until these are so busy that reading the parts elsewhere serves the callers better.
+    Time sharedPrefixCost(const RequestShape& shape)
+    {
+        double sharedTokens = 0;
+        for (size_t i = 0; i + 1 < shape.parts.size(); i++)
+            sharedTokens += shape.parts[i].tokens;
+        return std::chrono::duration_cast<Time>(prefillTime(std::min<double>(sharedTokens, shape.promptTokens)) * sharedPrefixWeight);
+    }
+
     /// The worker's service must have an engine.
     Estimate estimateModelWorker(const Worker& worker, const ChoiceInputs& inputs)
     {
@@ -108,11 +131,7 @@
         // `timeToFirstByte` contains the request's own prefill once already, so only the rest of its weight is added to the cost.
         auto ownPrefill = std::chrono::duration_cast<Time>(prefillTime(uncachedTokens));
         estimate.cost = estimate.timeToFirstByte + scale(ownPrefill, prefillCostWeight - 1) + remoteDataCentreCost(worker, inputs) + expectedFailureCost(worker, inputs);
-        // The last of several prompt parts is left out, so that requests that differ only in it prefer the same worker. Without
-        // parts, all requests for the same model and adapter prefer the same worker.
-        auto affinityKey = inputs.prefixHashes->empty() ? hashText(shape.adapter, hashText(shape.model)) : inputs.prefixHashes->size() > 1 ? (*inputs.prefixHashes)[inputs.prefixHashes->size() - 2]
-                                                                                                                                           : inputs.prefixHashes->front();
-        estimate.cost += scale(maxAffinityCost, affinity(worker, affinityKey)) + randomSpread(worker, inputs);
+        estimate.cost += scale(maxAffinityCost + sharedPrefixCost(shape), affinity(worker, affinityKey(inputs))) + randomSpread(worker, inputs);
         double neededTokens = uncachedTokens + shape.outputTokens;
         estimate.hasCapacity = load.requests < engine.slots && load.memoryTokens + neededTokens <= engine.kvCacheTokens * maxKvCacheFill;
         // An idle worker accepts a request of any size: waiting would not give it more capacity.
