Crowds of clients that don't behave: tests with processes of their own

Nothing shows that a VM stays within its memory and descriptors when clients send heads without end, bodies short of their end, legal heads of very many fields, or requests ahead. Only bodies have a budget.

Change: comfreypier-crowd plays one crowd at all doors (a route, no route, the path of readiness at the front; directory; readiness) against one daemon with memory_megabytes = 48 and 1,000 descriptors, of which 200 are for files. It checks that the process lives, that resident memory with what is received and not read stays within 48 MB and sockets within 800, and that an ordinary request is answered while the crowd is still connected. Crowds and bounds are fixed here, before the product changes.

--- /dev/null
+++ b/tests/crowds/main.cpp
@@ -0,0 +1,454 @@
+/// comfreypier-crowd: plays a crowd of clients that don't behave against one daemon with little memory and few descriptors. Both run as
+/// processes of their own on loopback.
+///
+/// Checks what doesn't depend on the machine's speed: the daemon lives, its memory and descriptors stay within their bounds, and it
+/// answers an ordinary request while the crowd is still connected.
+#include <algorithm>
+#include <arpa/inet.h>
+#include <array>
+#include <chrono>
+#include <csignal>
+#include <cstring>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <spawn.h>
+#include <sstream>
+#include <string>
+#include <sys/prctl.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+#include <vector>
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+/// Memory of the VM. What a process has received and not read yet counts as its own.
+constexpr uint64_t memoryMegabytes = 48;
+/// Descriptors of the VM, and how many of them are for files.
+constexpr uint64_t maxDescriptors = 1000;
+constexpr uint64_t fileDescriptors = 200;
+/// Limits of the stand-in's configuration.
+constexpr size_t maxHeadBytes = 16384;
+constexpr size_t maxBodyBytes = 100000;
+/// Time for which a crowd that sends no more stays connected.
+constexpr milliseconds holdTime { 5000 };
+/// Tries of the ordinary request, the delay between two, and the patience of one.
+constexpr int ordinaryTries = 200;
+constexpr milliseconds ordinaryDelay { 200 };
+constexpr std::chrono::seconds patience { 20 };
+/// After this time the ordinary request counts as unanswered: the daemon hangs.
+constexpr std::chrono::seconds hangTime { 60 };
+
+/// Where a client of the crowd sends to: a listener, and a path that may have no route.
+struct Door {
+    int portOffset;
+    const char* path;
+};
+constexpr std::array<Door, 5> doors { { { 0, "/order/x" }, { 0, "/nowhere/x" }, { 0, "/v1/ready" }, { 1, "/v1/directory" }, { 2, "/v1/ready" } } };
+
+/// A crowd of equal clients.
+struct Crowd {
+    int count; ///< Connections, spread over all doors.
+    /// Makes what a client sends.
+    std::function<std::string(const char* path, int client)> makeBytes;
+    size_t pieceBytes = 64 * 1024; ///< Sent at once.
+    bool reads = false; ///< The clients read answers, send again after each, and connect again when the daemon closes.
+};
+
+struct Client {
+    int socket = -1;
+    Door door {};
+    int number = 0;
+    std::string bytes;
+    size_t sent = 0;
+};
+
+std::string requestHead(const char* method, const char* path, int client, const std::string& fields)
+{
+    return std::string(method) + " " + path + " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: crowd-" + std::to_string(client) + "\r\nDeadline-Ms: 8000\r\n" + fields;
+}
+
+/// Returns field lines of four bytes each, the most that fit into `bytes`.
+std::string shortFields(size_t bytes)
+{
+    std::string fields;
+    while (fields.size() + 4 <= bytes)
+        fields += "a:\r\n";
+    return fields;
+}
+
+std::string bodyShortOfItsEnd(const char* path, int client)
+{
+    return requestHead("POST", path, client, "Content-Length: " + std::to_string(maxBodyBytes) + "\r\n\r\n") + std::string(maxBodyBytes - 1, 'x');
+}
+
+std::string chunksWithoutTheLast(const char* path, int client)
+{
+    auto bytes = requestHead("POST", path, client, "Transfer-Encoding: chunked\r\n\r\n");
+    for (size_t body = 0; body + 1000 < maxBodyBytes; body += 1000)
+        bytes += "3e8\r\n" + std::string(1000, 'x') + "\r\n";
+    return bytes;
+}
+
+const std::map<std::string, Crowd>& crowds()
+{
+    static const std::map<std::string, Crowd> all {
+        { "bodies_in_one_piece", { 600, bodyShortOfItsEnd } },
+        { "bodies_in_small_pieces", { 600, bodyShortOfItsEnd, 1000 } },
+        { "bodies_in_chunks", { 600, chunksWithoutTheLast } },
+        { "bodies_over_the_limit", { 300, [](const char* path, int client) { return requestHead("POST", path, client, "Content-Length: 4000000\r\n\r\n") + std::string(4000000, 'x'); } } },
+        { "chunks_over_the_limit", { 300, [](const char* path, int client) { return requestHead("POST", path, client, "Transfer-Encoding: chunked\r\n\r\n") + "3d0900\r\n" + std::string(4000000, 'x'); } } },
+        { "requests_of_many_short_fields", { 700, [](const char* path, int client) {
+                                                auto head = requestHead("POST", path, client, "Content-Length: 100\r\n");
+                                                return head + shortFields(maxHeadBytes - head.size() - 2) + "\r\n" + std::string(99, 'x');
+                                            } } },
+        { "answered_requests_of_many_short_fields", { 300, [](const char* path, int client) {
+                                                         auto head = requestHead("GET", path, client, "");
+                                                         return head + shortFields(maxHeadBytes - head.size() - 2) + "\r\n";
+                                                     },
+                                                        64 * 1024, true } },
+        { "heads_without_end", { 1500, [](const char* path, int client) {
+                                    auto head = requestHead("GET", path, client, "");
+                                    return head + shortFields(maxHeadBytes - head.size() - 8);
+                                } } },
+        { "short_heads_without_end", { 1500, [](const char* path, int client) { return requestHead("GET", path, client, shortFields(3000)); } } },
+        { "trailers_of_many_short_fields", { 700, [](const char* path, int client) {
+                                                return requestHead("POST", path, client, "Transfer-Encoding: chunked\r\n\r\n") + "1\r\nx\r\n0\r\n" + shortFields(maxHeadBytes - 100);
+                                            } } },
+        { "chunk_extensions", { 700, [](const char* path, int client) {
+                                   return requestHead("POST", path, client, "Transfer-Encoding: chunked\r\n\r\n") + "1;a=" + std::string(maxHeadBytes - 100, 'x');
+                               } } },
+        { "requests_sent_ahead", { 400, [](const char* path, int client) {
+                                      std::string bytes;
+                                      for (int i = 0; i < 3000; i++)
+                                          bytes += requestHead("GET", path, client, "\r\n");
+                                      return bytes;
+                                  } } },
+        { "stops_after_four_bytes", { 1500, [](const char*, int) { return std::string("POST"); } } },
+        { "sends_a_byte_now_and_then", { 900, [](const char* path, int client) { return requestHead("GET", path, client, shortFields(8000)); }, 1 } },
+        { "connections_that_send_nothing", { 1500, [](const char*, int) { return std::string(); } } },
+    };
+    return all;
+}
+
+sockaddr_in loopback(int port)
+{
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<uint16_t>(port));
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    return address;
+}
+
+/// Returns a connected socket, or -1. An operation on it waits for the patience at most.
+int connectTo(int port)
+{
+    int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    timeval limit { patience.count(), 0 };
+    setsockopt(descriptor, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof limit);
+    setsockopt(descriptor, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+    auto address = loopback(port);
+    // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast)
+    if (connect(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0)
+        return descriptor;
+    close(descriptor);
+    return -1;
+}
+
+/// Sends a request on a connection of its own.
+/// @return the status, or 0 if there is no answer.
+int sendOrdinary(int port, const std::string& request)
+{
+    int descriptor = connectTo(port);
+    if (descriptor < 0)
+        return 0;
+    send(descriptor, request.data(), request.size(), MSG_NOSIGNAL);
+    std::array<char, 64> answer {};
+    auto count = recv(descriptor, answer.data(), answer.size() - 1, 0);
+    close(descriptor);
+    int status = 0;
+    if (count > 12)
+        status = std::atoi(answer.data() + 9);
+    return status;
+}
+
+/// The daemon and the stand-in for its platform.
+class Processes {
+public:
+    Processes(std::string daemonPath, std::string platformPath, int basePort, std::filesystem::path directory)
+        : daemonPath(std::move(daemonPath))
+        , platformPath(std::move(platformPath))
+        , basePort(basePort)
+        , directory(std::move(directory))
+    {
+    }
+
+    ~Processes()
+    {
+        for (auto process : { this->daemon, this->platform }) {
+            if (process > 0 && kill(process, SIGKILL) == 0)
+                waitpid(process, nullptr, 0);
+        }
+    }
+    Processes(const Processes&) = delete;
+    Processes& operator=(const Processes&) = delete;
+
+    int port(int offset) const { return this->basePort + 50 + offset; }
+
+    /// Starts both. @return false if the daemon doesn't answer an ordinary request.
+    bool start()
+    {
+        std::filesystem::create_directories(this->directory);
+        auto settings = this->directory / "vm.ini";
+        std::ofstream file(settings);
+        file << "[node]\nname = vm\nregion = r\ndata_centre = dc\n[listen]\n";
+        int offset = 0;
+        for (const auto* listener : { "front", "directory", "readiness", "inner", "metrics" })
+            file << listener << " = 127.0.0.1:" << this->port(offset++) << "\n";
+        file << "[store]\naddress = 127.0.0.1:" << this->basePort + 1 << "\n[limits]\nmemory_megabytes = " << memoryMegabytes << "\n[log]\nlevel = warn\n";
+        file.close();
+        this->platform = this->spawn({ this->platformPath, std::to_string(this->basePort) }, "platform.log");
+        this->setDescriptorLimit(maxDescriptors);
+        this->daemon = this->spawn({ this->daemonPath, "edge", "--config", settings.string() }, "vm.log");
+        return this->configure() && this->answersOrdinaryRequest();
+    }
+
+    /// Returns whether the daemon answers an ordinary request with 200.
+    bool answersOrdinaryRequest()
+    {
+        auto end = steady_clock::now() + hangTime;
+        for (int i = 0; i < ordinaryTries && steady_clock::now() < end; i++) {
+            // A body that failed several times would be taken for one that crashes workers.
+            auto body = "ordinary-" + std::to_string(this->ordinaryCount++);
+            auto request = "POST /order/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: " + body + "\r\nDeadline-Ms: 8000\r\nContent-Length: " + std::to_string(body.size())
+                + "\r\nConnection: close\r\n\r\n" + body;
+            this->lastStatus = sendOrdinary(this->port(0), request);
+            if (this->lastStatus == 200)
+                return true;
+            std::this_thread::sleep_for(ordinaryDelay);
+        }
+        return false;
+    }
+
+    bool isAlive() const { return waitpid(this->daemon, nullptr, WNOHANG) == 0; }
+
+    /// Returns the peak of the daemon's resident memory in bytes.
+    uint64_t peakBytes() const { return this->statusField("VmHWM:"); }
+    uint64_t residentBytes() const { return this->statusField("VmRSS:"); }
+
+    /// Returns how many sockets and pipes the daemon has open, and the bytes that its connections have received and not read.
+    std::pair<uint64_t, uint64_t> sockets() const
+    {
+        uint64_t count = 0;
+        std::error_code error;
+        for (const auto& entry : std::filesystem::directory_iterator("/proc/" + std::to_string(this->daemon) + "/fd", error)) {
+            auto target = std::filesystem::read_symlink(entry, error).string();
+            if (target.starts_with("socket:") || target.starts_with("pipe:"))
+                count++;
+        }
+        std::ifstream table("/proc/net/tcp");
+        std::string line;
+        uint64_t unread = 0;
+        std::getline(table, line);
+        while (std::getline(table, line)) {
+            std::istringstream row(line);
+            std::string number, local, remote, state, queues;
+            row >> number >> local >> remote >> state >> queues;
+            auto localPort = std::stoi(local.substr(9), nullptr, 16);
+            // 0A is a listener, whose queue counts connections.
+            if (state != "0A" && localPort >= this->port(0) && localPort <= this->port(4))
+                unread += std::stoull(queues.substr(9), nullptr, 16);
+        }
+        return { count, unread };
+    }
+
+    int lastStatus = 0; ///< Of the last ordinary request.
+
+private:
+    bool configure() const
+    {
+        for (int i = 0; i < ordinaryTries; i++) {
+            if (sendOrdinary(this->basePort, "POST /configure?version=1 HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n") == 200)
+                return true;
+            std::this_thread::sleep_for(ordinaryDelay);
+        }
+        return false;
+    }
+
+    /// Lowers the limit of descriptors that the processes started from now on have.
+    void setDescriptorLimit(uint64_t limit) { this->childDescriptors = limit; }
+
+    pid_t spawn(std::vector<std::string> words, const std::string& log) const
+    {
+        std::vector<char*> arguments;
+        for (auto& word : words)
+            arguments.push_back(word.data());
+        arguments.push_back(nullptr);
+        auto path = (this->directory / log).string();
+        auto process = fork();
+        if (process != 0)
+            return process;
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
+        int output = open(path.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0644);
+        dup2(output, STDOUT_FILENO);
+        dup2(output, STDERR_FILENO);
+        if (this->childDescriptors > 0) {
+            rlimit limit { this->childDescriptors, this->childDescriptors };
+            setrlimit(RLIMIT_NOFILE, &limit);
+        }
+        execv(arguments[0], arguments.data());
+        std::_Exit(127);
+    }
+
+    uint64_t statusField(const std::string& name) const
+    {
+        std::ifstream file("/proc/" + std::to_string(this->daemon) + "/status");
+        std::string word;
+        uint64_t kilobytes = 0;
+        while (file >> word) {
+            if (word == name)
+                file >> kilobytes;
+        }
+        return kilobytes * 1024;
+    }
+
+    uint64_t childDescriptors = 0; ///< 0 for no limit.
+    std::string daemonPath;
+    std::string platformPath;
+    int basePort;
+    std::filesystem::path directory;
+    pid_t daemon = 0;
+    pid_t platform = 0;
+    int ordinaryCount = 0;
+};
+
+/// Highest values that were seen.
+struct Peaks {
+    uint64_t sockets = 0;
+    uint64_t memory = 0; ///< Bytes, with those received and not read.
+    uint64_t unread = 0;
+
+    void sample(const Processes& processes)
+    {
+        auto [count, unreadBytes] = processes.sockets();
+        this->sockets = std::max(this->sockets, count);
+        this->unread = std::max(this->unread, unreadBytes);
+        this->memory = std::max({ this->memory, processes.residentBytes() + unreadBytes, processes.peakBytes() });
+    }
+};
+
+/// Sends the next piece, and reads if the crowd does.
+/// @return true if anything was sent.
+bool advance(Client& client, const Crowd& crowd, const Processes& processes)
+{
+    if (client.socket < 0)
+        return false;
+    if (crowd.reads) {
+        std::array<char, 4096> answer {};
+        ssize_t count = 0;
+        bool answered = false;
+        while ((count = recv(client.socket, answer.data(), answer.size(), MSG_DONTWAIT)) > 0)
+            answered = true;
+        if (answered)
+            client.sent = 0;
+        if (count == 0 || (count < 0 && errno != EAGAIN)) {
+            close(client.socket);
+            client.socket = connectTo(processes.port(client.door.portOffset));
+            client.sent = 0;
+            return true;
+        }
+    }
+    if (client.sent == client.bytes.size())
+        return false;
+    auto size = std::min(crowd.pieceBytes, client.bytes.size() - client.sent);
+    auto count = send(client.socket, client.bytes.data() + client.sent, size, MSG_DONTWAIT | MSG_NOSIGNAL);
+    if (count > 0)
+        client.sent += static_cast<size_t>(count);
+    return count > 0;
+}
+
+/// Connects all clients and sends until nobody could send for the hold time, or for four hold times.
+void playCrowd(const Crowd& crowd, const Processes& processes, std::vector<Client>& clients, Peaks& peaks)
+{
+    for (int i = 0; i < crowd.count; i++) {
+        Client client;
+        client.number = i;
+        client.door = doors[static_cast<size_t>(i) % doors.size()];
+        client.bytes = crowd.makeBytes(client.door.path, i);
+        client.socket = connectTo(processes.port(client.door.portOffset));
+        clients.push_back(std::move(client));
+        advance(clients.back(), crowd, processes);
+        if (i % 100 == 0)
+            peaks.sample(processes);
+    }
+    auto start = steady_clock::now();
+    auto lastSent = start;
+    while (steady_clock::now() < std::min(lastSent + holdTime, start + 4 * holdTime)) {
+        bool anySent = false;
+        for (auto& client : clients)
+            anySent = advance(client, crowd, processes) || anySent;
+        if (anySent)
+            lastSent = steady_clock::now();
+        peaks.sample(processes);
+        std::this_thread::sleep_for(milliseconds { 50 });
+    }
+}
+
+bool check(bool holds, const std::string& what)
+{
+    if (!holds)
+        std::cout << "FAILED: " << what << std::endl;
+    return holds;
+}
+
+/// Plays one crowd. @return true if everything held.
+bool runCase(const Crowd& crowd, Processes& processes)
+{
+    if (!check(processes.start(), "the daemon did not start"))
+        return false;
+    Peaks peaks;
+    peaks.sample(processes);
+    std::cout << "calm: resident " << processes.residentBytes() / 1024 << " KB, sockets " << peaks.sockets << std::endl;
+    std::vector<Client> clients;
+    playCrowd(crowd, processes, clients, peaks);
+    bool answered = processes.answersOrdinaryRequest();
+    bool alive = processes.isAlive();
+    peaks.sample(processes);
+    for (auto& client : clients)
+        close(client.socket);
+    std::this_thread::sleep_for(holdTime);
+    std::cout << "peak: memory " << peaks.memory / 1024 << " KB of " << memoryMegabytes * 1024 << ", of that unread " << peaks.unread / 1024 << " at most; sockets " << peaks.sockets
+              << "; afterwards: resident " << processes.residentBytes() / 1024 << " KB" << std::endl;
+    bool held = check(alive && processes.isAlive(), "the process ended");
+    held = check(peaks.memory <= memoryMegabytes * 1024 * 1024, "memory") && held;
+    held = check(peaks.sockets <= maxDescriptors - fileDescriptors, "descriptors") && held;
+    return check(answered, "an ordinary request was not answered, last status " + std::to_string(processes.lastStatus)) && held;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    if (argc == 2 && std::string(argv[1]) == "--list") {
+        for (const auto& [name, crowd] : crowds())
+            std::cout << name << "\n";
+        return 0;
+    }
+    auto found = argc == 6 ? crowds().find(argv[1]) : crowds().end();
+    if (found == crowds().end()) {
+        std::cerr << "usage: comfreypier-crowd CASE DAEMON PLATFORM PORT DIRECTORY, or --list\n";
+        return 2;
+    }
+    signal(SIGPIPE, SIG_IGN); // NOLINT(bugprone-signal-handler)
+    Processes processes(argv[2], argv[3], std::atoi(argv[4]), argv[5]);
+    return runCase(found->second, processes) ? 0 : 1;
+}
