One budget for callers' connections, requests and answers in each VM

Change: edge::planCallerBudget divides memory_megabytes and descriptors (new in [limits]; rendered from limits.max-fds; 0 for the system's limit). Requests reserve before each read and each use of the parser: buffers, fields at 256 bytes, bodies with the copy that is sent on. ConnectionBudget counts the connections of all listeners and those to workers for callers' requests, of which callers take at most three quarters. When memory or places are short, connections are closed by what that costs callers: idle ones, requests without progress, slow readers; then new ones are refused. What is sent ahead is looked at every 100 ms while many connections are open. Trailers are dropped while they are parsed; fields are freed once the request has them. Stacks are mapped and unmapped, blocks from 32 KB are mapped apart, and the heap is trimmed after a crowd. Receive buffers of callers' sockets are 16 KB. Counters, one log line a second, pages.

--- a/edge/include/edge/edge.h
+++ b/edge/include/edge/edge.h
@@ -77,6 +77,17 @@
 /// buffer that grows takes up to three times its size while it is copied to a larger one.
 constexpr double bufferMemoryShare = 0.125;
 
+/// Shares of a VM's memory for callers' connections, what they have sent ahead, and the heads and bodies of their requests.
+constexpr double connectionMemoryShare = 0.25;
+constexpr double unreadMemoryShare = 0.04;
+constexpr double requestMemoryShare = 0.25;
+/// Descriptors that are for files.
+constexpr uint64_t fileDescriptors = 200;
+/// Share of the sockets that is for the store, peers, orders and listeners; share of the others that callers' connections may take, so that
+/// enough are left for connections to workers.
+constexpr double controlSocketShare = 0.1;
+constexpr double callerSocketShare = 0.75;
+
 /// Settings of one entry VM.
 struct Settings {
     std::string node; ///< Name of the VM, unique among the entry VMs.
@@ -104,6 +115,7 @@
     double processorSpeed = 1; ///< Speed of each core relative to a reference core.
     double linkMegabits = 1000; ///< Bandwidth of the VM's network link, in Mbit/s.
     double memoryMegabytes = 256; ///< Memory that the process may use.
+    uint32_t descriptors = 0; ///< Descriptors that the process may have open; 0 for the limit of the system, which applies if it is lower.
     transport::LogLevel logLevel = transport::LogLevel::Info;
     std::vector<transport::PartLevel> partLevels; ///< Log levels of single parts, which replace `logLevel` there.
 };
--- a/edge/src/edge.cpp
+++ b/edge/src/edge.cpp
@@ -71,13 +71,13 @@
         , relay(this->vm, this->peers, this->crashes)
         , callerServer(
               this->runtime, this->settings.front, callerServerLimits(this->settings, {}), [this](const auto& request, auto& writer) { this->relay.serve(request, writer); },
-              Relay::refuseMalformed, &this->vm.bufferMemory)
+              Relay::refuseMalformed, &this->vm.requestMemory, &this->vm.connections)
         , directoryServer(
-              this->runtime, this->settings.directory, auxiliaryServerLimits(), [this](const auto& request, auto& writer) { this->serveDirectory(request, writer); }, Relay::refuseMalformed, &this->vm.bufferMemory)
+              this->runtime, this->settings.directory, auxiliaryServerLimits(), [this](const auto& request, auto& writer) { this->serveDirectory(request, writer); }, Relay::refuseMalformed, &this->vm.requestMemory, &this->vm.connections)
         , readinessServer(
-              this->runtime, this->settings.readiness, auxiliaryServerLimits(), [this](const auto& request, auto& writer) { this->serveReadiness(request, writer); }, Relay::refuseMalformed, &this->vm.bufferMemory)
+              this->runtime, this->settings.readiness, auxiliaryServerLimits(), [this](const auto& request, auto& writer) { this->serveReadiness(request, writer); }, Relay::refuseMalformed, &this->vm.requestMemory, &this->vm.connections)
         , metricsServer(
-              this->runtime, this->settings.metrics, auxiliaryServerLimits(), [this](const auto&, auto& writer) { this->serveMetrics(writer); }, Relay::refuseMalformed, &this->vm.bufferMemory)
+              this->runtime, this->settings.metrics, auxiliaryServerLimits(), [this](const auto&, auto& writer) { this->serveMetrics(writer); }, Relay::refuseMalformed, &this->vm.requestMemory, &this->vm.connections)
     {
     }
 
@@ -118,6 +118,11 @@
     void serveMetrics(transport::ResponseWriter& writer) const
     {
         auto text = formatCounters(this->vm.counters) + "comfreypier_caller_connections_total " + std::to_string(this->callerServer.stats().accepted) + "\n";
+        const auto& connections = this->vm.connections;
+        for (size_t i = 0; i < connections.closed.size(); i++)
+            text += std::string("comfreypier_connections_closed_total{reason=\"") + transport::name(static_cast<transport::ClosedFor>(i)) + "\"} " + std::to_string(connections.closed[i]) + "\n";
+        text += "comfreypier_worker_connections_refused_total " + std::to_string(connections.refusedClientConnections) + "\n";
+        text += "comfreypier_connections{with=\"callers\"} " + std::to_string(connections.serverConnections) + "\ncomfreypier_connections{with=\"workers\"} " + std::to_string(connections.clientConnections) + "\n";
         writer.send({ 200, { { "Content-Type", "text/plain" } }, text });
     }
 
@@ -206,6 +211,7 @@
 bool Edge::start()
 {
     auto& self = *this->impl;
+    transport::keepLargeBlocksApart();
     self.connectPeerCallbacks();
     if (!self.peers.start() || !self.callerServer.start() || !self.directoryServer.start() || !self.readinessServer.start() || !self.metricsServer.start())
         return false;
--- a/edge/src/relay.cpp
+++ b/edge/src/relay.cpp
@@ -690,6 +690,7 @@
     limits.maxBodyBytes = UINT64_MAX;
     limits.cancel = &cancel;
     limits.idHeader = platform::requestIdHeader;
+    limits.connections = &this->vm.connections;
     limits.avoidedConnections = &context.usedConnections;
     limits.maySend = [this, &selection] { return this->vm.fleet.wantsRequests(selection.id, monotonicNow()); };
     auto opened = this->vm.client.open(selection.entry.address, request, limits);
--- a/edge/src/settings.cpp
+++ b/edge/src/settings.cpp
@@ -44,7 +44,8 @@
                     { "processor_share", IniType::Decimal, false, {} },
                     { "processor_speed", IniType::Decimal, false, {} },
                     { "link_megabits", IniType::Decimal, false, {} },
-                    { "memory_megabytes", IniType::Decimal, false, {} } } },
+                    { "memory_megabytes", IniType::Decimal, false, {} },
+                    { "descriptors", IniType::Integer, false, {} } } },
             { "log", false, false, true, IniType::Text, { { "level", IniType::Choice, false, logLevels } } },
         };
         return sections;
@@ -94,6 +95,7 @@
     limits.decimal("processor_speed", settings.processorSpeed, 1000);
     limits.decimal("link_megabits", settings.linkMegabits, 1e7);
     limits.decimal("memory_megabytes", settings.memoryMegabytes, 1e6);
+    limits.integer("descriptors", settings.descriptors, 64, 10000000);
     protocol::readLogLevels(document, settings.logLevel, settings.partLevels, errors);
     if (!errors.empty())
         return errors;
--- a/edge/src/vm_p.h
+++ b/edge/src/vm_p.h
@@ -3,6 +3,7 @@
 
 #include "counters.h"
 #include "fleet.h"
+#include "memory_budget.h"
 #include "store_era.h"
 
 #include <platform/platform.h>
@@ -25,7 +26,10 @@
         : settings(settings)
         , client(client)
         , controlClient(controlClient)
-        , bufferMemory(static_cast<uint64_t>(settings.memoryMegabytes * 1024 * 1024 * bufferMemoryShare))
+        , budget(planCallerBudget(settings.memoryMegabytes, settings.descriptors == 0 ? transport::descriptorLimit() : std::min<uint64_t>(settings.descriptors, transport::descriptorLimit())))
+        , requestMemory(this->budget.requestBytes)
+        , bufferMemory(this->budget.answerBytes)
+        , connections(this->budget.connections, this->budget.callerConnections, this->budget.unreadBytes)
         , storeAddress(settings.store)
         , fleet(settings.node, settings.dataCentre)
     {
@@ -61,7 +65,10 @@
     /// For reports, probes and orders, whose answers carry no id: on a connection of their own a late copy of one is not taken for the
     /// answer to a caller's request, or the other way round.
     transport::HttpClient& controlClient;
-    transport::BufferMemory bufferMemory; ///< For the bodies of requests and answers.
+    const CallerBudget budget;
+    transport::BufferMemory requestMemory; ///< For the heads and bodies of requests.
+    transport::BufferMemory bufferMemory; ///< For answers that can't be forwarded yet.
+    transport::ConnectionBudget connections;
     transport::Endpoint storeAddress; ///< Protected by `mutex`, because a reload may change it.
     mutable std::mutex mutex;
     StoreEra storeEra;
--- a/tests/crowds/main.cpp
+++ b/tests/crowds/main.cpp
@@ -229,8 +229,8 @@
         for (int i = 0; i < ordinaryTries && steady_clock::now() < end; i++) {
             // A body that failed several times would be taken for one that crashes workers.
             auto body = "ordinary-" + std::to_string(this->ordinaryCount++);
-            auto request = "POST /order/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: " + body + "\r\nDeadline-Ms: 8000\r\nContent-Length: " + std::to_string(body.size())
-                + "\r\nConnection: close\r\n\r\n" + body;
+            std::string request = "POST /order/x HTTP/1.1\r\nHost: h.example\r\nDeadline-Ms: 8000\r\nConnection: close\r\nAttempt-Id: ";
+            request.append(body).append("\r\nContent-Length: ").append(std::to_string(body.size())).append("\r\n\r\n").append(body);
             this->lastStatus = sendOrdinary(this->port(0), request);
             if (this->lastStatus == 200)
                 return true;
@@ -290,6 +290,7 @@
     pid_t spawn(std::vector<std::string> words, const std::string& log) const
     {
         std::vector<char*> arguments;
+        arguments.reserve(words.size() + 1);
         for (auto& word : words)
             arguments.push_back(word.data());
         arguments.push_back(nullptr);
@@ -426,7 +427,7 @@
     for (auto& client : clients)
         close(client.socket);
     std::this_thread::sleep_for(holdTime);
-    std::cout << "peak: memory " << peaks.memory / 1024 << " KB of " << memoryMegabytes * 1024 << ", of that unread " << peaks.unread / 1024 << " at most; sockets " << peaks.sockets
+    std::cout << "peak: memory " << peaks.memory / 1024 << " KB of " << memoryMegabytes * 1024 << ", unread " << peaks.unread / 1024 << " at most, resident " << processes.peakBytes() / 1024 << " at most; sockets " << peaks.sockets
               << "; afterwards: resident " << processes.residentBytes() / 1024 << " KB" << std::endl;
     bool held = check(alive && processes.isAlive(), "the process ended");
     held = check(peaks.memory <= memoryMegabytes * 1024 * 1024, "memory") && held;
--- a/transport/include/transport/transport.h
+++ b/transport/include/transport/transport.h
@@ -223,6 +223,12 @@
 ProcessSignal waitForSignal(std::chrono::milliseconds limit);
 /// Raises the limit of open file descriptors of this process to its hard limit.
 void raiseDescriptorLimit();
+/// Returns the number of file descriptors that this process may have open.
+uint64_t descriptorLimit();
+/// Size from which a block of memory is mapped by itself, so that it goes back to the system when it is freed.
+constexpr int separateBlockBytes = 32 * 1024;
+/// Makes the allocator map blocks from `separateBlockBytes` by themselves. By default it raises the size whenever such a block is freed.
+void keepLargeBlocksApart();
 /// Blocks SIGTERM, SIGINT and SIGHUP in the calling thread and all threads that it starts from now on, and ignores SIGPIPE.
 void blockTerminationSignals();
 
@@ -266,6 +272,61 @@
     uint64_t held = 0;
 };
 
+// Connections
+
+/// Memory of one connection that sends nothing: its fiber's stack, its state and its first buffer.
+constexpr uint64_t connectionBytes = 16 * 1024;
+/// Memory of one header field beside its bytes, while it is parsed, copied for the handler and sent on.
+constexpr uint64_t headerFieldBytes = 256;
+/// Largest part of the connections, as a divisor, that is closed at once to make room: further callers then need not wait.
+constexpr uint64_t closedAtOnceDivisor = 64;
+/// Interval between two measurements of what busy connections have received and not read.
+constexpr std::chrono::milliseconds unreadCheckInterval { 100 };
+/// Minimum interval between two log lines about closed connections.
+constexpr std::chrono::seconds pressureLogInterval { 1 };
+
+/// Why a server closed a connection, or did not accept it.
+enum class ClosedFor {
+    Idle, ///< It was idle, and another needed its place.
+    SlowRequest, ///< Its request arrived without progress, and memory or places were short.
+    SlowReader, ///< The caller read its answer without progress.
+    SentAhead, ///< The caller sent too much beyond the request that is being handled.
+    NoPlace, ///< It was not accepted: all others have progress.
+    Count
+};
+
+/// Returns the lower-case name of `reason`. The names are stable.
+const char* name(ClosedFor reason);
+
+/// Connections that all servers of a process may have together, and with them those that the client opens for their requests. Thread-safe.
+class ConnectionBudget {
+public:
+    /// @param capacity number of connections of both kinds.
+    /// @param serverCapacity number of connections of the servers, at most `capacity`.
+    /// @param unreadCapacity bytes that the servers' connections may have received beyond the requests that are being handled.
+    ConnectionBudget(uint64_t capacity, uint64_t serverCapacity, uint64_t unreadCapacity);
+    /// Takes a place for a connection of a server. Threads that do so at the same time may exceed the capacity.
+    /// @return false if there is none.
+    bool tryTakeServerPlace();
+    void giveServerPlaceBack() { this->serverConnections--; }
+    /// Takes a place for a connection of the client. @return false if there is none.
+    bool tryTakeClientPlace();
+    void giveClientPlaceBack() { this->clientConnections--; }
+    /// Counts a connection of a server that was closed or not accepted.
+    void recordClosed(ClosedFor reason);
+
+    const uint64_t capacity;
+    const uint64_t serverCapacity;
+    const uint64_t unreadCapacity;
+    std::atomic<uint64_t> serverConnections { 0 };
+    std::atomic<uint64_t> clientConnections { 0 };
+    std::atomic<uint64_t> refusedClientConnections { 0 }; ///< Not opened because there was no place.
+    std::array<std::atomic<uint64_t>, static_cast<size_t>(ClosedFor::Count)> closed {};
+
+private:
+    std::atomic<std::chrono::nanoseconds> loggedAt { std::chrono::nanoseconds { 0 } };
+};
+
 // HTTP
 
 /// HTTP header field.
@@ -351,14 +412,15 @@
     uint64_t activeRequests = 0; ///< Currently in the handler.
     uint64_t requests = 0; ///< Passed to the handler since the start.
     uint64_t malformed = 0; ///< Requests rejected before the handler: invalid, too large or not sent in time.
-    uint64_t overLimit = 0; ///< Connections closed on accept because `connectionLimit` was reached.
+    uint64_t overLimit = 0; ///< Connections closed on accept because `connectionLimit` or the budget was reached.
 };
 
 /// HTTP/1.1 server. All I/O threads accept connections from the same listening socket.
 class HttpServer {
 public:
-    /// @param memory for the bodies of requests; one for which it does not suffice gets 503. Must outlive the server. Null for no limit.
-    HttpServer(Runtime& runtime, Endpoint listen, ServerLimits limits, HttpHandler handler, ErrorResponseFactory makeErrorResponse, BufferMemory* memory = nullptr);
+    /// @param memory for the heads and bodies of requests; one for which it does not suffice gets 503. Must outlive the server. Null for no limit.
+    /// @param connections places of connections, shared with other servers. Must outlive the server. Null for no limit but that of `limits`.
+    HttpServer(Runtime& runtime, Endpoint listen, ServerLimits limits, HttpHandler handler, ErrorResponseFactory makeErrorResponse, BufferMemory* memory = nullptr, ConnectionBudget* connections = nullptr);
     ~HttpServer();
     HttpServer(const HttpServer&) = delete;
     HttpServer& operator=(const HttpServer&) = delete;
@@ -415,6 +477,8 @@
     /// Name of the header with the request's id, which the peer echoes. A late second copy of the answer to an earlier request on the same
     /// connection is then skipped. If empty, answers are not matched.
     std::string_view idHeader;
+    /// Places for a new connection. Without one the call fails with `IoError::NotConnected`. Optional; must outlive the client.
+    ConnectionBudget* connections = nullptr;
     /// Numbers of connections that are not used, see `ResponseStream::connectionNumber`. Optional.
     const std::set<uint64_t>* avoidedConnections = nullptr;
 };
--- a/transport/src/buffer_memory.cpp
+++ b/transport/src/buffer_memory.cpp
@@ -1,4 +1,4 @@
-/// Memory for what requests have received.
+/// Memory for what requests have received, and places of connections.
 #include <transport/transport.h>
 
 namespace comfreypier::transport {
@@ -43,4 +43,48 @@
     return true;
 }
 
+const char* name(ClosedFor reason)
+{
+    constexpr std::array<const char*, static_cast<size_t>(ClosedFor::Count)> names { "idle", "slow_request", "slow_reader", "sent_ahead", "no_place" };
+    return names[static_cast<size_t>(reason)];
+}
+
+ConnectionBudget::ConnectionBudget(uint64_t capacity, uint64_t serverCapacity, uint64_t unreadCapacity)
+    : capacity(capacity)
+    , serverCapacity(std::min(serverCapacity, capacity))
+    , unreadCapacity(unreadCapacity)
+{
+}
+
+bool ConnectionBudget::tryTakeServerPlace()
+{
+    if (this->serverConnections >= this->serverCapacity || this->serverConnections + this->clientConnections >= this->capacity)
+        return false;
+    this->serverConnections++;
+    return true;
+}
+
+bool ConnectionBudget::tryTakeClientPlace()
+{
+    if (this->serverConnections + this->clientConnections >= this->capacity) {
+        this->refusedClientConnections++;
+        return false;
+    }
+    this->clientConnections++;
+    return true;
+}
+
+void ConnectionBudget::recordClosed(ClosedFor reason)
+{
+    this->closed[static_cast<size_t>(reason)]++;
+    auto now = monotonicNow();
+    auto last = this->loggedAt.load();
+    if (now - last < pressureLogInterval || !this->loggedAt.compare_exchange_strong(last, now))
+        return;
+    std::string text = "event=pressure connections=" + std::to_string(this->serverConnections) + " to_workers=" + std::to_string(this->clientConnections);
+    for (size_t i = 0; i < this->closed.size(); i++)
+        text += std::string(" ") + name(static_cast<ClosedFor>(i)) + "=" + std::to_string(this->closed[i]);
+    Log("http").warn(text);
+}
+
 } // namespace comfreypier::transport
--- a/transport/src/http_client_beast.cpp
+++ b/transport/src/http_client_beast.cpp
@@ -20,6 +20,15 @@
             : stream(Stream::executor_type { context.get_executor() })
         {
         }
+        ~ClientConnection()
+        {
+            if (this->place != nullptr)
+                this->place->giveClientPlaceBack();
+        }
+        ClientConnection(const ClientConnection&) = delete;
+        ClientConnection& operator=(const ClientConnection&) = delete;
+
+        ConnectionBudget* place = nullptr; ///< Budget of which it has a place; null if none.
         const uint64_t number = nextConnectionNumber++;
         std::deque<std::string> earlierIds; ///< Ids of the newest requests that were answered, see `CallLimits::idHeader`.
         Stream stream;
@@ -223,6 +232,15 @@
     std::chrono::nanoseconds provenIdle { 0 }; ///< Longest recent idle time after which a connection served. Guarded by `mutex`.
     std::chrono::nanoseconds provenIdleAt { -std::chrono::hours { 1 } }; ///< When it served. Guarded by `mutex`.
 
+    /// Takes a place for a connection. If there is none, closes the pooled connections of this thread.
+    bool tryTakePlace(ConnectionBudget& budget) const
+    {
+        if (budget.tryTakeClientPlace())
+            return true;
+        threadPools[this].idle.clear();
+        return budget.tryTakeClientPlace();
+    }
+
     /// Opens a new connection.
     Result<ConnectionPtr, IoError> connect(const Endpoint& endpoint, const CallLimits& limits)
     {
@@ -231,6 +249,11 @@
         if (error)
             return IoError::NotConnected;
         auto connection = std::make_unique<ClientConnection>(*currentContext());
+        if (limits.connections != nullptr) {
+            if (!this->tryTakePlace(*limits.connections))
+                return IoError::NotConnected;
+            connection->place = limits.connections;
+        }
         connection->stream.expires_after(limits.connect);
         CancelRegistration cancelRegistration(limits.cancel, *connection);
         Tcp::endpoint peer(address, endpoint.port);
--- a/transport/src/http_server_beast.cpp
+++ b/transport/src/http_server_beast.cpp
@@ -1,6 +1,9 @@
 /// HTTP/1.1 server over Boost.Beast: one listening socket that all I/O threads accept from, one fiber per connection.
+#include "connection_pressure.h"
 #include "transport_p.h"
 
+#include <algorithm>
+#include <malloc.h>
 #include <optional>
 #include <set>
 #include <sys/socket.h>
@@ -16,17 +19,149 @@
     /// Time limit for reading the remaining bytes of a rejected request.
     constexpr std::chrono::milliseconds drainTimeout { 1000 };
 
+    /// Bytes of a connection's buffer that its place in the `ConnectionBudget` includes.
+    constexpr size_t firstBufferBytes = 2048;
+    /// Size of the sockets' receive buffers if connections have a budget: what callers send ahead waits there.
+    constexpr int receiveBufferBytes = 16 * 1024;
+    /// Largest number of tries to get memory or a place that others are about to give back, and the delay between two.
+    constexpr int roomTries = 10;
+    constexpr std::chrono::milliseconds roomDelay { 2 };
+
+    /// Shared with the pending wait, which may outlive the writer.
+    struct DisconnectWatch {
+        std::function<void()> onDisconnect; ///< Empty once it was called or the watch has ended.
+    };
+
     struct Connection {
-        explicit Connection(asio::io_context& context)
+        Connection(asio::io_context& context, const void* server, BufferMemory* memory, ConnectionBudget* budget)
             : stream(Stream::executor_type { context.get_executor() })
+            , server(server)
+            , memory(memory)
+            , budget(budget)
         {
         }
+        ~Connection()
+        {
+            if (this->hasPlace)
+                this->budget->giveServerPlaceBack();
+        }
+        Connection(const Connection&) = delete;
+        Connection& operator=(const Connection&) = delete;
+
         Stream stream;
+        const void* server; ///< The server that accepted it.
+        BufferMemory* memory; ///< Memory for what it sends.
+        ConnectionBudget* budget; ///< Null if it has none.
         beast::flat_buffer buffer; ///< Bytes that were received but not parsed yet.
+        ConnectionActivity activity;
+        std::weak_ptr<DisconnectWatch> watch; ///< Empty if the handler doesn't watch the caller.
+        double minRate = 0; ///< Bytes a second from which a request or the reading of an answer has progress.
+        bool hasPlace = false; ///< It has taken a place of the budget.
+        bool closing = false; ///< Its socket was closed to make room.
         bool idle = true; ///< No request is being read or handled.
         bool served = false; ///< A request has been received.
     };
 
+    /// Open connections of a thread, of all its servers. Each is owned by its fiber.
+    thread_local std::set<Connection*> threadConnections;
+    /// Receives what connections of the thread send after an error response.
+    thread_local std::array<char, 16 * 1024> discarded;
+    /// A fiber of this thread runs `superviseConnections`.
+    thread_local bool supervisorRunning = false;
+    /// A connection of this thread got no memory in the current round of `superviseConnections`.
+    thread_local bool memoryWasShort = false;
+    /// Checks in each round of `superviseConnections`.
+    constexpr int checksPerRound = 10;
+
+    /// Closes the socket of a connection. Its fiber gives back the rest once its pending operation has failed.
+    void closeToMakeRoom(Connection& connection, ClosedFor reason)
+    {
+        connection.closing = true;
+        connection.stream.close();
+        auto watch = connection.watch.lock();
+        if (watch && watch->onDisconnect)
+            std::exchange(watch->onDisconnect, nullptr)();
+        if (connection.budget != nullptr)
+            connection.budget->recordClosed(reason);
+    }
+
+    /// Closes connections of this thread that cost their callers least.
+    /// @param mayClose returns whether closing a connection frees what is short.
+    /// @param divisor the part of the connections that is closed at most; one at least.
+    /// @return how many are closed.
+    template <class MayClose>
+    size_t makeRoom(MayClose&& mayClose, bool mayCloseIdle, uint64_t divisor)
+    {
+        std::vector<Connection*> connections;
+        std::vector<const ConnectionActivity*> activities;
+        double minRate = 0;
+        for (auto* connection : threadConnections) {
+            if (connection->closing || !mayClose(*connection))
+                continue;
+            connections.push_back(connection);
+            activities.push_back(&connection->activity);
+            minRate = std::max(minRate, connection->minRate);
+        }
+        auto chosen = chooseConnectionsToClose(activities, monotonicNow(), minRate, mayCloseIdle, connections.size() / divisor + 1);
+        for (auto index : chosen) {
+            auto state = connections[index]->activity.state;
+            ErrorCode ignored;
+            if (state == ConnectionState::Idle && connections[index]->stream.socket().available(ignored) > 0)
+                continue; // Its next request has arrived.
+            closeToMakeRoom(*connections[index], state == ConnectionState::Idle ? ClosedFor::Idle : state == ConnectionState::Reading ? ClosedFor::SlowRequest
+                                                                                                                                      : ClosedFor::SlowReader);
+        }
+        return chosen.size();
+    }
+
+    /// Closes the connections of this thread that have sent most ahead, until the rest is within the budget.
+    void closeThoseSentAhead(const ConnectionBudget& budget)
+    {
+        std::vector<std::pair<size_t, Connection*>> unread;
+        uint64_t sum = 0;
+        for (auto* connection : threadConnections) {
+            ErrorCode ignored;
+            // Those of other servers have other budgets.
+            auto bytes = connection->budget == &budget && !connection->closing ? connection->stream.socket().available(ignored) : 0;
+            sum += bytes;
+            bool beyondRequest = connection->activity.state == ConnectionState::Handling || connection->activity.state == ConnectionState::Writing;
+            if (bytes > 0 && beyondRequest)
+                unread.emplace_back(bytes, connection);
+        }
+        std::sort(unread.rbegin(), unread.rend());
+        for (size_t i = 0; i < unread.size() && sum > budget.unreadCapacity; i++) {
+            sum -= unread[i].first;
+            closeToMakeRoom(*unread[i].second, ClosedFor::SentAhead);
+        }
+    }
+
+    /// Number of a thread's connections from which they are supervised.
+    size_t supervisedConnections(const ConnectionBudget& budget)
+    {
+        return std::min(budget.unreadCapacity / receiveBufferBytes, budget.serverCapacity / 4);
+    }
+
+    /// Runs while this thread has many connections or memory is short. Then gives free memory back to the system.
+    void superviseConnections(const ConnectionBudget& budget)
+    {
+        do {
+            memoryWasShort = false;
+            for (int i = 0; i < checksPerRound; i++) {
+                sleepFor(unreadCheckInterval);
+                closeThoseSentAhead(budget);
+            }
+        } while (memoryWasShort || threadConnections.size() > supervisedConnections(budget) / 2);
+        ::malloc_trim(0);
+        supervisorRunning = false;
+    }
+
+    void startSupervisor(const ConnectionBudget* budget)
+    {
+        bool needed = budget != nullptr && (memoryWasShort || threadConnections.size() > supervisedConnections(*budget));
+        if (needed && !std::exchange(supervisorRunning, true))
+            spawnOnCurrentThread([budget] { superviseConnections(*budget); });
+    }
+
     /// State of a server on one I/O thread. `acceptor` and `connections` are used only on that thread.
     struct ServerThread {
         explicit ServerThread(asio::io_context& context)
@@ -36,7 +171,7 @@
         }
         asio::io_context& context;
         Tcp::acceptor acceptor;
-        std::set<Connection*> connections; ///< Open connections. Each is owned by its fiber.
+        std::set<Connection*> connections; ///< Open connections of this server. Each is owned by its fiber.
     };
 
     /// Returns a request without its body.
@@ -72,6 +207,24 @@
             this->body_limit(limits.maxBodyBytes);
         }
 
+        /// Returns the memory of the fields in bytes, beside that of the buffer.
+        /// @param buffered bytes that are not parsed yet; each of their lines may be a field.
+        uint64_t fieldBytes(std::string_view buffered) const
+        {
+            auto fields = this->fieldCount;
+            if (!this->is_header_done())
+                fields += static_cast<uint64_t>(std::count(buffered.begin(), buffered.end(), '\n'));
+            return fields * headerFieldBytes;
+        }
+
+        /// Returns the memory of the body in bytes, with the copy that is sent on.
+        uint64_t bodyBytes() const
+        {
+            // A body in chunks grows by copies to larger blocks.
+            auto length = this->content_length();
+            return length ? 2 * *length : 3 * this->get().body().size();
+        }
+
         /// Hides `basic_parser::put`, which parses one part of the message: lines of the head, a body, or the head of a chunk. That of the
         /// last chunk includes the trailers.
         size_t put(asio::const_buffer buffer, ErrorCode& error)
@@ -92,12 +245,22 @@
         }
 
     private:
+        /// Leaves trailers out.
+        void on_field_impl(http::field field, beast::string_view name, beast::string_view value, ErrorCode&) override
+        {
+            if (this->is_header_done())
+                return;
+            this->fieldCount++;
+            this->get().insert(field, name, value);
+        }
+
         static bool hasContinuedLine(std::string_view lines)
         {
             return lines.find("\r\n ") != std::string_view::npos || lines.find("\r\n\t") != std::string_view::npos;
         }
 
         size_t maxHeaderBytes;
+        uint64_t fieldCount = 0; ///< Fields of the head.
     };
 
     /// Returns false for 204 (No Content) and 304 (Not Modified), whose responses have no body.
@@ -159,7 +322,7 @@
 
         bool isCallerGone() override
         {
-            if (this->failed)
+            if (this->failed || this->connection.closing)
                 return true;
             char byte = 0;
             auto count = ::recv(this->connection.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
@@ -169,6 +332,7 @@
         void watchCaller(std::function<void()> onDisconnect) override
         {
             this->watch = std::make_shared<DisconnectWatch>(DisconnectWatch { std::move(onDisconnect) });
+            this->connection.watch = this->watch;
             this->connection.stream.socket().async_wait(Tcp::socket::wait_read, [this, watch = this->watch](ErrorCode error) {
                 // After `unwatchCaller` the callback is empty, and this writer may no longer exist.
                 if (error || !watch->onDisconnect || !this->isCallerGone())
@@ -193,11 +357,6 @@
         bool canReuseConnection() const { return this->keepAlive && !this->failed && this->responseStarted; }
 
     private:
-        /// Shared with the pending wait, which may outlive the writer.
-        struct DisconnectWatch {
-            std::function<void()> onDisconnect; ///< Empty once it was called or the watch has ended.
-        };
-
         /// Returns status line and headers without the blank line that ends them.
         std::string makeHead(unsigned status, const std::vector<Header>& headers) const
         {
@@ -216,7 +375,7 @@
         /// @return false if the write failed or timed out, or `failed` was already set.
         bool write(std::string_view bytes, std::string_view moreBytes = {})
         {
-            if (this->failed)
+            if (this->failed || this->connection.closing)
                 return false;
             auto& socket = this->connection.stream.socket();
             beast::buffers_suffix remaining(std::array { asio::buffer(bytes.data(), bytes.size()), asio::buffer(moreBytes.data(), moreBytes.size()) });
@@ -226,12 +385,24 @@
                 return true;
             if (error && error != asio::error::would_block)
                 return !(this->failed = true);
-            this->connection.stream.expires_after(this->writeTimeout);
             // On `would_block` nothing was sent.
             remaining.consume(error ? 0 : sent);
-            auto result = awaitIo([&](auto handler) { asio::async_write(this->connection.stream, remaining, std::move(handler)); });
+            return this->writeRest(remaining);
+        }
+
+        template <class Buffers>
+        bool writeRest(Buffers& remaining)
+        {
+            beginState(this->connection.activity, ConnectionState::Writing, monotonicNow());
+            this->connection.stream.expires_after(this->writeTimeout);
+            while (!this->failed && asio::buffer_size(remaining) > 0) {
+                auto result = awaitIo([&](auto handler) { this->connection.stream.async_write_some(remaining, std::move(handler)); });
+                remaining.consume(result.bytes);
+                recordProgress(this->connection.activity, result.bytes, monotonicNow());
+                this->failed = result.error || this->connection.closing;
+            }
             this->connection.stream.expires_never();
-            this->failed = static_cast<bool>(result.error);
+            beginState(this->connection.activity, ConnectionState::Handling, monotonicNow());
             return !this->failed;
         }
 
@@ -248,13 +419,14 @@
 } // namespace
 
 struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl> {
-    Impl(Runtime& runtime, Endpoint listen, ServerLimits limits, HttpHandler handler, ErrorResponseFactory makeErrorResponse, BufferMemory* memory)
+    Impl(Runtime& runtime, Endpoint listen, ServerLimits limits, HttpHandler handler, ErrorResponseFactory makeErrorResponse, BufferMemory* memory, ConnectionBudget* connectionBudget)
         : runtime(runtime)
         , listen(std::move(listen))
         , limits(limits)
         , handler(std::move(handler))
         , makeErrorResponse(std::move(makeErrorResponse))
         , memory(memory == nullptr ? this->unlimitedMemory : *memory)
+        , connectionBudget(connectionBudget)
     {
     }
 
@@ -264,7 +436,8 @@
     HttpHandler handler;
     ErrorResponseFactory makeErrorResponse;
     BufferMemory unlimitedMemory { UINT64_MAX };
-    BufferMemory& memory; ///< For the bodies of requests.
+    BufferMemory& memory; ///< For the heads and bodies of requests.
+    ConnectionBudget* connectionBudget; ///< Null if there is none.
     std::atomic<bool> accepting { true }; ///< Cleared by `stopAccepting`; connections then close after their current request.
     std::atomic<bool> closeAnnounced { false }; ///< Set by `announceClose`.
     std::atomic<uint64_t> connectionCount { 0 };
@@ -299,6 +472,9 @@
             acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
         if (!error)
             acceptor.bind(endpoint, error);
+        // Accepted sockets inherit it.
+        if (!error && this->connectionBudget != nullptr)
+            acceptor.set_option(Tcp::acceptor::receive_buffer_size(receiveBufferBytes), error);
         if (!error)
             acceptor.listen(asio::socket_base::max_listen_connections, error);
         return error ? -1 : acceptor.release(error);
@@ -315,19 +491,47 @@
         return error;
     }
 
+    std::shared_ptr<Connection> makeConnection(const ServerThread& thread) const
+    {
+        return std::make_shared<Connection>(thread.context, this, &this->memory, this->connectionBudget);
+    }
+
+    /// Takes a place for a connection. If there is none, closes others that cost their callers less and waits for their places.
+    /// @return false if there is still none.
+    bool tryTakePlace(Connection& connection) const
+    {
+        if (this->connectionBudget == nullptr)
+            return this->connectionCount < this->currentLimits().connectionLimit;
+        for (int i = 0; i < roomTries; i++) {
+            bool serverIsFull = this->connectionCount >= this->currentLimits().connectionLimit;
+            connection.hasPlace = !serverIsFull && this->connectionBudget->tryTakeServerPlace();
+            if (connection.hasPlace)
+                return true;
+            // Connections that are being closed give their places back before others are closed.
+            auto mayClose = [&](const Connection& other) { return serverIsFull ? other.server == this : other.budget == this->connectionBudget; };
+            bool awaited = std::any_of(threadConnections.begin(), threadConnections.end(), [&](const auto* other) { return other->closing && mayClose(*other); });
+            if (!awaited && makeRoom(mayClose, true, closedAtOnceDivisor) == 0)
+                return false;
+            sleepFor(roomDelay);
+        }
+        return false;
+    }
+
     /// Accepts connections on one thread until `stopAccepting`. Connections over the limit are closed at once.
     void acceptLoop(const std::shared_ptr<ServerThread>& thread)
     {
         while (this->accepting) {
-            auto connection = std::make_shared<Connection>(thread->context);
+            auto connection = this->makeConnection(*thread);
             auto accepted = awaitIo([&](auto handler) { thread->acceptor.async_accept(connection->stream.socket(), std::move(handler)); });
             if (accepted.error) {
                 if (this->accepting)
                     sleepFor(acceptRetryDelay);
                 continue;
             }
-            if (this->connectionCount >= this->currentLimits().connectionLimit) {
+            if (!this->tryTakePlace(*connection)) {
                 this->overLimit++;
+                if (this->connectionBudget != nullptr)
+                    this->connectionBudget->recordClosed(ClosedFor::NoPlace);
                 continue;
             }
             this->startConnection(thread, connection);
@@ -339,7 +543,7 @@
     {
         while (thread->acceptor.is_open()) {
             ErrorCode error;
-            auto connection = std::make_shared<Connection>(thread->context);
+            auto connection = this->makeConnection(*thread);
             thread->acceptor.accept(connection->stream.socket(), error);
             if (error)
                 return;
@@ -358,7 +562,10 @@
         setTcpKeepAlive(connection->stream.socket());
         spawnOnCurrentThread([self = this->shared_from_this(), thread, connection] {
             thread->connections.insert(connection.get());
-            while (self->serveRequest(*connection)) { }
+            threadConnections.insert(connection.get());
+            startSupervisor(self->connectionBudget);
+            while (!connection->closing && self->serveRequest(*connection)) { }
+            threadConnections.erase(connection.get());
             thread->connections.erase(connection.get());
             ErrorCode ignored;
             connection->stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
@@ -371,52 +578,93 @@
     /// @return true if the connection can be reused for another request.
     bool serveRequest(Connection& connection)
     {
+        beginState(connection.activity, ConnectionState::Idle, monotonicNow());
         if (!this->waitForRequest(connection))
             return false;
+        beginState(connection.activity, ConnectionState::Reading, monotonicNow());
+        recordProgress(connection.activity, connection.buffer.size(), monotonicNow());
         connection.idle = false;
         connection.served = true;
         auto limits = this->currentLimits();
-        RequestParser parser(limits);
+        auto parser = std::make_optional<RequestParser>(limits);
+        // A head of the largest size has progress if it is complete within the read timeout.
+        connection.minRate = limits.maxHeaderBytes / std::chrono::duration<double>(limits.readTimeout).count();
         connection.buffer.max_size(std::max<size_t>(limits.maxHeaderBytes, maxUnparsedBytes));
         auto& socket = connection.stream.socket();
         auto deadline = std::make_optional<ReadDeadline>(socket, limits.readTimeout);
         BufferReservation reservation(this->memory);
         HttpRequest request;
-        auto read = this->readRequest(socket, connection.buffer, parser, reservation, request);
+        auto read = this->readRequest(connection, *parser, reservation, request);
         // A read that was cancelled at its deadline ends with another error.
         if (deadline->hasExpired())
             read.error = beast::error::timeout;
         deadline.reset();
         if (read.error) {
+            parser.reset();
+            request = {};
+            reservation.tryHold(0);
             this->rejectRequest(connection, read.error);
             return false;
         }
-        bool keepAlive = parser.get().keep_alive() && this->accepting;
+        bool keepAlive = parser->keep_alive() && this->accepting;
+        beginState(connection.activity, ConnectionState::Handling, monotonicNow());
         BeastWriter writer(connection, limits.writeTimeout, keepAlive, this->closeAnnounced);
         this->activeRequests++;
         this->requests++;
         bool handled = this->callHandler(request, writer);
         this->activeRequests--;
         connection.idle = true;
+        if (connection.buffer.size() == 0 && connection.buffer.capacity() > firstBufferBytes)
+            connection.buffer.shrink_to_fit();
         return handled && writer.canReuseConnection() && this->accepting;
     }
 
+    /// Reserves memory. If there is not enough, closes connections whose requests arrive without progress and waits for what they hold.
+    /// @return false if there is still not enough.
+    bool tryHold(const Connection& connection, BufferReservation& reservation, uint64_t bytes) const
+    {
+        if (reservation.tryHold(bytes))
+            return true;
+        memoryWasShort = true;
+        startSupervisor(this->connectionBudget);
+        auto mayClose = [&](const Connection& other) { return &other != &connection && other.memory == &this->memory && other.activity.state != ConnectionState::Idle; };
+        for (int i = 0; i < roomTries && !connection.closing; i++) {
+            if (makeRoom(mayClose, false, closedAtOnceDivisor) == 0)
+                return false;
+            sleepFor(roomDelay);
+            if (reservation.tryHold(bytes))
+                return true;
+        }
+        return false;
+    }
+
     /// Reads one request. Its trailers are left out.
-    /// @param reservation receives the memory for the body.
+    /// @param reservation receives the memory for it.
     /// @return `no_buffer_space` if there is not enough of it.
-    static IoResult readRequest(Stream::socket_type& socket, beast::flat_buffer& buffer, RequestParser& parser, BufferReservation& reservation, HttpRequest& request)
+    IoResult readRequest(Connection& connection, RequestParser& parser, BufferReservation& reservation, HttpRequest& request) const
     {
-        auto read = readMessage(socket, buffer, parser, ReadUntil::HeadEnd);
-        // The parser adds the trailers to the fields of the head.
-        if (!read.error)
+        auto& socket = connection.stream.socket();
+        auto& buffer = connection.buffer;
+        auto mayHold = [&](size_t further) {
+            // A buffer that grows is copied to one of twice its size.
+            auto capacity = buffer.size() + further > buffer.capacity() ? 3 * (buffer.size() + further) : buffer.capacity();
+            std::string_view buffered(static_cast<const char*>(buffer.data().data()), buffer.size());
+            auto bytes = (capacity > firstBufferBytes ? capacity : 0) + parser.fieldBytes(buffered);
+            // A body with a length gets its memory at once: bodies that grow at the same time would all fail.
+            if (parser.is_header_done())
+                bytes += parser.bodyBytes();
+            return this->tryHold(connection, reservation, bytes);
+        };
+        auto onReceived = [&](size_t bytes) { recordProgress(connection.activity, bytes, monotonicNow()); };
+        auto read = readMessage(socket, buffer, parser, ReadUntil::HeadEnd, mayHold, onReceived);
+        if (!read.error) {
             request = toRequestHead(parser.get());
-        // A body with a length gets its memory at once: bodies that grow at the same time would all fail.
-        auto length = read.error ? 0 : parser.content_length().value_or(0);
-        while (!read.error && !parser.is_done()) {
-            if (!reservation.tryHold(std::max<uint64_t>(length, parser.get().body().size())))
-                return { asio::error::no_buffer_space };
-            read = readMessage(socket, buffer, parser, ReadUntil::Progress);
+            parser.get().clear();
         }
+        while (!read.error && !parser.is_done())
+            read = readMessage(socket, buffer, parser, ReadUntil::Progress, mayHold, onReceived);
+        if (connection.closing)
+            return { asio::error::operation_aborted };
         request.body = std::move(parser.get().body());
         return read;
     }
@@ -443,11 +691,11 @@
         if (connection.buffer.size() > 0)
             return true;
         connection.stream.expires_after(this->currentLimits().idleTimeout);
-        auto space = connection.buffer.prepare(2048);
+        auto space = connection.buffer.prepare(firstBufferBytes);
         auto received = awaitIo([&](auto handler) { connection.stream.async_read_some(space, std::move(handler)); });
         connection.stream.expires_never();
         connection.buffer.commit(received.bytes);
-        return !received.error;
+        return !received.error && !connection.closing;
     }
 
     /// Sends an error response for a request that could not be read, unless the peer has closed the connection.
@@ -471,6 +719,7 @@
             return;
         }
         this->malformed++;
+        beginState(connection.activity, ConnectionState::Handling, monotonicNow());
         BeastWriter writer(connection, this->currentLimits().writeTimeout, false, this->closeAnnounced);
         writer.send(this->makeErrorResponse(status, reason));
         this->drainInput(connection);
@@ -482,18 +731,20 @@
     {
         ErrorCode ignored;
         connection.stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
-        std::array<char, 16 * 1024> discarded;
+        beginState(connection.activity, ConnectionState::Idle, monotonicNow());
+        connection.buffer.clear();
+        connection.buffer.shrink_to_fit();
         connection.stream.expires_after(drainTimeout);
-        bool open = true;
+        bool open = !connection.closing;
         while (open) {
             auto read = awaitIo([&](auto handler) { connection.stream.async_read_some(asio::buffer(discarded), std::move(handler)); });
-            open = !read.error && read.bytes > 0;
+            open = !read.error && read.bytes > 0 && !connection.closing;
         }
     }
 };
 
-HttpServer::HttpServer(Runtime& runtime, Endpoint listen, ServerLimits limits, HttpHandler handler, ErrorResponseFactory makeErrorResponse, BufferMemory* memory)
-    : impl(std::make_shared<Impl>(runtime, std::move(listen), limits, std::move(handler), std::move(makeErrorResponse), memory))
+HttpServer::HttpServer(Runtime& runtime, Endpoint listen, ServerLimits limits, HttpHandler handler, ErrorResponseFactory makeErrorResponse, BufferMemory* memory, ConnectionBudget* connections)
+    : impl(std::make_shared<Impl>(runtime, std::move(listen), limits, std::move(handler), std::move(makeErrorResponse), memory, connections))
 {
 }
 
--- a/transport/src/runtime_asio.cpp
+++ b/transport/src/runtime_asio.cpp
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <fstream>
 #include <future>
+#include <malloc.h>
 #include <sys/resource.h>
 #include <thread>
 #include <unistd.h>
@@ -36,10 +37,10 @@
     {
         this->liveFiberCount++;
         asio::post(thread.context, [this, task = std::move(task)]() mutable {
-            boost::fibers::fiber([this, task = std::move(task)] {
+            startFiber([this, task = std::move(task)] {
                 task();
                 this->liveFiberCount--;
-            }).detach();
+            });
         });
     }
 };
@@ -115,7 +116,7 @@
 
 void spawnOnCurrentThread(std::function<void()> task)
 {
-    boost::fibers::fiber(std::move(task)).detach();
+    startFiber(std::move(task));
 }
 
 /// Uses a thread mutex instead of a fiber mutex: `signal` then never suspends and may be called while other locks are held.
@@ -192,6 +193,18 @@
     signal(SIGPIPE, SIG_IGN); // NOLINT(bugprone-signal-handler)
 }
 
+uint64_t descriptorLimit()
+{
+    rlimit limit {};
+    getrlimit(RLIMIT_NOFILE, &limit);
+    return limit.rlim_cur;
+}
+
+void keepLargeBlocksApart()
+{
+    mallopt(M_MMAP_THRESHOLD, separateBlockBytes);
+}
+
 void raiseDescriptorLimit()
 {
     rlimit limit {};
--- a/transport/src/transport_p.h
+++ b/transport/src/transport_p.h
@@ -11,6 +11,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <boost/context/stack_context.hpp>
 #include <boost/fiber/all.hpp>
 #include <transport/transport.h>
 
@@ -32,6 +33,23 @@
 /// Installs a fiber scheduler on the calling thread that runs `context` while no fiber is ready.
 void installFiberScheduler(asio::io_context& context, unsigned resumesPerPoll = defaultResumesPerPoll);
 
+/// Size of a fiber's stack. The pages that the fiber has used are resident.
+constexpr size_t fiberStackBytes = 128 * 1024;
+
+/// Allocates stacks of fibers apart from other memory.
+class FiberStacks {
+public:
+    static boost::context::stack_context allocate();
+    static void deallocate(boost::context::stack_context& context) noexcept;
+};
+
+/// Runs `task` on a new fiber of the calling thread.
+template <class Task>
+void startFiber(Task&& task)
+{
+    boost::fibers::fiber(std::allocator_arg, FiberStacks {}, std::forward<Task>(task)).detach();
+}
+
 /// Result of an Asio operation.
 struct IoResult {
     ErrorCode error;
@@ -97,10 +115,15 @@
 /// @param source socket or stream. Its timeouts end the read with their errors.
 /// @param buffer bytes that are received but not parsed. `buffer_overflow` if the parser needs more of them than its maximum size.
 /// @param parser not done yet.
-template <class Source, class Parser>
-IoResult readMessage(Source& source, beast::flat_buffer& buffer, Parser& parser, ReadUntil until)
+/// @param mayHold called before each use of the parser and each read, with the number of bytes that are about to be received. If it returns
+/// false, the result is `no_buffer_space`.
+/// @param onReceived called with the number of bytes that were received.
+template <class Source, class Parser, class MayHold, class OnReceived>
+IoResult readMessage(Source& source, beast::flat_buffer& buffer, Parser& parser, ReadUntil until, MayHold&& mayHold, OnReceived&& onReceived)
 {
     while (true) {
+        if (!mayHold(size_t { 0 }))
+            return { asio::error::no_buffer_space };
         auto error = buffer.size() > 0 ? parseBuffered(buffer, parser) : ErrorCode(http::error::need_more);
         if (error != http::error::need_more) {
             if (error || until == ReadUntil::Progress || parser.is_header_done())
@@ -110,8 +133,11 @@
         if (buffer.size() >= buffer.max_size())
             return { http::error::buffer_overflow };
         auto size = std::min(std::clamp(buffer.capacity() - buffer.size(), minReadBytes, maxReadBytes), buffer.max_size() - buffer.size());
+        if (!mayHold(size))
+            return { asio::error::no_buffer_space };
         auto received = awaitIo([&](auto handler) { source.async_read_some(buffer.prepare(size), std::move(handler)); });
         buffer.commit(received.bytes);
+        onReceived(received.bytes);
         if (received.error == asio::error::eof) {
             if (!parser.got_some())
                 return { http::error::end_of_stream };
@@ -125,6 +151,14 @@
     }
 }
 
+/// Reads and parses a message without a limit of its memory.
+template <class Source, class Parser>
+IoResult readMessage(Source& source, beast::flat_buffer& buffer, Parser& parser, ReadUntil until)
+{
+    return readMessage(
+        source, buffer, parser, until, [](size_t) { return true; }, [](size_t) {});
+}
+
 /// Cancels the reads of a socket at a deadline. The socket stays open, so that a response can still be sent.
 class ReadDeadline {
 public:
