Shared parts that no worker has are placed as before

Change: the cost of the prefix's order counts only if some candidate is known to have the shared parts.

--- a/routing/src/choice.cpp
+++ b/routing/src/choice.cpp
@@ -105,18 +105,27 @@
         return hashes.size() > 1 ? hashes[hashes.size() - 2] : hashes.front();
     }
 
-    /// Returns the cost of the worker that comes last in the order for the prompt's shared parts. Long shared parts stay on the first workers of
-    /// that order until these are so busy that reading the parts elsewhere serves the callers better.
-    Time sharedPrefixCost(const RequestShape& shape)
+    /// Returns the number of tokens in the parts of a prompt that other requests may share.
+    uint32_t sharedTokens(const RequestShape& shape)
     {
-        double sharedTokens = 0;
+        uint32_t tokens = 0;
         for (size_t i = 0; i + 1 < shape.parts.size(); i++)
-            sharedTokens += shape.parts[i].tokens;
-        return std::chrono::duration_cast<Time>(prefillTime(std::min<double>(sharedTokens, shape.promptTokens)) * sharedPrefixWeight);
+            tokens += shape.parts[i].tokens;
+        return std::min(tokens, shape.promptTokens);
     }
 
-    /// The worker's service must have an engine.
-    Estimate estimateModelWorker(const Worker& worker, const ChoiceInputs& inputs)
+    /// Returns the cost of the worker that comes last in the order for the prompt's shared parts, if some worker has them. Long shared parts stay
+    /// on the first workers of that order until these are so busy that reading the parts elsewhere serves the callers better. How often parts
+    /// that no worker has will be asked for is not known.
+    Time sharedPrefixCost(const std::vector<Worker*>& candidates, const ChoiceInputs& inputs)
+    {
+        auto tokens = sharedTokens(*inputs.shape);
+        bool isCached = tokens > 0 && std::any_of(candidates.begin(), candidates.end(), [&](const Worker* worker) { return cachedTokens(worker->prefixCache, *inputs.shape, *inputs.prefixHashes) >= tokens; });
+        return isCached ? std::chrono::duration_cast<Time>(prefillTime(tokens) * sharedPrefixWeight) : Time { 0 };
+    }
+
+    /// The worker's service must have an engine. @param prefixCost result of `sharedPrefixCost`.
+    Estimate estimateModelWorker(const Worker& worker, const ChoiceInputs& inputs, Time prefixCost)
     {
         const auto& shape = *inputs.shape;
         const auto& engine = *inputs.service->engine;
@@ -131,7 +140,7 @@
         // `timeToFirstByte` contains the request's own prefill once already, so only the rest of its weight is added to the cost.
         auto ownPrefill = std::chrono::duration_cast<Time>(prefillTime(uncachedTokens));
         estimate.cost = estimate.timeToFirstByte + scale(ownPrefill, prefillCostWeight - 1) + remoteDataCentreCost(worker, inputs) + expectedFailureCost(worker, inputs);
-        estimate.cost += scale(maxAffinityCost + sharedPrefixCost(shape), affinity(worker, affinityKey(inputs))) + randomSpread(worker, inputs);
+        estimate.cost += scale(maxAffinityCost + prefixCost, affinity(worker, affinityKey(inputs))) + randomSpread(worker, inputs);
         double neededTokens = uncachedTokens + shape.outputTokens;
         estimate.hasCapacity = load.requests < engine.slots && load.memoryTokens + neededTokens <= engine.kvCacheTokens * maxKvCacheFill;
         // An idle worker accepts a request of any size: waiting would not give it more capacity.
@@ -165,9 +174,10 @@
         return estimate;
     }
 
-    Estimate estimateWorker(const Worker& worker, const ChoiceInputs& inputs)
+    /// @param prefixCost result of `sharedPrefixCost`; unused for plain services.
+    Estimate estimateWorker(const Worker& worker, const ChoiceInputs& inputs, Time prefixCost)
     {
-        return inputs.service->engine ? estimateModelWorker(worker, inputs) : estimatePlainWorker(worker, inputs);
+        return inputs.service->engine ? estimateModelWorker(worker, inputs, prefixCost) : estimatePlainWorker(worker, inputs);
     }
 
     /// Chooses the worker that should load a missing adapter. VMs with the same state choose the same one. Workers that execute a
@@ -193,8 +203,9 @@
         choice.blockReason = BlockReason::NoCapacity;
         Time minCost = Time::max();
         choice.timeToCapacity = Time::max();
+        auto prefixCost = inputs.service->engine ? sharedPrefixCost(candidates, inputs) : Time { 0 };
         for (auto* worker : candidates) {
-            auto estimate = estimateWorker(*worker, inputs);
+            auto estimate = estimateWorker(*worker, inputs, prefixCost);
             if (!estimate.hasCapacity) {
                 choice.timeToCapacity = std::min(choice.timeToCapacity, estimate.timeToCapacity);
                 continue;
--- a/tests/unit/choice_load_test.cpp
+++ b/tests/unit/choice_load_test.cpp
@@ -1,7 +1,7 @@
 /// Plays the load of a deployment with uneven demand and uneven workers at the choice of a worker, without a network: VMs in three data
 /// centres that know each other's loads only from heartbeats and summaries, and workers that prefill one prompt after the other.
-#include <criterion/criterion.h>
 #include <cmath>
+#include <criterion/criterion.h>
 #include <functional>
 #include <queue>
 #include <random>
