Groups of VMs tell each other which long prefixes they have sent

Cause: VMs of different data centres knew nothing of each other's sent prefixes. Change: the group leader's summary carries the prefixes that the group's VMs have sent since the last one and that take longer to read than crossing costs, 256 at most. A summary that a datagram can't hold is split; only its first part replaces loads. The lease holder, which gets full heartbeats of all VMs, leaves out the prefixes of other groups as it does their loads. No new field on the wire. Result: group_news_test (2) fails without the change, peers_test 21 of 21.

--- a/edge/src/fleet.cpp
+++ b/edge/src/fleet.cpp
@@ -13,6 +13,15 @@
     /// Maximum number of sent prefixes that are queued for the next heartbeat.
     constexpr size_t maxQueuedPrefixes = 256;
 
+    /// Maximum number of prefixes that are queued for the next summary. Beyond it the oldest are dropped: most VMs send no summaries.
+    constexpr size_t maxGroupPrefixes = 256;
+
+    /// Returns whether VMs of other data centres would send a request across for what is cached of it, if that is one part of `tokens`.
+    bool isWorthCrossing(uint32_t tokens)
+    {
+        return routing::prefillTime(tokens) > dataCentreRoundTrip + routing::crossDataCentreCost;
+    }
+
     /// Returns the position after `position` in the same era.
     LogPosition after(const LogPosition& position)
     {
@@ -281,7 +290,23 @@
     std::lock_guard lock(this->mutex);
     if (!heartbeat.partial)
         this->replacePeerLoad(peer, heartbeat, monotonicNow());
-    for (const auto& prefix : heartbeat.sentPrefixes) {
+    this->addPrefixes(heartbeat.sentPrefixes);
+    for (const auto& prefix : heartbeat.sentPrefixes)
+        this->queueGroupPrefix(prefix);
+}
+
+void Fleet::queueGroupPrefix(const SentPrefix& prefix)
+{
+    if (!isWorthCrossing(prefix.tokens))
+        return;
+    this->groupPrefixes.push_back(prefix);
+    if (this->groupPrefixes.size() > maxGroupPrefixes)
+        this->groupPrefixes.pop_front();
+}
+
+void Fleet::addPrefixes(const std::vector<SentPrefix>& prefixes)
+{
+    for (const auto& prefix : prefixes) {
         auto workerId = this->workerIds.find(prefix.worker);
         auto found = workerId == this->workerIds.end() ? this->workers.end() : this->workers.find(workerId->second);
         if (found == this->workers.end() || !this->current)
@@ -310,10 +335,12 @@
     }
 }
 
-Heartbeat Fleet::summarizeGroup(Time now) const
+Heartbeat Fleet::summarizeGroup(Time now)
 {
     Heartbeat summary;
     std::lock_guard lock(this->mutex);
+    summary.sentPrefixes.assign(this->groupPrefixes.begin(), this->groupPrefixes.end());
+    this->groupPrefixes.clear();
     for (const auto& [id, known] : this->workers) {
         auto load = known.worker.ownLoad;
         for (const auto& [source, peerLoad] : known.worker.peerLoads)
@@ -339,7 +366,9 @@
     if (source.node == summary.node && source.incarnation == summary.incarnation && source.sequence >= summary.sequence)
         return false;
     source = { summary.node, summary.incarnation, summary.sequence, now };
-    this->replacePeerLoad(summary.summaryOf, summary, now);
+    if (!summary.partial)
+        this->replacePeerLoad(summary.summaryOf, summary, now);
+    this->addPrefixes(summary.sentPrefixes);
     return true;
 }
 
@@ -586,8 +615,12 @@
             bool alreadyCached = worker.prefixCache.contains(prefixHashes[i]);
             worker.prefixCache.add(prefixHashes[i], shape.parts[i].tokens, kvCacheTokens * routing::prefixCacheShare);
             // The last part is specific to this request, so other VMs hardly ever see it again.
-            if (!alreadyCached && i + 1 < prefixHashes.size() && this->sentPrefixes.size() < maxQueuedPrefixes)
-                this->sentPrefixes.push_back({ workerKey(id), prefixHashes[i], shape.parts[i].tokens });
+            if (alreadyCached || i + 1 == prefixHashes.size())
+                continue;
+            SentPrefix prefix { workerKey(id), prefixHashes[i], shape.parts[i].tokens };
+            if (this->sentPrefixes.size() < maxQueuedPrefixes)
+                this->sentPrefixes.push_back(prefix);
+            this->queueGroupPrefix(prefix);
         }
     }
     return { *this, id, load };
--- a/edge/src/fleet.h
+++ b/edge/src/fleet.h
@@ -5,6 +5,7 @@
 #include "store_era.h"
 
 #include <atomic>
+#include <deque>
 #include <memory>
 #include <mutex>
 
@@ -93,9 +94,10 @@
 
     /// Applies a peer's load, its failure counts and the prefixes it sent. Ignores partial heartbeats.
     void applyHeartbeat(const std::string& peer, const Heartbeat& heartbeat);
-    /// Returns the loads and recent outcomes that this VM and the VMs of its group have put on the workers, added up.
-    Heartbeat summarizeGroup(Time now) const;
-    /// Applies the summary of another group.
+    /// Returns the loads and recent outcomes that this VM and the VMs of its group have put on the workers, added up, and the long prefixes
+    /// that they have sent since the last summary.
+    Heartbeat summarizeGroup(Time now);
+    /// Applies the summary of another group. A partial one adds prefixes only.
     /// @return false if a newer one was applied before.
     bool applySummary(const Heartbeat& summary, Time now);
     /// Discards the summaries that were received before `oldest`.
@@ -197,6 +199,10 @@
     void updateLeaving(routing::Worker& worker) const;
     /// Sets that for all workers. The caller must hold the lock.
     void updateLeaving();
+    /// Adds prefixes to what the workers are estimated to have cached. The caller must hold the lock.
+    void addPrefixes(const std::vector<SentPrefix>& prefixes);
+    /// Queues a prefix that a VM of this group has sent for the next summary, if other groups may use it. The caller must hold the lock.
+    void queueGroupPrefix(const SentPrefix& prefix);
     /// Subtracts a load of this VM from a worker.
     void release(const std::string& id, const routing::WorkerLoad& load);
 
@@ -209,6 +215,7 @@
     std::map<std::string, DroppedEntry> dropped; ///< By worker id.
     std::map<WorkerKey, std::string> workerIds; ///< Ids of the known workers, by the key that heartbeats use.
     std::vector<SentPrefix> sentPrefixes; ///< Prefixes for the next heartbeat.
+    std::deque<SentPrefix> groupPrefixes; ///< Long prefixes of the whole group for the next summary, newest last.
     std::atomic<uint64_t> changeCount { 0 };
     std::atomic<Time> peerUpdateAge { Time { 0 } }; ///< See `setPeerUpdateAge`.
     routing::WorkerLimits limits;
--- a/edge/src/heartbeat_codec.h
+++ b/edge/src/heartbeat_codec.h
@@ -83,7 +83,7 @@
     std::vector<ForwardedEntry> forwardedEntries; ///< Records of the worker stream, each in `forwardRepeats` heartbeats.
     uint64_t forwardedCount = 0; ///< Number of records that the VM has forwarded to its group.
     /// Data centre whose VMs' loads and outcomes the heartbeat sums up; empty if it tells of one VM. Of a summary only `node`,
-    /// `incarnation`, `sequence`, `loads`, `outcomes`, `leaveReports` and `relayed` are used.
+    /// `incarnation`, `sequence`, `partial`, `loads`, `outcomes`, `sentPrefixes`, `leaveReports` and `relayed` are used.
     std::string summaryOf;
     bool relayed = false; ///< A summary that a VM of the receiver's own group passes on.
     std::map<WorkerKey, routing::WorkerLoad> loads; ///< Load from this VM, by worker. Workers without any are left out.
--- a/edge/src/peers.cpp
+++ b/edge/src/peers.cpp
@@ -296,8 +296,8 @@
     heartbeat.demand.clear();
     heartbeat.usedAdapters.clear();
     this->sendTo(this->groupOrder.next(std::move(targets.group)), heartbeat);
-    // The prompt prefixes that workers have cached and the forwarded worker records matter only within the group. The loads of a
-    // whole group reach the others as a summary.
+    // The forwarded worker records matter only within the group. The loads and the long prefixes of a whole group reach the others as a
+    // summary.
     heartbeat.sentPrefixes.clear();
     heartbeat.forwardedEntries.clear();
     heartbeat.loads.clear();
@@ -513,8 +513,9 @@
         peer.demand = heartbeat->demand;
     if ((!heartbeat->partial || heartbeat->forwardedCount > 0) && peer.inGroup)
         peer.forwards.record(*heartbeat, monotonicNow());
-    // The lease holder gets full heartbeats of all VMs. The loads of other groups are in their summaries already.
+    // The lease holder gets full heartbeats of all VMs. The loads and prefixes of other groups are in their summaries already.
     if (!peer.inGroup) {
+        heartbeat->sentPrefixes.clear();
         heartbeat->loads.clear();
         heartbeat->outcomes.clear();
     }
--- /dev/null
+++ b/tests/unit/group_news_test.cpp
@@ -0,0 +1,95 @@
+/// Tests of what VMs tell those of other data centres about workers, without a network.
+#include "fleet.h"
+
+#include <criterion/criterion.h>
+
+using namespace comfreypier;
+using namespace comfreypier::edge;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr Time now = seconds { 10 };
+
+/// View of a VM that knows two workers with the same model, `a` and `b`, neither in its data centre.
+struct KnowingFleet : Fleet {
+    KnowingFleet(const std::string& node, const std::string& dataCentre)
+        : Fleet(node, dataCentre)
+    {
+        routing::Configuration configuration;
+        configuration.version = 1;
+        configuration.services["s"].name = "s";
+        configuration.services["s"].engine = routing::EngineSpec { 64, 200000, 100, 2, 1, false, {} };
+        this->applyConfiguration(configuration);
+        for (const auto* id : { "a", "b" }) {
+            routing::WorkerEntry entry;
+            entry.id = id;
+            entry.service = "s";
+            entry.startedAt = 1;
+            entry.models = { { "m", 1, {} } };
+            this->applyEntry(entry, { 1, 1 }, false, now);
+        }
+    }
+
+    /// Returns where a request goes and how much of its prompt is cached there, as this VM sees it.
+    Selection choose(const routing::RequestShape& shape)
+    {
+        return this->chooseWorker(this->configuration()->services.at("s"), shape, routing::hashPrefixes(shape), {}, milliseconds { 800 }, now);
+    }
+};
+
+routing::RequestShape makePrompt(uint32_t sharedTokens)
+{
+    routing::RequestShape shape;
+    shape.model = "m";
+    shape.parts = { { sharedTokens, sharedTokens }, { 2, 500 } };
+    shape.promptTokens = sharedTokens + 500;
+    return shape;
+}
+
+} // namespace
+
+// Guards against long prompts that are read anew in each data centre, because its VMs don't know what those of the others have sent.
+Test(group_news, long_prefixes_sent_by_one_group_are_used_by_another)
+{
+    KnowingFleet sender("vm1", "near");
+    KnowingFleet leader("vm0", "near");
+    KnowingFleet receiver("vm2", "far");
+    auto longPrompt = makePrompt(6000);
+    auto shortPrompt = makePrompt(100);
+    auto other = receiver.choose(longPrompt).id == "a" ? "b" : "a"; // Not where the receiver would send it by itself.
+    for (const auto& shape : { longPrompt, shortPrompt })
+        sender.reserve(other, shape, routing::hashPrefixes(shape), 0, 200000);
+    Heartbeat heartbeat;
+    heartbeat.sentPrefixes = sender.takeSentPrefixes();
+    cr_assert_eq(heartbeat.sentPrefixes.size(), 2U);
+    leader.applyHeartbeat("vm1", heartbeat);
+    auto summary = leader.summarizeGroup(now);
+    summary.node = "vm0";
+    cr_assert_eq(summary.sentPrefixes.size(), 1U, "a prefix that no request crosses for was told to another group");
+    summary.summaryOf = "near";
+    summary.sequence = 1;
+    cr_assert(receiver.applySummary(*decodeHeartbeat(encodeHeartbeat(summary)), now));
+    cr_assert_eq(receiver.choose(longPrompt).id, other);
+    cr_assert_eq(receiver.choose(longPrompt).choice.cachedTokens, 6000U);
+    cr_assert(leader.summarizeGroup(now).sentPrefixes.empty(), "prefixes were told twice");
+}
+
+// A summary that a datagram can't hold arrives in parts, of which only the first carries the loads.
+Test(group_news, further_parts_of_a_summary_leave_the_loads_as_they_are)
+{
+    KnowingFleet receiver("vm2", "far");
+    auto shape = makePrompt(6000);
+    Heartbeat summary;
+    summary.summaryOf = "near";
+    summary.sequence = 1;
+    summary.loads[workerKey("a")] = { 1e6, 1e6, 60 };
+    cr_assert(receiver.applySummary(summary, now));
+    summary.sequence = 2;
+    summary.partial = true;
+    summary.loads.clear();
+    summary.sentPrefixes = { { workerKey("a"), routing::hashPrefixes(shape).front(), 6000 } };
+    cr_assert(receiver.applySummary(summary, now));
+    cr_assert_eq(receiver.choose(shape).id, "b");
+}
