Adapter loads wait until the adapter that makes room is unloaded

The lease holder took its slot for free. After a refusal the worker got no order until a report 400 ms later, and its VMs were not told to prefer other workers. Change: an adapter whose unload was accepted but not done keeps its slot, and the worker counts as executing an order until a report.

--- a/placement/src/tracked_worker.cpp
+++ b/placement/src/tracked_worker.cpp
@@ -127,8 +127,13 @@
     auto key = order.model + "/" + order.adapter;
     if (isLoad)
         tracked.inventory.adapters[key] = sentAt;
-    else
+    else if (!accepted)
         tracked.inventory.adapters.erase(key);
+    else {
+        // Requests still use the adapter: its slot is free after they end, and the worker refuses other orders until then.
+        tracked.foreignOrderRunning = true;
+        tracked.nextReportAt = sentAt + maxReportAge;
+    }
 }
 
 bool mayOrderModel(const TrackedWorker& tracked)
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -572,6 +572,31 @@
     cr_assert(tracked.inventory.adapters.empty());
 }
 
+// Guards against loads that a worker refuses because requests still use the adapter that makes room: after a refusal it gets no order for a while.
+Test(tracked_worker, load_waits_until_the_adapter_that_makes_room_is_unloaded)
+{
+    routing::EngineSpec engine;
+    engine.adapterSlots = 1;
+    TrackedWorker tracked;
+    tracked.synced = true;
+    tracked.inventory.models = { "m" };
+    tracked.inventory.adapters = { { "m/a1", Time { 0 } } };
+    constexpr Time sentAt = std::chrono::seconds { 10 };
+    auto unload = planAdapterOrder(engine, tracked.inventory, "m", "a2", sentAt, Time { 0 });
+    cr_assert(unload && unload->kind == OrderKind::Unload);
+    applyOrderOutcome(tracked, *unload, OrderOutcome::Accepted, sentAt);
+    cr_assert_not(mayOrderAdapter(tracked));
+    cr_assert_not(mayOrderModel(tracked));
+    cr_assert(needsReport(tracked, sentAt + maxReportAge));
+    WorkerReport report;
+    report.models = { { "m", 1, {} } };
+    report.ordersAccepted = tracked.ordersAccepted;
+    applyReport(tracked, report, sentAt + maxReportAge);
+    cr_assert(mayOrderAdapter(tracked));
+    auto load = planAdapterOrder(engine, tracked.inventory, "m", "a2", sentAt + maxReportAge, Time { 0 });
+    cr_assert(load && load->kind == OrderKind::Load);
+}
+
 Test(adapters, adapter_slots_are_never_exceeded)
 {
     cr_assert(rc::check("", [] {
