Long prompts avoid workers where many streams run

Workers read prompts in pieces between the tokens of the streams that run there. The cost of a worker weighed a prompt's own reading by 1.6 wherever it went. Change: that weight grows by 0.04 for each request at the worker. Short prompts are hardly affected.

--- a/routing/src/choice.cpp
+++ b/routing/src/choice.cpp
@@ -17,6 +17,9 @@
     /// Times that the shared parts of a prompt are read anew at a worker in the cost of the one that comes last in their order: what it reads
     /// takes memory and time from the prefixes that belong there, which are then read anew as well.
     constexpr double sharedPrefixWeight = 4;
+    /// Part of a request's own prefill time by which it delays each request that runs at the worker: the engine prefills in pieces between the
+    /// tokens of the others.
+    constexpr double prefillDelayShare = 0.04;
     /// Cost of a worker with an expected failure rate of 1, as a multiple of the target latency.
     constexpr double failureCostInTargets = 4;
 
@@ -139,7 +142,7 @@
         estimate.timeToFirstByte = firstTokenOverhead + std::chrono::duration_cast<Time>(prefill) + batchSteps;
         // `timeToFirstByte` contains the request's own prefill once already, so only the rest of its weight is added to the cost.
         auto ownPrefill = std::chrono::duration_cast<Time>(prefillTime(uncachedTokens));
-        estimate.cost = estimate.timeToFirstByte + scale(ownPrefill, prefillCostWeight - 1) + remoteDataCentreCost(worker, inputs) + expectedFailureCost(worker, inputs);
+        estimate.cost = estimate.timeToFirstByte + scale(ownPrefill, prefillCostWeight - 1 + prefillDelayShare * load.requests) + remoteDataCentreCost(worker, inputs) + expectedFailureCost(worker, inputs);
         estimate.cost += scale(maxAffinityCost + prefixCost, affinity(worker, affinityKey(inputs))) + randomSpread(worker, inputs);
         double neededTokens = uncachedTokens + shape.outputTokens;
         estimate.hasCapacity = load.requests < engine.slots && load.memoryTokens + neededTokens <= engine.kvCacheTokens * maxKvCacheFill;
--- a/tests/unit/routing_test.cpp
+++ b/tests/unit/routing_test.cpp
@@ -164,6 +164,18 @@
     cr_assert_eq(chooser.choose(workers).worker->entry.id, "a");
 }
 
+// Guards against long prompts that are read where many streams run, so that these pause, while a worker with a short queue has none.
+Test(choice, long_prompts_avoid_workers_with_many_streams)
+{
+    Chooser chooser;
+    std::vector<Worker> workers { makeWorker("a"), makeWorker("b") };
+    workers[0].ownLoad.requests = 10;
+    workers[1].ownLoad = { 3000, 3000, 1 };
+    cr_assert_eq(chooser.choose(workers).worker, &workers[1]);
+    chooser.shape = makePrompt(200, 600);
+    cr_assert_eq(chooser.choose(workers).worker, &workers[0]);
+}
+
 Test(choice, draining_excluded_stalled_or_avoided_worker_is_never_chosen)
 {
     cr_assert(rc::check("", [](bool draining, bool excluded, bool avoided, bool stalled) {
