--- a/routing/include/routing/routing.h
+++ b/routing/include/routing/routing.h
@@ -400,8 +400,9 @@
 };
 
 /// Chooses the worker with the lowest cost: the expected time to the first byte plus penalties for the delay of other requests,
-/// expected failures and traffic between data centres. For models two smaller costs are added: one makes all VMs prefer the same
-/// worker for a prefix (`maxAffinityCost`), the other spreads choices from old peer updates (`maxFreshUpdateAge`).
+/// expected failures and traffic between data centres. For models further costs are added: one makes all VMs prefer the same few workers
+/// for a prefix (`maxAffinityCost`, more if some worker has the long shared parts of the prompt), one grows with the requests that the prompt's
+/// prefill would delay, and one spreads choices from old peer updates (`maxFreshUpdateAge`).
 /// @param workers not null. Workers of other services are left out.
 Choice chooseWorker(const std::vector<Worker*>& workers, const ChoiceInputs& inputs);
 
