--- a/accounts/include/accounts/accounts.h
+++ b/accounts/include/accounts/accounts.h
@@ -90,19 +90,35 @@
 /// @param tokens prompt tokens and output tokens that the request states together; nothing if it states none.
 double quotaCost(const Quota& quota, std::optional<uint64_t> tokens);
 
+/// How exactly a deployment wants quotas to be kept: in any `window`, an account may have (rate x window + burst) x (1 + `overage`) + `slack`.
+struct QuotaTolerance {
+    Time window { 0 };
+    double overage = 0;
+    double slack = 0; ///< In the unit of the quota.
+};
+
+/// Part of the tolerance that buckets hold in addition to the burst, for callers whose requests come in clumps. The rest is for charges that the
+/// VMs do not know of each other yet.
+constexpr double bucketToleranceShare = 0.5;
+
+/// Returns the quota that buckets keep.
+Quota quotaWithTolerance(const Quota& quota, const QuotaTolerance& tolerance);
+
 // Quotas over all VMs. Rendezvous hashing ranks the VMs for each account. The first one, the holder, keeps the account's bucket and charges the
 // requests that the others ask for; the next ones keep copies of it and go on from them. All of them exchange reports of levels.
 
 /// Interval at which a VM reports the levels of its buckets.
-constexpr std::chrono::milliseconds levelReportInterval { 200 };
+constexpr std::chrono::milliseconds levelReportInterval { 150 };
+/// Part of a bucket that a VM charges before it reports without waiting for the interval. It is lost if the VM stops.
+constexpr double maxUnreportedShare = 0.1;
 /// Time for which a bucket may be charged since another VM last confirmed it: a VM that was cut off or suspended may have been replaced.
-constexpr std::chrono::milliseconds maxConfirmationAge { 750 };
+constexpr std::chrono::milliseconds maxConfirmationAge { 500 };
 /// Maximum time between a report and the answer that confirms a bucket. Later answers have waited in a suspended VM.
-constexpr std::chrono::milliseconds maxReportAnswerTime { 500 };
+constexpr std::chrono::milliseconds maxReportAnswerTime { 350 };
 /// Time for which a VM that knows no level asks the others before it begins with an empty bucket.
-constexpr std::chrono::milliseconds emptyStartDelay { 400 };
+constexpr std::chrono::milliseconds emptyStartDelay { 300 };
 /// Time without a report after which a VM counts as silent for the exchange of levels.
-constexpr std::chrono::milliseconds reportSilence { 600 };
+constexpr std::chrono::milliseconds reportSilence { 500 };
 /// Time for which a VM that was asked for an account takes part in the exchange of its levels, whatever its rank.
 constexpr std::chrono::milliseconds askedActivityTime { 2000 };
 /// Number of other VMs that keep a copy of a bucket.
@@ -165,9 +181,11 @@
     bool known = false; ///< `level` is known and confirmed.
     double level = 0;
     double charged = 0; ///< What the sender has charged since its start, less what it gave back.
-    double seen = 0; ///< `charged` of the receiver as the sender knows it; 0 if it knows none of this start of the receiver.
     Time sentAt { 0 }; ///< By the sender's clock.
-    Time answers { 0 }; ///< `sentAt` of the newest report that the sender has of the receiver; 0 if it has none.
+    // About the newest report that the sender has of the receiver.
+    uint64_t receiver = 0; ///< Incarnation of the receiver that sent it. Means nothing to a later one.
+    double seen = 0; ///< Its `charged`.
+    Time answers { 0 }; ///< Its `sentAt`; 0 if there is none.
     bool wantsAnswer = false;
 };
 
@@ -189,7 +207,8 @@
 class QuotaLedger {
 public:
     /// @param self name of this VM.
-    explicit QuotaLedger(std::string self);
+    /// @param incarnation differs for each start of it.
+    QuotaLedger(std::string self, uint64_t incarnation);
     /// Applies the quotas of a configuration. Accounts that later configurations add begin with a full bucket, as no VM can have charged them;
     /// those of the first configuration of this start begin without a known level.
     void setAccounts(const std::vector<ClientAccount>& accounts, Time now);
@@ -205,12 +224,16 @@
     ChargeAnswer charge(const std::string& account, uint64_t ask, double cost, Time now);
     /// Gives back what was charged for a request, and charges nothing for it if it is yet to come.
     void giveBack(uint64_t ask, Time now);
-    /// Returns the reports that are due, with their receivers. Called every `levelReportInterval`.
-    std::vector<std::pair<std::string, LevelReport>> takeReports(Time now);
+    /// Returns whether accounts have reports that must not wait: much of a bucket was charged, or this VM was asked for an account whose levels
+    /// it did not exchange.
+    bool hasUrgentReports() const { return this->urgent; }
+    /// Returns the reports that are due, with their receivers. Called every `levelReportInterval`, and for urgent reports at once.
+    /// @param onlyUrgent leaves out the other accounts.
+    std::vector<std::pair<std::string, LevelReport>> takeReports(Time now, bool onlyUrgent);
     /// Applies a report.
-    /// @param incarnation differs for each start of the sender.
+    /// @param senderIncarnation differs for each start of the sender.
     /// @return the answer, if the sender wants one.
-    std::optional<LevelReport> receive(const std::string& vm, uint64_t incarnation, const LevelReport& report, Time now);
+    std::optional<LevelReport> receive(const std::string& vm, uint64_t senderIncarnation, const LevelReport& report, Time now);
     /// Returns the level of an account; nothing if it is not known or not confirmed.
     std::optional<double> level(const std::string& account, Time now);
 
@@ -236,6 +259,8 @@
         Time unknownSince { 0 };
         Time askedAt { -std::chrono::hours { 1 } };
         double charged = 0;
+        double unreported = 0; ///< Charged since the last report.
+        bool urgent = false; ///< See `hasUrgentReports`.
         std::vector<std::string> ranking;
         Time rankedAt { 0 }; ///< When `ranking` last changed.
         std::map<std::string, Partner> partners;
@@ -254,6 +279,7 @@
     void remember(uint64_t ask, Charge charge, Time now);
 
     std::string self;
+    uint64_t incarnation;
     std::vector<QuotaVm> vms;
     std::map<std::string, bool> aliveByVm;
     bool hasAccounts = false; ///< `setAccounts` was called.
@@ -261,7 +287,8 @@
     std::map<std::string, Time> unansweredSince; ///< Of VMs that have not reported since a report was sent to them.
     std::unordered_map<uint64_t, Charge> charges; ///< By ask number.
     std::deque<std::pair<Time, uint64_t>> chargeTimes; ///< The oldest first.
-    uint64_t rounds = 0; ///< Calls of `takeReports`.
+    bool urgent = false; ///< An account is.
+    uint64_t rounds = 0; ///< Calls of `takeReports` for all accounts.
 };
 
 /// Remembers which VMs left asks unanswered, and chooses the VMs to ask.
--- a/accounts/src/quota_ledger.cpp
+++ b/accounts/src/quota_ledger.cpp
@@ -16,8 +16,9 @@
 
 } // namespace
 
-QuotaLedger::QuotaLedger(std::string self)
+QuotaLedger::QuotaLedger(std::string self, uint64_t incarnation)
     : self(std::move(self))
+    , incarnation(incarnation)
 {
 }
 
@@ -126,19 +127,23 @@
     report.sentAt = now;
     report.wantsAnswer = wantsAnswer;
     if (auto partner = account.partners.find(receiver); partner != account.partners.end()) {
+        report.receiver = partner->second.incarnation;
         report.seen = partner->second.charged;
         report.answers = partner->second.sentAt;
     }
     return report;
 }
 
-std::vector<std::pair<std::string, LevelReport>> QuotaLedger::takeReports(Time now)
+std::vector<std::pair<std::string, LevelReport>> QuotaLedger::takeReports(Time now, bool onlyUrgent)
 {
     std::vector<std::pair<std::string, LevelReport>> reports;
-    bool includesSilent = this->rounds++ % silentReportRounds == 0;
+    this->urgent = false;
+    bool includesSilent = !onlyUrgent && this->rounds++ % silentReportRounds == 0;
     for (auto& [name, account] : this->accounts) {
-        if (!this->isActive(account, now))
+        if ((onlyUrgent && !account.urgent) || !this->isActive(account, now))
             continue;
+        account.urgent = false;
+        account.unreported = 0;
         size_t copies = 0;
         size_t others = 0;
         for (const auto& vm : account.ranking) {
@@ -158,7 +163,7 @@
     return reports;
 }
 
-std::optional<LevelReport> QuotaLedger::receive(const std::string& vm, uint64_t incarnation, const LevelReport& report, Time now)
+std::optional<LevelReport> QuotaLedger::receive(const std::string& vm, uint64_t senderIncarnation, const LevelReport& report, Time now)
 {
     this->unansweredSince.erase(vm);
     auto found = this->accounts.find(report.account);
@@ -166,23 +171,25 @@
         return std::nullopt;
     auto& account = found->second;
     auto& partner = account.partners[vm];
-    bool firstContact = partner.incarnation != incarnation || partner.sentAt == Time { 0 };
-    if (partner.incarnation != incarnation)
-        partner = { incarnation };
+    bool firstContact = partner.incarnation != senderIncarnation || partner.sentAt == Time { 0 };
+    if (partner.incarnation != senderIncarnation)
+        partner = { senderIncarnation };
     if (report.sentAt <= partner.sentAt)
         return std::nullopt;
     auto newlyCharged = report.charged - partner.charged;
-    partner = { incarnation, report.charged, report.sentAt, now };
+    partner = { senderIncarnation, report.charged, report.sentAt, now };
     bool current = this->isCurrent(account, now);
+    // What the sender knows of an earlier start of this VM says nothing.
+    bool knowsReceiver = report.receiver == this->incarnation;
     // What is left if the sender knows all charges but the own ones since. Both this and the own level less the sender's new charges are at
     // most the true level.
-    auto reportedLevel = report.level - (account.charged - report.seen);
+    auto reportedLevel = report.level - (account.charged - (knowsReceiver ? report.seen : 0));
     if (current && (report.known || !firstContact)) {
         auto level = account.bucket.level(now);
         auto reduced = level - newlyCharged;
         account.bucket.setLevel(report.known ? std::max(reduced, std::min(level, reportedLevel)) : reduced, now);
     }
-    if (report.answers > Time { 0 } && now - report.answers <= maxReportAnswerTime)
+    if (knowsReceiver && report.answers > Time { 0 } && now - report.answers <= maxReportAnswerTime)
         account.confirmedAt = std::max(account.confirmedAt, report.answers);
     if (!current && now - account.confirmedAt <= maxConfirmationAge) {
         if (report.known) {
@@ -204,6 +211,8 @@
     if (found == this->accounts.end())
         return {};
     auto& account = found->second;
+    account.urgent = account.urgent || !this->isActive(account, now);
+    this->urgent = this->urgent || account.urgent;
     account.askedAt = now;
     if (this->charges.contains(ask))
         return { ChargeOutcome::Granted, Time { 0 } };
@@ -214,6 +223,9 @@
         return { ChargeOutcome::Refused, wait.value_or(Time { 0 }) };
     account.bucket.add(-cost, now);
     account.charged += cost;
+    account.unreported += cost;
+    account.urgent = account.urgent || (account.unreported > maxUnreportedShare * quotaCapacity(account.quota) && !this->isAlone());
+    this->urgent = this->urgent || account.urgent;
     this->remember(ask, { name, cost }, now);
     return { ChargeOutcome::Granted, Time { 0 } };
 }
--- a/accounts/src/token_bucket.cpp
+++ b/accounts/src/token_bucket.cpp
@@ -19,6 +19,14 @@
     return quota.unit == QuotaUnit::Requests ? std::max(1.0, capacity) : capacity;
 }
 
+Quota quotaWithTolerance(const Quota& quota, const QuotaTolerance& tolerance)
+{
+    auto result = quota;
+    auto allowed = quota.ratePerSecond * toSeconds(tolerance.window) + quota.burst;
+    result.burst = quotaCapacity(quota) + bucketToleranceShare * (allowed * tolerance.overage + tolerance.slack);
+    return result;
+}
+
 TokenBucket::TokenBucket(const Quota& quota, double level, Time now)
     : quota(quota)
     , levelThen(std::min(level, quotaCapacity(quota)))
--- a/edge/include/edge/edge.h
+++ b/edge/include/edge/edge.h
@@ -95,6 +95,9 @@
     /// This VM can't have sent retries before: the whole system starts for the first time. Otherwise it uses none of the slack for
     /// the first window.
     bool firstStart = true;
+    milliseconds quotaWindow { 0 }; ///< Time over which the quotas of client accounts are measured.
+    double quotaOverage = 0; ///< Share of a quota by which it may be exceeded in that time.
+    double quotaSlack = 0; ///< Further amount by which it may be exceeded in that time, in the unit of the quota.
     milliseconds grace { 8000 }; ///< Time from SIGTERM to the end of the process.
     milliseconds leaseTime { 3000 }; ///< Minimum time between orders of two different lease holders.
     bool workersCheckTokens = true; ///< Workers reject orders with a fencing token lower than the highest they have seen.
--- a/edge/src/beat.capnp
+++ b/edge/src/beat.capnp
@@ -107,6 +107,7 @@
   sentAt @5 :Int64;
   answers @6 :Int64;
   wantsAnswer @7 :Bool;
+  receiver @8 :UInt64;
 }
 
 # A heartbeat. `heartbeat_codec.h` describes the fields. Some have other names there: `number` is `sequence`, `leaving` `draining`,
--- a/edge/src/beat.capnp.h
+++ b/edge/src/beat.capnp.h
@@ -242,7 +242,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ff533ce9bde1d849, 6, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(ff533ce9bde1d849, 7, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1509,6 +1509,8 @@
 
   inline bool getWantsAnswer() const;
 
+  inline  ::uint64_t getReceiver() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1565,6 +1567,9 @@
   inline bool getWantsAnswer();
   inline void setWantsAnswer(bool value);
 
+  inline  ::uint64_t getReceiver();
+  inline void setReceiver( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2922,6 +2927,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t QuotaLevel::Reader::getReceiver() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t QuotaLevel::Builder::getReceiver() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void QuotaLevel::Builder::setReceiver( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Beat::Reader::hasNode() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/edge/src/heartbeat_codec_capnp.cpp
+++ b/edge/src/heartbeat_codec_capnp.cpp
@@ -85,6 +85,7 @@
             levels[i].setKnown(report.known);
             levels[i].setLevel(report.level);
             levels[i].setCharged(report.charged);
+            levels[i].setReceiver(report.receiver);
             levels[i].setSeen(report.seen);
             levels[i].setSentAt(report.sentAt.count());
             levels[i].setAnswers(report.answers.count());
@@ -108,7 +109,7 @@
         }
         for (auto item : root.getQuotaLevels()) {
             if (std::isfinite(item.getLevel()) && std::isfinite(item.getCharged()) && std::isfinite(item.getSeen()))
-                message.levels.push_back({ toStdString(item.getAccount()), item.getKnown(), item.getLevel(), item.getCharged(), item.getSeen(), accounts::Time { item.getSentAt() }, accounts::Time { item.getAnswers() }, item.getWantsAnswer() });
+                message.levels.push_back({ toStdString(item.getAccount()), item.getKnown(), item.getLevel(), item.getCharged(), accounts::Time { item.getSentAt() }, item.getReceiver(), item.getSeen(), accounts::Time { item.getAnswers() }, item.getWantsAnswer() });
         }
         for (auto number : root.getQuotaReturns())
             message.returns.push_back(number);
--- a/edge/src/peers.h
+++ b/edge/src/peers.h
@@ -73,6 +73,8 @@
 
     /// Returns the other VMs with a member record, by name.
     std::vector<PeerView> peerViews() const;
+    /// Returns the number that identifies this start of the daemon.
+    uint64_t ownIncarnation() const { return this->incarnation; }
     /// Sends a message about quotas to a VM. Does nothing if it has no member record.
     void sendQuota(const std::string& node, QuotaMessage message);
 
--- a/edge/src/quota_task.cpp
+++ b/edge/src/quota_task.cpp
@@ -38,11 +38,16 @@
 QuotaTask::QuotaTask(Vm& vm, Peers& peers)
     : vm(vm)
     , peers(peers)
-    , ledger(vm.settings.node)
+    , ledger(vm.settings.node, peers.ownIncarnation())
     , lastAsk(drawFirstAsk())
 {
 }
 
+accounts::QuotaTolerance QuotaTask::tolerance() const
+{
+    return { this->vm.settings.quotaWindow, this->vm.settings.quotaOverage, this->vm.settings.quotaSlack };
+}
+
 void QuotaTask::update()
 {
     if (auto newest = this->vm.fleet.configuration(); newest != this->configuration) {
@@ -50,8 +55,11 @@
         static const std::vector<accounts::ClientAccount> none;
         const auto& list = newest && newest->accounts ? *newest->accounts : none;
         this->hasQuotas = std::any_of(list.begin(), list.end(), [](const auto& account) { return account.quota.ratePerSecond > 0; });
+        auto tolerated = list;
+        for (auto& account : tolerated)
+            account.quota = accounts::quotaWithTolerance(account.quota, this->tolerance());
         if (newest)
-            this->ledger.setAccounts(list, quotaNow());
+            this->ledger.setAccounts(tolerated, quotaNow());
         std::erase_if(this->grantedRates, [&list](const auto& item) { return std::none_of(list.begin(), list.end(), [&item](const auto& account) { return account.name == item.first; }); });
     }
     if (!this->hasQuotas || !this->vm.status.membersKnown)
@@ -63,23 +71,27 @@
     this->ledger.setVms(std::move(vms), quotaNow());
 }
 
+void QuotaTask::sendReports(bool onlyUrgent)
+{
+    std::map<std::string, std::vector<accounts::LevelReport>> reports;
+    for (auto& [node, report] : this->ledger.takeReports(quotaNow(), onlyUrgent))
+        reports[node].push_back(std::move(report));
+    for (auto& [node, list] : reports) {
+        for (size_t i = 0; i < list.size(); i += maxLevelsPerMessage) {
+            QuotaMessage message;
+            auto end = std::min(list.size(), i + maxLevelsPerMessage);
+            message.levels.assign(list.begin() + static_cast<std::ptrdiff_t>(i), list.begin() + static_cast<std::ptrdiff_t>(end));
+            this->peers.sendQuota(node, std::move(message));
+        }
+    }
+}
+
 void QuotaTask::run()
 {
     while (!this->vm.status.stopping) {
         this->update();
-        std::map<std::string, std::vector<accounts::LevelReport>> reports;
-        if (this->hasQuotas) {
-            for (auto& [node, report] : this->ledger.takeReports(quotaNow()))
-                reports[node].push_back(std::move(report));
-        }
-        for (auto& [node, list] : reports) {
-            for (size_t i = 0; i < list.size(); i += maxLevelsPerMessage) {
-                QuotaMessage message;
-                auto end = std::min(list.size(), i + maxLevelsPerMessage);
-                message.levels.assign(list.begin() + static_cast<std::ptrdiff_t>(i), list.begin() + static_cast<std::ptrdiff_t>(end));
-                this->peers.sendQuota(node, std::move(message));
-            }
-        }
+        if (this->hasQuotas)
+            this->sendReports(false);
         sleepFor(this->hasQuotas ? accounts::levelReportInterval : idleInterval);
     }
 }
@@ -121,13 +133,15 @@
     if (!this->configuration || this->quotaVms.empty())
         this->update();
     auto& totals = this->totals(account.name);
-    if (cost > accounts::quotaCapacity(account.quota)) {
+    if (cost > accounts::quotaCapacity(accounts::quotaWithTolerance(account.quota, this->tolerance()))) {
         decision.granted = false;
         totals.refused += cost;
         return decision;
     }
     auto number = ++this->lastAsk;
     auto answer = this->ask(account.name, number, cost, targetLatency, decision.decidedBy);
+    if (this->ledger.hasUrgentReports())
+        this->sendReports(true);
     auto& rate = this->grantedRates[account.name];
     auto now = quotaNow();
     if (answer) {
@@ -196,6 +210,8 @@
     }
     if (!reply.isEmpty())
         this->peers.sendQuota(node, std::move(reply));
+    if (this->ledger.hasUrgentReports())
+        this->sendReports(true);
 }
 
 QuotaTask::Totals& QuotaTask::totals(const std::string& account)
--- a/edge/src/quota_task.h
+++ b/edge/src/quota_task.h
@@ -52,12 +52,14 @@
         double returned = 0; ///< Part of `granted` that was given back.
     };
 
+    accounts::QuotaTolerance tolerance() const;
     /// Applies the configuration and the members if they have changed.
     void update();
     /// Asks the VMs that may know the level, one after the other.
     /// @param decidedBy set to the VM that decided.
     /// @return nothing if none knows it or answers in time.
     std::optional<accounts::ChargeAnswer> ask(const std::string& account, uint64_t number, double cost, milliseconds targetLatency, std::string& decidedBy);
+    void sendReports(bool onlyUrgent);
     void sendReturn(const std::string& node, uint64_t number);
     /// Returns the totals of an account, or those of all further accounts if too many names are known.
     Totals& totals(const std::string& account);
--- a/edge/src/settings.cpp
+++ b/edge/src/settings.cpp
@@ -35,6 +35,10 @@
                     { "slack", IniType::Integer, false, {} },
                     { "window", IniType::Duration, false, {} },
                     { "first_start", IniType::Flag, false, {} } } },
+            { "quotas", false, false, false, IniType::Text,
+                { { "window", IniType::Duration, false, {} },
+                    { "overage", IniType::Decimal, false, {} },
+                    { "slack", IniType::Decimal, false, {} } } },
             { "orders", false, false, false, IniType::Text,
                 { { "lease_time", IniType::Duration, false, {} },
                     { "workers_check_tokens", IniType::Flag, false, {} } } },
@@ -84,6 +88,10 @@
     retries.integer("slack", settings.retrySlack, 0, 1000000);
     retries.duration("window", settings.retryWindow, milliseconds { 100 }, maxDuration);
     retries.flag("first_start", settings.firstStart);
+    SectionReader quotas(document, "quotas", errors);
+    quotas.duration("window", settings.quotaWindow, milliseconds { 0 }, maxDuration);
+    quotas.decimal("overage", settings.quotaOverage, 10);
+    quotas.decimal("slack", settings.quotaSlack, 1e12);
     SectionReader orders(document, "orders", errors);
     orders.duration("lease_time", settings.leaseTime, milliseconds { 100 }, maxDuration);
     orders.flag("workers_check_tokens", settings.workersCheckTokens);
--- a/tests/unit/accounts_test.cpp
+++ b/tests/unit/accounts_test.cpp
@@ -65,7 +65,7 @@
         vm.name = "vm" + std::to_string(index);
         vm.incarnation = this->random();
         vm.weight = index % 3 == 0 ? 1.0 : 0.25;
-        vm.ledger = std::make_unique<QuotaLedger>(vm.name);
+        vm.ledger = std::make_unique<QuotaLedger>(vm.name, vm.incarnation);
         vm.lastAsk = this->random();
         vm.running = true;
         vm.clockOffset = milliseconds { static_cast<int64_t>(this->random() % 100000) };
@@ -261,8 +261,7 @@
         this->onVm(index, incarnation, [this, index] {
             auto& vm = this->vms[index];
             vm.ledger->setVms(this->view(index), this->clock(vm));
-            for (const auto& [node, report] : vm.ledger->takeReports(this->clock(vm)))
-                this->sendReport(index, node, report);
+            this->sendReports(index, false);
             double total = 0;
             for (const auto& other : this->vms) {
                 total += other.demand;
@@ -274,6 +273,11 @@
         });
         this->after(levelReportInterval, [this, index, incarnation] { this->tick(index, incarnation); });
     }
+    void sendReports(size_t index, bool onlyUrgent)
+    {
+        for (const auto& [node, report] : this->vms[index].ledger->takeReports(this->clock(this->vms[index]), onlyUrgent))
+            this->sendReport(index, node, report);
+    }
     void sendReport(size_t from, const std::string& node, const LevelReport& report)
     {
         this->send(from, node, [this, from, report, incarnation = this->vms[from].incarnation](size_t to, Vm& vm) {
@@ -297,6 +301,8 @@
             }
             this->send(index, step.vm, [this, index, incarnation, ask, cost = cost](size_t to, Vm& other) {
                 auto answer = other.ledger->charge("a", ask, cost, this->clock(other));
+                if (other.ledger->hasUrgentReports())
+                    this->sendReports(to, true);
                 this->send(to, this->vms[index].name, [this, index, incarnation, ask, answer, name = other.name](size_t, Vm& asker) {
                     asker.contacts.recordAnswer(name);
                     if (auto open = asker.asks.find(ask); open != asker.asks.end()) {
@@ -308,6 +314,8 @@
         }
         if (step.action == AskSequence::Action::Wait)
             return this->after(step.until - this->now, [this, index, incarnation, ask] { this->onVm(index, incarnation, [this, index, incarnation, ask] { this->goOn(index, incarnation, ask); }); });
+        if (vm.ledger->hasUrgentReports())
+            this->sendReports(index, true);
         for (const auto& silent : sequence.silentVms())
             vm.contacts.recordSilence(silent, this->now);
         for (const auto& other : sequence.unanswered())
@@ -399,6 +407,19 @@
     cr_assert(held);
 }
 
+// Guards against buckets that use more of a window than a deployment tolerates.
+Test(quotas, bucket_with_tolerance_stays_within_it)
+{
+    const Quota quota { QuotaUnit::Tokens, 100, 50, 0 };
+    const QuotaTolerance tolerance { seconds { 8 }, 0.1, 200 };
+    auto kept = quotaWithTolerance(quota, tolerance);
+    cr_assert_float_eq(kept.ratePerSecond, quota.ratePerSecond, 1e-9);
+    auto allowed = quota.ratePerSecond * 8 + quota.burst;
+    cr_assert_lt(quotaCapacity(kept) + kept.ratePerSecond * 8, allowed * 1.1 + 200 - 0.4 * (allowed * 0.1 + 200));
+    cr_assert_gt(quotaCapacity(kept), quota.burst + 100);
+    cr_assert(quotaWithTolerance(quota, {}) == quota, "without tolerance the burst is all");
+}
+
 Test(quotas, lowered_and_raised_ones_hold_at_once)
 {
     TokenBucket bucket({ QuotaUnit::Requests, 10, 100, 0 }, 100, start);
@@ -413,7 +434,7 @@
 /// Returns a ledger that is alone with the account `a`, with a full bucket of 10 at a rate of 1.
 static QuotaLedger makeLedger()
 {
-    QuotaLedger ledger("vm0");
+    QuotaLedger ledger("vm0", 1);
     ledger.setVms({ { "vm0" } }, start);
     ledger.setAccounts({}, start);
     ledger.setAccounts({ makeAccount("a", {}, { QuotaUnit::Requests, 1, 10, 0 }) }, start);
@@ -445,7 +466,7 @@
 // Guards against a start that gives the burst again.
 Test(quotas, first_configuration_of_a_start_brings_no_burst)
 {
-    QuotaLedger ledger("vm0");
+    QuotaLedger ledger("vm0", 1);
     ledger.setVms({ { "vm0" } }, start);
     ledger.setAccounts({ makeAccount("a", {}, { QuotaUnit::Requests, 1, 10, 0 }) }, start);
     cr_assert_eq(ledger.charge("a", 1, 1, start).outcome, ChargeOutcome::Refused);
@@ -544,6 +565,7 @@
     KillHolder, ///< The holder stops for good.
     RestartHolder, ///< The holder stops and comes back with an empty memory.
     RestartAll, ///< All VMs start again one after the other.
+    RestartTogether, ///< All VMs stop at the same moment and start again.
     CutHolder, ///< The holder loses its links for some time.
     CutOther,
     FreezeHolder,
@@ -554,15 +576,16 @@
 
 const char* name(Trouble trouble)
 {
-    constexpr std::array<const char*, static_cast<size_t>(Trouble::Count)> names { "none", "holder stops", "holder restarts", "all restart", "holder cut off", "another VM cut off", "holder suspended", "VMs added", "a tenth of datagrams lost" };
+    constexpr std::array<const char*, static_cast<size_t>(Trouble::Count)> names { "none", "holder stops", "holder restarts", "all restart in turn", "all restart together", "holder cut off", "another VM cut off", "holder suspended", "VMs added", "a tenth of datagrams lost" };
     return names[static_cast<size_t>(trouble)];
 }
 
 /// Plays a world with one trouble: requests at `load` times the quota's rate arrive at all VMs, or nearly all at one.
-World play(Trouble trouble, double load, bool atOneVm, Sharing sharing, uint64_t seed)
+World play(Trouble trouble, double load, bool atOneVm, Sharing sharing, uint64_t seed, double burst = 20)
 {
     World::Options options;
     options.sharing = sharing;
+    options.quota.burst = burst;
     options.loss = trouble == Trouble::Lossy ? 0.1 : 0;
     World world(options, seed);
     auto holder = world.ranked(0);
@@ -570,8 +593,9 @@
     auto busy = trouble == Trouble::CutOther ? other : world.ranked(seed % 5);
     auto perSecond = load * options.quota.ratePerSecond;
     auto pick = [&] { return atOneVm && world.requests % 10 != 0 ? busy : world.any(); };
-    world.run(settleTime, perSecond, pick);
-    world.run(seconds { 10 }, perSecond, pick);
+    // Buckets fill. Then the trouble begins shortly after their burst was used up.
+    world.run(settleTime + seconds { 8 }, 0.1 * perSecond, pick);
+    world.run(seconds { 4 }, perSecond, pick);
     switch (trouble) {
     case Trouble::KillHolder:
     case Trouble::RestartHolder:
@@ -588,6 +612,12 @@
             world.run(milliseconds { 1500 }, perSecond, [&] { return world.any(); });
         }
         break;
+    case Trouble::RestartTogether:
+        for (int vm = 0; vm < options.vms; vm++)
+            world.kill(vm);
+        for (int vm = 0; vm < options.vms; vm++)
+            world.addVm(vm);
+        break;
     case Trouble::CutHolder:
     case Trouble::CutOther: {
         auto cut = trouble == Trouble::CutHolder ? holder : other;
@@ -624,10 +654,12 @@
         auto trouble = static_cast<Trouble>(*rc::gen::inRange(0, static_cast<int>(Trouble::Count)));
         auto load = *rc::gen::element(0.9, 1.5, 4.0);
         auto atOneVm = *rc::gen::arbitrary<bool>();
-        auto world = play(trouble, load, atOneVm, Sharing::Holder, *rc::gen::arbitrary<uint64_t>());
+        // A large burst would show if it were granted twice.
+        auto burst = *rc::gen::element(20.0, 300.0);
+        auto world = play(trouble, load, atOneVm, Sharing::Holder, *rc::gen::arbitrary<uint64_t>(), burst);
         auto overshoot = world.overshoot(window);
         RC_LOG() << name(trouble) << " overshoot " << overshoot;
-        RC_ASSERT(overshoot <= maxOvershootShare * allowance(World::Options {}.quota));
+        RC_ASSERT(overshoot <= maxOvershootShare * allowance({ QuotaUnit::Requests, World::Options {}.quota.ratePerSecond, burst, 0 }));
     });
     cr_assert(held);
 }
--- a/tests/unit/edge_world.h
+++ b/tests/unit/edge_world.h
@@ -25,6 +25,31 @@
     return { "127.0.0.1", port };
 }
 
+/// Returns a client account for `TestCluster::configureAccounts`.
+/// @param more further fields, with a comma before each.
+inline std::string accountJson(const std::string& name, const std::string& key, double ratePerSecond, double burst, const std::string& more = "")
+{
+    return R"({"name":")" + name + R"(","api-keys":[")" + key + R"("],"rate-per-s":)" + std::to_string(ratePerSecond) + R"(,"burst":)" + std::to_string(burst) + more + "}";
+}
+
+/// Returns the header with a caller's key.
+inline std::vector<transport::Header> keyHeader(const std::string& key)
+{
+    return { { "Authorization", "Bearer " + key } };
+}
+
+/// Returns the header with the tokens that a caller states.
+inline transport::Header tokenHeader(int promptTokens, int outputTokens)
+{
+    return { "Token-Count", std::to_string(promptTokens) + "," + std::to_string(outputTokens) };
+}
+
+/// Returns the id in a request as it arrived at a worker.
+inline std::string sentId(const HttpRequest& request)
+{
+    return std::string(findHeader(request.headers, "Attempt-Id"));
+}
+
 /// A store, two workers of the service `app`, two of the service `llm` that hold the model `m1`, and some VMs. Tests run in
 /// parallel, each in its own process with its own base port. Base ports lie above or below those of the failure tests (20000 to 26600) and
 /// below the ephemeral ports of the system.
@@ -288,6 +313,16 @@
         this->store.write("keyed.op", "config", standins::makePlatformConfiguration(version, moreRoutes));
     }
 
+    /// Publishes a configuration with client accounts, and with an open route below `/open/`.
+    /// @param accounts list of results of `accountJson`, as JSON.
+    void configureAccounts(int version, const std::string& accounts)
+    {
+        auto route = standins::makePlatformRoute("open", "/open/");
+        auto text = standins::makePlatformConfiguration(version, route.insert(route.rfind('}'), R"(,"public":true)"));
+        text.insert(text.find("\"limits\":"), "\"tenants\":" + accounts + ",");
+        this->store.write("keyed.op", "config", text);
+    }
+
     /// Publishes version 1 of the configuration and waits until the first `vms` VMs are ready.
     void configureAndWait(int vms = 1)
     {
--- a/tests/unit/peers_test.cpp
+++ b/tests/unit/peers_test.cpp
@@ -748,3 +748,28 @@
     cr_assert_eq(cluster->llm(0).overcommits + cluster->llm(1).overcommits, 0);
     exitProcess();
 }
+
+// Guards against messages about quotas that arrive changed, and against costs that raise a level.
+Test(quota_messages, arrive_as_sent_without_negative_costs)
+{
+    edge::Heartbeat sent;
+    sent.node = "vm0";
+    sent.incarnation = 7;
+    sent.quota.asks = { { "ann", 11, 2.5 }, { "ann", 12, -1 } };
+    sent.quota.answers = { { 13, { accounts::ChargeOutcome::Refused, std::chrono::milliseconds { 250 } } } };
+    sent.quota.levels = { { "bob", true, -3.5, 100, accounts::Time { 5 }, 9, 40, accounts::Time { 4 }, true } };
+    sent.quota.returns = { 14, 15 };
+    auto received = edge::decodeHeartbeat(edge::encodeHeartbeat(sent));
+    cr_assert(received.has_value());
+    const auto& quota = received->quota;
+    cr_assert_eq(quota.asks.size(), 1U, "a negative cost is left out");
+    cr_assert(quota.asks[0].account == "ann" && quota.asks[0].number == 11 && quota.asks[0].cost == 2.5);
+    cr_assert_eq(quota.answers.size(), 1U);
+    cr_assert(quota.answers[0].number == 13 && quota.answers[0].answer.outcome == accounts::ChargeOutcome::Refused && quota.answers[0].answer.retryAfter == std::chrono::milliseconds { 250 });
+    cr_assert_eq(quota.levels.size(), 1U);
+    const auto& level = quota.levels[0];
+    cr_assert(level.account == "bob" && level.known && level.level == -3.5 && level.charged == 100 && level.wantsAnswer);
+    cr_assert(level.sentAt == accounts::Time { 5 } && level.receiver == 9 && level.seen == 40 && level.answers == accounts::Time { 4 });
+    cr_assert(quota.returns == (std::vector<uint64_t> { 14, 15 }));
+    cr_assert(edge::decodeHeartbeat(edge::encodeHeartbeat({ .node = "vm0" }))->quota.isEmpty());
+}
--- a/tests/unit/quota_test.cpp
+++ b/tests/unit/quota_test.cpp
@@ -6,25 +6,6 @@
 
 namespace {
 
-/// Publishes a configuration with client accounts.
-/// @param accounts list of accounts, as JSON.
-void configureAccounts(TestCluster& cluster, int version, const std::string& accounts)
-{
-    auto text = standins::makePlatformConfiguration(version, R"(,{"name":"open","host":"h.example","path-prefix":"/open/","kind":"idempotent","timeout-ms":1500,"target-latency-ms":150,"priority":1,"service":"app","max-attempts":2,"public":true})");
-    text.insert(text.find("\"limits\":"), "\"tenants\":" + accounts + ",");
-    cluster.store.write("keyed.op", "config", text);
-}
-
-std::string account(const std::string& name, const std::string& key, double rate, double burst, const std::string& more = "")
-{
-    return R"({"name":")" + name + R"(","api-keys":[")" + key + R"("],"rate-per-s":)" + std::to_string(rate) + R"(,"burst":)" + std::to_string(burst) + more + "}";
-}
-
-std::vector<transport::Header> keyHeader(const std::string& key)
-{
-    return { { "Authorization", "Bearer " + key } };
-}
-
 void waitUntilReady(TestCluster& cluster, int vms)
 {
     for (int i = 0; i < vms; i++)
@@ -51,8 +32,8 @@
 // Guards against keys that reach workers, accounts that callers name themselves, and callers without a key that get through.
 Test(quotas, worker_is_told_the_account_and_not_the_key, .timeout = 60)
 {
-    auto* cluster = new TestCluster(33600);
-    configureAccounts(*cluster, 1, "[" + account("ann", "k1", 0, 0) + "," + account("bob", "k2", 0, 0) + "]");
+    auto* cluster = new TestCluster(16600);
+    cluster->configureAccounts(1, "[" + accountJson("ann", "k1", 0, 0) + "," + accountJson("bob", "k2", 0, 0) + "]");
     waitUntilReady(*cluster, 1);
     auto headers = keyHeader("k2");
     headers.push_back({ "Tenant", "ann" });
@@ -65,7 +46,7 @@
             seen++;
             cr_assert(findHeader(request.headers, "Authorization").empty(), "the key was passed on");
             auto told = std::string(findHeader(request.headers, "Tenant"));
-            cr_assert(told == (findHeader(request.headers, "Attempt-Id") == "a1" ? "bob" : ""), "the worker was told \"%s\"", told.c_str());
+            cr_assert(told == (sentId(request) == "a1" ? "bob" : ""), "the worker was told \"%s\"", told.c_str());
         }
     }
     cr_assert_eq(seen, 2);
@@ -79,8 +60,8 @@
 Test(quotas, hold_over_two_vms_together, .timeout = 90)
 {
     constexpr int vms = 2;
-    auto* cluster = new TestCluster(33900, vms);
-    configureAccounts(*cluster, 1, "[" + account("slow", "k1", 10, 5) + "," + account("fast", "k2", 1000, 1000) + "]");
+    auto* cluster = new TestCluster(16700, vms);
+    cluster->configureAccounts(1, "[" + accountJson("slow", "k1", 10, 5) + "," + accountJson("fast", "k2", 1000, 1000) + "]");
     waitUntilReady(*cluster, vms);
     std::this_thread::sleep_for(seconds { 2 });
     sendRequests(*cluster, vms, seconds { 2 }, "k1");
@@ -96,7 +77,7 @@
     statuses = sendRequests(*cluster, vms, seconds { 2 }, "k2");
     cr_assert(statuses.size() == 1 && statuses[200] > 50, "another account is not refused");
     // A raised quota takes effect without a restart.
-    configureAccounts(*cluster, 2, "[" + account("slow", "k1", 1000, 1000) + "]");
+    cluster->configureAccounts(2, "[" + accountJson("slow", "k1", 1000, 1000) + "]");
     std::this_thread::sleep_for(seconds { 2 });
     statuses = sendRequests(*cluster, vms, seconds { 2 }, "k1");
     cr_assert(statuses.size() == 1 && statuses[200] > 50, "the raised quota is not applied");
@@ -106,8 +87,8 @@
 // Guards against requests that count though no worker has run them, and against callers that wait for room that never comes.
 Test(quotas, refused_requests_are_given_back_and_too_large_ones_told, .timeout = 60)
 {
-    auto* cluster = new TestCluster(34200);
-    configureAccounts(*cluster, 1, "[" + account("ann", "k1", 50, 100, R"(,"unit":"token_count","raw-tokens":100)") + "]");
+    auto* cluster = new TestCluster(16800);
+    cluster->configureAccounts(1, "[" + accountJson("ann", "k1", 50, 100, R"(,"unit":"token_count","raw-tokens":100)") + "]");
     waitUntilReady(*cluster, 1);
     std::this_thread::sleep_for(seconds { 3 });
     for (int i = 0; i < 2; i++)
@@ -121,7 +102,7 @@
     auto refusal = cluster->sendRequest("/status/x", "h", keyHeader("k1"));
     cr_assert_eq(refusal.status, 429U);
     auto headers = keyHeader("k1");
-    headers.push_back({ "Token-Count", "90,20" });
+    headers.push_back(tokenHeader(90, 20));
     refusal = cluster->sendRequest("/status/x", "i", headers);
     cr_assert_eq(refusal.status, 429U);
     cr_assert(findHeader(refusal.headers, "Retry-After").empty(), "there never is room for it");
