--- a/edge/include/edge/edge.h
+++ b/edge/include/edge/edge.h
@@ -107,6 +107,9 @@
     /// the first window.
     bool firstStart = true;
     bool queueByUrgency = false; ///< Requests that wait for a worker are ordered by urgency, also if the configuration has no client accounts.
+    milliseconds quotaWindow { 0 }; ///< Time over which the quotas of client accounts are measured.
+    double quotaOverage = 0; ///< Share of a quota by which it may be exceeded in that time.
+    double quotaSlack = 0; ///< Further amount by which it may be exceeded in that time, in the unit of the quota.
     milliseconds grace { 8000 }; ///< Time from SIGTERM to the end of the process.
     milliseconds leaseTime { 3000 }; ///< Minimum time between orders of two different lease holders.
     bool workersCheckTokens = true; ///< Workers reject orders with a fencing token lower than the highest they have seen.
