Two VMs of each group read all streams of the store for it

Cause: in deployments of several groups each VM followed configuration and members by itself. At 100 VMs and more the group's heartbeats come each 0.5 to 1.5 s, so that VMs took their readers for silent (1.5 s), read the worker stream themselves, and forwarded what they read to the whole group, which filled the links further.

Change: the readers of the worker stream follow configuration and members too, say so in their heartbeats (readsConfiguration), and tell their group at once of a new configuration; the others fetch its record from a VM that has it, and read by themselves if they don't hear two readers. A VM's member record is in its heartbeats for 10 s. Readers tell their group every 375 ms that they read. Worker records go out in partial heartbeats, and only readers forward them: what another VM read counts as not forwarded.

Result: peers_test, configuration_exchange_test, restored_store_test, stale_statements_test, worker_signals_test passed; each new test fails with its part taken out.

--- a/edge/include/edge/edge.h
+++ b/edge/include/edge/edge.h
@@ -48,6 +48,18 @@
 /// A VM that has not been heard from for this long does not count as a reader of the worker stream. Together with one read and its
 /// interval it stays below the 3 s after which no VM may send to a draining worker, even if all datagrams about it are lost.
 constexpr milliseconds maxReaderSilence { 1500 };
+/// Interval at which a reader of the worker stream tells its group that it reads, if the group is so large that its heartbeats come less
+/// often. Three lost ones in a row don't make the others read.
+constexpr milliseconds readerHeartbeatInterval = maxReaderSilence / 4;
+/// A VM that reads the worker stream because it missed the heartbeats of its readers forwards nothing as long as it heard them within this
+/// time: what they forward reaches the others.
+constexpr milliseconds maxForwarderSilence = 2 * maxReaderSilence;
+/// Maximum time without an own read of the configuration and of the members while other VMs of a large group read them. All heartbeats carry
+/// the version of the configuration, and those of a new VM its member record.
+constexpr milliseconds delegatedConfigurationInterval { 60000 };
+constexpr milliseconds delegatedMemberInterval { 30000 };
+/// Time after its publication for which heartbeats carry a VM's member record: several heartbeats to each VM of another group.
+constexpr milliseconds memberRepeatTime { 10000 };
 /// Number of VMs that read the worker stream for their group: if there is one group, and if there are more.
 constexpr size_t workerReaderCount = 3;
 constexpr size_t splitGroupReaderCount = 2;
--- a/edge/src/beat.capnp
+++ b/edge/src/beat.capnp
@@ -116,4 +116,10 @@
   leavingWorkers @25 :List(UInt64); # Stand for id and start, as in `Limit`.
   storeEra @26 :UInt64;
   leaseEra @27 :UInt64;
+  reserved28 @28 :Void;
+  reserved29 @29 :Void;
+  reserved30 @30 :Void;
+  reserved31 @31 :Void;
+  readsConfiguration @32 :Bool;
+  member @33 :Data; # The sender's member record.
 }
--- a/edge/src/beat.capnp.h
+++ b/edge/src/beat.capnp.h
@@ -209,7 +209,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ed1775a394c07423, 9, 14)
+    CAPNP_DECLARE_STRUCT_HEADER(ed1775a394c07423, 9, 15)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1337,6 +1337,19 @@
 
   inline  ::uint64_t getLeaseEra() const;
 
+  inline  ::capnp::Void getReserved28() const;
+
+  inline  ::capnp::Void getReserved29() const;
+
+  inline  ::capnp::Void getReserved30() const;
+
+  inline  ::capnp::Void getReserved31() const;
+
+  inline bool getReadsConfiguration() const;
+
+  inline bool hasMember() const;
+  inline  ::capnp::Data::Reader getMember() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1506,6 +1519,28 @@
   inline  ::uint64_t getLeaseEra();
   inline void setLeaseEra( ::uint64_t value);
 
+  inline  ::capnp::Void getReserved28();
+  inline void setReserved28( ::capnp::Void value = ::capnp::VOID);
+
+  inline  ::capnp::Void getReserved29();
+  inline void setReserved29( ::capnp::Void value = ::capnp::VOID);
+
+  inline  ::capnp::Void getReserved30();
+  inline void setReserved30( ::capnp::Void value = ::capnp::VOID);
+
+  inline  ::capnp::Void getReserved31();
+  inline void setReserved31( ::capnp::Void value = ::capnp::VOID);
+
+  inline bool getReadsConfiguration();
+  inline void setReadsConfiguration(bool value);
+
+  inline bool hasMember();
+  inline  ::capnp::Data::Builder getMember();
+  inline void setMember( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initMember(unsigned int size);
+  inline void adoptMember(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownMember();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2980,6 +3015,110 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::capnp::Void Beat::Reader::getReserved28() const {
+  return _reader.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::capnp::Void Beat::Builder::getReserved28() {
+  return _builder.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Beat::Builder::setReserved28( ::capnp::Void value) {
+  _builder.setDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::capnp::Void Beat::Reader::getReserved29() const {
+  return _reader.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::capnp::Void Beat::Builder::getReserved29() {
+  return _builder.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Beat::Builder::setReserved29( ::capnp::Void value) {
+  _builder.setDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::capnp::Void Beat::Reader::getReserved30() const {
+  return _reader.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::capnp::Void Beat::Builder::getReserved30() {
+  return _builder.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Beat::Builder::setReserved30( ::capnp::Void value) {
+  _builder.setDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::capnp::Void Beat::Reader::getReserved31() const {
+  return _reader.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::capnp::Void Beat::Builder::getReserved31() {
+  return _builder.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Beat::Builder::setReserved31( ::capnp::Void value) {
+  _builder.setDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Beat::Reader::getReadsConfiguration() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<134>() * ::capnp::ELEMENTS);
+}
+
+inline bool Beat::Builder::getReadsConfiguration() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<134>() * ::capnp::ELEMENTS);
+}
+inline void Beat::Builder::setReadsConfiguration(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<134>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Beat::Reader::hasMember() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS).isNull();
+}
+inline bool Beat::Builder::hasMember() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Beat::Reader::getMember() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Beat::Builder::getMember() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS));
+}
+inline void Beat::Builder::setMember( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Beat::Builder::initMember(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS), size);
+}
+inline void Beat::Builder::adoptMember(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Beat::Builder::disownMember() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/edge/src/edge.cpp
+++ b/edge/src/edge.cpp
@@ -64,10 +64,13 @@
                   this->crashes.recordCrash(worker, "entry");
                   this->leaveChecker.checkWorkers();
               },
-              [this](const auto& configuration) { this->callerServer.setLimits(callerServerLimits(this->settings, configuration.limits)); },
+              [this](const auto& configuration) {
+                  this->callerServer.setLimits(callerServerLimits(this->settings, configuration.limits));
+                  this->peers.announceConfiguration();
+              },
               [this] { this->peers.sendHeartbeat(); },
               [this](const auto& entry) { this->peers.forwardEntry(entry); },
-              { [this](Time ownReadAt) { return this->peers.enoughPeersReadWorkers(ownReadAt); }, [this](uint64_t version) { return this->peers.configurationSources(version); } })
+              { [this](Time ownReadAt) { return this->peers.enoughPeersReadWorkers(ownReadAt); }, [this] { return this->peers.enoughPeersFollowStore(); }, [this](uint64_t version) { return this->peers.configurationSources(version); } })
         , orders(this->vm, this->peers)
         , relay(this->vm, this->peers, this->crashes)
         , callerServer(
@@ -86,6 +89,7 @@
     void connectPeerCallbacks()
     {
         this->peers.readsWorkers = [this] { return this->store.hasReadWorkersRecently(); };
+        this->peers.readsConfiguration = [this] { return this->store.hasReadConfigurationRecently(); };
         this->peers.onForwardedEntries = [this](const auto& entries) { this->store.applyForwardedEntries(entries); };
         this->peers.onUnknownMember = [this] { this->store.refreshMembers(); };
         this->peers.onLeaveNews = [this] { this->leaveChecker.checkWorkers(); };
@@ -176,6 +180,7 @@
         this->runtime.spawn([this] { this->store.followWorkers(); });
         this->runtime.spawn([this] { this->store.followMembers(); });
         this->runtime.spawn([this] { this->peers.run(); });
+        this->runtime.spawn([this] { this->peers.announceReader(); });
         this->runtime.spawn([this] { this->orders.maintainLease(); });
         this->runtime.spawn([this] { this->orders.run(); });
         this->runtime.spawn([this] { this->monitorPeers(); });
--- a/edge/src/forward_queue.h
+++ b/edge/src/forward_queue.h
@@ -12,6 +12,12 @@
 public:
     /// Adds a record and numbers it.
     void push(const ForwardedEntry& entry);
+    /// Counts a record as forwarded that is not: who relies on this VM later finds it missing, and reads the stream.
+    void skip()
+    {
+        this->queuedCount++;
+        this->sentCount++;
+    }
     /// Moves records into a heartbeat, and sets its `forwardedCount` to the number of records that were sent so far. Those that were sent less
     /// often come first; a record leaves the queue with its last of `forwardRepeats` heartbeats.
     /// @param maxBytes bound of the records' size, which a single larger record may exceed.
--- a/edge/src/heartbeat_codec.h
+++ b/edge/src/heartbeat_codec.h
@@ -80,6 +80,8 @@
     /// are. For an urgent change it carries only the missing items and, from the lease holder, the newest changes of `resident`.
     bool partial = false;
     bool readsWorkers = false; ///< The VM has recently read the worker stream and forwards its new records.
+    bool readsConfiguration = false; ///< The VM has recently read the configuration as well, and passes it on.
+    std::optional<Member> member; ///< The VM's member record, for some time after it has been published.
     std::vector<ForwardedEntry> forwardedEntries; ///< Records of the worker stream, each in `forwardRepeats` heartbeats.
     uint64_t forwardedCount = 0; ///< Number of records that the VM has forwarded to its group.
     /// Data centre whose VMs' loads and outcomes the heartbeat sums up; empty if it tells of one VM. Of a summary only `node`,
--- a/edge/src/heartbeat_codec_capnp.cpp
+++ b/edge/src/heartbeat_codec_capnp.cpp
@@ -221,6 +221,11 @@
     root.setLeaseToken(heartbeat.leaseToken);
     root.setPartial(heartbeat.partial);
     root.setReadsWorkers(heartbeat.readsWorkers);
+    root.setReadsConfiguration(heartbeat.readsConfiguration);
+    if (heartbeat.member) {
+        auto member = encodeMember(*heartbeat.member);
+        root.setMember(kj::arrayPtr(reinterpret_cast<const kj::byte*>(member.data()), member.size()));
+    }
     root.setLeaseOffset(heartbeat.leasePosition.offset);
     root.setLeaseEra(heartbeat.leasePosition.era);
     root.setStoreEra(heartbeat.storeEra);
@@ -245,6 +250,10 @@
         heartbeat.leaseToken = root.getLeaseToken();
         heartbeat.partial = root.getPartial();
         heartbeat.readsWorkers = root.getReadsWorkers();
+        heartbeat.readsConfiguration = root.getReadsConfiguration();
+        auto member = root.getMember();
+        if (member.size() > 0)
+            heartbeat.member = decodeMember({ reinterpret_cast<const char*>(member.begin()), member.size() });
         heartbeat.leasePosition = { std::max(root.getLeaseEra(), ownership::firstEra), root.getLeaseOffset() };
         heartbeat.storeEra = root.getStoreEra();
         heartbeat.configVersion = root.getConfigVersion();
--- a/edge/src/peers.cpp
+++ b/edge/src/peers.cpp
@@ -64,15 +64,20 @@
     return this->socket.start();
 }
 
+Member Peers::ownMember() const
+{
+    return { this->incarnation, this->vm.settings.inner, this->vm.settings.front, this->vm.settings.dataCentre, capacityInCores(this->vm.settings) };
+}
+
 void Peers::publishMember()
 {
-    Member member { this->incarnation, this->vm.settings.inner, this->vm.settings.front, this->vm.settings.dataCentre, capacityInCores(this->vm.settings) };
     increment(this->vm.counters, CountedEvent::StoreCalls);
-    auto result = platform::append(this->vm.store(), platform::Stream::Members, this->vm.settings.node, encodeMember(member));
+    auto result = platform::append(this->vm.store(), platform::Stream::Members, this->vm.settings.node, encodeMember(this->ownMember()));
     if (!result) {
         increment(this->vm.counters, CountedEvent::StoreFailures);
         return;
     }
+    this->publishedSince = monotonicNow();
     this->publishedAt = { this->vm.storeEra.resolve(result.value().era), result.value().offset };
     this->isPublished = this->publishedAt.era == this->vm.storeEra.current();
 }
@@ -162,24 +167,110 @@
 
 void Peers::forwardEntry(const ForwardedEntry& entry)
 {
+    bool isReader = this->isReader();
+    bool hasOthers = false;
     {
         std::lock_guard lock(this->mutex);
-        this->forwardQueue.push(entry);
+        hasOthers = this->hasOtherGroups();
+        if (isReader)
+            this->forwardQueue.push(entry);
+        else
+            this->forwardQueue.skip();
     }
-    this->sendHeartbeat();
+    if (!isReader)
+        return;
+    // In a large group a full heartbeat is too much for a record, and would be sent too seldom.
+    if (hasOthers)
+        this->sendReaderHeartbeat();
+    else
+        this->sendHeartbeat();
 }
 
-bool Peers::enoughPeersReadWorkers(Time ownReadAt) const
+size_t Peers::readersBefore(Time silence, const std::function<bool(const Peer&)>& counts) const
 {
     auto now = monotonicNow();
     auto ownRank = this->ownDutyRank();
+    return static_cast<size_t>(std::count_if(this->peers.begin(), this->peers.end(), [&](const auto& item) {
+        const auto& [node, peer] = item;
+        bool reads = peer.readsWorkers && !peer.draining && peer.inGroup && now - peer.lastHeartbeatAt < silence && (!counts || counts(peer));
+        return reads && dutyRank(node, peer.member.capacity) < ownRank;
+    }));
+}
+
+bool Peers::isReader() const
+{
     std::lock_guard lock(this->mutex);
-    size_t readers = 0;
-    for (const auto& [node, peer] : this->peers) {
-        bool reads = peer.readsWorkers && !peer.draining && peer.inGroup && now - peer.lastHeartbeatAt < maxReaderSilence && peer.forwards.isComplete(ownReadAt);
-        readers += reads && dutyRank(node, peer.member.capacity) < ownRank ? 1 : 0;
+    return !this->hasOtherGroups() || this->readersBefore(maxForwarderSilence) < splitGroupReaderCount;
+}
+
+bool Peers::enoughPeersFollowStore() const
+{
+    std::lock_guard lock(this->mutex);
+    return this->hasOtherGroups() && this->readersBefore(maxReaderSilence, [](const Peer& peer) { return peer.readsConfiguration; }) >= splitGroupReaderCount;
+}
+
+void Peers::announceConfiguration()
+{
+    {
+        std::lock_guard lock(this->mutex);
+        if (!this->hasOtherGroups())
+            return;
     }
-    return readers >= (this->groupPeerCount < this->peers.size() ? splitGroupReaderCount : workerReaderCount);
+    if (this->isReader())
+        this->sendReaderHeartbeat();
+}
+
+void Peers::announceReader()
+{
+    while (!this->vm.status.stopping) {
+        sleepFor(readerHeartbeatInterval);
+        bool isDue = false;
+        {
+            std::lock_guard lock(this->mutex);
+            isDue = this->hasOtherGroups() && this->groupInterval() > readerHeartbeatInterval;
+        }
+        if (isDue && this->readsWorkers && this->readsWorkers() && this->isReader())
+            this->sendReaderHeartbeat();
+    }
+}
+
+void Peers::sendReaderHeartbeat()
+{
+    auto dueAt = this->lastReaderHeartbeatAt + this->minHeartbeatGap();
+    if (monotonicNow() < dueAt) {
+        if (std::exchange(this->readerHeartbeatPending, true))
+            return;
+        transport::spawnOnCurrentThread([this, dueAt] {
+            sleepFor(std::max(Time { 0 }, dueAt - monotonicNow()));
+            this->readerHeartbeatPending = false;
+            this->sendReaderHeartbeat();
+        });
+        return;
+    }
+    auto now = monotonicNow();
+    this->lastReaderHeartbeatAt = now;
+    auto heartbeat = this->makeHeartbeat(true);
+    std::vector<transport::Endpoint> targets;
+    bool hasUnsent = false;
+    {
+        std::lock_guard lock(this->mutex);
+        this->forwardQueue.fill(heartbeat, maxForwardedBytes);
+        hasUnsent = this->forwardQueue.hasUnsent();
+        for (const auto& [node, peer] : this->peers) {
+            if (peer.inGroup && this->isAlive(peer, now))
+                targets.push_back(peer.member.inner);
+        }
+    }
+    this->sendTo(this->groupOrder.next(std::move(targets)), heartbeat);
+    if (hasUnsent)
+        this->sendReaderHeartbeat();
+}
+
+bool Peers::enoughPeersReadWorkers(Time ownReadAt) const
+{
+    std::lock_guard lock(this->mutex);
+    auto readers = this->readersBefore(maxReaderSilence, [ownReadAt](const Peer& peer) { return peer.forwards.isComplete(ownReadAt); });
+    return readers >= (this->hasOtherGroups() ? splitGroupReaderCount : workerReaderCount);
 }
 
 void Peers::unregister()
@@ -204,7 +295,10 @@
     heartbeat.draining = this->vm.status.draining;
     heartbeat.overloaded = this->vm.status.overloaded;
     auto configuration = this->vm.fleet.configuration();
-    heartbeat.readsWorkers = this->readsWorkers && this->readsWorkers();
+    heartbeat.readsWorkers = this->readsWorkers && this->readsWorkers() && this->isReader();
+    heartbeat.readsConfiguration = heartbeat.readsWorkers && this->readsConfiguration && this->readsConfiguration();
+    if (this->isPublished && monotonicNow() - this->publishedSince < memberRepeatTime)
+        heartbeat.member = this->ownMember();
     heartbeat.storeEra = this->vm.storeEra.known();
     heartbeat.configVersion = configuration ? configuration->version : 0;
     this->newestVersion = std::max<uint64_t>(this->newestVersion, heartbeat.configVersion);
@@ -487,6 +581,7 @@
     if (!heartbeat->summaryOf.empty())
         return this->receiveSummary(std::move(*heartbeat));
     bool hasMissingItems = !heartbeat->missingItems.empty();
+    this->applySenderRecord(*heartbeat);
     std::unique_lock lock(this->mutex);
     auto found = this->peers.find(heartbeat->node);
     if (found == this->peers.end() || found->second.member.incarnation != heartbeat->incarnation) {
@@ -507,6 +602,7 @@
     peer.draining = heartbeat->draining;
     peer.overloaded = heartbeat->overloaded;
     peer.readsWorkers = heartbeat->readsWorkers;
+    peer.readsConfiguration = heartbeat->readsConfiguration;
     peer.configVersion = heartbeat->configVersion;
     peer.leaseToken = heartbeat->leaseToken;
     // A partial heartbeat carries no demand.
@@ -548,6 +644,13 @@
     }
 }
 
+void Peers::applySenderRecord(const Heartbeat& heartbeat)
+{
+    if (!heartbeat.member || heartbeat.draining || heartbeat.member->incarnation != heartbeat.incarnation || !this->vm.status.membersKnown)
+        return;
+    this->applyMember(heartbeat.node, heartbeat.member);
+}
+
 bool Peers::recordUnknownSender(const Heartbeat& heartbeat, Time now)
 {
     // A VM that shuts down has deleted its record.
--- a/edge/src/peers.h
+++ b/edge/src/peers.h
@@ -23,6 +23,7 @@
     bool draining = false;
     bool overloaded = false;
     bool readsWorkers = false;
+    bool readsConfiguration = false;
     uint64_t configVersion = 0;
     uint64_t leaseToken = 0;
     std::map<std::string, double> demand;
@@ -125,8 +126,18 @@
     /// count, so that the first ones are the readers.
     /// @param ownReadAt when this VM's last complete read of the stream began.
     bool enoughPeersReadWorkers(Time ownReadAt) const;
+    /// Returns whether enough other VMs of the group follow the configuration and the members, so that this VM need not. Never, if all VMs
+    /// form one group.
+    bool enoughPeersFollowStore() const;
+    /// Tells the group at once which version of the configuration this VM has, if this VM reads the store for it.
+    void announceConfiguration();
+    /// Tells the group at regular intervals that this VM reads the store for it, until the daemon stops. Only in large groups, whose
+    /// heartbeats come less often.
+    void announceReader();
     /// Returns whether this VM has recently read the worker stream.
     std::function<bool()> readsWorkers;
+    /// Returns whether this VM has recently read the configuration.
+    std::function<bool()> readsConfiguration;
     /// Called with the worker records of each heartbeat; there may be none.
     std::function<void(const std::vector<ForwardedEntry>&)> onForwardedEntries;
     /// Called with the position of the newest lease record for each heartbeat of a lease holder.
@@ -159,7 +170,17 @@
     Targets chooseTargets(Time now);
     /// Sends a heartbeat to each of `targets`, in parts if it is too large for a datagram, and counts what was sent and what was dropped.
     void sendTo(const std::vector<transport::Endpoint>& targets, const Heartbeat& heartbeat);
-    // The caller must hold the lock for the next six functions.
+    /// Returns whether this VM reads the store for its group, as fewer than the needed number of VMs that go before it do. In one group of
+    /// all VMs, each that reads does.
+    bool isReader() const;
+    /// Sends the group a partial heartbeat with the worker records that are due.
+    void sendReaderHeartbeat();
+    // The caller must hold the lock for the next eight functions.
+    /// Returns whether there are several groups.
+    bool hasOtherGroups() const { return this->groupPeerCount < this->peers.size(); }
+    /// Returns the number of VMs of the group that go before this one, read the worker stream and were heard within `silence`.
+    /// @param counts further condition. Optional.
+    size_t readersBefore(Time silence, const std::function<bool(const Peer&)>& counts = {}) const;
     /// Updates which peers are in this VM's group, after the members have changed.
     void updateGroup();
     /// Returns the interval between heartbeats to the group.
@@ -189,9 +210,13 @@
     void receiveSummary(Heartbeat summary);
     /// Applies a heartbeat datagram. Ignores heartbeats of unknown VMs or earlier incarnations, and those that arrive late.
     void receive(std::string_view bytes);
+    /// Applies the member record that a heartbeat of its VM carries.
+    void applySenderRecord(const Heartbeat& heartbeat);
     /// Records a heartbeat of an unknown member. The caller must hold the lock.
     /// @return whether `onUnknownMember` is to be called.
     bool recordUnknownSender(const Heartbeat& heartbeat, Time now);
+    /// Returns this VM's member record.
+    Member ownMember() const;
     /// Writes this VM's member record to the store. Sets `isPublished` if the store accepted it in its newest era.
     void publishMember();
     /// Applies a member record.
@@ -206,10 +231,13 @@
     CrashTracker& crashes;
     transport::DatagramSocket socket;
     uint64_t incarnation; ///< See `Member::incarnation`.
-    // The next four and `heartbeatPending` are used only on the I/O thread.
+    // The next seven and `heartbeatPending` are used only on the I/O thread.
     bool isPublished = false; ///< The store has this VM's member record.
     LogPosition publishedAt; ///< Position of that record.
     uint64_t sequence = 0; ///< Sequence number of the last heartbeat.
+    Time publishedSince { 0 }; ///< When the store accepted that record.
+    Time lastReaderHeartbeatAt { 0 }; ///< When a heartbeat last told the group that this VM reads the store for it.
+    bool readerHeartbeatPending = false; ///< One is scheduled.
     Time lastFullHeartbeatAt { 0 }; ///< When the last full heartbeat was sent.
     std::atomic<uint64_t> newestVersion { 0 }; ///< See `newestConfigurationVersion`.
     mutable std::mutex mutex;
--- a/edge/src/store_task.cpp
+++ b/edge/src/store_task.cpp
@@ -40,7 +40,7 @@
 
 void StoreTask::followConfiguration()
 {
-    this->followStream({ platform::Stream::Configuration, longPollTimeout, [] { return configurationReadInterval; }, [this](const auto& page, bool) { this->applyConfigurations(page); } });
+    this->followStream({ platform::Stream::Configuration, longPollTimeout, [] { return configurationReadInterval; }, [this](const auto& page, bool) { this->applyConfigurations(page); }, [this] { return this->isFollowingDelegated(); }, delegatedConfigurationInterval });
 }
 
 void StoreTask::applyConfigurations(const platform::StorePage& page)
@@ -80,6 +80,9 @@
     auto bound = this->vm.settings.configurationBound;
     if (this->isStoreFailing() && this->fetchConfiguration(version, bound))
         return;
+    // The time limit leaves enough of the bound for a read of the store.
+    if (this->isFollowingDelegated() && this->fetchConfiguration(version, bound / 8))
+        return;
     // The read loop usually reads the new version within this delay. If it does not, its read may hang on a dead connection,
     // and pooled connections may be dead too.
     sleepFor(newerVersionReadDelay);
@@ -93,7 +96,10 @@
 
 bool StoreTask::fetchConfiguration(uint64_t version, milliseconds timeLimit)
 {
+    auto startedAt = monotonicNow();
     for (const auto& source : this->peerReads.configurationSources(version)) {
+        if (monotonicNow() - startedAt > timeLimit)
+            break;
         transport::CallLimits limits;
         limits.connect = std::min(platform::storeConnectTimeout, timeLimit);
         limits.response = timeLimit;
@@ -114,11 +120,26 @@
     return false;
 }
 
-void StoreTask::checkConfiguration()
+Time StoreTask::configurationCheckInterval() const
 {
     Time bound = this->vm.settings.configurationBound;
-    auto interval = std::max(bound - configurationCheckReserve, std::chrono::duration_cast<Time>(bound * minConfigurationCheckShare));
-    if (this->checksConfiguration || monotonicNow() - this->configurationReadAt < interval)
+    return std::max(bound - configurationCheckReserve, std::chrono::duration_cast<Time>(bound * minConfigurationCheckShare));
+}
+
+bool StoreTask::hasReadConfigurationRecently() const
+{
+    return monotonicNow() - this->configurationReadAt < this->configurationCheckInterval() + 2 * workerReadInterval;
+}
+
+bool StoreTask::isFollowingDelegated() const
+{
+    // After a restoration each VM reads all streams anew.
+    return monotonicNow() - this->restoredAt >= entryRecoveryTime && this->peerReads.storeFollowed();
+}
+
+void StoreTask::checkConfiguration()
+{
+    if (this->checksConfiguration || this->isFollowingDelegated() || monotonicNow() - this->configurationReadAt < this->configurationCheckInterval())
         return;
     this->checksConfiguration = true;
     transport::spawnOnCurrentThread([this] {
@@ -220,12 +241,12 @@
 
 void StoreTask::followWorkers()
 {
-    this->followStream({ platform::Stream::Workers, milliseconds { 0 }, [] { return workerReadInterval; }, [this](const auto& page, bool fullRead) { this->applyWorkers(page, fullRead); }, [this] { return this->canSkipWorkerRead(); } });
+    this->followStream({ platform::Stream::Workers, milliseconds { 0 }, [] { return workerReadInterval; }, [this](const auto& page, bool fullRead) { this->applyWorkers(page, fullRead); }, [this] { return this->isWorkerReadDelegated(); }, delegatedReadInterval });
 }
 
 void StoreTask::followMembers()
 {
-    this->followStream({ platform::Stream::Members, longPollTimeout, [] { return memberReadInterval; }, [this](const auto& page, bool fullRead) { this->applyMembers(page, fullRead); } });
+    this->followStream({ platform::Stream::Members, longPollTimeout, [] { return memberReadInterval; }, [this](const auto& page, bool fullRead) { this->applyMembers(page, fullRead); }, [this] { return this->isFollowingDelegated(); }, delegatedMemberInterval });
 }
 
 void StoreTask::followStream(const StreamReader& reader)
@@ -233,6 +254,7 @@
     std::optional<LogPosition> next;
     auto retryDelay = storeRetryDelay;
     bool succeeded = true;
+    Time readAt { 0 };
     auto addressChanges = this->addressChanges;
     while (!this->vm.status.stopping) {
         // Offsets are valid only in the store that assigned them.
@@ -240,11 +262,14 @@
             next.reset();
         if (next && next->era != this->vm.storeEra.current())
             next.reset();
-        if (succeeded && next && reader.canSkipRead && reader.canSkipRead()) {
+        bool isDelegated = next && reader.isDelegated && reader.isDelegated();
+        if (succeeded && isDelegated && monotonicNow() - readAt < reader.delegatedInterval) {
             sleepFor(reader.interval());
             continue;
         }
-        succeeded = this->readOnce(reader, next, !succeeded);
+        succeeded = this->readOnce(reader, next, !succeeded || isDelegated);
+        if (succeeded)
+            readAt = monotonicNow();
         if (reader.stream == platform::Stream::Configuration)
             this->configurationNext = next;
         if (succeeded)
@@ -332,12 +357,12 @@
     return std::max(Time { 0 }, std::max(this->workersStreamRegainedAt, this->restoredAt) + entryRecoveryTime - monotonicNow());
 }
 
-bool StoreTask::canSkipWorkerRead() const
+bool StoreTask::isWorkerReadDelegated() const
 {
     // Workers write their entries again after a restoration. Those that bring nothing new to the readers are not forwarded.
     if (monotonicNow() - this->restoredAt < entryRecoveryTime)
         return false;
-    return this->vm.status.workersKnown && this->peerReads.workersRead(this->workersReadBeganAt) && monotonicNow() - this->workersReadAt < delegatedReadInterval;
+    return this->vm.status.workersKnown && this->peerReads.workersRead(this->workersReadBeganAt);
 }
 
 void StoreTask::applyForwardedEntries(const std::vector<ForwardedEntry>& entries)
--- a/edge/src/store_task.h
+++ b/edge/src/store_task.h
@@ -22,6 +22,8 @@
     struct PeerReads {
         /// Returns whether enough other VMs read the worker stream and forward its records, see `Peers::enoughPeersReadWorkers`.
         std::function<bool(Time ownReadAt)> workersRead;
+        /// Returns whether enough other VMs follow the configuration and the members, see `Peers::enoughPeersFollowStore`.
+        std::function<bool()> storeFollowed;
         /// Returns the VMs to ask for a configuration of this version or a newer one, see `Peers::configurationSources`.
         std::function<std::vector<ConfigurationSource>(uint64_t version)> configurationSources;
     };
@@ -31,6 +33,9 @@
     /// Returns whether this VM has read the worker stream within the last two read intervals.
     bool hasReadWorkersRecently() const { return monotonicNow() - this->workersReadAt < 2 * workerReadInterval; }
 
+    /// Returns whether this VM has read the configuration within the time that readers leave between two reads of it.
+    bool hasReadConfigurationRecently() const;
+
     /// These three each read one stream until the daemon stops, each on a fiber of its own.
     void followConfiguration();
     void followWorkers();
@@ -52,7 +57,8 @@
         milliseconds maxWait; ///< Longest time for which one read waits for new records; 0 does not wait.
         std::function<milliseconds()> interval; ///< Returns the time between two reads.
         std::function<void(const platform::StorePage&, bool fullRead)> apply; ///< Called with the records of each read.
-        std::function<bool()> canSkipRead = {}; ///< Returns whether the next read may be skipped. If empty, none is.
+        std::function<bool()> isDelegated = {}; ///< Returns whether other VMs read the stream for this one. If empty, none does.
+        milliseconds delegatedInterval { 0 }; ///< Longest time without an own read while others read; such a read does not wait for records.
     };
     /// Reads a stream until the daemon stops.
     void followStream(const StreamReader& reader);
@@ -77,7 +83,7 @@
     /// Gets a configuration that is at least as new as `version`, unless the read loop does.
     void refreshConfiguration(uint64_t version);
     /// Asks other VMs for the configuration, one after the other.
-    /// @param timeLimit for the head of each answer, and as much again for its body.
+    /// @param timeLimit for a connection, the head of an answer, and its body each. Beyond it no further VM is asked.
     /// @return whether the configuration in force is now at least as new as `version`.
     bool fetchConfiguration(uint64_t version, milliseconds timeLimit);
     /// Returns whether the last read of the configuration or of the workers has failed.
@@ -108,8 +114,12 @@
     void dropMissingWorkers();
     /// Closes the pooled connections to a worker that is gone.
     void closeIdleConnections(const transport::Endpoint& worker);
-    /// Returns whether the next read of the worker stream may be left to other VMs.
-    bool canSkipWorkerRead() const;
+    /// Returns whether other VMs read the worker stream for this one.
+    bool isWorkerReadDelegated() const;
+    /// Returns whether other VMs follow the configuration and the members for this one.
+    bool isFollowingDelegated() const;
+    /// Returns the time after which a reader of the store checks whether its pending read has missed a configuration.
+    Time configurationCheckInterval() const;
     void applyMembers(const platform::StorePage& page, bool fullRead);
     /// Returns the time for which a removed worker entry may still come back, because the store was unreachable or restored until
     /// recently; 0 if it was not.
--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -165,6 +165,10 @@
     auto topic = transport::queryValue(request.target, "topic");
     auto path = transport::targetPath(request.target);
     this->workerTopicReads += topic == workerTopic && path != "/v1/log-append" ? 1 : 0;
+    if (path != "/v1/log-append") {
+        std::lock_guard lock(this->mutex);
+        this->reads[topic]++;
+    }
     if (path == "/v1/log-append")
         this->serveAppend(topic, request, writer);
     else if (path == "/v1/log-read")
@@ -175,6 +179,13 @@
         this->sendStatus(404, writer);
 }
 
+int StoreStandin::readsOf(const std::string& topic) const
+{
+    std::lock_guard lock(this->mutex);
+    auto found = this->reads.find(topic);
+    return found == this->reads.end() ? 0 : found->second;
+}
+
 void StoreStandin::serveAppend(const std::string& topic, const HttpRequest& request, ResponseWriter& writer)
 {
     if (auto delay = this->appendDelayMs.load(); delay > 0)
--- a/tests/standins/platform_standin.h
+++ b/tests/standins/platform_standin.h
@@ -66,6 +66,8 @@
     std::atomic<int> readResponseDelayMs { 0 }; ///< Delay between a read and its response, which tells of the time before the delay.
     std::atomic<bool> statesEra { true }; ///< Responses state the era.
     std::atomic<int> workerTopicReads { 0 }; ///< Number of reads of the workers' topic.
+    /// Returns the number of reads of a topic.
+    int readsOf(const std::string& topic) const;
 
 private:
     void serve(const transport::HttpRequest& request, transport::ResponseWriter& writer);
@@ -83,6 +85,7 @@
 
     mutable std::mutex mutex; ///< Guards `topics` and `era`.
     Topics topics;
+    std::map<std::string, int> reads; ///< By topic. Guarded by `mutex`.
     uint64_t era = 1; ///< Rises with each restoration.
     transport::HttpServer server;
 };
--- a/tests/unit/configuration_exchange_test.cpp
+++ b/tests/unit/configuration_exchange_test.cpp
@@ -1,6 +1,7 @@
 /// Tests of how a VM that can't read the store gets the configuration from other VMs.
 #include "configuration_exchange.h"
 #include "edge_world.h"
+#include "heartbeat_codec.h"
 
 using namespace comfreypier;
 using namespace comfreypier::testing;
@@ -11,10 +12,12 @@
 constexpr const char* secondAddress = "127.0.0.2";
 
 /// Starts the VM `vm1` at that address and returns its settings.
-edge::Settings startSecondVm(TestCluster& cluster)
+/// @param processorShare cores that the VM may use, which sets its capacity.
+edge::Settings startSecondVm(TestCluster& cluster, double processorShare = 1)
 {
     auto settings = cluster.settingsOf(0);
     settings.node = "vm1";
+    settings.processorShare = processorShare;
     for (auto* endpoint : { &settings.front, &settings.directory, &settings.readiness, &settings.inner, &settings.metrics })
         endpoint->address = secondAddress;
     cluster.vms.push_back(std::make_unique<edge::Edge>(settings));
@@ -66,6 +69,48 @@
     cr_assert(record && record->version == 1 && record->value == standins::makePlatformConfiguration(1, ""));
 }
 
+// In a large group a VM that leaves the store to others gets a new configuration from them.
+CLUSTER_TEST(configuration_is_passed_on_within_a_large_group, 16550)
+{
+    auto second = startSecondVm(cluster, 0.5);
+    // One reader besides the first VM, and VMs of another data centre that are silent.
+    edge::Member reader { 1, loopback(16596), loopback(16597), "dc", 8 };
+    cluster.writeMember("reader", edge::encodeMember(reader));
+    for (uint16_t i = 0; i < edge::maxGroupSize; i++) {
+        edge::Member member { 1, { "127.0.0.3", static_cast<uint16_t>(16500 + i) }, { "127.0.0.3", static_cast<uint16_t>(17500 + i) }, "elsewhere", 1 };
+        cluster.writeMember("far" + std::to_string(i), edge::encodeMember(member));
+    }
+    transport::DatagramSocket socket(cluster.runtime, reader.inner, [](std::string_view) {});
+    cr_assert(socket.start());
+    cluster.runtime.spawn([&] {
+        edge::Heartbeat heartbeat;
+        heartbeat.node = "reader";
+        heartbeat.incarnation = 1;
+        heartbeat.readsWorkers = true;
+        heartbeat.readsConfiguration = true;
+        for (;; transport::sleepFor(milliseconds { 100 })) {
+            heartbeat.sequence++;
+            (void)socket.send(second.inner, edge::encodeHeartbeat(heartbeat));
+        }
+    });
+    auto fetchCount = [&] {
+        constexpr std::string_view label = "\"configurations_fetched\"} ";
+        auto response = cluster.call(second.metrics, { "GET", "/metrics", {}, {} });
+        cr_assert(static_cast<bool>(response));
+        return std::stoi(response.value().body.substr(response.value().body.find(label) + label.size()));
+    };
+    cluster.configure(1);
+    cr_assert(cluster.waitUntil([&] { return cluster.isReady() && serves(cluster, second, "/status/"); }));
+    std::this_thread::sleep_for(milliseconds { 2500 });
+    // Ends the read that waits since before the peers were known.
+    cluster.configure(2);
+    std::this_thread::sleep_for(milliseconds { 1500 });
+    auto fetched = fetchCount();
+    cluster.configure(3, standins::makePlatformRoute("new", "/new/"));
+    cr_assert(cluster.waitUntil([&] { return serves(cluster, second, "/new/"); }, milliseconds { 1500 }), "the configuration is not in force");
+    cr_assert_gt(fetchCount(), fetched);
+}
+
 Test(configuration_exchange, sources_of_the_own_data_centre_go_first_and_are_spread)
 {
     std::map<std::string, int> firstChoices;
--- a/tests/unit/edge_world.h
+++ b/tests/unit/edge_world.h
@@ -305,6 +305,8 @@
         }
     }
 
+    /// Writes the record of a VM that this cluster does not run to the members.
+    void writeMember(const std::string& node, const std::string& record) { this->store.write("keyed.comfreypier-members", node, record); }
     /// Returns the value of the record that a VM holds among the members, or an empty string.
     std::string memberRecord(int vm = 0) const { return this->store.newestValue("keyed.comfreypier-members", "vm" + std::to_string(vm)); }
     /// Returns the fencing token in the lease's record, or 0 if there is none.
--- a/tests/unit/peers_test.cpp
+++ b/tests/unit/peers_test.cpp
@@ -748,3 +748,137 @@
     cr_assert_eq(cluster->llm(0).overcommits + cluster->llm(1).overcommits, 0);
     exitProcess();
 }
+
+namespace {
+
+/// Peers of a deployment with two data centres, so that each forms a group of its own. In that of the VM under test two peers go before it and
+/// say that they read the store.
+class LargeDeployment {
+public:
+    LargeDeployment(TestCluster& cluster, uint16_t port)
+        : readers(cluster, port, readerPair(), "dc")
+        , others(cluster, static_cast<uint16_t>(port + 1 + readerPair().size()), numberedNames("far", edge::maxGroupSize), "elsewhere")
+    {
+        this->changeReaders([](edge::Heartbeat& heartbeat) {
+            heartbeat.readsWorkers = true;
+            heartbeat.readsConfiguration = true;
+        });
+    }
+
+    void changeReaders(const std::function<void(edge::Heartbeat&)>& change)
+    {
+        for (const auto& name : readerPair())
+            this->readers.changeHeartbeat(name, change);
+    }
+
+    SimulatedPeers readers;
+    SimulatedPeers others;
+
+private:
+    static std::vector<std::string> readerPair()
+    {
+        auto names = readerNames();
+        names.resize(edge::splitGroupReaderCount);
+        return names;
+    }
+};
+
+} // namespace
+
+// Each VM followed configuration and members by itself. While two others of a large group do, it reads neither; when these are cut from the
+// store, it reads both again in time.
+CLUSTER_TEST(vm_of_a_large_group_leaves_the_store_to_its_readers, 16800)
+{
+    LargeDeployment deployment(cluster, 16860);
+    cluster.configureAndWait();
+    std::this_thread::sleep_for(milliseconds { 2500 });
+    // Ends the reads that wait since before the peers were known.
+    cluster.configure(2);
+    cluster.store.write("keyed.comfreypier-members", "gone", "");
+    std::this_thread::sleep_for(milliseconds { 1000 });
+    auto configurationReads = cluster.store.readsOf("keyed.op");
+    auto memberReads = cluster.store.readsOf("keyed.comfreypier-members");
+    for (int version = 3; version < 8; version++) {
+        cluster.configure(version, standins::makePlatformRoute("new", "/new/"));
+        cluster.store.write("keyed.comfreypier-members", "gone", "");
+        std::this_thread::sleep_for(milliseconds { 500 });
+    }
+    cr_assert_eq(cluster.store.readsOf("keyed.op"), configurationReads);
+    cr_assert_eq(cluster.store.readsOf("keyed.comfreypier-members"), memberReads);
+    deployment.changeReaders([](edge::Heartbeat& heartbeat) { heartbeat.readsConfiguration = false; });
+    cr_assert(cluster.waitUntil([&] { return cluster.sendRequest("/new/x", "id-new").status == 200; }, milliseconds { 1500 }), "the VM does not read the configuration itself");
+    cr_assert(cluster.waitUntil([&] { return cluster.store.readsOf("keyed.comfreypier-members") > memberReads; }, 2 * edge::memberReadInterval));
+}
+
+// In a large group a VM reads the worker stream when it has missed something of its readers. If all such VMs forwarded what they read, the
+// links would be fuller and more would be missed.
+CLUSTER_TEST(only_readers_of_a_large_group_forward_records, 16900)
+{
+    LargeDeployment deployment(cluster, 16960);
+    cluster.configureAndWait();
+    std::this_thread::sleep_for(milliseconds { 2500 });
+    for (uint64_t round = 1; round < 8; round++) {
+        deployment.changeReaders([round](edge::Heartbeat& heartbeat) { heartbeat.forwardedCount = round; });
+        if (round == 3) {
+            cluster.app(0).draining = true;
+            cluster.app(0).publish();
+        }
+        std::this_thread::sleep_for(milliseconds { 300 });
+    }
+    cr_assert_eq(countRuns(cluster, 0, 12, "after-"), 0, "the VM has not read the record");
+    cr_assert_eq(deployment.readers.receivedEntries(), 0);
+    // Both are gone: the VM reads for the group.
+    deployment.changeReaders([](edge::Heartbeat& heartbeat) { heartbeat.readsWorkers = false; });
+    std::this_thread::sleep_for(milliseconds { 1000 });
+    cluster.app(1).startedAtMs++;
+    cluster.app(1).publish();
+    cr_assert(cluster.waitUntil([&] { return deployment.readers.receivedEntries() > 0; }), "the VM forwards nothing");
+}
+
+// What a VM has read and not forwarded is missing for those that rely on it from then on.
+Test(forward_queue, skipped_records_are_noticed_as_missing)
+{
+    edge::ForwardQueue queue;
+    edge::ForwardTracker tracker;
+    auto send = [&](seconds at) {
+        edge::Heartbeat heartbeat;
+        queue.fill(heartbeat, 1000);
+        tracker.record(heartbeat, at);
+    };
+    queue.push({ "w0", "value" });
+    send(seconds { 1 });
+    queue.push({ "w1", "value" });
+    send(seconds { 2 });
+    cr_assert(tracker.isComplete(seconds { 2 }), "nothing was skipped");
+    queue.skip();
+    send(seconds { 3 });
+    cr_assert_not(tracker.isComplete(seconds { 2 }));
+    queue.push({ "w2", "value" });
+    send(seconds { 4 });
+    cr_assert(tracker.isComplete(seconds { 4 }), "a later read covers what was skipped");
+}
+
+// A VM that does not read the members learns of a new one from its heartbeats.
+CLUSTER_TEST(new_vm_is_known_by_its_heartbeats, 16600)
+{
+    cluster.configureAndWait();
+    edge::Member member { 7, loopback(16650), loopback(16651), "dc", 1 };
+    transport::DatagramSocket socket(cluster.runtime, loopback(16650), [](std::string_view) {});
+    cr_assert(socket.start());
+    edge::Heartbeat heartbeat;
+    heartbeat.node = "new";
+    heartbeat.incarnation = 7;
+    heartbeat.ready = true;
+    auto isNamed = [&] {
+        heartbeat.sequence++;
+        (void)socket.send(loopback(cluster.base + 23), edge::encodeHeartbeat(heartbeat));
+        auto response = cluster.call(cluster.directory(), { "GET", "/v1/resolve?name=h.example&region=r&zone=dc", {}, {} });
+        return response && response.value().body.find("16651") != std::string::npos;
+    };
+    cr_assert_not(cluster.waitUntil(isNamed, milliseconds { 500 }));
+    heartbeat.member = member;
+    heartbeat.member->incarnation = 6;
+    cr_assert_not(cluster.waitUntil(isNamed, milliseconds { 500 }), "the record is of another start");
+    heartbeat.member = member;
+    cr_assert(cluster.waitUntil(isNamed, milliseconds { 500 }));
+}
