--- a/edge/src/beat.capnp
+++ b/edge/src/beat.capnp
@@ -147,4 +147,6 @@
   quotaAnswers @29 :List(QuotaAnswer);
   quotaLevels @30 :List(QuotaLevel);
   quotaReturns @31 :List(UInt64); # Numbers of asks whose charge is given back.
+  readsConfiguration @32 :Bool;
+  member @33 :Data; # The sender's member record.
 }
--- a/edge/src/beat.capnp.h
+++ b/edge/src/beat.capnp.h
@@ -257,7 +257,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ed1775a394c07423, 9, 18)
+    CAPNP_DECLARE_STRUCT_HEADER(ed1775a394c07423, 9, 19)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1695,6 +1695,11 @@
   inline bool hasQuotaReturns() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getQuotaReturns() const;
 
+  inline bool getReadsConfiguration() const;
+
+  inline bool hasMember() const;
+  inline  ::capnp::Data::Reader getMember() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1893,6 +1898,16 @@
   inline void adoptQuotaReturns(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownQuotaReturns();
 
+  inline bool getReadsConfiguration();
+  inline void setReadsConfiguration(bool value);
+
+  inline bool hasMember();
+  inline  ::capnp::Data::Builder getMember();
+  inline void setMember( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initMember(unsigned int size);
+  inline void adoptMember(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownMember();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3757,6 +3772,54 @@
       ::capnp::bounded<17>() * ::capnp::POINTERS));
 }
 
+inline bool Beat::Reader::getReadsConfiguration() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<134>() * ::capnp::ELEMENTS);
+}
+
+inline bool Beat::Builder::getReadsConfiguration() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<134>() * ::capnp::ELEMENTS);
+}
+inline void Beat::Builder::setReadsConfiguration(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<134>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Beat::Reader::hasMember() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<18>() * ::capnp::POINTERS).isNull();
+}
+inline bool Beat::Builder::hasMember() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<18>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Beat::Reader::getMember() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<18>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Beat::Builder::getMember() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<18>() * ::capnp::POINTERS));
+}
+inline void Beat::Builder::setMember( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<18>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Beat::Builder::initMember(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<18>() * ::capnp::POINTERS), size);
+}
+inline void Beat::Builder::adoptMember(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<18>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Beat::Builder::disownMember() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<18>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
