--- a/tests/unit/quota_test.cpp
+++ b/tests/unit/quota_test.cpp
@@ -32,7 +32,7 @@
 // Guards against keys that reach workers, accounts that callers name themselves, and callers without a key that get through.
 Test(quotas, worker_is_told_the_account_and_not_the_key, .timeout = 60)
 {
-    auto* cluster = new TestCluster(16600);
+    auto* cluster = new TestCluster(18100);
     cluster->configureAccounts(1, "[" + accountJson("ann", "k1", 0, 0) + "," + accountJson("bob", "k2", 0, 0) + "]");
     waitUntilReady(*cluster, 1);
     auto headers = keyHeader("k2");
@@ -60,7 +60,7 @@
 Test(quotas, hold_over_two_vms_together, .timeout = 90)
 {
     constexpr int vms = 2;
-    auto* cluster = new TestCluster(16700, vms);
+    auto* cluster = new TestCluster(18200, vms);
     cluster->configureAccounts(1, "[" + accountJson("slow", "k1", 10, 5) + "," + accountJson("fast", "k2", 1000, 1000) + "]");
     waitUntilReady(*cluster, vms);
     std::this_thread::sleep_for(seconds { 2 });
@@ -87,7 +87,7 @@
 // Guards against requests that count though no worker has run them, and against callers that wait for room that never comes.
 Test(quotas, refused_requests_are_given_back_and_too_large_ones_told, .timeout = 60)
 {
-    auto* cluster = new TestCluster(16800);
+    auto* cluster = new TestCluster(18300);
     cluster->configureAccounts(1, "[" + accountJson("ann", "k1", 50, 100, R"(,"unit":"token_count","raw-tokens":100)") + "]");
     waitUntilReady(*cluster, 1);
     std::this_thread::sleep_for(seconds { 3 });
