--- a/tests/unit/accounts_test.cpp
+++ b/tests/unit/accounts_test.cpp
@@ -480,6 +480,7 @@
 Test(quotas, holders_are_weighted_and_stay)
 {
     std::vector<QuotaVm> vms;
+    vms.reserve(20);
     for (int i = 0; i < 20; i++)
         vms.push_back({ "vm" + std::to_string(i), i < 10 ? 0.5 : 0.05 });
     int weak = 0;
