A heartbeat costs by what it reports, not by the number of workers

Cause: each heartbeat and summary replaced the load of its source at all workers, two look-ups in each worker's maps, also heartbeats of other groups, which carry no loads. Change: the fleet keeps the workers of which each source last reported something, and finds workers by their key. Heartbeats of VMs of other groups only discard what was reported before, if anything. Property with a model of the reports in group_news_test; without the discarding of old reports it fails. unit.peers_test and unit.group_news_test pass.

--- a/bench/micro.sh
+++ b/bench/micro.sh
@@ -1,2 +1,4 @@
 # Runs the micro-benchmarks, which need no daemons.
-exec "$(dirname "$0")/../build/bench/comfreypier-micro"
+dir="$(dirname "$0")/../build/bench"
+"$dir/comfreypier-micro"
+exec "$dir/comfreypier-heartbeats"
--- a/edge/src/fleet.cpp
+++ b/edge/src/fleet.cpp
@@ -92,13 +92,15 @@
     }
     bool isBack = found == this->workers.end() && droppedWorker != this->dropped.end();
     auto& known = this->workers[entry.id];
+    if (found == this->workers.end()) {
+        known.key = workerKey(entry.id);
+        this->workersByKey.emplace(known.key, &known);
+    }
     if (isBack) {
         known.worker.heldUntil = droppedWorker->second.heldUntil;
         known.holdNamedAt = droppedWorker->second.holdNamedAt;
     }
     known.newerFrom = after(position);
-    known.key = workerKey(entry.id);
-    this->workerIds[known.key] = entry.id;
     known.lastRecordAt = now;
     bool wasRemoved = std::exchange(known.removedAt, Time { 0 }) != Time { 0 };
     auto& worker = known.worker;
@@ -176,7 +178,8 @@
         if (it->second.removedAt != Time { 0 } && now >= it->second.removedAt + it->second.grace) {
             droppedNow.push_back({ it->first, it->second.worker.entry.address });
             this->dropped[it->first] = { it->second.newerFrom, it->second.worker.entry.startedAt, it->second.worker.heldUntil, it->second.holdNamedAt };
-            this->workerIds.erase(workerKey(it->first));
+            auto [first, last] = this->workersByKey.equal_range(it->second.key);
+            this->workersByKey.erase(std::find_if(first, last, [&](const auto& item) { return item.second == &it->second; }));
             it = this->workers.erase(it);
         } else
             ++it;
@@ -316,35 +319,71 @@
         this->groupPrefixes.pop_front();
 }
 
+void Fleet::forEachWithKey(WorkerKey key, const std::function<void(KnownWorker&)>& change)
+{
+    auto [first, last] = this->workersByKey.equal_range(key);
+    for (auto it = first; it != last; ++it)
+        change(*it->second);
+}
+
 void Fleet::addPrefixes(const std::vector<SentPrefix>& prefixes)
 {
+    if (!this->current)
+        return;
     for (const auto& prefix : prefixes) {
-        auto workerId = this->workerIds.find(prefix.worker);
-        auto found = workerId == this->workerIds.end() ? this->workers.end() : this->workers.find(workerId->second);
-        if (found == this->workers.end() || !this->current)
-            continue;
-        double cacheCapacity = 0; // Capacity of the worker's estimated prefix cache, in tokens.
-        auto service = this->current->services.find(found->second.worker.entry.service);
-        if (service != this->current->services.end() && service->second.engine)
-            cacheCapacity = service->second.engine->kvCacheTokens * routing::prefixCacheShare;
-        found->second.worker.prefixCache.add(prefix.hash, prefix.tokens, cacheCapacity);
+        this->forEachWithKey(prefix.worker, [&](KnownWorker& known) {
+            double cacheCapacity = 0; // Capacity of the worker's estimated prefix cache, in tokens.
+            auto service = this->current->services.find(known.worker.entry.service);
+            if (service != this->current->services.end() && service->second.engine)
+                cacheCapacity = service->second.engine->kvCacheTokens * routing::prefixCacheShare;
+            known.worker.prefixCache.add(prefix.hash, prefix.tokens, cacheCapacity);
+        });
     }
 }
 
-void Fleet::replacePeerLoad(const std::string& source, const Heartbeat& heartbeat, Time now)
+void Fleet::forgetReports(const std::string& source, const std::vector<WorkerKey>& keep)
 {
-    for (auto& [id, known] : this->workers) {
-        auto load = heartbeat.loads.find(known.key);
-        if (load == heartbeat.loads.end())
+    auto reported = this->reportedWorkers.find(source);
+    if (reported == this->reportedWorkers.end())
+        return;
+    for (auto key : reported->second) {
+        if (std::binary_search(keep.begin(), keep.end(), key))
+            continue;
+        this->forEachWithKey(key, [&source](KnownWorker& known) {
             known.worker.peerLoads.erase(source);
-        else
-            known.worker.peerLoads[source] = load->second;
-        auto outcomes = heartbeat.outcomes.find(known.key);
-        if (outcomes == heartbeat.outcomes.end())
             known.worker.peerOutcomes.erase(source);
-        else
-            known.worker.peerOutcomes[source] = { outcomes->second.failures, outcomes->second.total, now };
+        });
     }
+    if (keep.empty())
+        this->reportedWorkers.erase(reported);
+}
+
+void Fleet::replacePeerLoad(const std::string& source, const Heartbeat& heartbeat, Time now)
+{
+    std::vector<WorkerKey> keys;
+    for (const auto& [key, load] : heartbeat.loads)
+        keys.push_back(key);
+    for (const auto& [key, outcomes] : heartbeat.outcomes)
+        keys.push_back(key);
+    std::sort(keys.begin(), keys.end());
+    keys.erase(std::unique(keys.begin(), keys.end()), keys.end());
+    this->forgetReports(source, keys);
+    for (auto key : keys) {
+        auto load = heartbeat.loads.find(key);
+        auto outcomes = heartbeat.outcomes.find(key);
+        this->forEachWithKey(key, [&](KnownWorker& known) {
+            if (load == heartbeat.loads.end())
+                known.worker.peerLoads.erase(source);
+            else
+                known.worker.peerLoads[source] = load->second;
+            if (outcomes == heartbeat.outcomes.end())
+                known.worker.peerOutcomes.erase(source);
+            else
+                known.worker.peerOutcomes[source] = { outcomes->second.failures, outcomes->second.total, now };
+        });
+    }
+    if (!keys.empty())
+        this->reportedWorkers[source] = std::move(keys);
     if (this->onRoom)
         this->onRoom();
 }
@@ -405,10 +444,7 @@
 void Fleet::forgetPeerLoad(const std::string& peer)
 {
     std::lock_guard lock(this->mutex);
-    for (auto& [id, known] : this->workers) {
-        known.worker.peerLoads.erase(peer);
-        known.worker.peerOutcomes.erase(peer);
-    }
+    this->forgetReports(peer, {});
 }
 
 void Fleet::applyResident(const std::map<std::string, std::set<std::string>>& resident)
--- a/edge/src/fleet.h
+++ b/edge/src/fleet.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <memory>
 #include <mutex>
+#include <unordered_map>
 
 namespace comfreypier::edge {
 
@@ -199,6 +200,11 @@
         uint64_t sequence = 0;
         Time receivedAt { 0 };
     };
+    /// Calls `change` with each known worker that has this key. The caller must hold the lock.
+    void forEachWithKey(WorkerKey key, const std::function<void(KnownWorker&)>& change);
+    /// Discards what `source` has reported about workers whose key is not in `keep`. The caller must hold the lock.
+    /// @param keep sorted.
+    void forgetReports(const std::string& source, const std::vector<WorkerKey>& keep);
     /// Replaces the load and the outcomes that `source` (a VM or a data centre) reports. The caller must hold the lock.
     void replacePeerLoad(const std::string& source, const Heartbeat& heartbeat, Time now);
     /// Sets until when the workers' limits keep this VM from sending to them. The caller must hold the lock.
@@ -226,7 +232,8 @@
     std::map<std::string, KnownWorker> workers;
     std::map<std::string, SummarySource> summaries; ///< By data centre.
     std::map<std::string, DroppedEntry> dropped; ///< By worker id.
-    std::map<WorkerKey, std::string> workerIds; ///< Ids of the known workers, by the key that heartbeats use.
+    std::unordered_multimap<WorkerKey, KnownWorker*> workersByKey; ///< The known workers, by the key that heartbeats use.
+    std::map<std::string, std::vector<WorkerKey>> reportedWorkers; ///< Workers of which a VM or a data centre last reported something, sorted.
     std::vector<SentPrefix> sentPrefixes; ///< Prefixes for the next heartbeat.
     std::deque<SentPrefix> groupPrefixes; ///< Long prefixes of the whole group for the next summary, newest last.
     std::atomic<uint64_t> changeCount { 0 };
--- a/edge/src/peers.cpp
+++ b/edge/src/peers.cpp
@@ -616,19 +616,18 @@
         peer.demand = heartbeat->demand;
     if ((!heartbeat->partial || heartbeat->forwardedCount > 0) && peer.inGroup)
         peer.forwards.record(*heartbeat, monotonicNow());
-    // The lease holder gets full heartbeats of all VMs. The loads and prefixes of other groups are in their summaries already.
-    if (!peer.inGroup) {
-        heartbeat->sentPrefixes.clear();
-        heartbeat->loads.clear();
-        heartbeat->outcomes.clear();
-    }
+    bool inGroup = peer.inGroup;
     // VMs of the own group hear from the peer themselves.
-    bool relaysReports = !peer.inGroup;
+    bool relaysReports = !inGroup;
     peer.missingItems = std::move(heartbeat->missingItems);
     lock.unlock();
     // Before the records and the lease that the heartbeat tells of, which may be of the new era.
     this->vm.storeEra.observe(heartbeat->storeEra);
-    this->vm.fleet.applyHeartbeat(heartbeat->node, *heartbeat);
+    // The lease holder gets full heartbeats of all VMs. The loads and prefixes of other groups are in their summaries already.
+    if (inGroup)
+        this->vm.fleet.applyHeartbeat(heartbeat->node, *heartbeat);
+    else if (!heartbeat->partial)
+        this->vm.fleet.forgetPeerLoad(heartbeat->node);
     if (heartbeat->leaseToken != 0) {
         this->vm.fleet.applyResident(heartbeat->resident);
         if (this->onLeaseClaim)
--- a/tests/unit/group_news_test.cpp
+++ b/tests/unit/group_news_test.cpp
@@ -2,6 +2,7 @@
 #include "fleet.h"
 
 #include <criterion/criterion.h>
+#include <rapidcheck.h>
 
 using namespace comfreypier;
 using namespace comfreypier::edge;
@@ -93,3 +94,90 @@
     cr_assert(receiver.applySummary(summary, now));
     cr_assert_eq(receiver.choose(shape).id, "b");
 }
+
+namespace {
+
+/// What VMs have reported about one worker since it became known, by VM.
+struct Reported {
+    std::map<std::string, routing::WorkerLoad> loads;
+    std::set<std::string> failing;
+};
+
+/// Workers of the property below that come and go.
+const std::vector<std::string> guestIds { "c", "d", "e" };
+
+/// Returns a heartbeat of `vm` with random loads and failures.
+Heartbeat makeRandomReports(const std::string& vm)
+{
+    Heartbeat heartbeat;
+    heartbeat.node = vm;
+    for (const auto* id : { "a", "b", "c", "d", "e" }) {
+        if (*rc::gen::inRange(0, 3) == 0)
+            heartbeat.loads[workerKey(id)] = { 1, 2, *rc::gen::inRange(1U, 5U) };
+        if (*rc::gen::inRange(0, 3) == 0)
+            heartbeat.outcomes[workerKey(id)] = { 1, 2, {} };
+    }
+    return heartbeat;
+}
+
+void replaceReports(std::map<std::string, Reported>& model, const Heartbeat& heartbeat)
+{
+    for (auto& [id, reported] : model) {
+        reported.loads.erase(heartbeat.node);
+        reported.failing.erase(heartbeat.node);
+        if (auto load = heartbeat.loads.find(workerKey(id)); load != heartbeat.loads.end())
+            reported.loads[heartbeat.node] = load->second;
+        if (heartbeat.outcomes.contains(workerKey(id)))
+            reported.failing.insert(heartbeat.node);
+    }
+}
+
+} // namespace
+
+// A heartbeat replaces all that its VM has reported, also of workers that came, left or restarted in between.
+Test(group_news, what_a_vm_reports_replaces_what_it_reported_before)
+{
+    cr_assert(rc::check("", [] {
+        KnowingFleet fleet("vm0", "near");
+        std::map<std::string, Reported> model { { "a", {} }, { "b", {} } };
+        uint64_t offset = 10;
+        auto steps = *rc::gen::inRange(1, 40);
+        for (int step = 0; step < steps; step++) {
+            auto vm = "vm" + std::to_string(*rc::gen::inRange(1, 4));
+            auto guest = guestIds[*rc::gen::inRange<size_t>(0, guestIds.size())];
+            switch (*rc::gen::inRange(0, 5)) {
+            case 0:
+                fleet.forgetPeerLoad(vm);
+                replaceReports(model, { vm });
+                break;
+            case 1: {
+                routing::WorkerEntry entry;
+                entry.id = guest;
+                entry.startedAt = 1;
+                fleet.applyEntry(entry, { 1, ++offset }, false, now);
+                model[guest];
+                break;
+            }
+            case 2:
+                if (fleet.markRemoved(guest, { 1, ++offset }, now, Time { 0 }))
+                    model.erase(guest);
+                fleet.dropRemoved(now);
+                break;
+            default:
+                auto heartbeat = makeRandomReports(vm);
+                fleet.applyHeartbeat(vm, heartbeat);
+                replaceReports(model, heartbeat);
+            }
+            RC_ASSERT(fleet.entries().size() == model.size());
+            for (const auto& [id, reported] : model) {
+                fleet.updateWorker(id, [&reported = reported](routing::Worker& worker) {
+                    RC_ASSERT(worker.peerLoads == reported.loads);
+                    std::set<std::string> failing;
+                    for (const auto& [source, outcomes] : worker.peerOutcomes)
+                        failing.insert(source);
+                    RC_ASSERT(failing == reported.failing);
+                });
+            }
+        }
+    }));
+}
