Refused requests free what they have received before their connections are drained

`request = {}` after a failed read assigns an empty string to the body, which keeps the block of the body it had; the reservation was given back, and the block stayed until the connection was drained, up to a second. The more bodies are refused within that second, the higher the peak: it depends on speed. Not the arenas: there is one I/O thread.

Change: parser, request and reservation of one request are one object; a failed read destroys it, and the connection's buffer, before the error is sent. Crowds, bounds and checks are as before.

--- a/tests/unit/memory_budget_test.cpp
+++ b/tests/unit/memory_budget_test.cpp
@@ -5,6 +5,7 @@
 #include <arpa/inet.h>
 #include <criterion/criterion.h>
 #include <csignal>
+#include <malloc.h>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -36,10 +37,12 @@
     return transport::chooseConnectionsToClose(pointers, 10s, 1000, mayCloseIdle, count);
 }
 
-constexpr uint16_t port = 26995;
+/// Ports of the tests, which run at the same time.
+constexpr uint16_t streamPort = 26995;
+constexpr uint16_t refusalPort = 26988;
 
-/// Sends a request on a new connection.
-int sendGet(const char* path)
+/// Sends bytes on a new connection. The server may end it before all are sent.
+int sendBytes(uint16_t port, const std::string& bytes)
 {
     int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     sockaddr_in address {};
@@ -50,11 +53,16 @@
     setsockopt(descriptor, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
     // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast)
     cr_assert_eq(connect(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof address), 0);
-    auto request = std::string("GET ") + path + " HTTP/1.1\r\nHost: h\r\n\r\n";
-    send(descriptor, request.data(), request.size(), MSG_NOSIGNAL);
+    send(descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
     return descriptor;
 }
 
+/// Sends a request for a stream or an answer on a new connection.
+int sendGet(const char* path)
+{
+    return sendBytes(streamPort, std::string("GET ") + path + " HTTP/1.1\r\nHost: h\r\n\r\n");
+}
+
 } // namespace
 
 // Crowds that send nothing, stop half-way or read nothing must go before callers who have progress, in the order of what it costs them.
@@ -126,6 +134,44 @@
     cr_assert_not(budget.tryTakeServerPlace());
 }
 
+// Callers whose bodies find no memory stay connected until the rest of them is drained; many of them must not hold more than the memory for requests.
+Test(connection_budget, refused_requests_hold_no_memory)
+{
+    signal(SIGPIPE, SIG_IGN);
+    transport::Runtime runtime(1);
+    transport::BufferMemory memory(4 * 1024 * 1024);
+    transport::ConnectionBudget budget(100, 75, 1024 * 1024);
+    auto handler = [](const transport::HttpRequest&, transport::ResponseWriter& writer) { writer.send({ 200, {}, "ok" }); };
+    auto makeErrorResponse = [](unsigned status, std::string_view reason) { return transport::HttpResponse { status, {}, std::string(reason) }; };
+    transport::ServerLimits limits;
+    limits.maxBodyBytes = 8 * 1024 * 1024;
+    transport::HttpServer server(runtime, { "127.0.0.1", refusalPort }, limits, handler, makeErrorResponse, &memory, &budget);
+    cr_assert(server.start());
+    std::string chunks;
+    for (int i = 0; i < 1000; i++)
+        chunks += "3e8\r\n" + std::string(1000, 'x') + "\r\n";
+    auto allocatedBytes = [] {
+        auto info = mallinfo2();
+        return info.uordblks + info.hblkhd;
+    };
+    auto before = allocatedBytes();
+    std::vector<int> callers;
+    for (int i = 0; i < 20; i++) {
+        int caller = sendBytes(refusalPort, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks);
+        std::array<char, 12> status {};
+        cr_assert_eq(recv(caller, status.data(), status.size(), MSG_WAITALL), 12);
+        cr_assert_eq(std::string_view(status.data() + 9, 3), "503");
+        callers.push_back(caller);
+    }
+    auto after = allocatedBytes();
+    cr_assert_eq(server.stats().connections, callers.size(), "the connections are drained");
+    cr_assert_leq(after, before + 1024 * 1024, "%zu bytes before, %zu after", before, after);
+    for (auto caller : callers)
+        close(caller);
+    server.closeAll();
+    cr_assert(runtime.stop(5s));
+}
+
 // Callers who read nothing of their streams must not hold all places, and their handlers must learn that they were closed.
 Test(connection_budget, slow_readers_make_room_for_an_ordinary_caller)
 {
@@ -145,7 +191,7 @@
         ended++;
     };
     auto makeErrorResponse = [](unsigned status, std::string_view reason) { return transport::HttpResponse { status, {}, std::string(reason) }; };
-    transport::HttpServer server(runtime, { "127.0.0.1", port }, {}, handler, makeErrorResponse, &memory, &budget);
+    transport::HttpServer server(runtime, { "127.0.0.1", streamPort }, {}, handler, makeErrorResponse, &memory, &budget);
     cr_assert(server.start());
     int first = sendGet("/stream");
     int second = sendGet("/stream");
--- a/transport/src/http_server_beast.cpp
+++ b/transport/src/http_server_beast.cpp
@@ -263,6 +263,18 @@
         uint64_t fieldCount = 0; ///< Fields of the head.
     };
 
+    /// A request while it is received and handled. Its memory is freed before the reservation for it ends.
+    struct IncomingRequest {
+        IncomingRequest(BufferMemory& memory, const ServerLimits& limits)
+            : reservation(memory)
+            , parser(limits)
+        {
+        }
+        BufferReservation reservation;
+        RequestParser parser;
+        HttpRequest request;
+    };
+
     /// Returns false for 204 (No Content) and 304 (Not Modified), whose responses have no body.
     bool allowsBody(unsigned status)
     {
@@ -586,32 +598,31 @@
         connection.idle = false;
         connection.served = true;
         auto limits = this->currentLimits();
-        auto parser = std::make_optional<RequestParser>(limits);
+        auto incoming = std::make_optional<IncomingRequest>(this->memory, limits);
         // A head of the largest size has progress if it is complete within the read timeout.
         connection.minRate = limits.maxHeaderBytes / std::chrono::duration<double>(limits.readTimeout).count();
         connection.buffer.max_size(std::max<size_t>(limits.maxHeaderBytes, maxUnparsedBytes));
         auto& socket = connection.stream.socket();
         auto deadline = std::make_optional<ReadDeadline>(socket, limits.readTimeout);
-        BufferReservation reservation(this->memory);
-        HttpRequest request;
-        auto read = this->readRequest(connection, *parser, reservation, request);
+        auto read = this->readRequest(connection, *incoming);
         // A read that was cancelled at its deadline ends with another error.
         if (deadline->hasExpired())
             read.error = beast::error::timeout;
         deadline.reset();
         if (read.error) {
-            parser.reset();
-            request = {};
-            reservation.tryHold(0);
+            connection.buffer.clear();
+            connection.buffer.shrink_to_fit();
+            // A string that an empty one is assigned to would keep its memory.
+            incoming.reset();
             this->rejectRequest(connection, read.error);
             return false;
         }
-        bool keepAlive = parser->keep_alive() && this->accepting;
+        bool keepAlive = incoming->parser.keep_alive() && this->accepting;
         beginState(connection.activity, ConnectionState::Handling, monotonicNow());
         BeastWriter writer(connection, limits.writeTimeout, keepAlive, this->closeAnnounced);
         this->activeRequests++;
         this->requests++;
-        bool handled = this->callHandler(request, writer);
+        bool handled = this->callHandler(incoming->request, writer);
         this->activeRequests--;
         connection.idle = true;
         if (connection.buffer.size() == 0 && connection.buffer.capacity() > firstBufferBytes)
@@ -639,10 +650,10 @@
     }
 
     /// Reads one request. Its trailers are left out.
-    /// @param reservation receives the memory for it.
-    /// @return `no_buffer_space` if there is not enough of it.
-    IoResult readRequest(Connection& connection, RequestParser& parser, BufferReservation& reservation, HttpRequest& request) const
+    /// @return `no_buffer_space` if there is not enough memory for it.
+    IoResult readRequest(Connection& connection, IncomingRequest& incoming) const
     {
+        auto& [reservation, parser, request] = incoming;
         auto& socket = connection.stream.socket();
         auto& buffer = connection.buffer;
         auto mayHold = [&](size_t further) {
@@ -732,8 +743,6 @@
         ErrorCode ignored;
         connection.stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
         beginState(connection.activity, ConnectionState::Idle, monotonicNow());
-        connection.buffer.clear();
-        connection.buffer.shrink_to_fit();
         connection.stream.expires_after(drainTimeout);
         bool open = !connection.closing;
         while (open) {
