--- a/transport/src/http_server_beast.cpp
+++ b/transport/src/http_server_beast.cpp
@@ -653,7 +653,8 @@
     /// @return `no_buffer_space` if there is not enough memory for it.
     IoResult readRequest(Connection& connection, IncomingRequest& incoming) const
     {
-        auto& [reservation, parser, request] = incoming;
+        auto& parser = incoming.parser;
+        auto& request = incoming.request;
         auto& socket = connection.stream.socket();
         auto& buffer = connection.buffer;
         auto mayHold = [&](size_t further) {
@@ -664,7 +665,7 @@
             // A body with a length gets its memory at once: bodies that grow at the same time would all fail.
             if (parser.is_header_done())
                 bytes += parser.bodyBytes();
-            return this->tryHold(connection, reservation, bytes);
+            return this->tryHold(connection, incoming.reservation, bytes);
         };
         auto onReceived = [&](size_t bytes) { recordProgress(connection.activity, bytes, monotonicNow()); };
         auto read = readMessage(socket, buffer, parser, ReadUntil::HeadEnd, mayHold, onReceived);
