Queue: missing models are no starvation, made-up names take no memory

Cause: A request refused because its model, adapter or worker is missing counted as one that the order had kept from being served. Twenty such requests of the batch kind made that kind go before urgent ones. Each model and adapter that a caller named, and each retry, kept a group and a share for 40 s: 1,000 made-up adapters and 1,000 retries left 4,003 entries. Change: The queue learns why a request is blocked. Refusals of what is missing count for no share; groups are remembered only of models and adapters that a worker has had, retries share the entry of what they ask for. Existing tests only state the reason in place of a flag.

--- a/edge/src/waiting_room.cpp
+++ b/edge/src/waiting_room.cpp
@@ -44,9 +44,8 @@
 
 void WaitingRoom::Place::recordBlocked(const routing::Choice& choice, Time now)
 {
-    bool lacksRoom = choice.blockReason == routing::BlockReason::NoCapacity;
     std::lock_guard lock(this->room.mutex);
-    this->service->queue.recordBlocked(this->id, lacksRoom, choice.timeToCapacity / std::max(1U, choice.fullWorkers), now);
+    this->service->queue.recordBlocked(this->id, choice.blockReason, choice.timeToCapacity / std::max(1U, choice.fullWorkers), now);
 }
 
 void WaitingRoom::Place::start(Time now)
--- a/routing/include/routing/routing.h
+++ b/routing/include/routing/routing.h
@@ -928,10 +928,10 @@
     void refuse(uint64_t id, Time now);
     /// Removes a request that ended otherwise: its caller has gone, or the VM shuts down.
     void remove(uint64_t id, Time now);
-    /// Records whether a request waits for room, rather than for a model to be loaded or a worker to take requests again. The rate of starts is
-    /// measured while one does.
+    /// Records what a request waits for: room, or a model to be loaded or a worker to take requests again. The rate of starts is measured while
+    /// one waits for room.
     /// @param timeToCapacity expected time between places, which is used while no rate of starts is known; 0 if it is not known either.
-    void recordBlocked(uint64_t id, bool lacksRoom, Time timeToCapacity, Time now);
+    void recordBlocked(uint64_t id, BlockReason reason, Time timeToCapacity, Time now);
     /// Returns the position of a request and whether it is refused now. The request stays in the queue.
     QueueDecision decide(uint64_t id, Time now);
     /// Returns the first request of each group that waits for the same, in the order of the whole queue, as of the last decisions.
@@ -939,6 +939,8 @@
     size_t size() const { return this->entries.size(); }
     /// Returns the number of waiting requests of a priority.
     size_t waiting(uint32_t priority) const;
+    /// Returns the number of groups, shares and accounts of which something is remembered.
+    size_t rememberedCount() const { return this->groups.size() + this->served.size() + this->accounts.size(); }
 
 private:
     /// An amount that decays with a half-life.
@@ -968,7 +970,9 @@
     struct Entry {
         WaitingRequest request;
         std::string group;
+        std::string item; ///< Model and adapter.
         bool lacksRoom = false; ///< See `recordBlocked`.
+        BlockReason blocked = BlockReason::None; ///< See `recordBlocked`.
         bool mayGiveWay = true; ///< Neither its size nor its model is starved.
         bool admitted = false; ///< It has been found to meet its target, and gives way to none that comes later.
         Rank rank;
@@ -978,6 +982,7 @@
     struct Group {
         std::vector<uint64_t> order; ///< As of `plannedAt`.
         bool changed = false; ///< A request has come or gone since.
+        bool exists = false; ///< A worker has had the model and adapter.
         Time plannedAt { 0 };
         Decayed startedWork; ///< While requests waited, in seconds of work.
         Decayed busyTime; ///< Time for which requests waited, in seconds.
@@ -1000,7 +1005,7 @@
     struct ShareKeys {
         std::string kind; ///< Its priority.
         std::string size; ///< Its priority and whether it is large.
-        std::string group; ///< What it waits for.
+        std::string item; ///< Model and adapter.
     };
 
     /// Removes a request.
--- a/routing/src/wait_queue.cpp
+++ b/routing/src/wait_queue.cpp
@@ -49,6 +49,18 @@
         return std::min(request.priority, maxQueuePriority);
     }
 
+    /// Returns whether a request waits for what more room would not give it.
+    bool isMissing(BlockReason reason)
+    {
+        return reason == BlockReason::NoWorker || reason == BlockReason::NoModel || reason == BlockReason::NoAdapter;
+    }
+
+    /// Returns whether a request waits for room only. It then asks for what the workers have.
+    bool isForRoom(BlockReason reason)
+    {
+        return reason == BlockReason::None || reason == BlockReason::NoCapacity;
+    }
+
     /// Returns the work of a request for the time in which its target is.
     double density(const WaitingRequest& request)
     {
@@ -71,9 +83,10 @@
 void WaitQueue::add(const WaitingRequest& request, Time now)
 {
     this->forgetOld(now);
-    auto name = request.model + "/" + request.adapter + (request.alone ? "#" + std::to_string(request.id) : "");
     auto& entry = this->entries[request.id];
     entry.request = request;
+    entry.item = request.model + "/" + request.adapter;
+    auto name = entry.item + (request.alone ? "#" + std::to_string(request.id) : "");
     entry.request.workSeconds = std::max(request.workSeconds, minWorkSeconds);
     entry.group = name;
     auto& group = this->groups[name];
@@ -108,6 +121,9 @@
     group.changed = true;
     if (auto use = this->accounts.find(entry.request.account); use != this->accounts.end())
         use->second.waiting--;
+    // Callers may name any model and adapter.
+    if (group.order.empty() && (entry.request.alone || !group.exists))
+        this->groups.erase(entry.group);
     return entry;
 }
 
@@ -118,10 +134,12 @@
         return;
     auto& group = this->groups[found->second.group];
     bool isBusy = this->isBusy(group);
-    auto entry = this->takeOut(id, now);
     // What starts while nothing waits tells nothing of the rate at which room becomes free.
     if (isBusy)
-        group.startedWork.add(entry.request.workSeconds, now, queueHalfLife);
+        group.startedWork.add(found->second.request.workSeconds, now, queueHalfLife);
+    group.exists = true;
+    found->second.blocked = BlockReason::None;
+    auto entry = this->takeOut(id, now);
     if (auto use = this->accounts.find(entry.request.account); use != this->accounts.end())
         use->second.startedWork.add(entry.request.workSeconds, now, queueHalfLife);
     this->recordEnd(entry, true, now);
@@ -129,7 +147,9 @@
 
 void WaitQueue::refuse(uint64_t id, Time now)
 {
-    this->recordEnd(this->takeOut(id, now), false, now);
+    auto entry = this->takeOut(id, now);
+    if (!isMissing(entry.blocked))
+        this->recordEnd(entry, false, now);
 }
 
 void WaitQueue::remove(uint64_t id, Time now)
@@ -137,16 +157,20 @@
     this->takeOut(id, now);
 }
 
-void WaitQueue::recordBlocked(uint64_t id, bool lacksRoom, Time timeToCapacity, Time now)
+void WaitQueue::recordBlocked(uint64_t id, BlockReason reason, Time timeToCapacity, Time now)
 {
+    bool lacksRoom = reason == BlockReason::NoCapacity;
     auto found = this->entries.find(id);
     if (found == this->entries.end())
         return;
     auto& group = this->groups[found->second.group];
     this->countBusyTime(group, now);
     found->second.lacksRoom = lacksRoom;
-    if (lacksRoom)
+    found->second.blocked = reason;
+    if (lacksRoom) {
         group.timeToCapacity = timeToCapacity;
+        group.exists = true;
+    }
 }
 
 size_t WaitQueue::waiting(uint32_t priority) const
@@ -187,13 +211,15 @@
     auto known = this->served.find(kind);
     double ended = known == this->served.end() ? 0 : known->second.ended.value(now, queueHalfLife);
     bool large = ended >= minEndedForShare && entry.request.workSeconds * ended > largeWorkFactor * known->second.work.value(now, queueHalfLife);
-    return { kind, kind + (large ? "/large" : "/small"), "g" + entry.group };
+    return { kind, kind + (large ? "/large" : "/small"), "g" + entry.item };
 }
 
 void WaitQueue::recordEnd(const Entry& entry, bool wasServed, Time now)
 {
     auto keys = this->shareKeys(entry, now);
-    for (const auto& key : { std::string(), keys.kind, keys.size, keys.group }) {
+    for (const auto& key : { std::string(), keys.kind, keys.size, keys.item }) {
+        if (key == keys.item && !isForRoom(entry.blocked))
+            continue;
         auto& share = this->served[key];
         share.ended.add(1, now, queueHalfLife);
         share.served.add(wasServed ? 1 : 0, now, queueHalfLife);
@@ -324,7 +350,7 @@
         const auto& request = entry.request;
         entry.rank = { !this->isKindStarved(request, now), this->levelOf(entry, now), this->overShare.contains(request.account), false, startOf(request.targetAt, request.workSeconds), id };
         auto keys = this->shareKeys(entry, now);
-        entry.mayGiveWay = !this->isStarved(keys.size, keys.kind, minServedShare, now) && !this->isStarved(keys.group, "", minServedShare, now);
+        entry.mayGiveWay = !this->isStarved(keys.size, keys.kind, minServedShare, now) && !this->isStarved(keys.item, "", minServedShare, now);
         work += request.workSeconds;
         ordered.push_back(&entry);
     }
--- a/tests/unit/wait_queue_test.cpp
+++ b/tests/unit/wait_queue_test.cpp
@@ -111,7 +111,7 @@
         auto place = std::min_element(this->freeAt.begin(), this->freeAt.end());
         bool hasRoom = *place <= this->now;
         if (!hasRoom)
-            this->queue.recordBlocked(id, true, *place - this->now, this->now);
+            this->queue.recordBlocked(id, BlockReason::NoCapacity, *place - this->now, this->now);
         auto decision = this->queue.decide(id, this->now);
         if (hasRoom && decision.isFirst) {
             this->queue.start(id, this->now);
@@ -371,7 +371,7 @@
         queue.add(makeRequest(id, 1, Time { 0 }), Time { 0 });
     for (auto now = Time { 0 }; now < seconds { 3 }; now += milliseconds { 40 }) {
         for (uint64_t id = 1; id <= 40; id++) {
-            queue.recordBlocked(id, false, Time { 0 }, now);
+            queue.recordBlocked(id, BlockReason::NoModel, Time { 0 }, now);
             cr_assert_eq(queue.decide(id, now).refusal, QueueRefusal::None);
         }
     }
@@ -383,11 +383,11 @@
     WaitQueue queue;
     milliseconds last { 0 };
     queue.add(makeRequest(1, 0, Time { 0 }), Time { 0 });
-    queue.recordBlocked(1, true, seconds { 2 }, Time { 0 });
+    queue.recordBlocked(1, BlockReason::NoCapacity, seconds { 2 }, Time { 0 });
     int refused = 0;
     for (uint64_t id = 2; id <= 12; id++) {
         queue.add(makeRequest(id, 0, Time { 0 }), Time { 0 });
-        queue.recordBlocked(id, true, seconds { 2 }, Time { 0 });
+        queue.recordBlocked(id, BlockReason::NoCapacity, seconds { 2 }, Time { 0 });
         auto decision = queue.decide(id, Time { 0 });
         if (decision.refusal == QueueRefusal::None)
             continue;
@@ -400,3 +400,43 @@
     cr_assert_gt(refused, 3);
     cr_assert_gt(last, maxRetryAfter, "room is far off");
 }
+
+// Room would not have helped a request for a model that nobody has, so it makes no kind go first.
+Test(wait_queue, requests_for_what_is_missing_are_no_sign_of_starvation)
+{
+    WaitQueue queue;
+    Time now { seconds { 1 } };
+    for (uint64_t id = 1; id <= 20; id++) {
+        auto missing = makeRequest(id, 2, now);
+        missing.model = "missing";
+        queue.add(missing, now);
+        queue.recordBlocked(id, BlockReason::NoModel, Time { 0 }, now);
+        queue.refuse(id, now);
+        queue.add(makeRequest(100 + id, 0, now), now);
+        queue.start(100 + id, now);
+    }
+    queue.add(makeRequest(200, 2, now), now);
+    queue.add(makeRequest(201, 0, now), now);
+    cr_assert(queue.decide(201, now).isFirst);
+    cr_assert_not(queue.decide(200, now).isFirst);
+}
+
+// Callers can name any model and adapter.
+Test(wait_queue, names_that_callers_make_up_are_not_remembered)
+{
+    WaitQueue queue;
+    Time now { seconds { 1 } };
+    for (uint64_t id = 1; id <= 1000; id++) {
+        auto request = makeRequest(id, 1, now);
+        request.adapter = "made-up-" + std::to_string(id);
+        queue.add(request, now);
+        queue.recordBlocked(id, BlockReason::NoAdapter, Time { 0 }, now);
+        queue.decide(id, now);
+        queue.refuse(id, now);
+        auto retry = makeRequest(2000 + id, 1, now);
+        retry.alone = true;
+        queue.add(retry, now);
+        queue.start(2000 + id, now);
+    }
+    cr_assert_leq(queue.rememberedCount(), 10U, "%zu", queue.rememberedCount());
+}
