Queue: a request counts for no more work than fits into its time

Cause: Callers state the length of their prompts. One of 4 billion tokens counted as 40 hours of work: less urgent callers were refused for more than 20 s after it, and its account got nearly all of the fair share. Change: Work is bounded by the time from arrival to deadline.

--- a/routing/src/wait_queue.cpp
+++ b/routing/src/wait_queue.cpp
@@ -87,7 +87,9 @@
     entry.request = request;
     entry.item = request.model + "/" + request.adapter;
     auto name = entry.item + (request.alone ? "#" + std::to_string(request.id) : "");
-    entry.request.workSeconds = std::max(request.workSeconds, minWorkSeconds);
+    // Callers state the size of their requests. Nobody gets more work done than fits into the time.
+    auto ownSeconds = Seconds(request.deadline - request.arrivedAt).count();
+    entry.request.workSeconds = std::max(std::min(request.workSeconds, ownSeconds), minWorkSeconds);
     entry.group = name;
     auto& group = this->groups[name];
     this->countBusyTime(group, now);
--- a/tests/unit/wait_queue_test.cpp
+++ b/tests/unit/wait_queue_test.cpp
@@ -401,6 +401,74 @@
     cr_assert_gt(last, maxRetryAfter, "room is far off");
 }
 
+namespace {
+
+/// Keeps requests of one priority waiting at a place that starts one every 100 ms, so that the queue knows the rate.
+struct SteadyFlow {
+    static constexpr milliseconds gap { 100 };
+
+    void play(Time length, uint32_t priority)
+    {
+        for (auto end = this->now + length; this->now < end; this->now += gap) {
+            while (this->queue.size() < 3)
+                this->add(makeRequest(0, priority, this->now));
+            auto first = this->queue.firsts().front();
+            this->queue.recordBlocked(first, BlockReason::NoCapacity, gap, this->now);
+            this->queue.decide(first, this->now);
+            this->queue.start(this->queue.firsts().front(), this->now);
+        }
+    }
+    uint64_t add(WaitingRequest request)
+    {
+        request.id = ++this->lastId;
+        this->queue.add(request, this->now);
+        this->queue.recordBlocked(request.id, BlockReason::NoCapacity, gap, this->now);
+        return request.id;
+    }
+    QueueDecision decide(uint64_t id) { return this->queue.decide(id, this->now); }
+
+    WaitQueue queue;
+    Time now { seconds { 100 } };
+    uint64_t lastId = 0;
+};
+
+} // namespace
+
+// account, would be served for minutes.
+Test(wait_queue, request_of_absurd_size_keeps_nobody_else_out)
+{
+    SteadyFlow flow;
+    flow.play(seconds { 6 }, 1);
+    auto absurd = makeRequest(0, 0, flow.now);
+    absurd.workSeconds = 143000;
+    flow.queue.refuse(flow.add(absurd), flow.now);
+    flow.play(seconds { 20 }, 1);
+    auto id = flow.add(makeRequest(0, 1, flow.now));
+    cr_assert_eq(flow.decide(id).refusal, QueueRefusal::None);
+}
+
+// Nor does an account earn a share by stating it.
+Test(wait_queue, request_of_absurd_size_earns_its_account_no_share)
+{
+    WaitQueue queue;
+    auto of = [](const std::string& account, uint64_t id, Time at, double work) {
+        auto request = makeRequest(id, 0, at);
+        request.account = account;
+        request.workSeconds = work;
+        return request;
+    };
+    Time now { 0 };
+    queue.add(of("absurd", 1, now, 143000), now);
+    queue.remove(1, now);
+    for (uint64_t i = 2; i < 302; i++, now += milliseconds { 100 }) {
+        queue.add(of("sound", i, now, 1), now);
+        queue.start(i, now);
+    }
+    queue.add(of("sound", 1001, now, 1), now);
+    queue.add(of("absurd", 1002, now, 0.1), now);
+    cr_assert(queue.decide(1001, now).isFirst, "its account has sent nearly all work for half a minute");
+}
+
 // Room would not have helped a request for a model that nobody has, so it makes no kind go first.
 Test(wait_queue, requests_for_what_is_missing_are_no_sign_of_starvation)
 {
