Queue: a suspension of the VM says nothing about the rate of the workers

Cause: The rate at which room becomes free is the started work over the time for which requests waited, and a suspension counted as such. After 20 s the second request that arrived was expected to start in 471 s, and refused.

--- a/routing/src/wait_queue.cpp
+++ b/routing/src/wait_queue.cpp
@@ -23,6 +23,8 @@
     constexpr double minShareWithRoom = 0.95;
     /// Time after which what was measured is forgotten, in half-lives.
     constexpr int memoryHalfLives = 10;
+    /// Longest time for which nobody looks at a queue with waiting requests while its VM runs: several times the interval of their wake-ups.
+    constexpr milliseconds maxQueuePause { 250 };
     /// Shortest time over which a rate is measured, in seconds.
     constexpr double minRateSeconds = 0.001;
 
@@ -321,8 +323,9 @@
 
 void WaitQueue::countBusyTime(Group& group, Time now) const
 {
+    // After a longer pause the VM was suspended, and what it could have started meanwhile is not known.
     if (now > group.busyUntil && this->isBusy(group))
-        group.busyTime.add(Seconds(now - group.busyUntil).count(), now, queueHalfLife);
+        group.busyTime.add(Seconds(std::min<Time>(now - group.busyUntil, maxQueuePause)).count(), now, queueHalfLife);
     group.busyUntil = std::max(group.busyUntil, now);
 }
 
--- a/tests/unit/wait_queue_test.cpp
+++ b/tests/unit/wait_queue_test.cpp
@@ -434,6 +434,18 @@
 
 } // namespace
 
+// A VM that was suspended started nothing meanwhile, which tells nothing of the workers.
+Test(wait_queue, rate_from_before_a_suspension_holds_after_it)
+{
+    SteadyFlow flow;
+    flow.play(seconds { 6 }, 1);
+    flow.now += seconds { 20 };
+    for (int i = 0; i < 10; i++) {
+        auto id = flow.add(makeRequest(0, 1, flow.now));
+        cr_assert_eq(flow.decide(id).refusal, QueueRefusal::None, "request %d: expected to start after %g s", i, std::chrono::duration<double>(flow.decide(id).expectedStart).count());
+    }
+}
+
 // account, would be served for minutes.
 Test(wait_queue, request_of_absurd_size_keeps_nobody_else_out)
 {
