Queue: a starved kind is not refused for requests that go after it

Cause: The requests of a starved kind go first, but their expected start counted on the rate that the more urgent arrivals leave: all but the first of them were refused. Change: Its expected start and Retry-After are by the whole rate. Result: wait_queue_test 20 of 20 passed; the new test failed before (expected start 5.1 s of 4.8 s that it may wait).

--- a/routing/src/wait_queue.cpp
+++ b/routing/src/wait_queue.cpp
@@ -372,10 +372,12 @@
 
 double WaitQueue::planLevel(const std::vector<Entry*>& level, double ahead, Group& group, double typicalWork, Time now)
 {
-    size_t classes = 2 * level.front()->rank.level + (level.front()->rank.overShare ? 1 : 0);
+    const auto& rank = level.front()->rank;
+    // A starved kind goes before the more urgent ones that arrive.
+    size_t classes = rank.usual ? 2 * rank.level + (rank.overShare ? 1 : 0) : 0;
     auto allRate = WaitQueue::rate(group, 0, typicalWork, now);
     // Requests of the same level that arrive later go before those that are late already.
-    auto lateRate = WaitQueue::rate(group, classes + 1, typicalWork, now);
+    auto lateRate = WaitQueue::rate(group, rank.usual ? classes + 1 : 0, typicalWork, now);
     auto onTimeRate = WaitQueue::rate(group, classes, typicalWork, now);
     std::vector<Entry*> onTime;
     std::vector<Entry*> late;
@@ -439,7 +441,7 @@
             ahead += other.request.workSeconds;
     }
     // Callers that are refused one after the other come back as room becomes free for each.
-    auto rate = WaitQueue::rate(group, 2 * entry.rank.level + 2, typicalWork, now);
+    auto rate = WaitQueue::rate(group, entry.rank.usual ? 2 * entry.rank.level + 2 : 0, typicalWork, now);
     auto& promised = group.promisedUntil[priorityOf(entry.request)];
     auto honoured = std::chrono::duration_cast<Time>((entry.request.deadline - now) * maxHonouredRetryShare);
     promised = std::max(promised, now + toTime(ahead / rate)) + toTime(entry.request.workSeconds / rate);
--- a/tests/unit/wait_queue_test.cpp
+++ b/tests/unit/wait_queue_test.cpp
@@ -520,3 +520,21 @@
     }
     cr_assert_leq(queue.rememberedCount(), 10U, "%zu", queue.rememberedCount());
 }
+
+// A kind that goes first as it is starved does not wait for the more urgent ones that arrive.
+Test(wait_queue, starved_kind_is_not_refused_for_what_goes_after_it)
+{
+    SteadyFlow flow;
+    for (int i = 0; i < 30; i++) {
+        flow.play(milliseconds { 200 }, 0);
+        // As many again are refused, and none of the starved kind is served.
+        for (uint32_t priority : { 0U, 0U, 2U })
+            flow.queue.refuse(flow.add(makeRequest(0, priority, flow.now)), flow.now);
+    }
+    std::vector<uint64_t> starved;
+    for (int i = 0; i < 4; i++)
+        starved.push_back(flow.add(makeRequest(0, 2, flow.now)));
+    cr_assert(flow.decide(starved[0]).isFirst);
+    for (auto id : starved)
+        cr_assert_eq(flow.decide(id).refusal, QueueRefusal::None, "expected to start after %g s", std::chrono::duration<double>(flow.decide(id).expectedStart).count());
+}
