Choice: what candidates have in common is computed once

Cause: The cached tokens of a prompt were looked up twice for each candidate, the key of the prompt's order of workers was computed for each, and a text was put together for each worker of the service. Change: Once for each decision; the rank of workers for a missing adapter once for each worker.

--- a/routing/src/choice.cpp
+++ b/routing/src/choice.cpp
@@ -120,21 +120,28 @@
     /// Returns the cost of the worker that comes last in the order for the prompt's shared parts, if some worker has them. Long shared parts stay
     /// on the first workers of that order until these are so busy that reading the parts elsewhere serves the callers better. How often parts
     /// that no worker has will be asked for is not known.
-    Time sharedPrefixCost(const std::vector<Worker*>& candidates, const ChoiceInputs& inputs)
+    /// @param cached cached tokens of the prompt at each candidate.
+    Time sharedPrefixCost(const std::vector<uint32_t>& cached, const ChoiceInputs& inputs)
     {
         auto tokens = sharedTokens(*inputs.shape);
-        bool isCached = tokens > 0 && std::any_of(candidates.begin(), candidates.end(), [&](const Worker* worker) { return cachedTokens(worker->prefixCache, *inputs.shape, *inputs.prefixHashes) >= tokens; });
+        bool isCached = tokens > 0 && std::any_of(cached.begin(), cached.end(), [tokens](uint32_t cachedTokens) { return cachedTokens >= tokens; });
         return isCached ? std::chrono::duration_cast<Time>(prefillTime(tokens) * sharedPrefixWeight) : Time { 0 };
     }
 
-    /// The worker's service must have an engine. @param prefixCost result of `sharedPrefixCost`.
-    Estimate estimateModelWorker(const Worker& worker, const ChoiceInputs& inputs, Time prefixCost)
+    /// What all candidates have in common.
+    struct PromptCosts {
+        uint64_t affinityKey = 0; ///< Result of `affinityKey`.
+        Time affinityCost { 0 }; ///< Cost of the worker that comes last in the order for the prompt.
+    };
+
+    /// The worker's service must have an engine. @param cached cached tokens of the prompt at the worker.
+    Estimate estimateModelWorker(const Worker& worker, const ChoiceInputs& inputs, const PromptCosts& costs, uint32_t cached)
     {
         const auto& shape = *inputs.shape;
         const auto& engine = *inputs.service->engine;
         Estimate estimate;
         auto load = totalLoad(worker);
-        estimate.cachedTokens = cachedTokens(worker.prefixCache, shape, *inputs.prefixHashes);
+        estimate.cachedTokens = cached;
         double uncachedTokens = shape.promptTokens - estimate.cachedTokens;
         double slowness = decayedSlowness(worker, inputs.now);
         auto prefill = prefillTime(load.prefillTokens + uncachedTokens) * slowness;
@@ -143,7 +150,7 @@
         // `timeToFirstByte` contains the request's own prefill once already, so only the rest of its weight is added to the cost.
         auto ownPrefill = std::chrono::duration_cast<Time>(prefillTime(uncachedTokens));
         estimate.cost = estimate.timeToFirstByte + scale(ownPrefill, prefillCostWeight - 1 + prefillDelayShare * load.requests) + remoteDataCentreCost(worker, inputs) + expectedFailureCost(worker, inputs);
-        estimate.cost += scale(maxAffinityCost + prefixCost, affinity(worker, affinityKey(inputs))) + randomSpread(worker, inputs);
+        estimate.cost += scale(costs.affinityCost, affinity(worker, costs.affinityKey)) + randomSpread(worker, inputs);
         double neededTokens = uncachedTokens + shape.outputTokens;
         estimate.hasCapacity = load.requests < engine.slots && load.memoryTokens + neededTokens <= engine.kvCacheTokens * maxKvCacheFill;
         // An idle worker accepts a request of any size: waiting would not give it more capacity.
@@ -177,12 +184,6 @@
         return estimate;
     }
 
-    /// @param prefixCost result of `sharedPrefixCost`; unused for plain services.
-    Estimate estimateWorker(const Worker& worker, const ChoiceInputs& inputs, Time prefixCost)
-    {
-        return inputs.service->engine ? estimateModelWorker(worker, inputs, prefixCost) : estimatePlainWorker(worker, inputs);
-    }
-
     /// Chooses the worker that should load a missing adapter. VMs with the same state choose the same one. Workers that execute a
     /// model order come last, because they refuse adapter orders; before them come workers without a free adapter slot.
     /// @param modelHolders not empty.
@@ -195,7 +196,9 @@
         auto key = hashText(shape.adapter, hashText(shape.model));
         // The affinity is below 1, so each deduction outweighs it.
         auto rank = [key, hasNoFreeSlot](const Worker* worker) { return affinity(*worker, key) - (worker->announced.contains(orderInProgressMark) ? 2 : 0) - (hasNoFreeSlot(worker) ? 1 : 0); };
-        return *std::max_element(modelHolders.begin(), modelHolders.end(), [&rank](const Worker* a, const Worker* b) { return rank(a) < rank(b); });
+        std::vector<double> ranks;
+        std::transform(modelHolders.begin(), modelHolders.end(), std::back_inserter(ranks), rank);
+        return modelHolders[static_cast<size_t>(std::max_element(ranks.begin(), ranks.end()) - ranks.begin())];
     }
 
     /// Returns the candidate with capacity and the lowest cost, or `NoCapacity` if none has capacity.
@@ -206,9 +209,16 @@
         choice.blockReason = BlockReason::NoCapacity;
         Time minCost = Time::max();
         choice.timeToCapacity = Time::max();
-        auto prefixCost = inputs.service->engine ? sharedPrefixCost(candidates, inputs) : Time { 0 };
-        for (auto* worker : candidates) {
-            auto estimate = estimateWorker(*worker, inputs, prefixCost);
+        bool hasEngine = inputs.service->engine.has_value();
+        PromptCosts costs;
+        std::vector<uint32_t> cached;
+        if (hasEngine) {
+            std::transform(candidates.begin(), candidates.end(), std::back_inserter(cached), [&inputs](const Worker* worker) { return cachedTokens(worker->prefixCache, *inputs.shape, *inputs.prefixHashes); });
+            costs = { affinityKey(inputs), maxAffinityCost + sharedPrefixCost(cached, inputs) };
+        }
+        for (size_t i = 0; i < candidates.size(); i++) {
+            auto* worker = candidates[i];
+            auto estimate = hasEngine ? estimateModelWorker(*worker, inputs, costs, cached[i]) : estimatePlainWorker(*worker, inputs);
             if (!estimate.hasCapacity) {
                 choice.timeToCapacity = std::min(choice.timeToCapacity, estimate.timeToCapacity);
                 continue;
@@ -227,7 +237,8 @@
 
 bool holdsModel(const Worker& worker, const std::string& model)
 {
-    if (worker.announced.contains("!" + model))
+    // Most workers have nothing announced: then no text is put together for them.
+    if (!worker.announced.empty() && worker.announced.contains("!" + model))
         return false;
     return findResident(worker, model) != nullptr || worker.announced.contains(model);
 }
