--- a/routing/include/routing/routing.h
+++ b/routing/include/routing/routing.h
@@ -928,10 +928,10 @@
     void refuse(uint64_t id, Time now);
     /// Removes a request that ended otherwise: its caller has gone, or the VM shuts down.
     void remove(uint64_t id, Time now);
-    /// Records whether a request waits for room, rather than for a model to be loaded or a worker to take requests again. The rate of starts is
-    /// measured while one does.
+    /// Records what a request waits for: room, or a model to be loaded or a worker to take requests again. The rate of starts is measured while
+    /// one waits for room.
     /// @param timeToCapacity expected time between places, which is used while no rate of starts is known; 0 if it is not known either.
-    void recordBlocked(uint64_t id, bool lacksRoom, Time timeToCapacity, Time now);
+    void recordBlocked(uint64_t id, BlockReason reason, Time timeToCapacity, Time now);
     /// Returns the position of a request and whether it is refused now. The request stays in the queue.
     QueueDecision decide(uint64_t id, Time now);
     /// Returns the first request of each group that waits for the same, in the order of the whole queue, as of the last decisions.
@@ -939,6 +939,8 @@
     size_t size() const { return this->entries.size(); }
     /// Returns the number of waiting requests of a priority.
     size_t waiting(uint32_t priority) const;
+    /// Returns the number of groups, shares and accounts of which something is remembered.
+    size_t rememberedCount() const { return this->groups.size() + this->served.size() + this->accounts.size(); }
 
 private:
     /// An amount that decays with a half-life.
@@ -965,19 +967,26 @@
         uint64_t id = 0;
         auto operator<=>(const Rank&) const = default;
     };
+    struct Group;
     struct Entry {
         WaitingRequest request;
-        std::string group;
+        Group* group = nullptr;
+        std::string item; ///< Model and adapter.
         bool lacksRoom = false; ///< See `recordBlocked`.
+        BlockReason blocked = BlockReason::None; ///< See `recordBlocked`.
         bool mayGiveWay = true; ///< Neither its size nor its model is starved.
         bool admitted = false; ///< It has been found to meet its target, and gives way to none that comes later.
         Rank rank;
         QueueDecision decision;
+        double workAhead = 0; ///< Work that goes before it if it comes back, in seconds.
     };
     /// Requests that wait for the same.
     struct Group {
+        std::string name;
+        size_t lackingRoom = 0; ///< Number of requests that wait for room.
         std::vector<uint64_t> order; ///< As of `plannedAt`.
         bool changed = false; ///< A request has come or gone since.
+        bool exists = false; ///< A worker has had the model and adapter.
         Time plannedAt { 0 };
         Decayed startedWork; ///< While requests waited, in seconds of work.
         Decayed busyTime; ///< Time for which requests waited, in seconds.
@@ -996,31 +1005,32 @@
         double weight = 0; ///< See `WaitingRequest::accountWeight`.
         size_t waiting = 0; ///< Number of its requests that wait.
     };
-    /// Keys of `served` that a request counts for.
-    struct ShareKeys {
-        std::string kind; ///< Its priority.
-        std::string size; ///< Its priority and whether it is large.
-        std::string group; ///< What it waits for.
+    /// How a priority is served.
+    struct KindState {
+        bool isStarved = false; ///< Much less often than all, and not more often than a more urgent one.
+        bool isServedMore = false; ///< More often than all.
+        double largeWork = 0; ///< Work above which its requests are large, in seconds.
+        bool areLargeStarved = false;
+        bool areSmallStarved = false;
     };
+    using KindStates = std::array<KindState, maxQueuePriority + 1>;
 
     /// Removes a request.
     Entry takeOut(uint64_t id, Time now);
-    ShareKeys shareKeys(const Entry& entry, Time now) const;
+    /// Returns the work above which requests of a kind are large, in seconds; infinite if too few ended lately.
+    double largeWork(const std::string& kind, Time now) const;
     void recordEnd(const Entry& entry, bool wasServed, Time now);
     /// Returns the share of requests that were served; nothing if too few ended lately.
     std::optional<double> servedShare(const std::string& key, Time now) const;
     /// Returns whether the requests of `key` are served much less often than those of `reference`.
     bool isStarved(const std::string& key, const std::string& reference, double minShare, Time now) const;
-    uint32_t levelOf(const Entry& entry, Time now) const;
-    /// Returns whether the priority of a request is served much less often than all, and not more often than a more urgent one.
-    bool isKindStarved(const WaitingRequest& request, Time now) const;
+    KindStates kindStates(Time now) const;
+    static uint32_t levelOf(const WaitingRequest& request, const KindState& kind, Time now);
     /// Returns the rate at which work of an account usually arrives.
     static double usualRate(const AccountUse& use, Time now);
     /// Returns the accounts whose requests have been started for more than their fair share.
     std::set<std::string> accountsOverShare(Time now) const;
-    /// Returns whether a request of the group waits for room.
-    bool isBusy(const Group& group) const;
-    void countBusyTime(Group& group, Time now) const;
+    static void countBusyTime(Group& group, Time now);
     /// Returns the work that is started in a second, without that of requests that go first.
     /// @param classes number of entries of `Group::arrivedWork` that go first.
     /// @param typicalWork mean work of the waiting requests, in seconds.
@@ -1031,12 +1041,13 @@
     /// @param ahead work that goes before them, in seconds.
     /// @return that with the work of those that stay.
     double planLevel(const std::vector<Entry*>& level, double ahead, Group& group, double typicalWork, Time now);
-    milliseconds chooseRetryAfter(const Entry& entry, Group& group, double typicalWork, Time now) const;
+    /// Returns when the caller of a request that is refused now should come back.
+    static Time returnTime(const Entry& entry, const Group& group, Time now);
     void forgetOld(Time now);
 
     std::map<uint64_t, Entry> entries;
     std::map<std::string, Group> groups; ///< By what their requests wait for.
-    std::map<std::string, ServedShare> served; ///< By the result of `shareKeys`.
+    std::map<std::string, ServedShare> served; ///< By priority, by size, by model and adapter, and of all.
     std::map<std::string, AccountUse> accounts;
     std::set<std::string> overShare; ///< Result of `accountsOverShare` when a group was last planned.
     Time forgottenAt { 0 }; ///< When what is old was last forgotten.
--- a/tests/unit/wait_queue_test.cpp
+++ b/tests/unit/wait_queue_test.cpp
@@ -2,6 +2,7 @@
 /// urgent requests that wait for less urgent ones, kinds, sizes, models and accounts that are never served, places that stay free, and time
 /// that is lost on requests whose answers come too late.
 #include <criterion/criterion.h>
+#include <ctime>
 #include <random>
 #include <routing/routing.h>
 
@@ -111,7 +112,7 @@
         auto place = std::min_element(this->freeAt.begin(), this->freeAt.end());
         bool hasRoom = *place <= this->now;
         if (!hasRoom)
-            this->queue.recordBlocked(id, true, *place - this->now, this->now);
+            this->queue.recordBlocked(id, BlockReason::NoCapacity, *place - this->now, this->now);
         auto decision = this->queue.decide(id, this->now);
         if (hasRoom && decision.isFirst) {
             this->queue.start(id, this->now);
@@ -371,7 +372,7 @@
         queue.add(makeRequest(id, 1, Time { 0 }), Time { 0 });
     for (auto now = Time { 0 }; now < seconds { 3 }; now += milliseconds { 40 }) {
         for (uint64_t id = 1; id <= 40; id++) {
-            queue.recordBlocked(id, false, Time { 0 }, now);
+            queue.recordBlocked(id, BlockReason::NoModel, Time { 0 }, now);
             cr_assert_eq(queue.decide(id, now).refusal, QueueRefusal::None);
         }
     }
@@ -383,11 +384,11 @@
     WaitQueue queue;
     milliseconds last { 0 };
     queue.add(makeRequest(1, 0, Time { 0 }), Time { 0 });
-    queue.recordBlocked(1, true, seconds { 2 }, Time { 0 });
+    queue.recordBlocked(1, BlockReason::NoCapacity, seconds { 2 }, Time { 0 });
     int refused = 0;
     for (uint64_t id = 2; id <= 12; id++) {
         queue.add(makeRequest(id, 0, Time { 0 }), Time { 0 });
-        queue.recordBlocked(id, true, seconds { 2 }, Time { 0 });
+        queue.recordBlocked(id, BlockReason::NoCapacity, seconds { 2 }, Time { 0 });
         auto decision = queue.decide(id, Time { 0 });
         if (decision.refusal == QueueRefusal::None)
             continue;
@@ -400,3 +401,194 @@
     cr_assert_gt(refused, 3);
     cr_assert_gt(last, maxRetryAfter, "room is far off");
 }
+
+namespace {
+
+/// Keeps requests of one priority waiting at a place that starts one every 100 ms, so that the queue knows the rate.
+struct SteadyFlow {
+    static constexpr milliseconds gap { 100 };
+
+    void play(Time length, uint32_t priority)
+    {
+        for (auto end = this->now + length; this->now < end; this->now += gap) {
+            while (this->queue.size() < 3)
+                this->add(makeRequest(0, priority, this->now));
+            auto first = this->queue.firsts().front();
+            this->queue.recordBlocked(first, BlockReason::NoCapacity, gap, this->now);
+            this->queue.decide(first, this->now);
+            this->queue.start(this->queue.firsts().front(), this->now);
+        }
+    }
+    uint64_t add(WaitingRequest request)
+    {
+        request.id = ++this->lastId;
+        this->queue.add(request, this->now);
+        this->queue.recordBlocked(request.id, BlockReason::NoCapacity, gap, this->now);
+        return request.id;
+    }
+    QueueDecision decide(uint64_t id) { return this->queue.decide(id, this->now); }
+
+    WaitQueue queue;
+    Time now { seconds { 100 } };
+    uint64_t lastId = 0;
+};
+
+} // namespace
+
+// A VM that was suspended started nothing meanwhile, which tells nothing of the workers.
+Test(wait_queue, rate_from_before_a_suspension_holds_after_it)
+{
+    SteadyFlow flow;
+    flow.play(seconds { 6 }, 1);
+    flow.now += seconds { 20 };
+    for (int i = 0; i < 10; i++) {
+        auto id = flow.add(makeRequest(0, 1, flow.now));
+        cr_assert_eq(flow.decide(id).refusal, QueueRefusal::None, "request %d: expected to start after %g s", i, std::chrono::duration<double>(flow.decide(id).expectedStart).count());
+    }
+}
+
+// account, would be served for minutes.
+Test(wait_queue, request_of_absurd_size_keeps_nobody_else_out)
+{
+    SteadyFlow flow;
+    flow.play(seconds { 6 }, 1);
+    auto absurd = makeRequest(0, 0, flow.now);
+    absurd.workSeconds = 143000;
+    flow.queue.refuse(flow.add(absurd), flow.now);
+    flow.play(seconds { 20 }, 1);
+    auto id = flow.add(makeRequest(0, 1, flow.now));
+    cr_assert_eq(flow.decide(id).refusal, QueueRefusal::None);
+}
+
+// Nor does an account earn a share by stating it.
+Test(wait_queue, request_of_absurd_size_earns_its_account_no_share)
+{
+    WaitQueue queue;
+    auto of = [](const std::string& account, uint64_t id, Time at, double work) {
+        auto request = makeRequest(id, 0, at);
+        request.account = account;
+        request.workSeconds = work;
+        return request;
+    };
+    Time now { 0 };
+    queue.add(of("absurd", 1, now, 143000), now);
+    queue.remove(1, now);
+    for (uint64_t i = 2; i < 302; i++, now += milliseconds { 100 }) {
+        queue.add(of("sound", i, now, 1), now);
+        queue.start(i, now);
+    }
+    queue.add(of("sound", 1001, now, 1), now);
+    queue.add(of("absurd", 1002, now, 0.1), now);
+    cr_assert(queue.decide(1001, now).isFirst, "its account has sent nearly all work for half a minute");
+}
+
+// Room would not have helped a request for a model that nobody has, so it makes no kind go first.
+Test(wait_queue, requests_for_what_is_missing_are_no_sign_of_starvation)
+{
+    WaitQueue queue;
+    Time now { seconds { 1 } };
+    for (uint64_t id = 1; id <= 20; id++) {
+        auto missing = makeRequest(id, 2, now);
+        missing.model = "missing";
+        queue.add(missing, now);
+        queue.recordBlocked(id, BlockReason::NoModel, Time { 0 }, now);
+        queue.refuse(id, now);
+        queue.add(makeRequest(100 + id, 0, now), now);
+        queue.start(100 + id, now);
+    }
+    queue.add(makeRequest(200, 2, now), now);
+    queue.add(makeRequest(201, 0, now), now);
+    cr_assert(queue.decide(201, now).isFirst);
+    cr_assert_not(queue.decide(200, now).isFirst);
+}
+
+// Callers can name any model and adapter.
+Test(wait_queue, names_that_callers_make_up_are_not_remembered)
+{
+    WaitQueue queue;
+    Time now { seconds { 1 } };
+    for (uint64_t id = 1; id <= 1000; id++) {
+        auto request = makeRequest(id, 1, now);
+        request.adapter = "made-up-" + std::to_string(id);
+        queue.add(request, now);
+        queue.recordBlocked(id, BlockReason::NoAdapter, Time { 0 }, now);
+        queue.decide(id, now);
+        queue.refuse(id, now);
+        auto retry = makeRequest(2000 + id, 1, now);
+        retry.alone = true;
+        queue.add(retry, now);
+        queue.start(2000 + id, now);
+    }
+    cr_assert_leq(queue.rememberedCount(), 10U, "%zu", queue.rememberedCount());
+}
+
+// A kind that goes first as it is starved does not wait for the more urgent ones that arrive.
+Test(wait_queue, starved_kind_is_not_refused_for_what_goes_after_it)
+{
+    SteadyFlow flow;
+    for (int i = 0; i < 30; i++) {
+        flow.play(milliseconds { 200 }, 0);
+        // As many again are refused, and none of the starved kind is served.
+        for (uint32_t priority : { 0U, 0U, 2U })
+            flow.queue.refuse(flow.add(makeRequest(0, priority, flow.now)), flow.now);
+    }
+    std::vector<uint64_t> starved;
+    for (int i = 0; i < 4; i++)
+        starved.push_back(flow.add(makeRequest(0, 2, flow.now)));
+    cr_assert(flow.decide(starved[0]).isFirst);
+    for (auto id : starved)
+        cr_assert_eq(flow.decide(id).refusal, QueueRefusal::None, "expected to start after %g s", std::chrono::duration<double>(flow.decide(id).expectedStart).count());
+}
+
+// What was not said to a caller is no promise: requests that wait for something else look at their place again and again.
+Test(wait_queue, promises_are_made_by_refusals_only)
+{
+    WaitQueue queue;
+    Time now { seconds { 4 } };
+    for (uint64_t id = 1; id <= 5; id++) {
+        queue.add(makeRequest(id, 0, Time { 0 }), now);
+        queue.recordBlocked(id, BlockReason::NoCapacity, milliseconds { 250 }, now);
+    }
+    auto decision = queue.decide(5, now);
+    cr_assert_eq(decision.refusal, QueueRefusal::Outranked);
+    for (int i = 0; i < 10; i++)
+        cr_assert_eq(queue.decide(5, now).retryAfter, decision.retryAfter);
+    queue.refuse(5, now);
+    queue.add(makeRequest(5, 0, Time { 0 }), now);
+    cr_assert_gt(queue.decide(5, now).retryAfter, decision.retryAfter, "the same request comes after what was promised to it");
+}
+
+namespace {
+
+/// Returns the processor time in which all of a number of waiting requests look at their place, in seconds.
+double lookTime(size_t count)
+{
+    WaitQueue queue;
+    Time now { seconds { 1 } };
+    for (uint64_t id = 1; id <= count; id++) {
+        auto request = makeRequest(id, id % 3, now);
+        request.workSeconds = 0.05 + 0.01 * static_cast<double>(id % 7);
+        queue.add(request, now);
+    }
+    double best = std::numeric_limits<double>::infinity();
+    for (int round = 0; round < 3; round++) {
+        now += milliseconds { 40 };
+        auto before = std::clock();
+        for (uint64_t id = 1; id <= count; id++) {
+            queue.recordBlocked(id, BlockReason::NoCapacity, milliseconds { 1 }, now);
+            queue.decide(id, now);
+        }
+        best = std::min(best, static_cast<double>(std::clock() - before) / CLOCKS_PER_SEC);
+    }
+    return best;
+}
+
+} // namespace
+
+// Guards against a queue that takes all of a VM's time when it is long, which is when the VM has most to do. Each request looks at its place
+// every 40 ms. Of what grows with the square, four times as many take sixteen times as long.
+Test(wait_queue, time_of_a_look_hardly_grows_with_the_length_of_the_queue)
+{
+    auto [some, many] = std::pair(lookTime(2000), lookTime(8000));
+    cr_assert_lt(many, 10 * some, "%g s for 8,000, %g s for 2,000", many, some);
+}
