Members that are known by their heartbeats keep to the store

Cause: a heartbeat of a VM's first ten seconds makes it a member before its record is read. The record that ended its earlier start names no start and ended the new one; its own record then counted as one of a former start, so the VM was forgotten for good. In large groups, which read the members every 30 s, each planned restart met this. The other way round, what no record ever confirmed stayed a member for ever, in the place of a VM of the same name if there was one.

Change: a peer knows whether the store has brought its record. Until then records of other starts do not end it, and it is dropped, and what it replaced comes back, when two reads of the members have brought none. Of several records of a VM in one read the last counts.

Result: two new tests fail before (the VM is forgotten at its first restart; the stranger stays) and pass after.

--- a/edge/src/peers.cpp
+++ b/edge/src/peers.cpp
@@ -37,8 +37,12 @@
     constexpr milliseconds unknownMemberDelay { 1500 };
     /// Maximum number of unknown senders that are remembered.
     constexpr size_t maxUnknownSenders = 512;
-    /// Maximum number of former incarnations of VMs that are remembered.
+    /// Maximum number of former incarnations of VMs that are remembered, and of refused ones.
     constexpr size_t maxFormerIncarnations = 1024;
+    /// Number of reads of the members after which a peer without a record is dropped. The first may have begun before it was known.
+    constexpr unsigned maxReadsWithoutRecord = 2;
+    /// Maximum number of peers without a record.
+    constexpr size_t maxUnrecordedPeers = 512;
     /// Delay between two attempts to publish the member record.
     constexpr std::chrono::seconds publishRetryDelay { 1 };
 
@@ -655,7 +659,7 @@
 {
     if (!heartbeat.member || heartbeat.draining || heartbeat.member->incarnation != heartbeat.incarnation || !this->vm.status.membersKnown)
         return;
-    this->applyMember(heartbeat.node, heartbeat.member);
+    this->applyMember(heartbeat.node, heartbeat.member, false);
 }
 
 bool Peers::recordUnknownSender(const Heartbeat& heartbeat, Time now)
@@ -676,8 +680,13 @@
 
 void Peers::applyMembers(const MemberRecords& records)
 {
+    // A later record of a VM replaces the earlier ones of the same read.
+    std::map<std::string, const MemberRecord*> newest;
     for (const auto& record : records.records)
-        this->applyMember(record.node, record.member);
+        newest[record.node] = &record;
+    for (const auto& [node, record] : newest)
+        this->applyMember(node, record->member, true);
+    this->dropUnrecorded();
     if (this->isPublished && this->isOwnRecordLost(records)) {
         this->log.warn("event=member_record_lost era=" + std::to_string(records.end.era));
         this->isPublished = false; // `run` publishes it again.
@@ -701,12 +710,51 @@
         this->formerIncarnations.pop_front();
 }
 
-void Peers::applyMember(const std::string& node, const std::optional<Member>& member)
+bool Peers::isRefused(const std::string& node, const Member& member) const
+{
+    if (std::find(this->refusedIncarnations.begin(), this->refusedIncarnations.end(), std::pair(node, member.incarnation)) != this->refusedIncarnations.end())
+        return true;
+    auto unrecorded = std::count_if(this->peers.begin(), this->peers.end(), [](const auto& item) { return !item.second.isRecorded; });
+    return static_cast<size_t>(unrecorded) >= maxUnrecordedPeers;
+}
+
+void Peers::dropUnrecorded()
+{
+    std::lock_guard lock(this->mutex);
+    std::vector<std::string> dropped;
+    for (auto& [node, peer] : this->peers) {
+        if (!peer.isRecorded && ++peer.readsWithoutRecord >= maxReadsWithoutRecord)
+            dropped.push_back(node);
+    }
+    if (dropped.empty())
+        return;
+    for (const auto& node : dropped) {
+        auto peer = std::move(this->peers[node]);
+        this->log.warn("event=member_without_record node=" + transport::escapeForLog(node) + " inner=" + transport::toString(peer.member.inner));
+        this->refusedIncarnations.emplace_back(node, peer.member.incarnation);
+        if (this->refusedIncarnations.size() > maxFormerIncarnations)
+            this->refusedIncarnations.pop_front();
+        this->peers.erase(node);
+        if (!peer.replaced)
+            continue;
+        std::erase(this->formerIncarnations, std::pair(node, peer.replaced->incarnation));
+        this->peers[node].member = *peer.replaced;
+        this->peers[node].isRecorded = true;
+    }
+    this->updateGroup();
+}
+
+void Peers::applyMember(const std::string& node, const std::optional<Member>& member, bool fromStore)
 {
     if (node == this->vm.settings.node)
         return;
     std::lock_guard lock(this->mutex);
     auto known = this->peers.find(node);
+    if (known != this->peers.end() && !known->second.isRecorded && fromStore && (!member || known->second.member.incarnation != member->incarnation)) {
+        // The record is of an earlier start: that of this one is still to come.
+        known->second.replaced = member;
+        return;
+    }
     if (!member) {
         if (known != this->peers.end()) {
             this->log.info("event=member_left node=" + transport::escapeForLog(node));
@@ -715,16 +763,26 @@
         }
         return this->updateGroup();
     }
-    if (known != this->peers.end() && known->second.member.incarnation == member->incarnation)
+    if (known != this->peers.end() && known->second.member.incarnation == member->incarnation) {
+        known->second.isRecorded = known->second.isRecorded || fromStore;
         return;
+    }
     if (std::find(this->formerIncarnations.begin(), this->formerIncarnations.end(), std::pair(node, member->incarnation)) != this->formerIncarnations.end())
         return;
-    if (known != this->peers.end())
+    if (!fromStore && this->isRefused(node, *member))
+        return;
+    std::optional<Member> replaced;
+    if (known != this->peers.end()) {
         this->recordFormerIncarnation(node, known->second.member.incarnation);
+        if (!fromStore)
+            replaced = known->second.isRecorded ? std::optional(known->second.member) : known->second.replaced;
+    }
     auto& peer = this->peers[node];
     // A new incarnation starts with new sequence numbers.
     peer = {};
     peer.member = *member;
+    peer.isRecorded = fromStore;
+    peer.replaced = std::move(replaced);
     this->unknownSenders.erase(node);
     this->updateGroup();
     this->log.info("event=member node=" + transport::escapeForLog(node) + " inner=" + transport::toString(member->inner) + " data_centre=" + transport::escapeForLog(member->dataCentre));
--- a/edge/src/peers.h
+++ b/edge/src/peers.h
@@ -14,6 +14,9 @@
 /// State of another entry VM, from its member record and its heartbeats.
 struct Peer {
     Member member;
+    bool isRecorded = false; ///< The store has brought its record. Otherwise only its heartbeats say that it is a member.
+    unsigned readsWithoutRecord = 0; ///< Reads of the members since then that brought none.
+    std::optional<Member> replaced; ///< Recorded member of the same name that it has replaced without a record.
     bool inGroup = false; ///< The peer belongs to this VM's group.
     Time lastHeartbeatAt { -std::chrono::hours { 1 } }; ///< When its last heartbeat arrived.
     Time lastSentAt { 0 }; ///< When this VM last sent it a heartbeat.
@@ -238,7 +241,13 @@
     void publishMember();
     /// Applies a member record.
     /// @param member nothing if the VM left.
-    void applyMember(const std::string& node, const std::optional<Member>& member);
+    /// @param fromStore a heartbeat has brought it otherwise.
+    void applyMember(const std::string& node, const std::optional<Member>& member, bool fromStore);
+    /// Returns whether a member record of a heartbeat is left out: that start of the VM was refused before, or too many are not recorded. The
+    /// caller must hold the lock.
+    bool isRefused(const std::string& node, const Member& member) const;
+    /// Drops the peers of which a read of the members that has just ended should have brought a record. Those that they replaced come back.
+    void dropUnrecorded();
     /// Returns whether the store came back from a copy that lacks the record of this start of the VM.
     bool isOwnRecordLost(const MemberRecords& records) const;
     /// Remembers an incarnation of a VM that has been replaced or has left. The caller must hold the lock.
@@ -267,6 +276,8 @@
     std::map<std::string, UnknownSender> unknownSenders; ///< By VM name.
     /// Names and incarnations of VMs that have been replaced or have left, the oldest first. A restored store may bring their records back.
     std::deque<std::pair<std::string, uint64_t>> formerIncarnations;
+    /// Names and incarnations of VMs whose heartbeats said that they were members, but of which the store had no record. The oldest first.
+    std::deque<std::pair<std::string, uint64_t>> refusedIncarnations;
     bool membersChanged = true; ///< The VMs that share the limits of workers are to be set anew.
     size_t groupPeerCount = 0; ///< Number of peers in this VM's group.
     placement::WorkAverage averageWork; ///< This VM's demand.
--- a/tests/unit/peers_test.cpp
+++ b/tests/unit/peers_test.cpp
@@ -776,6 +776,75 @@
 
 namespace {
 
+// Guards against VMs of another deployment, or datagrams that anybody sends, that remain members without a record in the store, and that
+// replace one.
+CLUSTER_TEST(members_that_the_store_does_not_know_are_forgotten, 12125)
+{
+    const SimulatedPeers known(cluster, 12180, { "known" }, "dc");
+    cluster.configureAndWait();
+    auto knows = [&](const char* port) {
+        auto response = cluster.call(cluster.directory(), { "GET", "/v1/resolve?name=h.example&region=r&zone=dc", {}, {} });
+        return response && response.value().body.find(port) != std::string::npos;
+    };
+    cr_assert(cluster.waitUntil([&] { return knows("12181"); }));
+    transport::DatagramSocket socket(cluster.runtime, loopback(12185), [](std::string_view) {});
+    cr_assert(socket.start());
+    std::atomic<bool> ended { false };
+    std::atomic<bool> sending { true };
+    cluster.runtime.spawn([&] {
+        for (uint64_t sequence = 1; sending; sequence++) {
+            for (const auto* name : { "stranger", "known" }) {
+                edge::Heartbeat heartbeat;
+                heartbeat.node = name;
+                heartbeat.incarnation = 77;
+                heartbeat.sequence = sequence;
+                heartbeat.ready = true;
+                heartbeat.member = edge::Member { 77, loopback(12185), loopback(name == std::string("known") ? 12187 : 12186), "dc", 1 };
+                (void)socket.send(loopback(cluster.base + 23), edge::encodeHeartbeat(heartbeat));
+            }
+            transport::sleepFor(milliseconds { 100 });
+        }
+        ended = true;
+    });
+    cr_assert(cluster.waitUntil([&] { return knows("12186") && knows("12187"); }), "a new VM is known by its heartbeats");
+    sending = false;
+    cr_assert(cluster.waitUntil([&] { return ended.load(); }));
+    // Each of these ends a read of the members.
+    cr_assert(cluster.waitUntil([&] {
+        cluster.store.write("keyed.comfreypier-members", "gone", "");
+        std::this_thread::sleep_for(milliseconds { 100 });
+        return knows("12181"); }, milliseconds { 6000 }), "the member that the store knows does not come back");
+    cr_assert_not(knows("12186"));
+    cr_assert_not(knows("12187"));
+}
+
+// Guards against a VM that starts again and is known by its heartbeats first: the record that ends its earlier start, read later, must not end
+// this one.
+CLUSTER_TEST(restarted_vm_that_is_heard_before_its_records_stays_a_member, 12325)
+{
+    SimulatedPeers peers(cluster, 12380, { "peer0" }, "dc");
+    cluster.configureAndWait();
+    auto isKnown = [&] {
+        auto response = cluster.call(cluster.directory(), { "GET", "/v1/resolve?name=h.example&region=r&zone=dc", {}, {} });
+        return response && response.value().body.find("12381") != std::string::npos;
+    };
+    cr_assert(cluster.waitUntil(isKnown));
+    for (uint64_t start = 2; start <= 5; start++) {
+        edge::Member member { start, loopback(12380), loopback(12381), "dc", 1 };
+        peers.changeHeartbeat("peer0", [&](edge::Heartbeat& heartbeat) { heartbeat.member = member; });
+        peers.setIncarnation(start);
+        std::this_thread::sleep_for(milliseconds { 400 });
+        if (start == 4) // Of a start in between that this VM has not heard.
+            cluster.writeMember("peer0", edge::encodeMember({ 99, loopback(12380), loopback(12382), "dc", 1 }));
+        cluster.store.write("keyed.comfreypier-members", "peer0", "");
+        std::this_thread::sleep_for(milliseconds { start % 2 == 0 ? 300 : 0 });
+        cluster.writeMember("peer0", edge::encodeMember(member));
+        peers.changeHeartbeat("peer0", [](edge::Heartbeat& heartbeat) { heartbeat.member.reset(); });
+        std::this_thread::sleep_for(milliseconds { 1000 });
+        cr_assert(isKnown(), "start %d is forgotten", static_cast<int>(start));
+    }
+}
+
 /// Peers of a deployment with two data centres, so that each forms a group of its own. In that of the VM under test two peers go before it and
 /// say that they read the store.
 class LargeDeployment {
