Heartbeats that unpack to many times their size are refused

Cause: the packed encoding turns two bytes into 256 words of zeros, and the reader's default limit is 64 MB. A datagram of legal size from anybody gives lists of millions of items, each copied into a larger one, before the sender is looked up.

Change: at most twice as many words as a datagram has bytes are read.

Result: heartbeats.that_unpack_to_many_times_their_size_are_refused fails before and passes after; a full datagram of numbers is still read.

--- a/edge/src/heartbeat_codec_capnp.cpp
+++ b/edge/src/heartbeat_codec_capnp.cpp
@@ -19,6 +19,10 @@
         return { reinterpret_cast<const char*>(bytes.begin()), bytes.size() };
     }
 
+    /// Maximum number of words (8 bytes each) that are read of a message. Packed, a message of this size is larger than a datagram, unless it
+    /// consists of zeros.
+    constexpr uint64_t maxTraversalWords = 2 * transport::maxDatagramBytes;
+
     /// Decodes a message and passes its root to `read`.
     /// @return false if the bytes are no valid message of this type.
     template <class Root, class Read>
@@ -26,7 +30,9 @@
     {
         kj::ArrayInputStream in(kj::arrayPtr(reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()));
         auto exception = kj::runCatchingExceptions([&] {
-            capnp::PackedMessageReader reader(in);
+            capnp::ReaderOptions options;
+            options.traversalLimitInWords = maxTraversalWords;
+            capnp::PackedMessageReader reader(in, options);
             read(reader.getRoot<Root>());
         });
         return exception == nullptr;
--- a/tests/unit/peers_test.cpp
+++ b/tests/unit/peers_test.cpp
@@ -776,6 +776,25 @@
 
 namespace {
 
+// Guards against a datagram of legal size that makes a VM allocate hundreds of megabytes.
+Test(heartbeats, that_unpack_to_many_times_their_size_are_refused)
+{
+    edge::Heartbeat heartbeat;
+    heartbeat.node = "stranger";
+    heartbeat.quota.returns.assign(4 * 1024 * 1024, 0);
+    auto bytes = edge::encodeHeartbeat(heartbeat);
+    cr_assert_leq(bytes.size(), transport::maxDatagramBytes);
+    cr_assert_not(edge::decodeHeartbeat(bytes).has_value());
+    // Full datagrams are read.
+    heartbeat.quota.returns.clear();
+    for (uint64_t i = 0; edge::encodeHeartbeat(heartbeat).size() < transport::maxDatagramBytes - 1000; i += 100) {
+        for (uint64_t j = i; j < i + 100; j++)
+            heartbeat.quota.returns.push_back(j);
+    }
+    auto decoded = edge::decodeHeartbeat(edge::encodeHeartbeat(heartbeat));
+    cr_assert(decoded && decoded->quota.returns == heartbeat.quota.returns);
+}
+
 // Guards against VMs of another deployment, or datagrams that anybody sends, that remain members without a record in the store, and that
 // replace one.
 CLUSTER_TEST(members_that_the_store_does_not_know_are_forgotten, 12125)
