Member records with an impossible capacity are unreadable

Cause: VMs are sorted by their capacity. With one that is no number no order holds, which std::sort does not allow; with an infinite one a VM ranks first for every account.

Change: such a record, and one with a negative capacity, is unreadable, as one without an address.

Result: members.whose_capacity_is_no_number_are_unreadable fails before and passes after.

--- a/edge/src/heartbeat_codec_capnp.cpp
+++ b/edge/src/heartbeat_codec_capnp.cpp
@@ -254,16 +254,16 @@
 std::optional<Member> decodeMember(std::string_view bytes)
 {
     Member member;
-    bool addressesValid = false;
+    bool valid = false;
     bool decoded = decodeMessage<wire::Member>(bytes, [&](wire::Member::Reader root) {
         auto inner = transport::parseEndpoint(toStdString(root.getInner()));
         auto front = transport::parseEndpoint(toStdString(root.getFront()));
-        addressesValid = inner.has_value() && front.has_value();
-        if (!addressesValid)
+        valid = inner.has_value() && front.has_value() && std::isfinite(root.getCapacity()) && root.getCapacity() >= 0;
+        if (!valid)
             return;
         member = { root.getIncarnation(), inner.value(), front.value(), toStdString(root.getDataCentre()), root.getCapacity() };
     });
-    return decoded && addressesValid ? std::optional(member) : std::nullopt;
+    return decoded && valid ? std::optional(member) : std::nullopt;
 }
 
 std::string encodeHeartbeat(const Heartbeat& heartbeat)
--- a/tests/unit/peers_test.cpp
+++ b/tests/unit/peers_test.cpp
@@ -7,6 +7,7 @@
 #include "heartbeat_split.h"
 #include "send_order.h"
 
+#include <cmath>
 #include <rapidcheck.h>
 
 using namespace comfreypier;
@@ -795,6 +796,15 @@
     cr_assert(decoded && decoded->quota.returns == heartbeat.quota.returns);
 }
 
+// Guards against VMs that can't be ranked: no order of capacities holds with one that is no number.
+Test(members, whose_capacity_is_no_number_are_unreadable)
+{
+    for (double capacity : { std::nan(""), HUGE_VAL, -1.0 }) {
+        auto bytes = edge::encodeMember({ 1, loopback(1), loopback(2), "dc", capacity });
+        cr_assert_not(edge::decodeMember(bytes).has_value(), "%g", capacity);
+    }
+}
+
 // Guards against VMs of another deployment, or datagrams that anybody sends, that remain members without a record in the store, and that
 // replace one.
 CLUSTER_TEST(members_that_the_store_does_not_know_are_forgotten, 12125)
