--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -373,6 +373,19 @@
     cr_assert_not(decodeRequestHead({ "GET", "/", {}, "" }).tokens);
 }
 
+// Guards against callers whose requests cost nothing as their numbers of tokens can't be read.
+Test(requests, token_counts_that_cannot_be_read_count_as_none)
+{
+    auto tokensOf = [](const char* text) { return decodeRequestHead({ "POST", "/", { { "Token-Count", text } }, "" }).tokens; };
+    for (const auto* text : { "x", ",", "7,", ",7", "-3,1", "1e9,1", "7,5,1", "7 5", "99999999999999999999999,1" })
+        cr_assert_not(tokensOf(text).has_value(), "%s", text);
+    cr_assert_eq(tokensOf("0,0"), std::optional<uint64_t>(0));
+    cr_assert_eq(tokensOf(" 7 , 5 "), std::optional<uint64_t>(12));
+    cr_assert_eq(tokensOf("7"), std::optional<uint64_t>(7));
+    cr_assert_gt(tokensOf("4294967296,1").value_or(0), 4294967295U, "more than the estimate holds");
+    cr_assert_gt(tokensOf("18446744073709551615,18446744073709551615").value_or(0), 4294967295U);
+}
+
 Test(configurations, client_accounts_are_decoded_without_their_keys)
 {
     std::string error;
