Client accounts that are no list make a configuration unreadable

Cause: a field of another type counts as missing. Without accounts every caller is served, and the header with the key is passed on to the workers.

--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -386,6 +386,19 @@
     cr_assert_gt(tokensOf("18446744073709551615,18446744073709551615").value_or(0), 4294967295U);
 }
 
+// Guards against a configuration that opens all routes and passes keys on, as its accounts can't be read.
+Test(configurations, client_accounts_that_are_no_list_are_an_error)
+{
+    auto decode = [](const std::string& accounts, std::string& error) { return decodeConfiguration(R"({"version":3,"routes":[],"services":[],"tenants":)" + accounts + "}", error); };
+    std::string error;
+    cr_assert(decode("[]", error).has_value());
+    for (const auto* accounts : { "{}", "\"a\"", "5", "true" }) {
+        error.clear();
+        cr_assert_not(decode(accounts, error).has_value(), "%s", accounts);
+        cr_assert_not(error.empty());
+    }
+}
+
 Test(configurations, client_accounts_are_decoded_without_their_keys)
 {
     std::string error;
