Waits for room in a bucket fit the clock

Cause: the wait is what is missing over the rate, converted to nanoseconds without a bound. Beyond 292 years the conversion has no defined result; here it was negative, and a request that must wait was granted.

Result: quotas.waits_of_any_length_are_refusals fails before and passes after.

--- a/accounts/include/accounts/accounts.h
+++ b/accounts/include/accounts/accounts.h
@@ -152,7 +152,7 @@
     /// Adds `amount`, which may be negative. The level stays between minus one capacity and one capacity.
     void add(double amount, Time now);
     void setLevel(double level, Time now);
-    /// Returns the time until the bucket has room for `cost`: 0 if it has; nothing if it never will.
+    /// Returns the time until the bucket has room for `cost`, a day at most: 0 if it has; nothing if it never will.
     std::optional<Time> timeUntil(double cost, Time now) const;
     /// Changes the quota. Requests granted so far stay granted: the level does not rise. If the unit changes, the filled share stays.
     void setQuota(const Quota& quota, Time now);
--- a/accounts/src/token_bucket.cpp
+++ b/accounts/src/token_bucket.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+    /// Longer waits count as this one, so that they fit the clock.
+    constexpr std::chrono::hours maxWait { 24 };
+
     double toSeconds(Time time)
     {
         return std::chrono::duration<double>(time).count();
@@ -60,7 +63,8 @@
     // The level carries rounding errors.
     if (missing <= capacity * 1e-9)
         return Time { 0 };
-    return std::chrono::ceil<Time>(std::chrono::duration<double>(missing / this->quota.ratePerSecond));
+    auto wait = std::min<std::chrono::duration<double>>(std::chrono::duration<double>(missing / this->quota.ratePerSecond), maxWait);
+    return std::chrono::ceil<Time>(wait);
 }
 
 void TokenBucket::setQuota(const Quota& newQuota, Time now)
--- a/tests/unit/accounts_test.cpp
+++ b/tests/unit/accounts_test.cpp
@@ -476,6 +476,16 @@
     cr_assert_eq(ledger.charge("b", 3, 10, start + seconds { 1 }).outcome, ChargeOutcome::Granted);
 }
 
+// Guards against limits that end because a wait does not fit the clock.
+Test(quotas, waits_of_any_length_are_refusals)
+{
+    for (const Quota& quota : { Quota { QuotaUnit::Requests, 1e-12, 1, 0 }, Quota { QuotaUnit::Tokens, 1, 1e15, 0 }, Quota { QuotaUnit::Tokens, 5e-324, 1e300, 0 } }) {
+        TokenBucket bucket(quota, 0, start);
+        auto wait = bucket.timeUntil(quota.burst, start);
+        cr_assert(wait && *wait > Time { 0 } && start + *wait > start, "%g a second", quota.ratePerSecond);
+    }
+}
+
 // Guards against weak VMs that answer for many accounts, and against accounts that change their holder without need.
 Test(quotas, holders_are_weighted_and_stay)
 {
