Requests without cost give a VM without contact no rate

Cause: the recent rate is multiplied by the share of the granted cost. If all that was decided cost nothing this is 0/0; the room of the own rate then is no number, and every request passes.

Change: without granted cost the rate is 0.

Result: quotas.requests_without_cost_give_no_rate fails before and passes after.

--- a/accounts/src/token_bucket.cpp
+++ b/accounts/src/token_bucket.cpp
@@ -96,7 +96,7 @@
 
 double GrantedRate::rate() const
 {
-    if (this->firstAt == Time { 0 })
+    if (this->granted <= 0)
         return 0;
     // Shortly after the first request the sum is that of a shorter time, but at least of a second.
     auto covered = 1 - std::exp(-std::max(1.0, toSeconds(this->answeredAt - this->firstAt)) / toSeconds(grantedRateTime));
--- a/tests/unit/accounts_test.cpp
+++ b/tests/unit/accounts_test.cpp
@@ -559,6 +559,15 @@
 
 namespace {
 
+// Guards against a rate that is no number, as only requests without tokens were granted: it would have no limit.
+Test(quotas, requests_without_cost_give_no_rate)
+{
+    GrantedRate rate;
+    rate.record(0, true, start);
+    for (int i = 0; i < 3; i++)
+        cr_assert_not(rate.tryGrant(1, start + seconds { i }));
+}
+
 constexpr Time window = seconds { 8 };
 /// Time after the start until the VMs know each other and buckets have begun to fill.
 constexpr Time settleTime = seconds { 3 };
