Answers to reports of the future confirm no bucket

Cause: an answer confirms a bucket if the report that it names is young enough. One with a time to come is younger than any, and the bucket stays confirmed until then: a VM that is cut off afterwards goes on with it.

Change: such a time confirms nothing.

Result: quotas.answers_to_reports_of_the_future_confirm_nothing fails before and passes after.

--- a/accounts/src/quota_ledger.cpp
+++ b/accounts/src/quota_ledger.cpp
@@ -189,7 +189,7 @@
         auto reduced = level - newlyCharged;
         account.bucket.setLevel(report.known ? std::max(reduced, std::min(level, reportedLevel)) : reduced, now);
     }
-    if (knowsReceiver && report.answers > Time { 0 } && now - report.answers <= maxReportAnswerTime)
+    if (knowsReceiver && report.answers > Time { 0 } && report.answers <= now && now - report.answers <= maxReportAnswerTime)
         account.confirmedAt = std::max(account.confirmedAt, report.answers);
     if (!current && now - account.confirmedAt <= maxConfirmationAge) {
         if (report.known) {
--- a/tests/unit/accounts_test.cpp
+++ b/tests/unit/accounts_test.cpp
@@ -486,6 +486,19 @@
     }
 }
 
+// Guards against a bucket that stays confirmed for ever, as a report answers one that this VM has not sent yet.
+Test(quotas, answers_to_reports_of_the_future_confirm_nothing)
+{
+    QuotaLedger ledger("vm0", 1);
+    ledger.setVms({ { "vm0" }, { "vm1" } }, start);
+    ledger.setAccounts({}, start);
+    ledger.setAccounts({ makeAccount("a", {}, { QuotaUnit::Requests, 1, 10, 0 }) }, start);
+    LevelReport report { "a", true, 10, 0, start, 1, 0, start + std::chrono::hours { 1 }, false };
+    ledger.receive("vm1", 2, report, start);
+    cr_assert(ledger.level("a", start + milliseconds { 100 }).has_value());
+    cr_assert_not(ledger.level("a", start + seconds { 1 }).has_value(), "no VM has confirmed it for a second");
+}
+
 // Guards against weak VMs that answer for many accounts, and against accounts that change their holder without need.
 Test(quotas, holders_are_weighted_and_stay)
 {
