Accounts that come back keep their level, and charges their unit

Cause: an account that a configuration leaves out, or gives no rate, was forgotten. If the next one brings it back its bucket was full again, and its sum of charges began at 0 in the same start of the VM: another VM that skips the version between takes the smaller sum for charges that were given back. A charge in tokens that is given back after the unit has become requests filled the bucket.

Change: what is known of an account that is left out is kept for ten minutes, for 5000 accounts. With another unit earlier charges are not given back.

Result: quotas.accounts_that_come_back_keep_their_level and quotas.charges_in_a_former_unit_are_not_given_back fail before and pass after.

--- a/accounts/include/accounts/accounts.h
+++ b/accounts/include/accounts/accounts.h
@@ -128,6 +128,9 @@
 /// Time for which a charge is remembered, so that it is neither repeated nor given back twice, and the maximum number of such charges.
 constexpr std::chrono::seconds chargeMemoryTime { 30 };
 constexpr size_t maxRememberedCharges = 50000;
+/// Time for which the level of an account that a configuration leaves out is remembered, in case it comes back, and the maximum number of them.
+constexpr std::chrono::minutes formerAccountTime { 10 };
+constexpr size_t maxFormerAccounts = 5000;
 /// Time after which a VM is asked again, as a part of the target latency, and its bounds: an answer takes some milliseconds.
 constexpr int askTimeoutTargetPart = 8;
 constexpr std::chrono::milliseconds minAskTimeout { 15 };
@@ -210,7 +213,7 @@
     /// @param incarnation differs for each start of it.
     QuotaLedger(std::string self, uint64_t incarnation);
     /// Applies the quotas of a configuration. Accounts that later configurations add begin with a full bucket, as no VM can have charged them;
-    /// those of the first configuration of this start begin without a known level.
+    /// those of the first configuration of this start begin without a known level, and those that come back with what they had.
     void setAccounts(const std::vector<ClientAccount>& accounts, Time now);
     /// Sets the VMs, this one included.
     void setVms(std::vector<QuotaVm> vms, Time now);
@@ -277,6 +280,10 @@
     bool isSilent(const std::string& vm, Time now) const;
     LevelReport makeReport(const std::string& name, Account& account, const std::string& receiver, bool wantsAnswer, Time now) const;
     void remember(uint64_t ask, Charge charge, Time now);
+    /// Returns what was known of an account that an earlier configuration left out, and forgets it there; nothing if there is none.
+    std::optional<Account> takeFormer(const std::string& name, Time now);
+    /// Applies a quota. If its unit is another one, what was charged so far can't be given back.
+    void applyQuota(Account& account, const ClientAccount& configured, Time now);
 
     std::string self;
     uint64_t incarnation;
@@ -284,6 +291,7 @@
     std::map<std::string, bool> aliveByVm;
     bool hasAccounts = false; ///< `setAccounts` was called.
     std::map<std::string, Account> accounts; ///< Those with a quota.
+    std::map<std::string, std::pair<Time, Account>> formerAccounts; ///< Those that a configuration has left out, and when.
     std::map<std::string, Time> unansweredSince; ///< Of VMs that have not reported since a report was sent to them.
     std::unordered_map<uint64_t, Charge> charges; ///< By ask number.
     std::deque<std::pair<Time, uint64_t>> chargeTimes; ///< The oldest first.
--- a/accounts/src/quota_ledger.cpp
+++ b/accounts/src/quota_ledger.cpp
@@ -26,12 +26,17 @@
 {
     std::map<std::string, Account> next;
     for (const auto& account : newAccounts) {
-        if (account.quota.ratePerSecond <= 0)
+        if (account.quota.ratePerSecond <= 0 || next.contains(account.name))
             continue;
+        auto former = this->takeFormer(account.name, now);
+        if (former) {
+            this->applyQuota(*former, account, now);
+            next.emplace(account.name, std::move(*former));
+            continue;
+        }
         auto known = this->accounts.find(account.name);
         if (known != this->accounts.end()) {
-            known->second.bucket.setQuota(account.quota, now);
-            known->second.quota = account.quota;
+            this->applyQuota(known->second, account, now);
             next.insert(this->accounts.extract(known));
             continue;
         }
@@ -43,10 +48,45 @@
         added.rankedAt = now;
         next.emplace(account.name, std::move(added));
     }
+    for (auto& [name, account] : this->accounts) {
+        account.known = this->isCurrent(account, now);
+        this->formerAccounts.insert_or_assign(name, std::pair { now, std::move(account) });
+    }
     this->accounts = std::move(next);
+    std::erase_if(this->formerAccounts, [now](const auto& item) { return now - item.second.first > formerAccountTime; });
+    if (this->formerAccounts.size() > maxFormerAccounts)
+        this->formerAccounts.clear();
     this->hasAccounts = true;
 }
 
+std::optional<QuotaLedger::Account> QuotaLedger::takeFormer(const std::string& name, Time now)
+{
+    auto found = this->formerAccounts.find(name);
+    if (found == this->formerAccounts.end())
+        return std::nullopt;
+    auto account = std::move(found->second.second);
+    this->formerAccounts.erase(found);
+    // Nobody has confirmed the level while the account was gone, and nobody has charged it.
+    account.confirmedAt = now;
+    account.unknownSince = now;
+    account.rankedAt = now;
+    account.ranking = rankQuotaVms(name, this->vms);
+    std::erase_if(account.partners, [this](const auto& item) { return !this->aliveByVm.contains(item.first); });
+    return account;
+}
+
+void QuotaLedger::applyQuota(Account& account, const ClientAccount& configured, Time now)
+{
+    if (account.quota.unit != configured.quota.unit) {
+        for (auto& [ask, charge] : this->charges) {
+            if (charge.account == configured.name)
+                charge.cost = 0;
+        }
+    }
+    account.bucket.setQuota(configured.quota, now);
+    account.quota = configured.quota;
+}
+
 void QuotaLedger::setVms(std::vector<QuotaVm> newVms, Time now)
 {
     bool wasAlone = this->isAlone();
--- a/tests/unit/accounts_test.cpp
+++ b/tests/unit/accounts_test.cpp
@@ -499,6 +499,59 @@
     cr_assert_not(ledger.level("a", start + seconds { 1 }).has_value(), "no VM has confirmed it for a second");
 }
 
+// Guards against operators' changes that give an account its burst again, at once or as another VM's sum of charges begins anew.
+Test(quotas, accounts_that_come_back_keep_their_level)
+{
+    auto account = makeAccount("a", {}, { QuotaUnit::Requests, 1, 10, 0 });
+    auto unlimited = makeAccount("a", {}, {});
+    for (const auto& between : { std::vector<ClientAccount> {}, std::vector { unlimited } }) {
+        QuotaLedger holder("vm0", 1);
+        QuotaLedger copy("vm1", 2);
+        for (auto* ledger : { &holder, &copy }) {
+            ledger->setVms({ { "vm0" }, { "vm1" } }, start);
+            ledger->setAccounts({}, start);
+            ledger->setAccounts({ account }, start);
+        }
+        auto report = [&](Time now) {
+            for (const auto& [vm, sent] : holder.takeReports(now, false)) {
+                if (auto answer = copy.receive("vm0", 1, sent, now))
+                    holder.receive("vm1", 2, *answer, now);
+            }
+            for (const auto& [vm, sent] : copy.takeReports(now, false)) {
+                if (auto answer = holder.receive("vm1", 2, sent, now))
+                    copy.receive("vm0", 1, *answer, now);
+            }
+        };
+        report(start);
+        cr_assert_eq(holder.charge("a", 1, 8, start).outcome, ChargeOutcome::Granted);
+        report(start + milliseconds { 1 });
+        // The second VM has both versions at once.
+        holder.setAccounts(between, start + milliseconds { 2 });
+        holder.setAccounts({ account }, start + milliseconds { 100 });
+        auto now = start + milliseconds { 101 };
+        cr_assert_lt(holder.level("a", now).value_or(0), 2.2);
+        report(now);
+        cr_assert_lt(copy.level("a", now).value_or(0), 2.2, "the second VM has %g", copy.level("a", now).value_or(0));
+        // What comes back later is full.
+        holder.setAccounts({}, now);
+        holder.setAccounts({ account }, now + std::chrono::hours { 1 });
+        cr_assert_float_eq(holder.level("a", now + std::chrono::hours { 1 }).value(), 10, 1e-9);
+    }
+}
+
+// Guards against a charge in one unit that is given back in another.
+Test(quotas, charges_in_a_former_unit_are_not_given_back)
+{
+    QuotaLedger ledger("vm0", 1);
+    ledger.setVms({ { "vm0" } }, start);
+    ledger.setAccounts({}, start);
+    ledger.setAccounts({ makeAccount("a", {}, { QuotaUnit::Tokens, 100, 1000, 0 }) }, start);
+    cr_assert_eq(ledger.charge("a", 1, 1000, start).outcome, ChargeOutcome::Granted);
+    ledger.setAccounts({ makeAccount("a", {}, { QuotaUnit::Requests, 1, 10, 0 }) }, start);
+    ledger.giveBack(1, start);
+    cr_assert_float_eq(ledger.level("a", start).value(), 0, 1e-9);
+}
+
 // Guards against weak VMs that answer for many accounts, and against accounts that change their holder without need.
 Test(quotas, holders_are_weighted_and_stay)
 {
