Buckets have the configuration of the request that is charged

Cause: the buckets took up a configuration with the next exchange of levels, up to 150 ms after the requests did. Until then the level of a new account was unknown, and its requests were refused.

Change: a charge, and a message of another VM, first applies a newer configuration.

Result: quotas.new_ones_hold_from_their_first_request fails before and passes after.

--- a/edge/src/quota_task.cpp
+++ b/edge/src/quota_task.cpp
@@ -48,20 +48,26 @@
     return { this->vm.settings.quotaWindow, this->vm.settings.quotaOverage, this->vm.settings.quotaSlack };
 }
 
+void QuotaTask::applyConfiguration()
+{
+    auto newest = this->vm.fleet.configuration();
+    if (newest == this->configuration)
+        return;
+    this->configuration = newest;
+    static const std::vector<accounts::ClientAccount> none;
+    const auto& list = newest && newest->accounts ? *newest->accounts : none;
+    this->hasQuotas = std::any_of(list.begin(), list.end(), [](const auto& account) { return account.quota.ratePerSecond > 0; });
+    auto tolerated = list;
+    for (auto& account : tolerated)
+        account.quota = accounts::quotaWithTolerance(account.quota, this->tolerance());
+    if (newest)
+        this->ledger.setAccounts(tolerated, quotaNow());
+    std::erase_if(this->grantedRates, [&list](const auto& item) { return std::none_of(list.begin(), list.end(), [&item](const auto& account) { return account.name == item.first; }); });
+}
+
 void QuotaTask::update()
 {
-    if (auto newest = this->vm.fleet.configuration(); newest != this->configuration) {
-        this->configuration = newest;
-        static const std::vector<accounts::ClientAccount> none;
-        const auto& list = newest && newest->accounts ? *newest->accounts : none;
-        this->hasQuotas = std::any_of(list.begin(), list.end(), [](const auto& account) { return account.quota.ratePerSecond > 0; });
-        auto tolerated = list;
-        for (auto& account : tolerated)
-            account.quota = accounts::quotaWithTolerance(account.quota, this->tolerance());
-        if (newest)
-            this->ledger.setAccounts(tolerated, quotaNow());
-        std::erase_if(this->grantedRates, [&list](const auto& item) { return std::none_of(list.begin(), list.end(), [&item](const auto& account) { return account.name == item.first; }); });
-    }
+    this->applyConfiguration();
     if (!this->hasQuotas || !this->vm.status.membersKnown)
         return;
     std::vector<accounts::QuotaVm> vms { { this->vm.settings.node, capacityInCores(this->vm.settings), true, Time { 0 } } };
@@ -130,7 +136,9 @@
     QuotaDecision decision;
     if (account.quota.ratePerSecond <= 0)
         return decision;
-    if (!this->configuration || this->quotaVms.empty())
+    // The request's configuration may be newer than that of the buckets.
+    this->applyConfiguration();
+    if (this->quotaVms.empty())
         this->update();
     auto& totals = this->totals(account.name);
     if (cost > accounts::quotaCapacity(accounts::quotaWithTolerance(account.quota, this->tolerance()))) {
@@ -186,8 +194,8 @@
 
 void QuotaTask::receive(const std::string& node, uint64_t incarnation, const QuotaMessage& message)
 {
-    // Also if it comes from a VM with a newer configuration.
-    if (!this->hasQuotas)
+    this->applyConfiguration();
+    if (this->hasQuotas && this->quotaVms.empty())
         this->update();
     auto now = quotaNow();
     this->contacts.recordAnswer(node);
--- a/edge/src/quota_task.h
+++ b/edge/src/quota_task.h
@@ -53,7 +53,9 @@
     };
 
     accounts::QuotaTolerance tolerance() const;
-    /// Applies the configuration and the members if they have changed.
+    /// Applies the configuration if it has changed.
+    void applyConfiguration();
+    /// Applies the configuration and the members.
     void update();
     /// Asks the VMs that may know the level, one after the other.
     /// @param decidedBy set to the VM that decided.
--- a/tests/unit/quota_test.cpp
+++ b/tests/unit/quota_test.cpp
@@ -111,3 +111,23 @@
     cr_assert(metrics.find("comfreypier_refusals_total{reason=\"quota\"} 2") != std::string::npos);
     exitProcess();
 }
+
+// Guards against refusals of an account that has just got a quota: the request's configuration is newer than that of the buckets.
+Test(quotas, new_ones_hold_from_their_first_request, .timeout = 60)
+{
+    auto* cluster = new TestCluster(18400);
+    auto accounts = accountJson("a1", "k1", 1000, 1000);
+    cluster->configureAccounts(1, "[" + accounts + "]");
+    waitUntilReady(*cluster, 1);
+    cr_assert(cluster->waitUntil([&] { return cluster->sendRequest("/order/x", "a", keyHeader("k1")).status == 200; }));
+    for (int version = 2; version < 10; version++) {
+        accounts += "," + accountJson("a" + std::to_string(version), "k" + std::to_string(version), 1000, 1000);
+        cluster->configureAccounts(version, "[" + accounts + "]");
+        std::map<unsigned, int> statuses;
+        cr_assert(cluster->waitUntil([&] {
+            auto status = cluster->sendRequest("/order/x", "b" + std::to_string(version) + "-" + std::to_string(statuses[401]), keyHeader("k" + std::to_string(version))).status;
+            return ++statuses[status] > 0 && status != 401; }));
+        cr_assert_eq(statuses[200], 1, "the first request is refused as the level is not known");
+    }
+    exitProcess();
+}
