A newer configuration counts as long as a running VM has it

Cause: an unknown key gets 503 instead of 401 while another VM has a newer configuration. The newest version that was ever heard was kept until the end of the process, also if the store and all VMs have lost it.

Change: the version is that of the VMs whose heartbeats arrive. It is looked up for unknown keys only.

Result: edge.unknown_keys_are_refused_once_no_vm_has_a_newer_version fails before and passes after. A test in accounts_test moves out of a namespace that it does not use.

--- a/edge/src/peers.cpp
+++ b/edge/src/peers.cpp
@@ -305,7 +305,6 @@
         heartbeat.member = this->ownMember();
     heartbeat.storeEra = this->vm.storeEra.known();
     heartbeat.configVersion = configuration ? configuration->version : 0;
-    this->newestVersion = std::max<uint64_t>(this->newestVersion, heartbeat.configVersion);
     if (!partial) {
         heartbeat.loads = this->vm.fleet.ownLoads();
         heartbeat.outcomes = this->vm.fleet.ownFailures(monotonicNow());
@@ -646,7 +645,6 @@
         this->onMissingItems();
     if (this->onForwardedEntries)
         this->onForwardedEntries(heartbeat->forwardedEntries);
-    this->newestVersion = std::max<uint64_t>(this->newestVersion, heartbeat->configVersion);
     if (this->onConfigurationVersion)
         this->onConfigurationVersion(heartbeat->configVersion);
     for (const auto& use : heartbeat->usedAdapters) {
@@ -833,6 +831,19 @@
         this->vm.fleet.forgetPeerLoad(node);
 }
 
+uint64_t Peers::newestConfigurationVersion() const
+{
+    auto now = monotonicNow();
+    auto configuration = this->vm.fleet.configuration();
+    uint64_t newest = configuration ? configuration->version : 0;
+    std::lock_guard lock(this->mutex);
+    for (const auto& [node, peer] : this->peers) {
+        if (peer.configVersion > newest && this->isAlive(peer, now))
+            newest = peer.configVersion;
+    }
+    return newest;
+}
+
 std::vector<ConfigurationSource> Peers::configurationSources(uint64_t version) const
 {
     auto now = monotonicNow();
--- a/edge/src/peers.h
+++ b/edge/src/peers.h
@@ -71,8 +71,8 @@
     bool hasStrongerPeer() const;
     /// Discards the load of unreachable peers.
     void forgetUnreachablePeers();
-    /// Returns the newest version of the configuration that any VM, this one included, has reported to be in force; 0 if none has.
-    uint64_t newestConfigurationVersion() const { return this->newestVersion; }
+    /// Returns the newest version of the configuration that any running VM, this one included, has reported to be in force; 0 if none has.
+    uint64_t newestConfigurationVersion() const;
     /// Returns the VMs to ask for the record of a configuration, see `orderConfigurationSources`: reachable ones that have this version or a
     /// newer one.
     std::vector<ConfigurationSource> configurationSources(uint64_t version) const;
@@ -265,7 +265,6 @@
     Time lastReaderHeartbeatAt { 0 }; ///< When a heartbeat last told the group that this VM reads the store for it.
     bool readerHeartbeatPending = false; ///< One is scheduled.
     Time lastFullHeartbeatAt { 0 }; ///< When the last full heartbeat was sent.
-    std::atomic<uint64_t> newestVersion { 0 }; ///< See `newestConfigurationVersion`.
     mutable std::mutex mutex;
     std::map<std::string, Peer> peers; ///< By VM name; without this VM.
     /// Heartbeats of a VM or of a start of it that is not known as a member.
--- a/edge/src/relay.cpp
+++ b/edge/src/relay.cpp
@@ -401,7 +401,9 @@
     auto position = configuration.keys->find(context.head.key);
     if (position)
         context.account = &(*configuration.accounts)[*position];
-    switch (accounts::decideKey(!context.route->open, position.has_value(), configuration.version, this->peers.newestConfigurationVersion())) {
+    // Looked up only for a key that is not known.
+    auto newestVersion = position ? configuration.version : this->peers.newestConfigurationVersion();
+    switch (accounts::decideKey(!context.route->open, position.has_value(), configuration.version, newestVersion)) {
     case accounts::KeyDecision::Unknown:
         this->refuse(context, 401, RefusalReason::UnknownKey, std::nullopt);
         return false;
--- a/tests/unit/accounts_test.cpp
+++ b/tests/unit/accounts_test.cpp
@@ -623,8 +623,6 @@
     cr_assert(granted >= 90 && granted <= 105, "%d in 20 s at 5 a second", granted);
 }
 
-namespace {
-
 // Guards against a rate that is no number, as only requests without tokens were granted: it would have no limit.
 Test(quotas, requests_without_cost_give_no_rate)
 {
@@ -634,6 +632,8 @@
         cr_assert_not(rate.tryGrant(1, start + seconds { i }));
 }
 
+namespace {
+
 constexpr Time window = seconds { 8 };
 /// Time after the start until the VMs know each other and buckets have begun to fill.
 constexpr Time settleTime = seconds { 3 };
--- a/tests/unit/peers_test.cpp
+++ b/tests/unit/peers_test.cpp
@@ -874,6 +874,21 @@
     }
 }
 
+// Guards against a version that only a VM had which is gone: nobody gets it any more, and it says nothing about a key.
+CLUSTER_TEST(unknown_keys_are_refused_once_no_vm_has_a_newer_version, 12225)
+{
+    SimulatedPeers peers(cluster, 12280, { "peer0" }, "dc");
+    cluster.configureAccounts(1, "[" + accountJson("ann", "k1", 0, 0) + "]");
+    auto statusOf = [&](const char* key) { return cluster.sendRequest("/order/x", "id-" + std::string(key), keyHeader(key)).status; };
+    cr_assert(cluster.waitUntil([&] { return cluster.isReady() && statusOf("k1") == 200; }));
+    cr_assert_eq(statusOf("k2"), 401U);
+    peers.changeHeartbeat("peer0", [](edge::Heartbeat& heartbeat) { heartbeat.configVersion = 2; });
+    cr_assert(cluster.waitUntil([&] { return statusOf("k2") == 503; }), "the peer may know the key");
+    cluster.store.write("keyed.comfreypier-members", "peer0", "");
+    cr_assert(cluster.waitUntil([&] { return statusOf("k2") == 401; }), "the peer has left");
+    cr_assert_eq(statusOf("k1"), 200U);
+}
+
 /// Peers of a deployment with two data centres, so that each forms a group of its own. In that of the VM under test two peers go before it and
 /// say that they read the store.
 class LargeDeployment {
