Each VM that is asked for a configuration has a time of its own

Cause: a VM asks up to three others for a newer configuration. The first one could use the whole time limit, after which no other was asked; while the store failed this was the whole bound, and each further try began with the same VM.

Change: each has an eighth of the bound for the connection and as much for the head of its answer, half of it in the last try. The body has a limit of its own, as records may be large and links slow.

--- a/edge/src/store_task.cpp
+++ b/edge/src/store_task.cpp
@@ -78,10 +78,8 @@
 void StoreTask::refreshConfiguration(uint64_t version)
 {
     auto bound = this->vm.settings.configurationBound;
-    if (this->isStoreFailing() && this->fetchConfiguration(version, bound))
-        return;
-    // The time limit leaves enough of the bound for a read of the store.
-    if (this->isFollowingDelegated() && this->fetchConfiguration(version, bound / 8))
+    // VMs that don't answer leave enough of the bound for the next ones and a read of the store.
+    if ((this->isStoreFailing() || this->isFollowingDelegated()) && this->fetchConfiguration(version, bound / 8))
         return;
     // The read loop usually reads the new version within this delay. If it does not, its read may hang on a dead connection,
     // and pooled connections may be dead too.
@@ -91,18 +89,16 @@
     if (auto page = this->readOnNewConnection(platform::Stream::Configuration))
         this->applyConfigurationsAside(*page);
     if (!this->hasConfiguration(version))
-        this->fetchConfiguration(version, bound);
+        this->fetchConfiguration(version, bound / 2);
 }
 
-bool StoreTask::fetchConfiguration(uint64_t version, milliseconds timeLimit)
+bool StoreTask::fetchConfiguration(uint64_t version, milliseconds answerLimit)
 {
-    auto startedAt = monotonicNow();
     for (const auto& source : this->peerReads.configurationSources(version)) {
-        if (monotonicNow() - startedAt > timeLimit)
-            break;
         transport::CallLimits limits;
-        limits.connect = std::min(platform::storeConnectTimeout, timeLimit);
-        limits.response = timeLimit;
+        limits.connect = std::min(platform::storeConnectTimeout, answerLimit);
+        limits.response = answerLimit;
+        limits.body = this->vm.settings.configurationBound / 2;
         limits.maxBodyBytes = platform::maxStoreResponseBytes;
         limits.freshConnection = true;
         auto response = this->vm.controlClient.call(source.address, makeConfigurationRequest(), limits);
--- a/edge/src/store_task.h
+++ b/edge/src/store_task.h
@@ -83,9 +83,10 @@
     /// Gets a configuration that is at least as new as `version`, unless the read loop does.
     void refreshConfiguration(uint64_t version);
     /// Asks other VMs for the configuration, one after the other.
-    /// @param timeLimit for a connection, the head of an answer, and its body each. Beyond it no further VM is asked.
+    /// @param answerLimit time after which the next one is asked if there is no connection, or no head of an answer. The body may take half
+    /// of the time within which a configuration is to be in force.
     /// @return whether the configuration in force is now at least as new as `version`.
-    bool fetchConfiguration(uint64_t version, milliseconds timeLimit);
+    bool fetchConfiguration(uint64_t version, milliseconds answerLimit);
     /// Returns whether the last read of the configuration or of the workers has failed.
     bool isStoreFailing() const;
     /// Applies the newest configuration from a read aside. If the pending read has missed it, the pending reads are begun anew.
--- a/tests/unit/configuration_exchange_test.cpp
+++ b/tests/unit/configuration_exchange_test.cpp
@@ -69,6 +69,43 @@
     cr_assert(record && record->version == 1 && record->value == standins::makePlatformConfiguration(1, ""));
 }
 
+// The VM that is asked first takes the connection and never answers. The others must be asked early enough.
+CLUSTER_TEST(silent_vm_does_not_keep_others_from_being_asked, 16725)
+{
+    auto second = startSecondVm(cluster);
+    // The order depends on the names.
+    std::string silent = "s";
+    while (edge::orderConfigurationSources({ sourceNamed("vm0", "dc"), sourceNamed(silent, "dc") }, "vm1", "dc").front().node != silent)
+        silent += "s";
+    constexpr const char* silentAddress = "127.0.0.4";
+    edge::Member member { 1, { silentAddress, second.inner.port }, { silentAddress, second.front.port }, "dc", 1 };
+    cluster.writeMember(silent, edge::encodeMember(member));
+    transport::HttpServer server(
+        cluster.runtime, { silentAddress, second.metrics.port }, {}, [](const auto&, auto&) { transport::sleepFor(seconds { 60 }); }, [](unsigned status, std::string_view) { return transport::HttpResponse { status, {}, "" }; });
+    transport::DatagramSocket socket(cluster.runtime, member.inner, [](std::string_view) {});
+    cr_assert(server.start() && socket.start());
+    std::atomic<uint64_t> version { 1 };
+    cluster.runtime.spawn([&] {
+        edge::Heartbeat heartbeat;
+        heartbeat.node = silent;
+        heartbeat.incarnation = 1;
+        for (;; transport::sleepFor(milliseconds { 100 })) {
+            heartbeat.sequence++;
+            heartbeat.configVersion = version;
+            (void)socket.send(second.inner, edge::encodeHeartbeat(heartbeat));
+        }
+    });
+    cluster.configure(1, standins::makePlatformRoute("old", "/old/"));
+    cr_assert(cluster.waitUntil([&] { return cluster.isReady() && serves(cluster, second, "/old/"); }));
+    // No store listens there.
+    second.store = loopback(static_cast<uint16_t>(cluster.base + 19));
+    cluster.vms[1]->reload(second);
+    std::this_thread::sleep_for(milliseconds { 1000 });
+    cluster.configure(2, standins::makePlatformRoute("new", "/new/"));
+    version = 2;
+    cr_assert(cluster.waitUntil([&] { return serves(cluster, second, "/new/"); }, second.configurationBound), "the newer configuration is not in force");
+}
+
 // In a large group a VM that leaves the store to others gets a new configuration from them.
 CLUSTER_TEST(configuration_is_passed_on_within_a_large_group, 16550)
 {
--- a/transport/include/transport/transport.h
+++ b/transport/include/transport/transport.h
@@ -466,6 +466,8 @@
     std::chrono::milliseconds connect = defaultConnectTimeout; ///< Time to establish a connection.
     /// Time to send the request and receive the response head; `HttpClient::call` allows the same again for the whole body.
     std::chrono::milliseconds response { 10000 };
+    /// Time that `HttpClient::call` allows for the whole body; by default that for the head.
+    std::optional<std::chrono::milliseconds> body = std::nullopt;
     uint64_t maxBodyBytes = defaultMaxBodyBytes; ///< A larger response body fails with `IoError::TooLarge`.
     CancelToken* cancel = nullptr; ///< Optional. Must outlive the call and its response stream.
     /// Asked once there is a connection, before the first byte is written: opening it may take long. If it returns false, the call fails with
--- a/transport/src/http_client_beast.cpp
+++ b/transport/src/http_client_beast.cpp
@@ -488,7 +488,7 @@
     response.status = stream->status();
     response.headers = stream->headers();
     // For the body as a whole: a peer that sends a byte now and then must not keep the caller waiting.
-    auto end = monotonicNow() + limits.response;
+    auto end = monotonicNow() + limits.body.value_or(limits.response);
     while (true) {
         auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(end - monotonicNow());
         if (remaining <= std::chrono::milliseconds { 0 })
