The record of the configuration is sent without a copy

Cause: an answer to GET /configuration held a copy of the record, in the memory for answers to callers. A record of more than half of that memory was always refused, and readers that take long held it against callers.

Change: the record is sent in chunks, of which each answer holds one. An answer ends unfinished when another record is in force, so that slow readers keep no old ones.

--- a/edge/src/configuration_exchange.cpp
+++ b/edge/src/configuration_exchange.cpp
@@ -46,17 +46,26 @@
     return request.method == "GET" && request.target == configurationTarget;
 }
 
-transport::HttpResponse makeConfigurationResponse(const ConfigurationRecordPtr& record)
+void sendConfiguration(const ConfigurationRecordPtr& record, transport::ResponseWriter& writer, const std::function<bool()>& isInForce)
 {
-    if (!record)
-        return { 404, {}, "" };
+    if (!record) {
+        writer.send({ 404, {}, "" });
+        return;
+    }
     std::vector<transport::Header> headers {
         { "Content-Type", "application/octet-stream" },
         { std::string(versionHeader), std::to_string(record->version) },
         { std::string(eraHeader), std::to_string(record->position.era) },
         { std::string(offsetHeader), std::to_string(record->position.offset) },
     };
-    return { 200, std::move(headers), record->value };
+    writer.startStream(200, headers);
+    for (std::string_view rest = record->value; !rest.empty(); rest.remove_prefix(std::min(rest.size(), configurationChunkBytes))) {
+        if (!writer.writeChunk(rest.substr(0, configurationChunkBytes)))
+            return;
+        if (!isInForce())
+            return writer.abort();
+    }
+    writer.finishStream();
 }
 
 transport::HttpResponse makeConfigurationRefusal()
--- a/edge/src/configuration_exchange.h
+++ b/edge/src/configuration_exchange.h
@@ -38,8 +38,12 @@
 
 transport::HttpRequest makeConfigurationRequest();
 bool isConfigurationRequest(const transport::HttpRequest& request);
+/// Memory that an answer with a record takes beside the record.
+constexpr size_t configurationChunkBytes = 64 * 1024;
+/// Sends the record in chunks, without a copy of the whole.
 /// @param record null while no configuration is known; the answer is 404 then.
-transport::HttpResponse makeConfigurationResponse(const ConfigurationRecordPtr& record);
+/// @param isInForce returns whether the record still is the newest. If not, the answer ends unfinished.
+void sendConfiguration(const ConfigurationRecordPtr& record, transport::ResponseWriter& writer, const std::function<bool()>& isInForce);
 /// Returns the answer of a VM that has no memory left for another copy of the record.
 transport::HttpResponse makeConfigurationRefusal();
 /// @return nothing if the answer holds no record. VMs of earlier versions answer with their counters.
--- a/edge/src/edge.cpp
+++ b/edge/src/edge.cpp
@@ -128,9 +128,11 @@
         if (!isConfigurationRequest(request))
             return this->serveMetrics(writer);
         auto record = this->vm.fleet.configurationRecord();
-        transport::BufferReservation copy(this->vm.bufferMemory);
-        bool hasMemory = !record || copy.tryHold(record->value.size());
-        writer.send(hasMemory ? makeConfigurationResponse(record) : makeConfigurationRefusal());
+        transport::BufferReservation chunk(this->vm.bufferMemory);
+        if (record && !chunk.tryHold(configurationChunkBytes))
+            return static_cast<void>(writer.send(makeConfigurationRefusal()));
+        // A reader that takes long does not keep a record that was replaced.
+        sendConfiguration(record, writer, [&] { return this->vm.fleet.configurationRecord() == record; });
     }
 
     void serveMetrics(transport::ResponseWriter& writer) const
