A lack of places for connections is no fault of the worker

Cause: when callers' connections leave no place for one to a worker, the call failed as one to a worker that can't be reached. The worker was avoided and the failure went to the other VMs with the heartbeats.

Change: the client names the reason, and the relay records nothing against the worker. The request is retried elsewhere as before: nothing was sent.

Result: http_client.lack_of_places_is_no_fault_of_the_peer passes; that the relay records nothing is from reading.

--- a/edge/src/relay.cpp
+++ b/edge/src/relay.cpp
@@ -944,7 +944,10 @@
     if (context.isCallerGone() || error == IoError::Cancelled)
         return SendResult::CallerGone;
     auto now = monotonicNow();
+    // Another worker may have an idle connection.
     context.excludedWorkers.insert(selection.id);
+    if (error == IoError::NoPlace)
+        return SendResult::NotSent;
     if (transport::isConnectError(error)) {
         this->vm.fleet.updateWorker(selection.id, [now](routing::Worker& worker) { routing::recordUnreachable(worker, now); });
         // A refused connection, unlike one that times out, counts as a crash of the worker.
--- a/tests/unit/transport_test.cpp
+++ b/tests/unit/transport_test.cpp
@@ -550,6 +550,26 @@
     cr_assert(runtime.stop(std::chrono::seconds { 5 }));
 }
 
+// Guards against a lack of places of the own process that is taken for a fault of the peer.
+Test(http_client, lack_of_places_is_no_fault_of_the_peer)
+{
+    ConnectionBudget budget(1, 1, 0);
+    Runtime runtime(1);
+    HttpClient client;
+    std::atomic<int> result { -1 };
+    cr_assert(budget.tryTakeServerPlace());
+    runtime.spawn([&] {
+        CallLimits limits;
+        limits.connections = &budget;
+        result = static_cast<int>(client.call({ "127.0.0.1", 26980 }, { "GET", "/", {}, "" }, limits).error());
+    });
+    while (result < 0)
+        std::this_thread::sleep_for(std::chrono::milliseconds { 10 });
+    cr_assert_str_eq(name(static_cast<IoError>(result.load())), "no_place");
+    cr_assert(isConnectError(static_cast<IoError>(result.load())), "nothing was sent");
+    cr_assert(runtime.stop(std::chrono::seconds { 5 }));
+}
+
 // A connection that is too old to be used must not stay open at the peer until the next request to that peer, which may never come.
 Test(http_client, unusable_idle_connections_are_closed_while_others_are_used)
 {
--- a/transport/include/transport/transport.h
+++ b/transport/include/transport/transport.h
@@ -94,6 +94,7 @@
     TooLarge, ///< Head or body exceeds the limit.
     Cancelled, ///< Cancelled through `CancelToken`.
     Withdrawn, ///< `CallLimits::maySend` returned false. No byte was sent.
+    NoPlace, ///< `CallLimits::connections` has no place for a connection, which says nothing about the peer. No byte was sent.
     Count
 };
 
@@ -464,7 +465,7 @@
 /// Limits and options of one client call.
 struct CallLimits {
     std::chrono::milliseconds connect = defaultConnectTimeout; ///< Time to establish a connection.
-    /// Time to send the request and receive the response head; `HttpClient::call` allows the same again for the whole body.
+    /// Time to send the request and receive the response head.
     std::chrono::milliseconds response { 10000 };
     /// Time that `HttpClient::call` allows for the whole body; by default that for the head.
     std::optional<std::chrono::milliseconds> body = std::nullopt;
@@ -479,7 +480,7 @@
     /// Name of the header with the request's id, which the peer echoes. A late second copy of the answer to an earlier request on the same
     /// connection is then skipped. If empty, answers are not matched.
     std::string_view idHeader;
-    /// Places for a new connection. Without one the call fails with `IoError::NotConnected`. Optional; must outlive the client.
+    /// Places for a new connection. Without one the call fails with `IoError::NoPlace`. Optional; must outlive the client.
     ConnectionBudget* connections = nullptr;
     /// Numbers of connections that are not used, see `ResponseStream::connectionNumber`. Optional.
     const std::set<uint64_t>* avoidedConnections = nullptr;
--- a/transport/src/http_client_beast.cpp
+++ b/transport/src/http_client_beast.cpp
@@ -251,7 +251,7 @@
         auto connection = std::make_unique<ClientConnection>(*currentContext());
         if (limits.connections != nullptr) {
             if (!this->tryTakePlace(*limits.connections))
-                return IoError::NotConnected;
+                return IoError::NoPlace;
             connection->place = limits.connections;
         }
         connection->stream.expires_after(limits.connect);
@@ -510,14 +510,14 @@
 const char* name(IoError error)
 {
     constexpr std::array<const char*, static_cast<size_t>(IoError::Count)> names {
-        "refused", "not_connected", "connect_timeout", "timeout", "closed", "malformed", "too_large", "cancelled", "withdrawn"
+        "refused", "not_connected", "connect_timeout", "timeout", "closed", "malformed", "too_large", "cancelled", "withdrawn", "no_place"
     };
     return names[static_cast<size_t>(error)];
 }
 
 bool isConnectError(IoError error)
 {
-    return error == IoError::Refused || error == IoError::NotConnected || error == IoError::ConnectTimeout;
+    return error == IoError::Refused || error == IoError::NotConnected || error == IoError::ConnectTimeout || error == IoError::NoPlace;
 }
 
 void setTcpKeepAlive(Stream::socket_type& socket)
