--- a/tests/unit/peers_test.cpp
+++ b/tests/unit/peers_test.cpp
@@ -775,8 +775,6 @@
     cr_assert(edge::decodeHeartbeat(edge::encodeHeartbeat({ .node = "vm0" }))->quota.isEmpty());
 }
 
-namespace {
-
 // Guards against a datagram of legal size that makes a VM allocate hundreds of megabytes.
 Test(heartbeats, that_unpack_to_many_times_their_size_are_refused)
 {
@@ -889,6 +887,8 @@
     cr_assert_eq(statusOf("k1"), 200U);
 }
 
+namespace {
+
 /// Peers of a deployment with two data centres, so that each forms a group of its own. In that of the VM under test two peers go before it and
 /// say that they read the store.
 class LargeDeployment {
