Buckets without a burst stay within the tolerance

Cause: a quota without a burst holds what it gets in a second, and half of the tolerance was added to that. At 20 a second, windows of 8 s and 10 % this allows 188 in a window that may have 176.

Change: such a bucket holds the tolerance at most. Without a tolerance it holds a second's worth as before.

Result: quotas.buckets_without_a_burst_stay_within_the_tolerance fails before and passes after; accounts_test passes.

--- a/accounts/src/token_bucket.cpp
+++ b/accounts/src/token_bucket.cpp
@@ -26,7 +26,11 @@
 {
     auto result = quota;
     auto allowed = quota.ratePerSecond * toSeconds(tolerance.window) + quota.burst;
-    result.burst = quotaCapacity(quota) + bucketToleranceShare * (allowed * tolerance.overage + tolerance.slack);
+    auto tolerated = allowed * tolerance.overage + tolerance.slack;
+    result.burst = quotaCapacity(quota) + bucketToleranceShare * tolerated;
+    // What a quota without a burst holds beside is within the tolerance as well.
+    if (quota.burst <= 0)
+        result.burst = std::min(result.burst, tolerated);
     return result;
 }
 
--- a/tests/unit/accounts_test.cpp
+++ b/tests/unit/accounts_test.cpp
@@ -420,6 +420,21 @@
     cr_assert(quotaWithTolerance(quota, {}) == quota, "without tolerance the burst is all");
 }
 
+// Guards against a quota without a burst that gets a second's worth beyond what a deployment tolerates.
+Test(quotas, buckets_without_a_burst_stay_within_the_tolerance)
+{
+    for (auto unit : { QuotaUnit::Requests, QuotaUnit::Tokens }) {
+        for (double rate : { 20.0, 1000.0 }) {
+            for (const QuotaTolerance& tolerance : { QuotaTolerance { seconds { 8 }, 0.1, 0 }, QuotaTolerance { seconds { 8 }, 0.05, 10 }, QuotaTolerance { seconds { 60 }, 0.5, 0 } }) {
+                auto kept = quotaWithTolerance({ unit, rate, 0, 0 }, tolerance);
+                auto allowed = rate * toSeconds(tolerance.window);
+                cr_assert_leq(quotaCapacity(kept) + rate * toSeconds(tolerance.window), allowed * (1 + tolerance.overage) + tolerance.slack + 1e-6, "%g a second", rate);
+                cr_assert_geq(quotaCapacity(kept), bucketToleranceShare * (allowed * tolerance.overage + tolerance.slack) - 1e-6);
+            }
+        }
+    }
+}
+
 Test(quotas, lowered_and_raised_ones_hold_at_once)
 {
     TokenBucket bucket({ QuotaUnit::Requests, 10, 100, 0 }, 100, start);
