--- a/accounts/src/token_bucket.cpp
+++ b/accounts/src/token_bucket.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+    /// Longer waits count as this one, so that they fit the clock.
+    constexpr std::chrono::hours maxWait { 24 };
+
     double toSeconds(Time time)
     {
         return std::chrono::duration<double>(time).count();
@@ -23,7 +26,11 @@
 {
     auto result = quota;
     auto allowed = quota.ratePerSecond * toSeconds(tolerance.window) + quota.burst;
-    result.burst = quotaCapacity(quota) + bucketToleranceShare * (allowed * tolerance.overage + tolerance.slack);
+    auto tolerated = allowed * tolerance.overage + tolerance.slack;
+    result.burst = quotaCapacity(quota) + bucketToleranceShare * tolerated;
+    // What a quota without a burst holds beside is within the tolerance as well.
+    if (quota.burst <= 0)
+        result.burst = std::min(result.burst, tolerated);
     return result;
 }
 
@@ -60,7 +67,8 @@
     // The level carries rounding errors.
     if (missing <= capacity * 1e-9)
         return Time { 0 };
-    return std::chrono::ceil<Time>(std::chrono::duration<double>(missing / this->quota.ratePerSecond));
+    auto wait = std::min<std::chrono::duration<double>>(std::chrono::duration<double>(missing / this->quota.ratePerSecond), maxWait);
+    return std::chrono::ceil<Time>(wait);
 }
 
 void TokenBucket::setQuota(const Quota& newQuota, Time now)
@@ -92,7 +100,7 @@
 
 double GrantedRate::rate() const
 {
-    if (this->firstAt == Time { 0 })
+    if (this->granted <= 0)
         return 0;
     // Shortly after the first request the sum is that of a shorter time, but at least of a second.
     auto covered = 1 - std::exp(-std::max(1.0, toSeconds(this->answeredAt - this->firstAt)) / toSeconds(grantedRateTime));
--- a/edge/src/heartbeat_codec_capnp.cpp
+++ b/edge/src/heartbeat_codec_capnp.cpp
@@ -19,6 +19,10 @@
         return { reinterpret_cast<const char*>(bytes.begin()), bytes.size() };
     }
 
+    /// Maximum number of words (8 bytes each) that are read of a message. Packed, a message of this size is larger than a datagram, unless it
+    /// consists of zeros.
+    constexpr uint64_t maxTraversalWords = 2 * transport::maxDatagramBytes;
+
     /// Decodes a message and passes its root to `read`.
     /// @return false if the bytes are no valid message of this type.
     template <class Root, class Read>
@@ -26,7 +30,9 @@
     {
         kj::ArrayInputStream in(kj::arrayPtr(reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()));
         auto exception = kj::runCatchingExceptions([&] {
-            capnp::PackedMessageReader reader(in);
+            capnp::ReaderOptions options;
+            options.traversalLimitInWords = maxTraversalWords;
+            capnp::PackedMessageReader reader(in, options);
             read(reader.getRoot<Root>());
         });
         return exception == nullptr;
@@ -248,16 +254,16 @@
 std::optional<Member> decodeMember(std::string_view bytes)
 {
     Member member;
-    bool addressesValid = false;
+    bool valid = false;
     bool decoded = decodeMessage<wire::Member>(bytes, [&](wire::Member::Reader root) {
         auto inner = transport::parseEndpoint(toStdString(root.getInner()));
         auto front = transport::parseEndpoint(toStdString(root.getFront()));
-        addressesValid = inner.has_value() && front.has_value();
-        if (!addressesValid)
+        valid = inner.has_value() && front.has_value() && std::isfinite(root.getCapacity()) && root.getCapacity() >= 0;
+        if (!valid)
             return;
         member = { root.getIncarnation(), inner.value(), front.value(), toStdString(root.getDataCentre()), root.getCapacity() };
     });
-    return decoded && addressesValid ? std::optional(member) : std::nullopt;
+    return decoded && valid ? std::optional(member) : std::nullopt;
 }
 
 std::string encodeHeartbeat(const Heartbeat& heartbeat)
--- a/edge/src/relay.cpp
+++ b/edge/src/relay.cpp
@@ -401,7 +401,9 @@
     auto position = configuration.keys->find(context.head.key);
     if (position)
         context.account = &(*configuration.accounts)[*position];
-    switch (accounts::decideKey(!context.route->open, position.has_value(), configuration.version, this->peers.newestConfigurationVersion())) {
+    // Looked up only for a key that is not known.
+    auto newestVersion = position ? configuration.version : this->peers.newestConfigurationVersion();
+    switch (accounts::decideKey(!context.route->open, position.has_value(), configuration.version, newestVersion)) {
     case accounts::KeyDecision::Unknown:
         this->refuse(context, 401, RefusalReason::UnknownKey, std::nullopt);
         return false;
@@ -942,7 +944,10 @@
     if (context.isCallerGone() || error == IoError::Cancelled)
         return SendResult::CallerGone;
     auto now = monotonicNow();
+    // Another worker may have an idle connection.
     context.excludedWorkers.insert(selection.id);
+    if (error == IoError::NoPlace)
+        return SendResult::NotSent;
     if (transport::isConnectError(error)) {
         this->vm.fleet.updateWorker(selection.id, [now](routing::Worker& worker) { routing::recordUnreachable(worker, now); });
         // A refused connection, unlike one that times out, counts as a crash of the worker.
--- a/tests/unit/accounts_test.cpp
+++ b/tests/unit/accounts_test.cpp
@@ -420,6 +420,21 @@
     cr_assert(quotaWithTolerance(quota, {}) == quota, "without tolerance the burst is all");
 }
 
+// Guards against a quota without a burst that gets a second's worth beyond what a deployment tolerates.
+Test(quotas, buckets_without_a_burst_stay_within_the_tolerance)
+{
+    for (auto unit : { QuotaUnit::Requests, QuotaUnit::Tokens }) {
+        for (double rate : { 20.0, 1000.0 }) {
+            for (const QuotaTolerance& tolerance : { QuotaTolerance { seconds { 8 }, 0.1, 0 }, QuotaTolerance { seconds { 8 }, 0.05, 10 }, QuotaTolerance { seconds { 60 }, 0.5, 0 } }) {
+                auto kept = quotaWithTolerance({ unit, rate, 0, 0 }, tolerance);
+                auto allowed = rate * toSeconds(tolerance.window);
+                cr_assert_leq(quotaCapacity(kept) + rate * toSeconds(tolerance.window), allowed * (1 + tolerance.overage) + tolerance.slack + 1e-6, "%g a second", rate);
+                cr_assert_geq(quotaCapacity(kept), bucketToleranceShare * (allowed * tolerance.overage + tolerance.slack) - 1e-6);
+            }
+        }
+    }
+}
+
 Test(quotas, lowered_and_raised_ones_hold_at_once)
 {
     TokenBucket bucket({ QuotaUnit::Requests, 10, 100, 0 }, 100, start);
@@ -476,6 +491,82 @@
     cr_assert_eq(ledger.charge("b", 3, 10, start + seconds { 1 }).outcome, ChargeOutcome::Granted);
 }
 
+// Guards against limits that end because a wait does not fit the clock.
+Test(quotas, waits_of_any_length_are_refusals)
+{
+    for (const Quota& quota : { Quota { QuotaUnit::Requests, 1e-12, 1, 0 }, Quota { QuotaUnit::Tokens, 1, 1e15, 0 }, Quota { QuotaUnit::Tokens, 5e-324, 1e300, 0 } }) {
+        TokenBucket bucket(quota, 0, start);
+        auto wait = bucket.timeUntil(quota.burst, start);
+        cr_assert(wait && *wait > Time { 0 } && start + *wait > start, "%g a second", quota.ratePerSecond);
+    }
+}
+
+// Guards against a bucket that stays confirmed for ever, as a report answers one that this VM has not sent yet.
+Test(quotas, answers_to_reports_of_the_future_confirm_nothing)
+{
+    QuotaLedger ledger("vm0", 1);
+    ledger.setVms({ { "vm0" }, { "vm1" } }, start);
+    ledger.setAccounts({}, start);
+    ledger.setAccounts({ makeAccount("a", {}, { QuotaUnit::Requests, 1, 10, 0 }) }, start);
+    LevelReport report { "a", true, 10, 0, start, 1, 0, start + std::chrono::hours { 1 }, false };
+    ledger.receive("vm1", 2, report, start);
+    cr_assert(ledger.level("a", start + milliseconds { 100 }).has_value());
+    cr_assert_not(ledger.level("a", start + seconds { 1 }).has_value(), "no VM has confirmed it for a second");
+}
+
+// Guards against operators' changes that give an account its burst again, at once or as another VM's sum of charges begins anew.
+Test(quotas, accounts_that_come_back_keep_their_level)
+{
+    auto account = makeAccount("a", {}, { QuotaUnit::Requests, 1, 10, 0 });
+    auto unlimited = makeAccount("a", {}, {});
+    for (const auto& between : { std::vector<ClientAccount> {}, std::vector { unlimited } }) {
+        QuotaLedger holder("vm0", 1);
+        QuotaLedger copy("vm1", 2);
+        for (auto* ledger : { &holder, &copy }) {
+            ledger->setVms({ { "vm0" }, { "vm1" } }, start);
+            ledger->setAccounts({}, start);
+            ledger->setAccounts({ account }, start);
+        }
+        auto report = [&](Time now) {
+            for (const auto& [vm, sent] : holder.takeReports(now, false)) {
+                if (auto answer = copy.receive("vm0", 1, sent, now))
+                    holder.receive("vm1", 2, *answer, now);
+            }
+            for (const auto& [vm, sent] : copy.takeReports(now, false)) {
+                if (auto answer = holder.receive("vm1", 2, sent, now))
+                    copy.receive("vm0", 1, *answer, now);
+            }
+        };
+        report(start);
+        cr_assert_eq(holder.charge("a", 1, 8, start).outcome, ChargeOutcome::Granted);
+        report(start + milliseconds { 1 });
+        // The second VM has both versions at once.
+        holder.setAccounts(between, start + milliseconds { 2 });
+        holder.setAccounts({ account }, start + milliseconds { 100 });
+        auto now = start + milliseconds { 101 };
+        cr_assert_lt(holder.level("a", now).value_or(0), 2.2);
+        report(now);
+        cr_assert_lt(copy.level("a", now).value_or(0), 2.2, "the second VM has %g", copy.level("a", now).value_or(0));
+        // What comes back later is full.
+        holder.setAccounts({}, now);
+        holder.setAccounts({ account }, now + std::chrono::hours { 1 });
+        cr_assert_float_eq(holder.level("a", now + std::chrono::hours { 1 }).value(), 10, 1e-9);
+    }
+}
+
+// Guards against a charge in one unit that is given back in another.
+Test(quotas, charges_in_a_former_unit_are_not_given_back)
+{
+    QuotaLedger ledger("vm0", 1);
+    ledger.setVms({ { "vm0" } }, start);
+    ledger.setAccounts({}, start);
+    ledger.setAccounts({ makeAccount("a", {}, { QuotaUnit::Tokens, 100, 1000, 0 }) }, start);
+    cr_assert_eq(ledger.charge("a", 1, 1000, start).outcome, ChargeOutcome::Granted);
+    ledger.setAccounts({ makeAccount("a", {}, { QuotaUnit::Requests, 1, 10, 0 }) }, start);
+    ledger.giveBack(1, start);
+    cr_assert_float_eq(ledger.level("a", start).value(), 0, 1e-9);
+}
+
 // Guards against weak VMs that answer for many accounts, and against accounts that change their holder without need.
 Test(quotas, holders_are_weighted_and_stay)
 {
@@ -547,6 +638,15 @@
     cr_assert(granted >= 90 && granted <= 105, "%d in 20 s at 5 a second", granted);
 }
 
+// Guards against a rate that is no number, as only requests without tokens were granted: it would have no limit.
+Test(quotas, requests_without_cost_give_no_rate)
+{
+    GrantedRate rate;
+    rate.record(0, true, start);
+    for (int i = 0; i < 3; i++)
+        cr_assert_not(rate.tryGrant(1, start + seconds { i }));
+}
+
 namespace {
 
 constexpr Time window = seconds { 8 };
--- a/tests/unit/peers_test.cpp
+++ b/tests/unit/peers_test.cpp
@@ -7,6 +7,7 @@
 #include "heartbeat_split.h"
 #include "send_order.h"
 
+#include <cmath>
 #include <rapidcheck.h>
 
 using namespace comfreypier;
@@ -774,6 +775,118 @@
     cr_assert(edge::decodeHeartbeat(edge::encodeHeartbeat({ .node = "vm0" }))->quota.isEmpty());
 }
 
+// Guards against a datagram of legal size that makes a VM allocate hundreds of megabytes.
+Test(heartbeats, that_unpack_to_many_times_their_size_are_refused)
+{
+    edge::Heartbeat heartbeat;
+    heartbeat.node = "stranger";
+    heartbeat.quota.returns.assign(4 * 1024 * 1024, 0);
+    auto bytes = edge::encodeHeartbeat(heartbeat);
+    cr_assert_leq(bytes.size(), transport::maxDatagramBytes);
+    cr_assert_not(edge::decodeHeartbeat(bytes).has_value());
+    // Full datagrams are read.
+    heartbeat.quota.returns.clear();
+    for (uint64_t i = 0; edge::encodeHeartbeat(heartbeat).size() < transport::maxDatagramBytes - 1000; i += 100) {
+        for (uint64_t j = i; j < i + 100; j++)
+            heartbeat.quota.returns.push_back(j);
+    }
+    auto decoded = edge::decodeHeartbeat(edge::encodeHeartbeat(heartbeat));
+    cr_assert(decoded && decoded->quota.returns == heartbeat.quota.returns);
+}
+
+// Guards against VMs that can't be ranked: no order of capacities holds with one that is no number.
+Test(members, whose_capacity_is_no_number_are_unreadable)
+{
+    for (double capacity : { std::nan(""), HUGE_VAL, -1.0 }) {
+        auto bytes = edge::encodeMember({ 1, loopback(1), loopback(2), "dc", capacity });
+        cr_assert_not(edge::decodeMember(bytes).has_value(), "%g", capacity);
+    }
+}
+
+// Guards against VMs of another deployment, or datagrams that anybody sends, that remain members without a record in the store, and that
+// replace one.
+CLUSTER_TEST(members_that_the_store_does_not_know_are_forgotten, 12125)
+{
+    const SimulatedPeers known(cluster, 12180, { "known" }, "dc");
+    cluster.configureAndWait();
+    auto knows = [&](const char* port) {
+        auto response = cluster.call(cluster.directory(), { "GET", "/v1/resolve?name=h.example&region=r&zone=dc", {}, {} });
+        return response && response.value().body.find(port) != std::string::npos;
+    };
+    cr_assert(cluster.waitUntil([&] { return knows("12181"); }));
+    transport::DatagramSocket socket(cluster.runtime, loopback(12185), [](std::string_view) {});
+    cr_assert(socket.start());
+    std::atomic<bool> ended { false };
+    std::atomic<bool> sending { true };
+    cluster.runtime.spawn([&] {
+        for (uint64_t sequence = 1; sending; sequence++) {
+            for (const auto* name : { "stranger", "known" }) {
+                edge::Heartbeat heartbeat;
+                heartbeat.node = name;
+                heartbeat.incarnation = 77;
+                heartbeat.sequence = sequence;
+                heartbeat.ready = true;
+                heartbeat.member = edge::Member { 77, loopback(12185), loopback(name == std::string("known") ? 12187 : 12186), "dc", 1 };
+                (void)socket.send(loopback(cluster.base + 23), edge::encodeHeartbeat(heartbeat));
+            }
+            transport::sleepFor(milliseconds { 100 });
+        }
+        ended = true;
+    });
+    cr_assert(cluster.waitUntil([&] { return knows("12186") && knows("12187"); }), "a new VM is known by its heartbeats");
+    sending = false;
+    cr_assert(cluster.waitUntil([&] { return ended.load(); }));
+    // Each of these ends a read of the members.
+    cr_assert(cluster.waitUntil([&] {
+        cluster.store.write("keyed.comfreypier-members", "gone", "");
+        std::this_thread::sleep_for(milliseconds { 100 });
+        return knows("12181"); }, milliseconds { 6000 }), "the member that the store knows does not come back");
+    cr_assert_not(knows("12186"));
+    cr_assert_not(knows("12187"));
+}
+
+// Guards against a VM that starts again and is known by its heartbeats first: the record that ends its earlier start, read later, must not end
+// this one.
+CLUSTER_TEST(restarted_vm_that_is_heard_before_its_records_stays_a_member, 12325)
+{
+    SimulatedPeers peers(cluster, 12380, { "peer0" }, "dc");
+    cluster.configureAndWait();
+    auto isKnown = [&] {
+        auto response = cluster.call(cluster.directory(), { "GET", "/v1/resolve?name=h.example&region=r&zone=dc", {}, {} });
+        return response && response.value().body.find("12381") != std::string::npos;
+    };
+    cr_assert(cluster.waitUntil(isKnown));
+    for (uint64_t start = 2; start <= 5; start++) {
+        edge::Member member { start, loopback(12380), loopback(12381), "dc", 1 };
+        peers.changeHeartbeat("peer0", [&](edge::Heartbeat& heartbeat) { heartbeat.member = member; });
+        peers.setIncarnation(start);
+        std::this_thread::sleep_for(milliseconds { 400 });
+        if (start == 4) // Of a start in between that this VM has not heard.
+            cluster.writeMember("peer0", edge::encodeMember({ 99, loopback(12380), loopback(12382), "dc", 1 }));
+        cluster.store.write("keyed.comfreypier-members", "peer0", "");
+        std::this_thread::sleep_for(milliseconds { start % 2 == 0 ? 300 : 0 });
+        cluster.writeMember("peer0", edge::encodeMember(member));
+        peers.changeHeartbeat("peer0", [](edge::Heartbeat& heartbeat) { heartbeat.member.reset(); });
+        std::this_thread::sleep_for(milliseconds { 1000 });
+        cr_assert(isKnown(), "start %d is forgotten", static_cast<int>(start));
+    }
+}
+
+// Guards against a version that only a VM had which is gone: nobody gets it any more, and it says nothing about a key.
+CLUSTER_TEST(unknown_keys_are_refused_once_no_vm_has_a_newer_version, 12225)
+{
+    SimulatedPeers peers(cluster, 12280, { "peer0" }, "dc");
+    cluster.configureAccounts(1, "[" + accountJson("ann", "k1", 0, 0) + "]");
+    auto statusOf = [&](const char* key) { return cluster.sendRequest("/order/x", "id-" + std::string(key), keyHeader(key)).status; };
+    cr_assert(cluster.waitUntil([&] { return cluster.isReady() && statusOf("k1") == 200; }));
+    cr_assert_eq(statusOf("k2"), 401U);
+    peers.changeHeartbeat("peer0", [](edge::Heartbeat& heartbeat) { heartbeat.configVersion = 2; });
+    cr_assert(cluster.waitUntil([&] { return statusOf("k2") == 503; }), "the peer may know the key");
+    cluster.store.write("keyed.comfreypier-members", "peer0", "");
+    cr_assert(cluster.waitUntil([&] { return statusOf("k2") == 401; }), "the peer has left");
+    cr_assert_eq(statusOf("k1"), 200U);
+}
+
 namespace {
 
 /// Peers of a deployment with two data centres, so that each forms a group of its own. In that of the VM under test two peers go before it and
