Forwarded records that are known aren't decoded; no walks over all workers in a heartbeat

Cause: a record of the worker stream comes to each VM up to ten times (two readers, five heartbeats each), and each time its JSON was decoded before the fleet found it old. Each such heartbeat also walked twice over all workers for entries whose grace period has ended, and each own heartbeat walked over all workers for its loads and, with an exponential for each, its failures. Change: the position is checked before a record is decoded. The fleet keeps which workers' entries were removed and on which this VM has a load; failures that are too few before they fade aren't computed.

--- a/edge/src/fleet.cpp
+++ b/edge/src/fleet.cpp
@@ -103,6 +103,7 @@
     known.newerFrom = after(position);
     known.lastRecordAt = now;
     bool wasRemoved = std::exchange(known.removedAt, Time { 0 }) != Time { 0 };
+    this->removedWorkers.erase(entry.id);
     auto& worker = known.worker;
     if (worker.entry == entry && !wasRemoved)
         return EntryChange::None;
@@ -127,6 +128,15 @@
     return statusChanged ? EntryChange::Status : EntryChange::Contents;
 }
 
+bool Fleet::isOutdated(const std::string& id, const LogPosition& position) const
+{
+    std::lock_guard lock(this->mutex);
+    if (auto found = this->workers.find(id); found != this->workers.end())
+        return position < found->second.newerFrom;
+    auto gone = this->dropped.find(id);
+    return gone != this->dropped.end() && position < gone->second.newerFrom;
+}
+
 std::optional<int64_t> Fleet::knownStart(const std::string& id) const
 {
     if (auto found = this->workers.find(id); found != this->workers.end())
@@ -135,15 +145,21 @@
     return gone == this->dropped.end() ? std::nullopt : std::optional(gone->second.startedAt);
 }
 
+void Fleet::markRemoved(const std::string& id, KnownWorker& known, const LogPosition& newerFrom, Time now, Time grace)
+{
+    known.newerFrom = newerFrom;
+    known.removedAt = now;
+    known.grace = grace;
+    this->removedWorkers.insert(id);
+}
+
 bool Fleet::markRemoved(const std::string& id, const LogPosition& position, Time now, Time grace)
 {
     std::lock_guard lock(this->mutex);
     auto found = this->workers.find(id);
     if (found == this->workers.end() || found->second.removedAt != Time { 0 } || position < found->second.newerFrom)
         return false;
-    found->second.newerFrom = after(position);
-    found->second.removedAt = now;
-    found->second.grace = grace;
+    this->markRemoved(id, found->second, after(position), now, grace);
     return true;
 }
 
@@ -154,9 +170,7 @@
     for (auto& [id, known] : this->workers) {
         if (present.contains(id) || known.removedAt != Time { 0 } || known.newerFrom > end)
             continue;
-        known.newerFrom = end;
-        known.removedAt = now;
-        known.grace = grace;
+        this->markRemoved(id, known, end, now, grace);
         newlyRemoved.push_back(id);
     }
     return newlyRemoved;
@@ -174,15 +188,20 @@
 {
     std::lock_guard lock(this->mutex);
     std::vector<DroppedWorker> droppedNow;
-    for (auto it = this->workers.begin(); it != this->workers.end();) {
-        if (it->second.removedAt != Time { 0 } && now >= it->second.removedAt + it->second.grace) {
-            droppedNow.push_back({ it->first, it->second.worker.entry.address });
-            this->dropped[it->first] = { it->second.newerFrom, it->second.worker.entry.startedAt, it->second.worker.heldUntil, it->second.holdNamedAt };
-            auto [first, last] = this->workersByKey.equal_range(it->second.key);
-            this->workersByKey.erase(std::find_if(first, last, [&](const auto& item) { return item.second == &it->second; }));
-            it = this->workers.erase(it);
-        } else
-            ++it;
+    for (auto next = this->removedWorkers.begin(); next != this->removedWorkers.end();) {
+        auto it = this->workers.find(*next);
+        const auto& known = it->second;
+        if (now < known.removedAt + known.grace) {
+            ++next;
+            continue;
+        }
+        droppedNow.push_back({ it->first, known.worker.entry.address });
+        this->dropped[it->first] = { known.newerFrom, known.worker.entry.startedAt, known.worker.heldUntil, known.holdNamedAt };
+        auto [first, last] = this->workersByKey.equal_range(known.key);
+        this->workersByKey.erase(std::find_if(first, last, [&known](const auto& item) { return item.second == &known; }));
+        this->busyWorkers.erase(it->first);
+        this->workers.erase(it);
+        next = this->removedWorkers.erase(next);
     }
     while (this->dropped.size() > maxDroppedWorkers)
         this->dropped.erase(this->dropped.begin());
@@ -193,9 +212,9 @@
 {
     std::lock_guard lock(this->mutex);
     std::optional<Time> next;
-    for (const auto& [id, known] : this->workers) {
-        if (known.removedAt != Time { 0 })
-            next = std::min(next.value_or(Time::max()), known.removedAt + known.grace);
+    for (const auto& id : this->removedWorkers) {
+        const auto& known = this->workers.at(id);
+        next = std::min(next.value_or(Time::max()), known.removedAt + known.grace);
     }
     return next;
 }
@@ -638,9 +657,9 @@
 {
     std::lock_guard lock(this->mutex);
     std::map<WorkerKey, routing::WorkerLoad> loads;
-    for (const auto& [id, known] : this->workers) {
-        if (known.worker.ownLoad.requests > 0)
-            loads[known.key] = known.worker.ownLoad;
+    for (const auto& id : this->busyWorkers) {
+        const auto& known = this->workers.at(id);
+        loads[known.key] = known.worker.ownLoad;
     }
     return loads;
 }
@@ -650,6 +669,9 @@
     std::lock_guard lock(this->mutex);
     std::map<WorkerKey, routing::RecentOutcomes> failures;
     for (const auto& [id, known] : this->workers) {
+        // Decay only lowers it.
+        if (known.worker.outcomes.failures < minReportedFailures)
+            continue;
         auto outcomes = routing::decayedTo(known.worker.outcomes, now);
         if (outcomes.failures >= minReportedFailures)
             failures[known.key] = outcomes;
@@ -672,6 +694,7 @@
     if (found != this->workers.end()) {
         auto& worker = found->second.worker;
         worker.ownLoad = worker.ownLoad + load;
+        this->busyWorkers.insert(id);
         if (!this->limits.isEmpty())
             this->limits.recordSend(routing::workerStart(worker.entry), monotonicNow());
         for (size_t i = 0; i < prefixHashes.size(); i++) {
@@ -699,6 +722,8 @@
     ownLoad.prefillTokens = std::max(0.0, ownLoad.prefillTokens - load.prefillTokens);
     ownLoad.memoryTokens = std::max(0.0, ownLoad.memoryTokens - load.memoryTokens);
     ownLoad.requests -= std::min(ownLoad.requests, load.requests);
+    if (ownLoad.requests == 0)
+        this->busyWorkers.erase(id);
     this->recordChange();
 }
 
--- a/edge/src/fleet.h
+++ b/edge/src/fleet.h
@@ -49,6 +49,8 @@
     /// worker from an earlier era is newer: of such a record only counts that the worker is draining.
     /// @return what changed; `None` if the record was ignored.
     EntryChange applyEntry(const routing::WorkerEntry& entry, const LogPosition& position, bool fromCopy, Time now);
+    /// Returns whether a record of a worker at this position is outdated, so that `applyEntry` and `markRemoved` would ignore it.
+    bool isOutdated(const std::string& id, const LogPosition& position) const;
     /// Marks a worker's entry as removed.
     /// @param position position of the record that removes it; ignored if it is not newer than the last record.
     /// @param grace time within which the entry may come back before `dropRemoved` drops the worker.
@@ -200,6 +202,8 @@
         uint64_t sequence = 0;
         Time receivedAt { 0 };
     };
+    /// Marks the entry of a worker as removed. The caller must hold the lock.
+    void markRemoved(const std::string& id, KnownWorker& known, const LogPosition& newerFrom, Time now, Time grace);
     /// Calls `change` with each known worker that has this key. The caller must hold the lock.
     void forEachWithKey(WorkerKey key, const std::function<void(KnownWorker&)>& change);
     /// Discards what `source` has reported about workers whose key is not in `keep`. The caller must hold the lock.
@@ -232,6 +236,8 @@
     std::map<std::string, KnownWorker> workers;
     std::map<std::string, SummarySource> summaries; ///< By data centre.
     std::map<std::string, DroppedEntry> dropped; ///< By worker id.
+    std::set<std::string> removedWorkers; ///< Ids of the known workers whose entry was removed.
+    std::set<std::string> busyWorkers; ///< Ids of workers on which this VM has put a load; the others have none of it.
     std::unordered_multimap<WorkerKey, KnownWorker*> workersByKey; ///< The known workers, by the key that heartbeats use.
     std::map<std::string, std::vector<WorkerKey>> reportedWorkers; ///< Workers of which a VM or a data centre last reported something, sorted.
     std::vector<SentPrefix> sentPrefixes; ///< Prefixes for the next heartbeat.
--- a/edge/src/store_task.cpp
+++ b/edge/src/store_task.cpp
@@ -371,6 +371,9 @@
         // A peer may still forward an old record of a worker that has left before this VM started.
         if (LogPosition { entry.era, entry.offset } < this->workersFullReadEnd)
             continue;
+        // Most arrive several times, from each reader. Decoding them costs more than all else about a heartbeat.
+        if (this->vm.fleet.isOutdated(entry.worker, { entry.era, entry.offset }))
+            continue;
         auto value = entry.value.empty() ? std::nullopt : std::optional(entry.value);
         bool fromCopy = entry.fromCopy && !(this->workersCopyEnd && LogPosition { entry.era, entry.offset } >= *this->workersCopyEnd);
         this->applyWorker({ entry.worker, value, entry.offset }, entry.era, fromCopy, this->entryGracePeriod());
--- a/tests/unit/group_news_test.cpp
+++ b/tests/unit/group_news_test.cpp
@@ -95,6 +95,50 @@
     cr_assert_eq(receiver.choose(shape).id, "b");
 }
 
+// A worker whose entry does not come back takes with it what this VM has put on it; requests that still run there may end later.
+Test(group_news, a_dropped_worker_has_no_load)
+{
+    KnowingFleet fleet("vm0", "near");
+    auto shape = makePrompt(100);
+    std::vector<LoadReservation> requests;
+    for (const auto* id : { "a", "a", "b" })
+        requests.push_back(fleet.reserve(id, shape, {}, 0, 200000));
+    cr_assert_eq(fleet.ownLoads().at(workerKey("a")).requests, 2U);
+    cr_assert(fleet.markRemoved("a", { 1, 2 }, now, seconds { 2 }));
+    cr_assert(fleet.markRemoved("b", { 1, 2 }, now, seconds { 1 }));
+    cr_assert_eq(fleet.nextDropAt().value(), now + seconds { 1 });
+    cr_assert(fleet.isOutdated("a", { 1, 2 }));
+    cr_assert(!fleet.isOutdated("a", { 1, 3 }));
+    auto gone = fleet.dropRemoved(now + seconds { 1 });
+    cr_assert_eq(gone.size(), 1U);
+    cr_assert_eq(gone.front().id, "b");
+    cr_assert(fleet.isOutdated("b", { 1, 2 }), "a record of the worker before it left was not known as old");
+    cr_assert(!fleet.isOutdated("b", { 1, 3 }));
+    cr_assert(!fleet.isOutdated("c", { 1, 1 }));
+    cr_assert_eq(fleet.ownLoads().size(), 1U);
+    cr_assert_eq(fleet.nextDropAt().value(), now + seconds { 2 });
+    routing::WorkerEntry entry;
+    entry.id = "a";
+    entry.startedAt = 1;
+    fleet.applyEntry(entry, { 1, 3 }, false, now);
+    cr_assert(!fleet.nextDropAt());
+    cr_assert(fleet.dropRemoved(now + seconds { 9 }).empty(), "a worker that was back was dropped");
+    requests.clear();
+    cr_assert(fleet.ownLoads().empty());
+}
+
+// A failure is reported as long as it counts; it fades by itself.
+Test(group_news, old_failures_are_not_reported)
+{
+    KnowingFleet fleet("vm0", "near");
+    fleet.updateWorker("a", [](routing::Worker& worker) { worker.outcomes = { 1, 2, now }; });
+    fleet.updateWorker("b", [](routing::Worker& worker) { worker.outcomes = { 0.2, 2, now }; });
+    auto reported = fleet.ownFailures(now);
+    cr_assert_eq(reported.size(), 1U);
+    cr_assert_eq(reported.at(workerKey("a")).total, 2);
+    cr_assert(fleet.ownFailures(now + 10 * routing::estimateHalfLife).empty());
+}
+
 namespace {
 
 /// What VMs have reported about one worker since it became known, by VM.
