Weights of accounts are worked out once for each configuration

Cause: each waiting request looked at all client accounts to see whether their quotas can be compared.

Change: accounts::setWeights sets the weight of each account when a configuration is decoded; the relay reads it. The rule is the same: the rate, if all accounts have one and count the same unit, else 0.

A test of the rule and one that decoding applies it are new; no test covered it before. The time saved was not measured.

--- a/accounts/include/accounts/accounts.h
+++ b/accounts/include/accounts/accounts.h
@@ -42,8 +42,13 @@
     std::vector<std::string> keys; ///< A caller with any of them belongs to the account. Removed once a `KeyTable` was built from them.
     std::optional<uint32_t> priority; ///< Replaces the priority of the route, 0 is the most urgent; nothing if the account has none.
     Quota quota;
+    double weight = 0; ///< See `setWeights`.
 };
 
+/// Sets the weight of each account, its share relative to the others where room is scarce: the rate of its quota, if all accounts have one and
+/// count the same unit, else 0.
+void setWeights(std::vector<ClientAccount>& accounts);
+
 /// Size of a key's digest, in bytes.
 constexpr size_t keyDigestBytes = 16;
 
--- a/accounts/src/token_bucket.cpp
+++ b/accounts/src/token_bucket.cpp
@@ -13,6 +13,13 @@
 
 } // namespace
 
+void setWeights(std::vector<ClientAccount>& accounts)
+{
+    bool comparable = std::all_of(accounts.begin(), accounts.end(), [&accounts](const auto& account) { return account.quota.unit == accounts.front().quota.unit && account.quota.ratePerSecond > 0; });
+    for (auto& account : accounts)
+        account.weight = comparable ? account.quota.ratePerSecond : 0;
+}
+
 double quotaCapacity(const Quota& quota)
 {
     auto capacity = quota.burst > 0 ? quota.burst : quota.ratePerSecond;
--- a/edge/src/relay.cpp
+++ b/edge/src/relay.cpp
@@ -55,15 +55,6 @@
         return account != nullptr ? account->priority.value_or(route.priority) : route.priority;
     }
 
-    /// Returns the share of an account relative to the others: its quota. 0 if the operators don't state comparable quotas.
-    double accountWeight(const routing::Configuration& configuration, const accounts::ClientAccount* account)
-    {
-        if (account == nullptr)
-            return 0;
-        bool comparable = std::all_of(configuration.accounts->begin(), configuration.accounts->end(), [account](const auto& other) { return other.quota.unit == account->quota.unit && other.quota.ratePerSecond > 0; });
-        return comparable ? account->quota.ratePerSecond : 0;
-    }
-
     /// Returns the urgency that is sent to the workers, from 0 for the most urgent requests to 9: the priority, subdivided by how tight the
     /// route's latency target is.
     /// @param account account of the caller, whose priority replaces that of the route; null if it has none.
@@ -566,7 +557,7 @@
     request.alone = !context.excludedWorkers.empty();
     request.priority = computePriority(*context.route, context.account);
     request.account = context.account != nullptr ? context.account->name : "";
-    request.accountWeight = accountWeight(*context.configuration, context.account);
+    request.accountWeight = context.account != nullptr ? context.account->weight : 0;
     request.arrivedAt = context.startedAt;
     request.deadline = context.firstByteDeadline;
     request.targetAt = context.route->targetLatency > milliseconds { 0 } ? context.startedAt + context.route->targetLatency : request.deadline;
--- a/tests/unit/accounts_test.cpp
+++ b/tests/unit/accounts_test.cpp
@@ -375,6 +375,22 @@
 }
 
 // Guards against a bucket that grants more than its rate and burst, or tells callers to come back too early.
+// Rates of different units, or an unlimited one beside others, say nothing about shares.
+Test(quotas, are_weights_only_if_all_are_comparable)
+{
+    auto weights = [](const Quota& a, const Quota& b) {
+        std::vector<ClientAccount> accounts { makeAccount("a", {}, a), makeAccount("b", {}, b) };
+        setWeights(accounts);
+        return std::pair(accounts[0].weight, accounts[1].weight);
+    };
+    Quota requests { QuotaUnit::Requests, 5, 1, 0 };
+    cr_assert(weights(requests, { QuotaUnit::Requests, 20, 0, 0 }) == std::pair(5.0, 20.0));
+    cr_assert(weights(requests, { QuotaUnit::Tokens, 20, 0, 0 }) == std::pair(0.0, 0.0));
+    cr_assert(weights(requests, { QuotaUnit::Requests, 0, 0, 0 }) == std::pair(0.0, 0.0));
+    std::vector<ClientAccount> none;
+    setWeights(none);
+}
+
 Test(quotas, bucket_grants_rate_and_burst)
 {
     const bool held = rc::check("no window holds more than the rate and the burst", [] {
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -388,6 +388,10 @@
     cr_assert_eq(configuration->keys->size(), 2U);
     cr_assert_not(configuration->keys->find(""));
     cr_assert_not(configuration->accounts->at(1).priority);
+    cr_assert_eq(account.weight, 0, "the quota of the other account is unlimited");
+    auto comparable = decodeConfiguration(R"({"version":3,"routes":[],"services":[],"tenants":[{"name":"a","rate-per-s":50},{"name":"b","rate-per-s":20}]})", error);
+    cr_assert_eq(comparable->accounts->at(0).weight, 50);
+    cr_assert_eq(comparable->accounts->at(1).weight, 20);
     cr_assert_not(decodeConfiguration(R"({"version":3,"routes":[],"services":[],"tenants":[{}]})", error));
     cr_assert_eq(error, "client account 0 lacks a name");
     cr_assert_not(decodeConfiguration(R"({"version":3,"routes":[],"services":[]})", error)->accounts);
