--- a/routing/include/routing/routing.h
+++ b/routing/include/routing/routing.h
@@ -160,7 +160,7 @@
 /// How grave a finding of `checkConfiguration` is.
 enum class FindingLevel {
     Warning, ///< The configuration works, but an entry has no effect or hardly the wanted one.
-    Error, ///< Requests fail because of it, or it can't be read.
+    Error, ///< Requests fail because of it, it can't be read, entries contradict each other, or a key can be guessed.
     Count
 };
 
--- a/routing/src/configuration_check.cpp
+++ b/routing/src/configuration_check.cpp
@@ -100,7 +100,7 @@
         const auto& quota = account.quota;
         bool countsTokens = quota.unit == accounts::QuotaUnit::Tokens;
         check.error(account.name.empty(), "name is empty");
-        check.warn(quota.ratePerSecond <= 0 && quota.burst > 0, "burst has no effect: the rate is not limited");
+        check.error(quota.ratePerSecond <= 0 && quota.burst > 0, "states a burst without a rate: nothing is limited");
         check.error(quota.ratePerSecond > 0 && quota.burst < (countsTokens ? std::max(1.0, quota.defaultTokens) : 1.0), "burst is smaller than one request, so that all are refused");
         check.warn(countsTokens && quota.ratePerSecond > 0 && quota.defaultTokens <= 0, "requests that state no tokens are not counted");
     }
