Crowds that read large answers and streams slowly or not at all

Change: crowd.large_answers_read_slowly (600 callers, answers of 60 to 600 KB) and crowd.streams_read_slowly (600 callers, streams of 3.2 MB), all at the front with receive buffers of 4 KB; half of them read nothing, half a byte in each round, and these connect again when they are closed. Checks and bounds are those of the other crowds, which are as before. Seen meanwhile: up to 635 answers that found no memory are logged as answer_too_large and count as a failure of the worker (Relay::handleOversizedAnswer); not changed.

--- a/tests/crowds/main.cpp
+++ b/tests/crowds/main.cpp
@@ -39,6 +39,8 @@
 /// Limits of the stand-in's configuration.
 constexpr size_t maxHeadBytes = 16384;
 constexpr size_t maxBodyBytes = 100000;
+/// Receive buffer of clients that read slowly: what they don't read waits at the daemon.
+constexpr int slowReceiveBytes = 4096;
 /// Time for which a crowd that sends no more stays connected.
 constexpr milliseconds holdTime { 5000 };
 /// Tries of the ordinary request, the delay between two, and the patience of one.
@@ -62,6 +64,10 @@
     std::function<std::string(const char* path, int client)> makeBytes;
     size_t pieceBytes = 64 * 1024; ///< Sent at once.
     bool reads = false; ///< The clients read answers, send again after each, and connect again when the daemon closes.
+    /// All clients connect to the front, with small receive buffers. Every second one reads a byte in each round and connects again when the
+    /// daemon closes; the others read nothing.
+    bool readsSlowly = false;
+    std::string first; ///< Fields of a request that is answered with 200 before the clients connect. Empty for none.
 };
 
 struct Client {
@@ -99,6 +105,22 @@
     return bytes;
 }
 
+/// Answers have this size and up to ten times as much.
+constexpr int answerBytes = 60000;
+constexpr const char* largeStream = "/draft/x?bytes=16000&events=200";
+/// A request for a stream names its model and the tokens that it takes.
+constexpr const char* streamFields = "Model: m1\r\nToken-Count: 500,100\r\n";
+
+std::string requestForAnswer(const char*, int client)
+{
+    return requestHead("GET", ("/status/x?bytes=" + std::to_string(answerBytes * (1 + client % 10))).c_str(), client, "\r\n");
+}
+
+std::string requestForStream(const char*, int client)
+{
+    return requestHead("POST", largeStream, client, std::string(streamFields) + "Content-Length: 5\r\n\r\nhello");
+}
+
 const std::map<std::string, Crowd>& crowds()
 {
     static const std::map<std::string, Crowd> all {
@@ -133,6 +155,8 @@
                                           bytes += requestHead("GET", path, client, "\r\n");
                                       return bytes;
                                   } } },
+        { "large_answers_read_slowly", { 600, requestForAnswer, 64 * 1024, false, true, "" } },
+        { "streams_read_slowly", { 600, requestForStream, 64 * 1024, false, true, streamFields } },
         { "stops_after_four_bytes", { 1500, [](const char*, int) { return std::string("POST"); } } },
         { "sends_a_byte_now_and_then", { 900, [](const char* path, int client) { return requestHead("GET", path, client, shortFields(8000)); }, 1 } },
         { "connections_that_send_nothing", { 1500, [](const char*, int) { return std::string(); } } },
@@ -150,9 +174,12 @@
 }
 
 /// Returns a connected socket, or -1. An operation on it waits for the patience at most.
-int connectTo(int port)
+/// @param receiveBytes size of its receive buffer, or 0 for the system's.
+int connectTo(int port, int receiveBytes = 0)
 {
     int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (receiveBytes > 0)
+        setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &receiveBytes, sizeof receiveBytes);
     timeval limit { patience.count(), 0 };
     setsockopt(descriptor, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof limit);
     setsockopt(descriptor, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
@@ -239,6 +266,19 @@
         return false;
     }
 
+    /// Returns whether the daemon answers a stream's request with 200. Its model is loaded for the first ones.
+    bool answersStream(const std::string& fields)
+    {
+        auto end = steady_clock::now() + hangTime;
+        for (int i = 0; i < ordinaryTries && steady_clock::now() < end; i++) {
+            auto request = requestHead("POST", "/draft/x", -1 - i, fields + "Content-Length: 5\r\nConnection: close\r\n\r\nhello");
+            if (sendOrdinary(this->port(0), request) == 200)
+                return true;
+            std::this_thread::sleep_for(ordinaryDelay);
+        }
+        return false;
+    }
+
     bool isAlive() const { return waitpid(this->daemon, nullptr, WNOHANG) == 0; }
 
     /// Returns the peak of the daemon's resident memory in bytes.
@@ -347,24 +387,33 @@
     }
 };
 
+/// Connects a client, also again.
+void connectClient(Client& client, const Crowd& crowd, const Processes& processes)
+{
+    close(client.socket);
+    client.socket = connectTo(processes.port(client.door.portOffset), crowd.readsSlowly ? slowReceiveBytes : 0);
+    client.sent = 0;
+}
+
 /// Sends the next piece, and reads if the crowd does.
 /// @return true if anything was sent.
 bool advance(Client& client, const Crowd& crowd, const Processes& processes)
 {
     if (client.socket < 0)
         return false;
-    if (crowd.reads) {
+    bool readsSlowly = crowd.readsSlowly && client.number % 2 == 0;
+    if (crowd.reads || readsSlowly) {
         std::array<char, 4096> answer {};
         ssize_t count = 0;
         bool answered = false;
-        while ((count = recv(client.socket, answer.data(), answer.size(), MSG_DONTWAIT)) > 0)
+        if (readsSlowly)
+            count = recv(client.socket, answer.data(), 1, MSG_DONTWAIT);
+        while (crowd.reads && (count = recv(client.socket, answer.data(), answer.size(), MSG_DONTWAIT)) > 0)
             answered = true;
         if (answered)
             client.sent = 0;
         if (count == 0 || (count < 0 && errno != EAGAIN)) {
-            close(client.socket);
-            client.socket = connectTo(processes.port(client.door.portOffset));
-            client.sent = 0;
+            connectClient(client, crowd, processes);
             return true;
         }
     }
@@ -383,9 +432,9 @@
     for (int i = 0; i < crowd.count; i++) {
         Client client;
         client.number = i;
-        client.door = doors[static_cast<size_t>(i) % doors.size()];
+        client.door = doors[crowd.readsSlowly ? 0 : static_cast<size_t>(i) % doors.size()];
         client.bytes = crowd.makeBytes(client.door.path, i);
-        client.socket = connectTo(processes.port(client.door.portOffset));
+        connectClient(client, crowd, processes);
         clients.push_back(std::move(client));
         advance(clients.back(), crowd, processes);
         if (i % 100 == 0)
@@ -416,6 +465,8 @@
 {
     if (!check(processes.start(), "the daemon did not start"))
         return false;
+    if (!crowd.first.empty() && !check(processes.answersStream(crowd.first), "no stream was answered"))
+        return false;
     Peaks peaks;
     peaks.sample(processes);
     std::cout << "calm: resident " << processes.residentBytes() / 1024 << " KB, sockets " << peaks.sockets << std::endl;
--- a/tests/standins/platform_main.cpp
+++ b/tests/standins/platform_main.cpp
@@ -11,6 +11,7 @@
 ///     The moods are `WorkerFault` in its order; `sound` ends a fault.
 ///   GET /runs?id=ID                             how many times a request ran
 ///   GET /state                                  one line per worker: run counts, loaded models and adapters
+/// Workers pad an answer or an event to the `bytes` of a request's query, and end a stream after its `events`.
 #include "platform_standin.h"
 
 #include <algorithm>
--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -58,6 +58,13 @@
         return [](unsigned status, std::string_view) { return emptyResponse(status); };
     }
 
+    /// Returns the number in a parameter of the request's query, or `absent`.
+    size_t queryNumber(const HttpRequest& request, const char* name, size_t absent)
+    {
+        auto text = transport::queryValue(request.target, name);
+        return text.empty() ? absent : std::stoul(text);
+    }
+
     /// Keeps the call open without a response until the caller disconnects or `maxHoldTime` has passed.
     void holdUntilCallerDisconnects(ResponseWriter& writer, milliseconds limit = maxHoldTime)
     {
@@ -534,7 +541,9 @@
     }
     if (!model.empty())
         return this->streamEvents(request, writer, headers);
-    this->send(writer, { fault == WorkerFault::ServerError ? 500U : 200U, headers, "answer of " + this->id + " to " + requestId });
+    auto body = "answer of " + this->id + " to " + requestId;
+    body.resize(std::max(body.size(), queryNumber(request, "bytes", 0)), '.');
+    this->send(writer, { fault == WorkerFault::ServerError ? 500U : 200U, headers, std::move(body) });
 }
 
 void WorkerStandin::streamEvents(const HttpRequest& request, ResponseWriter& writer, const std::vector<Header>& headers)
@@ -545,8 +554,12 @@
     streamHeaders.push_back({ "Content-Type", "text/event-stream" });
     this->addCommonHeaders(streamHeaders);
     writer.startStream(200, streamHeaders);
-    for (int i = first; i <= this->eventsPerStream; i++) {
+    auto bytes = queryNumber(request, "bytes", 0);
+    auto last = static_cast<int>(queryNumber(request, "events", static_cast<size_t>(this->eventsPerStream)));
+    for (int i = first; i <= last; i++) {
         auto event = streamEvent(i, findHeader(request.headers, "Attempt-Id"));
+        if (event.size() < bytes)
+            event.insert(event.size() - 2, bytes - event.size(), '.');
         if (this->fault == WorkerFault::BrokenStream && i == 3) {
             writer.writeChunk(event.substr(0, event.size() / 2));
             return writer.abort();
