--- a/tests/unit/peers_test.cpp
+++ b/tests/unit/peers_test.cpp
@@ -805,16 +805,16 @@
 
 // Guards against VMs of another deployment, or datagrams that anybody sends, that remain members without a record in the store, and that
 // replace one.
-CLUSTER_TEST(members_that_the_store_does_not_know_are_forgotten, 12125)
+CLUSTER_TEST(members_that_the_store_does_not_know_are_forgotten, 17000)
 {
-    const SimulatedPeers known(cluster, 12180, { "known" }, "dc");
+    const SimulatedPeers known(cluster, 17060, { "known" }, "dc");
     cluster.configureAndWait();
     auto knows = [&](const char* port) {
         auto response = cluster.call(cluster.directory(), { "GET", "/v1/resolve?name=h.example&region=r&zone=dc", {}, {} });
         return response && response.value().body.find(port) != std::string::npos;
     };
-    cr_assert(cluster.waitUntil([&] { return knows("12181"); }));
-    transport::DatagramSocket socket(cluster.runtime, loopback(12185), [](std::string_view) {});
+    cr_assert(cluster.waitUntil([&] { return knows("17061"); }));
+    transport::DatagramSocket socket(cluster.runtime, loopback(17065), [](std::string_view) {});
     cr_assert(socket.start());
     std::atomic<bool> ended { false };
     std::atomic<bool> sending { true };
@@ -826,43 +826,43 @@
                 heartbeat.incarnation = 77;
                 heartbeat.sequence = sequence;
                 heartbeat.ready = true;
-                heartbeat.member = edge::Member { 77, loopback(12185), loopback(name == std::string("known") ? 12187 : 12186), "dc", 1 };
+                heartbeat.member = edge::Member { 77, loopback(17065), loopback(name == std::string("known") ? 17067 : 17066), "dc", 1 };
                 (void)socket.send(loopback(cluster.base + 23), edge::encodeHeartbeat(heartbeat));
             }
             transport::sleepFor(milliseconds { 100 });
         }
         ended = true;
     });
-    cr_assert(cluster.waitUntil([&] { return knows("12186") && knows("12187"); }), "a new VM is known by its heartbeats");
+    cr_assert(cluster.waitUntil([&] { return knows("17066") && knows("17067"); }), "a new VM is known by its heartbeats");
     sending = false;
     cr_assert(cluster.waitUntil([&] { return ended.load(); }));
     // Each of these ends a read of the members.
     cr_assert(cluster.waitUntil([&] {
         cluster.store.write("keyed.comfreypier-members", "gone", "");
         std::this_thread::sleep_for(milliseconds { 100 });
-        return knows("12181"); }, milliseconds { 6000 }), "the member that the store knows does not come back");
-    cr_assert_not(knows("12186"));
-    cr_assert_not(knows("12187"));
+        return knows("17061"); }, milliseconds { 6000 }), "the member that the store knows does not come back");
+    cr_assert_not(knows("17066"));
+    cr_assert_not(knows("17067"));
 }
 
 // Guards against a VM that starts again and is known by its heartbeats first: the record that ends its earlier start, read later, must not end
 // this one.
-CLUSTER_TEST(restarted_vm_that_is_heard_before_its_records_stays_a_member, 12325)
+CLUSTER_TEST(restarted_vm_that_is_heard_before_its_records_stays_a_member, 17100)
 {
-    SimulatedPeers peers(cluster, 12380, { "peer0" }, "dc");
+    SimulatedPeers peers(cluster, 17160, { "peer0" }, "dc");
     cluster.configureAndWait();
     auto isKnown = [&] {
         auto response = cluster.call(cluster.directory(), { "GET", "/v1/resolve?name=h.example&region=r&zone=dc", {}, {} });
-        return response && response.value().body.find("12381") != std::string::npos;
+        return response && response.value().body.find("17161") != std::string::npos;
     };
     cr_assert(cluster.waitUntil(isKnown));
     for (uint64_t start = 2; start <= 5; start++) {
-        edge::Member member { start, loopback(12380), loopback(12381), "dc", 1 };
+        edge::Member member { start, loopback(17160), loopback(17161), "dc", 1 };
         peers.changeHeartbeat("peer0", [&](edge::Heartbeat& heartbeat) { heartbeat.member = member; });
         peers.setIncarnation(start);
         std::this_thread::sleep_for(milliseconds { 400 });
         if (start == 4) // Of a start in between that this VM has not heard.
-            cluster.writeMember("peer0", edge::encodeMember({ 99, loopback(12380), loopback(12382), "dc", 1 }));
+            cluster.writeMember("peer0", edge::encodeMember({ 99, loopback(17160), loopback(17162), "dc", 1 }));
         cluster.store.write("keyed.comfreypier-members", "peer0", "");
         std::this_thread::sleep_for(milliseconds { start % 2 == 0 ? 300 : 0 });
         cluster.writeMember("peer0", edge::encodeMember(member));
@@ -873,9 +873,9 @@
 }
 
 // Guards against a version that only a VM had which is gone: nobody gets it any more, and it says nothing about a key.
-CLUSTER_TEST(unknown_keys_are_refused_once_no_vm_has_a_newer_version, 12225)
+CLUSTER_TEST(unknown_keys_are_refused_once_no_vm_has_a_newer_version, 17200)
 {
-    SimulatedPeers peers(cluster, 12280, { "peer0" }, "dc");
+    SimulatedPeers peers(cluster, 17260, { "peer0" }, "dc");
     cluster.configureAccounts(1, "[" + accountJson("ann", "k1", 0, 0) + "]");
     auto statusOf = [&](const char* key) { return cluster.sendRequest("/order/x", "id-" + std::string(key), keyHeader(key)).status; };
     cr_assert(cluster.waitUntil([&] { return cluster.isReady() && statusOf("k1") == 200; }));
