Accounts that appear after an absence begin without a level

Cause: an account that a later configuration adds begins with a full bucket that counts as confirmed, as no VM can have charged it. A VM that was suspended or cut off meanwhile, or that first got an old configuration at its start, sees accounts appear that the others have charged. As their holder it granted the burst once more, until the first reports.

Change: within 5 s after a start, a suspension (noticed by a gap of 2 s between the rounds of the task) and the loss of all other VMs such an account begins as at a start: the level is asked for. A VM that is alone takes it as new, as before.

Result: quotas.accounts_that_appear_after_an_absence_begin_without_a_level fails with the former condition and passes with the new one; accounts_test and quota_test pass. The loss of some of the other VMs is not noticed.

--- a/accounts/include/accounts/accounts.h
+++ b/accounts/include/accounts/accounts.h
@@ -128,6 +128,10 @@
 /// Time for which a charge is remembered, so that it is neither repeated nor given back twice, and the maximum number of such charges.
 constexpr std::chrono::seconds chargeMemoryTime { 30 };
 constexpr size_t maxRememberedCharges = 50000;
+/// Gap between two calls of `QuotaLedger::recordRunning` from which a VM was suspended.
+constexpr std::chrono::seconds suspensionGap { 2 };
+/// Time after a start, a suspension or a loss of all other VMs in which an account that appears may be one that the others have charged.
+constexpr std::chrono::seconds settlingTime { 5 };
 /// Time for which the level of an account that a configuration leaves out is remembered, in case it comes back, and the maximum number of them.
 constexpr std::chrono::minutes formerAccountTime { 10 };
 constexpr size_t maxFormerAccounts = 5000;
@@ -213,8 +217,11 @@
     /// @param incarnation differs for each start of it.
     QuotaLedger(std::string self, uint64_t incarnation);
     /// Applies the quotas of a configuration. Accounts that later configurations add begin with a full bucket, as no VM can have charged them;
-    /// those of the first configuration of this start begin without a known level, and those that come back with what they had.
+    /// those of the first configuration of this start, and those that appear within `settlingTime`, begin without a known level, and those that
+    /// come back with what they had.
     void setAccounts(const std::vector<ClientAccount>& accounts, Time now);
+    /// Records that this VM runs. Called at least once a second: a longer gap shows that it was suspended.
+    void recordRunning(Time now);
     /// Sets the VMs, this one included.
     void setVms(std::vector<QuotaVm> vms, Time now);
     /// Returns the order of the VMs for an account; empty if the account has no quota.
@@ -290,6 +297,8 @@
     std::vector<QuotaVm> vms;
     std::map<std::string, bool> aliveByVm;
     bool hasAccounts = false; ///< `setAccounts` was called.
+    Time runningAt { 0 }; ///< When `recordRunning` was last called; 0 before.
+    Time settlesAt { 0 }; ///< End of the last `settlingTime`.
     std::map<std::string, Account> accounts; ///< Those with a quota.
     std::map<std::string, std::pair<Time, Account>> formerAccounts; ///< Those that a configuration has left out, and when.
     std::map<std::string, Time> unansweredSince; ///< Of VMs that have not reported since a report was sent to them.
--- a/accounts/src/quota_ledger.cpp
+++ b/accounts/src/quota_ledger.cpp
@@ -22,8 +22,17 @@
 {
 }
 
+void QuotaLedger::recordRunning(Time now)
+{
+    if (this->runningAt == Time { 0 } || now - this->runningAt > suspensionGap)
+        this->settlesAt = now + settlingTime;
+    this->runningAt = now;
+}
+
 void QuotaLedger::setAccounts(const std::vector<ClientAccount>& newAccounts, Time now)
 {
+    this->recordRunning(now);
+    bool chargedNowhere = this->hasAccounts && (this->isAlone() || now >= this->settlesAt);
     std::map<std::string, Account> next;
     for (const auto& account : newAccounts) {
         if (account.quota.ratePerSecond <= 0 || next.contains(account.name))
@@ -40,8 +49,8 @@
             next.insert(this->accounts.extract(known));
             continue;
         }
-        Account added(account.quota, TokenBucket(account.quota, this->hasAccounts ? quotaCapacity(account.quota) : 0, now));
-        added.known = this->hasAccounts || this->isAlone();
+        Account added(account.quota, TokenBucket(account.quota, chargedNowhere ? quotaCapacity(account.quota) : 0, now));
+        added.known = chargedNowhere || this->isAlone();
         added.confirmedAt = now;
         added.unknownSince = now;
         added.ranking = rankQuotaVms(account.name, this->vms);
@@ -95,6 +104,8 @@
     this->aliveByVm.clear();
     for (const auto& vm : this->vms)
         this->aliveByVm[vm.name] = vm.alive;
+    if (!this->isAlone() && std::none_of(this->vms.begin(), this->vms.end(), [this](const auto& vm) { return vm.alive && vm.name != this->self; }))
+        this->settlesAt = now + settlingTime;
     if (!changed)
         return;
     std::erase_if(this->unansweredSince, [this](const auto& item) { return !this->aliveByVm.contains(item.first); });
--- a/edge/src/quota_task.cpp
+++ b/edge/src/quota_task.cpp
@@ -95,6 +95,7 @@
 void QuotaTask::run()
 {
     while (!this->vm.status.stopping) {
+        this->ledger.recordRunning(quotaNow());
         this->update();
         if (this->hasQuotas)
             this->sendReports(false);
--- a/tests/unit/accounts_test.cpp
+++ b/tests/unit/accounts_test.cpp
@@ -505,8 +505,9 @@
 Test(quotas, answers_to_reports_of_the_future_confirm_nothing)
 {
     QuotaLedger ledger("vm0", 1);
-    ledger.setVms({ { "vm0" }, { "vm1" } }, start);
-    ledger.setAccounts({}, start);
+    ledger.setVms({ { "vm0" }, { "vm1" } }, start - seconds { 60 });
+    for (auto at = start - seconds { 60 }; at < start; at += seconds { 1 })
+        ledger.setAccounts({}, at);
     ledger.setAccounts({ makeAccount("a", {}, { QuotaUnit::Requests, 1, 10, 0 }) }, start);
     LevelReport report { "a", true, 10, 0, start, 1, 0, start + std::chrono::hours { 1 }, false };
     ledger.receive("vm1", 2, report, start);
@@ -514,6 +515,41 @@
     cr_assert_not(ledger.level("a", start + seconds { 1 }).has_value(), "no VM has confirmed it for a second");
 }
 
+// Guards against a VM that was away while an account was added, and gives it the burst once more when it is back.
+Test(quotas, accounts_that_appear_after_an_absence_begin_without_a_level)
+{
+    const std::vector<QuotaVm> vms { { "vm0" }, { "vm1" } };
+    std::vector<QuotaVm> cut { { "vm0" }, { "vm1" } };
+    cut[1].alive = false;
+    auto account = makeAccount("a", {}, { QuotaUnit::Requests, 1, 10, 0 });
+    auto other = makeAccount("b", {}, { QuotaUnit::Requests, 1, 10, 0 });
+    enum class Absence { None,
+        Start,
+        Suspension,
+        Cut };
+    for (auto absence : { Absence::None, Absence::Start, Absence::Suspension, Absence::Cut }) {
+        QuotaLedger ledger("vm0", 1);
+        ledger.setVms(vms, start);
+        ledger.setAccounts({ other }, start);
+        auto now = start;
+        auto run = [&](Time duration, const std::vector<QuotaVm>& view) {
+            for (auto end = now + duration; now < end; now += seconds { 1 }) {
+                ledger.setVms(view, now);
+                ledger.recordRunning(now);
+            }
+        };
+        run(seconds { absence == Absence::Start ? 2 : 60 }, vms);
+        if (absence == Absence::Suspension)
+            now += seconds { 20 };
+        if (absence == Absence::Cut)
+            run(seconds { 20 }, cut);
+        if (absence != Absence::None)
+            run(seconds { 1 }, vms);
+        ledger.setAccounts({ other, account }, now);
+        cr_assert_eq(ledger.level("a", now).has_value(), absence == Absence::None, "absence %d", static_cast<int>(absence));
+    }
+}
+
 // Guards against operators' changes that give an account its burst again, at once or as another VM's sum of charges begins anew.
 Test(quotas, accounts_that_come_back_keep_their_level)
 {
@@ -523,8 +559,9 @@
         QuotaLedger holder("vm0", 1);
         QuotaLedger copy("vm1", 2);
         for (auto* ledger : { &holder, &copy }) {
-            ledger->setVms({ { "vm0" }, { "vm1" } }, start);
-            ledger->setAccounts({}, start);
+            ledger->setVms({ { "vm0" }, { "vm1" } }, start - seconds { 60 });
+            for (auto at = start - seconds { 60 }; at < start; at += seconds { 1 })
+                ledger->setAccounts({}, at);
             ledger->setAccounts({ account }, start);
         }
         auto report = [&](Time now) {
@@ -548,7 +585,8 @@
         report(now);
         cr_assert_lt(copy.level("a", now).value_or(0), 2.2, "the second VM has %g", copy.level("a", now).value_or(0));
         // What comes back later is full.
-        holder.setAccounts({}, now);
+        for (auto at = now; at < now + std::chrono::hours { 1 }; at += seconds { 1 })
+            holder.setAccounts({}, at);
         holder.setAccounts({ account }, now + std::chrono::hours { 1 });
         cr_assert_float_eq(holder.level("a", now + std::chrono::hours { 1 }).value(), 10, 1e-9);
     }
