The lease holder tells a waiting VM each change at once only once

Cause: each change of what workers hold went at once to all VMs with missing items, together with all changes of the last 100 ms: these bytes grow with the square of the changes. A full heartbeat repeated changes for 1.25 s also where the group is so large that its heartbeats come less often, so that some changes were in none. Each heartbeat after a worker's leave gathered the starts of all workers, twice at the VM that sends summaries. Change: `ResidentNews` keeps what changed when, in that order; where there are several groups, a VM is told at once only what it has not been told at once. Full heartbeats repeat changes for at least one and a quarter of the group's interval, and make up for lost datagrams. The fleet keeps the starts of its workers. Properties for both without a network in group_news_test. unit.edge_test, peers_test, worker_signals_test, stale_statements_test, planned_stop_test and group_news_test pass.

--- a/edge/src/fleet.cpp
+++ b/edge/src/fleet.cpp
@@ -122,6 +122,10 @@
         worker.outcomes = {};
         worker.peerOutcomes.clear();
     }
+    if (restarted || worker.entry.id.empty()) {
+        this->starts.erase(routing::workerStart(worker.entry));
+        this->starts.insert(routing::workerStart(entry));
+    }
     worker.entry = entry;
     this->updateLeaving(worker);
     this->recordChange();
@@ -200,6 +204,7 @@
         auto [first, last] = this->workersByKey.equal_range(known.key);
         this->workersByKey.erase(std::find_if(first, last, [&known](const auto& item) { return item.second == &known; }));
         this->busyWorkers.erase(it->first);
+        this->starts.erase(routing::workerStart(known.worker.entry));
         this->workers.erase(it);
         next = this->removedWorkers.erase(next);
     }
@@ -582,10 +587,7 @@
     std::lock_guard lock(this->mutex);
     if (this->leavingWorkers.isEmpty())
         return {};
-    std::set<uint64_t> starts;
-    for (const auto& [id, known] : this->workers)
-        starts.insert(routing::workerStart(known.worker.entry));
-    return this->leavingWorkers.takeReports(starts, now);
+    return this->leavingWorkers.takeReports(this->starts, now);
 }
 
 size_t Fleet::applyLeaveReports(const std::vector<uint64_t>& reports, Time now)
--- a/edge/src/fleet.h
+++ b/edge/src/fleet.h
@@ -236,6 +236,7 @@
     std::map<std::string, KnownWorker> workers;
     std::map<std::string, SummarySource> summaries; ///< By data centre.
     std::map<std::string, DroppedEntry> dropped; ///< By worker id.
+    std::set<uint64_t> starts; ///< Results of `routing::workerStart` for the known workers.
     std::set<std::string> removedWorkers; ///< Ids of the known workers whose entry was removed.
     std::set<std::string> busyWorkers; ///< Ids of workers on which this VM has put a load; the others have none of it.
     std::unordered_multimap<WorkerKey, KnownWorker*> workersByKey; ///< The known workers, by the key that heartbeats use.
--- a/edge/src/peers.cpp
+++ b/edge/src/peers.cpp
@@ -336,21 +336,13 @@
 void Peers::fillResident(Heartbeat& heartbeat)
 {
     auto now = monotonicNow();
-    auto interval = this->groupPeerCount < this->peers.size() ? crossGroupLeaseHolderInterval : this->groupInterval();
+    auto interval = this->groupInterval();
+    if (this->hasOtherGroups())
+        interval = std::max(interval, crossGroupLeaseHolderInterval);
     // Long enough to include a heartbeat to the VMs that receive them least often.
     auto repeatTime = std::max(residentRepeatTime, interval + interval / 4);
-    for (const auto& [worker, items] : this->resident) {
-        if (now - this->residentChangedAt[worker] < repeatTime)
-            heartbeat.resident[worker] = items;
-    }
-    auto next = this->resident.upper_bound(this->lastResidentSent);
-    for (size_t i = 0; i < residentWorkersInTurn && !this->resident.empty(); i++) {
-        if (next == this->resident.end())
-            next = this->resident.begin();
-        heartbeat.resident[next->first] = next->second;
-        this->lastResidentSent = next->first;
-        ++next;
-    }
+    this->resident.addChanges(heartbeat.resident, now - repeatTime);
+    this->resident.addInTurn(heartbeat.resident, residentWorkersInTurn);
 }
 
 void Peers::notifyLeaseHolder()
@@ -889,22 +881,14 @@
         this->onAdapterUse(adapter);
 }
 
-void Peers::setLeaseState(uint64_t token, const LogPosition& position, std::map<std::string, std::set<std::string>> newResident)
+void Peers::setLeaseState(uint64_t token, const LogPosition& position, ResidentItems newResident)
 {
     bool changed = false;
     {
         std::lock_guard lock(this->mutex);
-        for (const auto& [worker, items] : newResident) {
-            auto known = this->resident.find(worker);
-            if (known != this->resident.end() && known->second == items)
-                continue;
-            this->residentChangedAt[worker] = monotonicNow();
-            changed = true;
-        }
-        std::erase_if(this->residentChangedAt, [&newResident](const auto& item) { return !newResident.contains(item.first); });
+        changed = this->resident.update(std::move(newResident), monotonicNow());
         this->leaseToken = token;
         this->leasePosition = position;
-        this->resident = std::move(newResident);
     }
     if (changed && token != 0)
         this->notifyWaitingPeers();
@@ -912,21 +896,26 @@
 
 void Peers::notifyWaitingPeers()
 {
-    std::vector<transport::Endpoint> targets;
-    auto heartbeat = this->makeHeartbeat(true); // Takes the lock itself.
+    std::map<Time, std::vector<transport::Endpoint>> targets; // By the time from which on the changes are news to them.
     {
         auto now = monotonicNow();
         std::lock_guard lock(this->mutex);
-        for (const auto& [node, peer] : this->peers) {
-            if (!peer.missingItems.empty() && this->isReachable(peer, now))
-                targets.push_back(peer.member.inner);
+        for (auto& [node, peer] : this->peers) {
+            if (peer.missingItems.empty() || !this->isReachable(peer, now))
+                continue;
+            Time oldest = now - maxUrgentChangeAge;
+            targets[this->hasOtherGroups() ? std::max(oldest, peer.notifiedAt) : oldest].push_back(peer.member.inner);
+            peer.notifiedAt = now;
         }
-        for (const auto& [worker, items] : this->resident) {
-            if (now - this->residentChangedAt[worker] < maxUrgentChangeAge)
-                heartbeat.resident[worker] = items;
+    }
+    for (const auto& [since, endpoints] : targets) {
+        auto heartbeat = this->makeHeartbeat(true); // Takes the lock itself.
+        {
+            std::lock_guard lock(this->mutex);
+            this->resident.addChanges(heartbeat.resident, since);
         }
+        this->sendTo(endpoints, heartbeat);
     }
-    this->sendTo(targets, heartbeat);
 }
 
 uint64_t Peers::highestPeerToken() const
--- a/edge/src/peers.h
+++ b/edge/src/peers.h
@@ -5,6 +5,7 @@
 #include "duty_rank.h"
 #include "forward_queue.h"
 #include "forward_tracker.h"
+#include "resident_news.h"
 #include "send_order.h"
 
 #include <deque>
@@ -17,6 +18,7 @@
     bool inGroup = false; ///< The peer belongs to this VM's group.
     Time lastHeartbeatAt { -std::chrono::hours { 1 } }; ///< When its last heartbeat arrived.
     Time lastSentAt { 0 }; ///< When this VM last sent it a heartbeat.
+    Time notifiedAt { 0 }; ///< When this VM, as lease holder, last told it changes at once, see `Peers::notifyWaitingPeers`.
     uint64_t sequence = 0; ///< Sequence number of its newest heartbeat.
     // The remaining fields are those of its heartbeats, see `Heartbeat`.
     bool ready = false;
@@ -102,7 +104,7 @@
     /// @param leaseToken fencing token, or 0 if this VM does not hold the lease.
     /// @param leasePosition position of the newest lease record.
     /// @param resident models and adapters by worker, as in `Heartbeat::resident`.
-    void setLeaseState(uint64_t leaseToken, const LogPosition& leasePosition, std::map<std::string, std::set<std::string>> resident);
+    void setLeaseState(uint64_t leaseToken, const LogPosition& leasePosition, ResidentItems resident);
     /// Returns whether a reachable peer reports that it holds the lease.
     bool hasReachableLeaseHolder() const;
     /// Returns the highest fencing token that a reachable peer reports, or 0.
@@ -174,7 +176,8 @@
     Heartbeat makeHeartbeat(bool partial);
     /// Adds the workers whose models or adapters have recently changed, and a few others in turn. The caller must hold the lock.
     void fillResident(Heartbeat& heartbeat);
-    /// Sends the VMs that have missing items the models and adapters that have just become resident.
+    /// Sends the VMs that have missing items the models and adapters that have just become resident. Where there are several groups, only those
+    /// that the VM has not been told at once; full heartbeats repeat them.
     void notifyWaitingPeers();
     /// Addresses of the VMs that receive one heartbeat.
     struct Targets {
@@ -278,9 +281,7 @@
     // The next three are set by `setLeaseState`.
     uint64_t leaseToken = 0;
     LogPosition leasePosition;
-    std::map<std::string, std::set<std::string>> resident;
-    std::map<std::string, Time> residentChangedAt; ///< When the items of a worker in `resident` last changed.
-    std::string lastResidentSent; ///< Last worker that was sent in turn; the next heartbeat continues after it.
+    ResidentNews resident;
     bool heartbeatPending = false; ///< A full heartbeat is scheduled.
     Time dropLoggedAt { -std::chrono::hours { 1 } }; ///< When dropped heartbeats were last logged.
     transport::Log log { "peers" };
--- a/tests/unit/group_news_test.cpp
+++ b/tests/unit/group_news_test.cpp
@@ -1,5 +1,6 @@
 /// Tests of what VMs tell those of other data centres about workers, without a network.
 #include "fleet.h"
+#include "resident_news.h"
 
 #include <criterion/criterion.h>
 #include <rapidcheck.h>
@@ -127,6 +128,28 @@
     cr_assert(fleet.ownLoads().empty());
 }
 
+// Heartbeats name the leaving workers that are known, also after a restart, which is none that leaves.
+Test(group_news, leaving_workers_are_named_as_long_as_they_are_known)
+{
+    KnowingFleet fleet("vm0", "near");
+    routing::WorkerEntry entry;
+    entry.id = "a";
+    entry.startedAt = 1;
+    cr_assert(fleet.recordLeaving(entry, 1, now));
+    cr_assert_eq(fleet.takeLeaveReports(now).size(), 1U);
+    entry.startedAt = 2;
+    fleet.applyEntry(entry, { 1, 2 }, false, now);
+    cr_assert(fleet.takeLeaveReports(now).empty());
+    cr_assert(fleet.recordLeaving(entry, 2, now));
+    cr_assert_eq(fleet.takeLeaveReports(now).size(), 1U);
+    cr_assert(fleet.markRemoved("a", { 1, 3 }, now, Time { 0 }));
+    cr_assert_eq(fleet.dropRemoved(now).size(), 1U);
+    cr_assert(fleet.takeLeaveReports(now).empty());
+    entry.startedAt = 2;
+    fleet.applyEntry(entry, { 1, 4 }, false, now);
+    cr_assert_eq(fleet.takeLeaveReports(now).size(), 1U, "a leaving worker that is back was not named");
+}
+
 // A failure is reported as long as it counts; it fades by itself.
 Test(group_news, old_failures_are_not_reported)
 {
@@ -225,3 +248,51 @@
         }
     }));
 }
+
+// The lease holder names each change in time, and every worker in turn, whatever comes and goes.
+Test(group_news, the_lease_holder_names_what_changed_since_a_time)
+{
+    cr_assert(rc::check("", [] {
+        ResidentNews news;
+        ResidentItems items;
+        std::map<std::string, Time> changedAt;
+        auto steps = *rc::gen::inRange(1, 30);
+        for (int step = 1; step <= steps; step++) {
+            Time at = seconds { step };
+            bool changed = false;
+            for (const auto* worker : { "a", "b", "c", "d" }) {
+                switch (*rc::gen::inRange(0, 6)) {
+                case 0:
+                    items.erase(worker);
+                    changedAt.erase(worker);
+                    break;
+                case 1: {
+                    auto held = *rc::gen::elementOf(std::vector<std::set<std::string>> { {}, { "m" }, { "m", "m/x" } });
+                    if (items.contains(worker) && items[worker] == held)
+                        break;
+                    items[worker] = held;
+                    changedAt[worker] = at;
+                    changed = true;
+                    break;
+                }
+                default:
+                    break;
+                }
+            }
+            RC_ASSERT(news.update(items, at) == changed);
+            Time since = seconds { *rc::gen::inRange(0, steps + 2) };
+            ResidentItems expected;
+            for (const auto& [worker, time] : changedAt) {
+                if (time >= since)
+                    expected[worker] = items[worker];
+            }
+            ResidentItems told;
+            news.addChanges(told, since);
+            RC_ASSERT(told == expected);
+        }
+        ResidentItems told;
+        for (size_t i = 0; i < items.size(); i++)
+            news.addInTurn(told, 1);
+        RC_ASSERT(told == items);
+    }));
+}
