--- a/tests/unit/group_news_test.cpp
+++ b/tests/unit/group_news_test.cpp
@@ -1,6 +1,8 @@
 /// Tests of what VMs tell those of other data centres about workers, without a network.
 #include "fleet.h"
+#include "resident_news.h"
 
+#include <array>
 #include <criterion/criterion.h>
 #include <rapidcheck.h>
 
@@ -127,6 +129,28 @@
     cr_assert(fleet.ownLoads().empty());
 }
 
+// Heartbeats name the leaving workers that are known, also after a restart, which is none that leaves.
+Test(group_news, leaving_workers_are_named_as_long_as_they_are_known)
+{
+    KnowingFleet fleet("vm0", "near");
+    routing::WorkerEntry entry;
+    entry.id = "a";
+    entry.startedAt = 1;
+    cr_assert(fleet.recordLeaving(entry, 1, now));
+    cr_assert_eq(fleet.takeLeaveReports(now).size(), 1U);
+    entry.startedAt = 2;
+    fleet.applyEntry(entry, { 1, 2 }, false, now);
+    cr_assert(fleet.takeLeaveReports(now).empty());
+    cr_assert(fleet.recordLeaving(entry, 2, now));
+    cr_assert_eq(fleet.takeLeaveReports(now).size(), 1U);
+    cr_assert(fleet.markRemoved("a", { 1, 3 }, now, Time { 0 }));
+    cr_assert_eq(fleet.dropRemoved(now).size(), 1U);
+    cr_assert(fleet.takeLeaveReports(now).empty());
+    entry.startedAt = 2;
+    fleet.applyEntry(entry, { 1, 4 }, false, now);
+    cr_assert_eq(fleet.takeLeaveReports(now).size(), 1U, "a leaving worker that is back was not named");
+}
+
 // A failure is reported as long as it counts; it fades by itself.
 Test(group_news, old_failures_are_not_reported)
 {
@@ -225,3 +249,92 @@
         }
     }));
 }
+
+// The lease holder names each change in time, and every worker in turn, whatever comes and goes.
+Test(group_news, the_lease_holder_names_what_changed_since_a_time)
+{
+    cr_assert(rc::check("", [] {
+        ResidentNews news;
+        ResidentItems items;
+        std::map<std::string, Time> changedAt;
+        auto steps = *rc::gen::inRange(1, 30);
+        for (int step = 1; step <= steps; step++) {
+            Time at = seconds { step };
+            bool changed = false;
+            for (const auto* worker : { "a", "b", "c", "d" }) {
+                switch (*rc::gen::inRange(0, 6)) {
+                case 0:
+                    items.erase(worker);
+                    changedAt.erase(worker);
+                    break;
+                case 1: {
+                    auto held = *rc::gen::elementOf(std::vector<std::set<std::string>> { {}, { "m" }, { "m", "m/x" } });
+                    if (items.contains(worker) && items[worker] == held)
+                        break;
+                    items[worker] = held;
+                    changedAt[worker] = at;
+                    changed = true;
+                    break;
+                }
+                default:
+                    break;
+                }
+            }
+            RC_ASSERT(news.update(items, at) == changed);
+            Time since = seconds { *rc::gen::inRange(0, steps + 2) };
+            ResidentItems expected;
+            for (const auto& [worker, time] : changedAt) {
+                if (time >= since)
+                    expected[worker] = items[worker];
+            }
+            ResidentItems told;
+            news.addChanges(told, since);
+            RC_ASSERT(told == expected);
+        }
+        ResidentItems told;
+        for (size_t i = 0; i < items.size(); i++)
+            news.addInTurn(told, 1);
+        RC_ASSERT(told == items);
+    }));
+}
+
+// Most heartbeats say no more than that a VM is there. At 300 VMs each sends 170 a second, for which 10 KB are meant.
+Test(group_news, a_heartbeat_without_news_is_small)
+{
+    Heartbeat heartbeat;
+    heartbeat.node = "edge-north-0123";
+    heartbeat.incarnation = 0x0123456789abcdef;
+    heartbeat.sequence = 123456;
+    heartbeat.ready = true;
+    heartbeat.storeEra = 1;
+    heartbeat.configVersion = 123456;
+    auto bytes = encodeHeartbeat(heartbeat);
+    cr_assert_leq(bytes.size(), 10000U / 170U);
+    auto decoded = decodeHeartbeat(bytes);
+    cr_assert(decoded);
+    cr_assert_eq(decoded->node, heartbeat.node);
+    cr_assert_eq(decoded->sequence, heartbeat.sequence);
+    cr_assert(decoded->summaryOf.empty() && decoded->loads.empty() && decoded->missingItems.empty());
+}
+
+// VMs of earlier versions send a list also where it is empty.
+Test(group_news, empty_lists_of_earlier_versions_are_understood)
+{
+    constexpr std::array<unsigned char, 106> earlier { 0x10, 0x2f, 0x50, 0x09, 0x13, 0x01, 0x07, 0x01, 0x09, 0x01, 0x01, 0x00, 0x00, 0x01, 0x05, 0x00, 0x02, 0x01, 0x01, 0x11, 0x49, 0x22, 0x11, 0x4d, 0x07, 0x11, 0x51, 0x07, 0x11, 0x51, 0x07, 0x11, 0x51, 0x1f, 0x11, 0x6d, 0x07, 0x00, 0x00, 0x11, 0x61, 0x07, 0x11, 0x65, 0x07, 0x11, 0x31, 0x07, 0x11, 0x25, 0x0a, 0x11, 0x61, 0x07, 0x11, 0x59, 0x07, 0x11, 0x59, 0x05, 0x00, 0x04, 0x07, 0x76, 0x6d, 0x31, 0x00, 0x00, 0x10, 0x02, 0x10, 0x02, 0x10, 0x02, 0x50, 0x01, 0x01, 0x41, 0x04, 0x03, 0x11, 0x09, 0x0a, 0x11, 0x09, 0x12, 0x11, 0x09, 0x0a, 0x00, 0x00, 0x01, 0x6d, 0x00, 0x00, 0x40, 0x03, 0x40, 0x02, 0x50, 0x04, 0x02, 0x10, 0x03, 0x10, 0x03 };
+    auto decoded = decodeHeartbeat({ reinterpret_cast<const char*>(earlier.data()), earlier.size() });
+    cr_assert(decoded);
+    cr_assert_eq(decoded->node, "vm1");
+    cr_assert_eq(decoded->incarnation, 7U);
+    cr_assert_eq(decoded->sequence, 9U);
+    cr_assert(decoded->ready);
+    cr_assert(decoded->summaryOf.empty() && decoded->loads.empty());
+    cr_assert_eq(decoded->missingItems.size(), 1U);
+    Heartbeat same;
+    same.node = "vm1";
+    same.incarnation = 7;
+    same.sequence = 9;
+    same.ready = true;
+    same.configVersion = 5;
+    same.missingItems = { { "", "m", "" } };
+    cr_assert_eq(encodeHeartbeat(*decoded), encodeHeartbeat(same));
+}
