The end of a cut is noticed also if the VMs are set on changes only

Cause: while all others are silent the time in which accounts that appear have no level was set anew with each call of setVms, so that it depended on how often that is called.

Change: the ledger keeps whether this VM is cut off.

Result: quotas.accounts_that_appear_after_an_absence_begin_without_a_level now sets the VMs once in the cut; it and the rest of accounts_test pass.

--- a/accounts/include/accounts/accounts.h
+++ b/accounts/include/accounts/accounts.h
@@ -299,6 +299,7 @@
     bool hasAccounts = false; ///< `setAccounts` was called.
     Time runningAt { 0 }; ///< When `recordRunning` was last called; 0 before.
     Time settlesAt { 0 }; ///< End of the last `settlingTime`.
+    bool isCutOff = false; ///< There are other VMs, and none is alive.
     std::map<std::string, Account> accounts; ///< Those with a quota.
     std::map<std::string, std::pair<Time, Account>> formerAccounts; ///< Those that a configuration has left out, and when.
     std::map<std::string, Time> unansweredSince; ///< Of VMs that have not reported since a report was sent to them.
--- a/accounts/src/quota_ledger.cpp
+++ b/accounts/src/quota_ledger.cpp
@@ -32,7 +32,7 @@
 void QuotaLedger::setAccounts(const std::vector<ClientAccount>& newAccounts, Time now)
 {
     this->recordRunning(now);
-    bool chargedNowhere = this->hasAccounts && (this->isAlone() || now >= this->settlesAt);
+    bool chargedNowhere = this->hasAccounts && (this->isAlone() || (!this->isCutOff && now >= this->settlesAt));
     std::map<std::string, Account> next;
     for (const auto& account : newAccounts) {
         if (account.quota.ratePerSecond <= 0 || next.contains(account.name))
@@ -104,7 +104,8 @@
     this->aliveByVm.clear();
     for (const auto& vm : this->vms)
         this->aliveByVm[vm.name] = vm.alive;
-    if (!this->isAlone() && std::none_of(this->vms.begin(), this->vms.end(), [this](const auto& vm) { return vm.alive && vm.name != this->self; }))
+    bool wasCutOff = std::exchange(this->isCutOff, !this->isAlone() && std::none_of(this->vms.begin(), this->vms.end(), [this](const auto& vm) { return vm.alive && vm.name != this->self; }));
+    if (wasCutOff || this->isCutOff)
         this->settlesAt = now + settlingTime;
     if (!changed)
         return;
--- a/tests/unit/accounts_test.cpp
+++ b/tests/unit/accounts_test.cpp
@@ -541,8 +541,11 @@
         run(seconds { absence == Absence::Start ? 2 : 60 }, vms);
         if (absence == Absence::Suspension)
             now += seconds { 20 };
-        if (absence == Absence::Cut)
-            run(seconds { 20 }, cut);
+        if (absence == Absence::Cut) {
+            ledger.setVms(cut, now);
+            for (int i = 0; i < 20; i++, now += seconds { 1 })
+                ledger.recordRunning(now);
+        }
         if (absence != Absence::None)
             run(seconds { 1 }, vms);
         ledger.setAccounts({ other, account }, now);
