Shared pacing of heartbeats, one source of unique numbers, a queue place that always is one

Cause: two functions drew the same kind of random number; full heartbeats and those of readers each had a time and a flag for the one that waits; the place of a request in a queue also stood for the case without a queue.

Change: drawUniqueNumber; SendPacer; Relay::waitForWorker has a place only if requests are ordered, and waitForChange else. No change of behaviour.

--- a/edge/src/peers.cpp
+++ b/edge/src/peers.cpp
@@ -2,8 +2,6 @@
 
 #include "heartbeat_split.h"
 
-#include <random>
-
 namespace comfreypier::edge {
 
 namespace {
@@ -46,20 +44,13 @@
     /// Delay between two attempts to publish the member record.
     constexpr std::chrono::seconds publishRetryDelay { 1 };
 
-    /// Returns a random number that identifies this start of the daemon.
-    uint64_t drawIncarnation()
-    {
-        std::random_device device;
-        return static_cast<uint64_t>(device()) << 32 | device();
-    }
-
 } // namespace
 
 Peers::Peers(Vm& vm, transport::Runtime& runtime, CrashTracker& crashes)
     : vm(vm)
     , crashes(crashes)
     , socket(runtime, vm.settings.inner, [this](std::string_view bytes) { this->receive(bytes); })
-    , incarnation(drawIncarnation())
+    , incarnation(drawUniqueNumber())
 {
 }
 
@@ -240,19 +231,9 @@
 
 void Peers::sendReaderHeartbeat()
 {
-    auto dueAt = this->lastReaderHeartbeatAt + this->minHeartbeatGap();
-    if (monotonicNow() < dueAt) {
-        if (std::exchange(this->readerHeartbeatPending, true))
-            return;
-        transport::spawnOnCurrentThread([this, dueAt] {
-            sleepFor(std::max(Time { 0 }, dueAt - monotonicNow()));
-            this->readerHeartbeatPending = false;
-            this->sendReaderHeartbeat();
-        });
+    if (!this->readerHeartbeatPacer.tryPass(this->minHeartbeatGap(), [this] { this->sendReaderHeartbeat(); }))
         return;
-    }
     auto now = monotonicNow();
-    this->lastReaderHeartbeatAt = now;
     auto heartbeat = this->makeHeartbeat(true);
     std::vector<transport::Endpoint> targets;
     bool hasUnsent = false;
@@ -374,18 +355,9 @@
 
 void Peers::sendHeartbeat()
 {
-    auto now = monotonicNow();
-    if (now < this->lastFullHeartbeatAt + this->minHeartbeatGap()) {
-        if (!std::exchange(this->heartbeatPending, true)) {
-            transport::spawnOnCurrentThread([this] {
-                sleepFor(std::max(Time { 0 }, this->lastFullHeartbeatAt + this->minHeartbeatGap() - monotonicNow()));
-                this->heartbeatPending = false;
-                this->sendHeartbeat();
-            });
-        }
+    if (!this->heartbeatPacer.tryPass(this->minHeartbeatGap(), [this] { this->sendHeartbeat(); }))
         return;
-    }
-    this->lastFullHeartbeatAt = now;
+    auto now = monotonicNow();
     auto targets = this->chooseTargets(now);
     auto heartbeat = this->makeHeartbeat(false);
     this->sendTo(targets.leaseHolder, heartbeat);
--- a/edge/src/peers.h
+++ b/edge/src/peers.h
@@ -6,6 +6,7 @@
 #include "forward_queue.h"
 #include "forward_tracker.h"
 #include "send_order.h"
+#include "send_pacer.h"
 
 #include <deque>
 
@@ -257,14 +258,13 @@
     CrashTracker& crashes;
     transport::DatagramSocket socket;
     uint64_t incarnation; ///< See `Member::incarnation`.
-    // The next seven and `heartbeatPending` are used only on the I/O thread.
+    // The next six are used only on the I/O thread.
     bool isPublished = false; ///< The store has this VM's member record.
     LogPosition publishedAt; ///< Position of that record.
     uint64_t sequence = 0; ///< Sequence number of the last heartbeat.
     Time publishedSince { 0 }; ///< When the store accepted that record.
-    Time lastReaderHeartbeatAt { 0 }; ///< When a heartbeat last told the group that this VM reads the store for it.
-    bool readerHeartbeatPending = false; ///< One is scheduled.
-    Time lastFullHeartbeatAt { 0 }; ///< When the last full heartbeat was sent.
+    SendPacer readerHeartbeatPacer; ///< Of heartbeats that tell the group that this VM reads the store for it.
+    SendPacer heartbeatPacer; ///< Of full heartbeats.
     mutable std::mutex mutex;
     std::map<std::string, Peer> peers; ///< By VM name; without this VM.
     /// Heartbeats of a VM or of a start of it that is not known as a member.
@@ -291,7 +291,6 @@
     std::map<std::string, std::set<std::string>> resident;
     std::map<std::string, Time> residentChangedAt; ///< When the items of a worker in `resident` last changed.
     std::string lastResidentSent; ///< Last worker that was sent in turn; the next heartbeat continues after it.
-    bool heartbeatPending = false; ///< A full heartbeat is scheduled.
     Time dropLoggedAt { -std::chrono::hours { 1 } }; ///< When dropped heartbeats were last logged.
     transport::Log log { "peers" };
 };
--- a/edge/src/quota_task.cpp
+++ b/edge/src/quota_task.cpp
@@ -1,7 +1,5 @@
 #include "quota_task.h"
 
-#include <random>
-
 namespace comfreypier::edge {
 
 namespace {
@@ -21,12 +19,6 @@
     /// Retry-After while no VM that knows the level answers: another VM may reach one.
     constexpr milliseconds retryAfterUnknown { 200 };
 
-    uint64_t drawFirstAsk()
-    {
-        std::random_device device;
-        return static_cast<uint64_t>(device()) << 32 | device();
-    }
-
     /// Returns the time for buckets: it goes on while the VM is suspended.
     Time quotaNow()
     {
@@ -39,7 +31,7 @@
     : vm(vm)
     , peers(peers)
     , ledger(vm.settings.node, peers.ownIncarnation())
-    , lastAsk(drawFirstAsk())
+    , lastAsk(drawUniqueNumber())
 {
 }
 
--- a/edge/src/relay.cpp
+++ b/edge/src/relay.cpp
@@ -478,58 +478,38 @@
     std::optional<MissingItem> item;
 };
 
-/// Place of a request in the queue of its service while it goes through `waitForWorker`; does nothing if requests aren't ordered.
+/// Place of a request in the queue of its service while it goes through `waitForWorker`.
 class Relay::ScopedPlace {
 public:
-    explicit ScopedPlace(RequestContext& context)
+    ScopedPlace(RequestContext& context, WaitingRoom& room, const routing::WaitingRequest& request)
         : context(context)
+        , place(room, context.service->name, request, monotonicNow())
     {
+        context.place = &this->place;
     }
     ~ScopedPlace() { this->context.place = nullptr; }
     ScopedPlace(const ScopedPlace&) = delete;
     ScopedPlace& operator=(const ScopedPlace&) = delete;
 
-    void enter(WaitingRoom& room, const routing::WaitingRequest& request)
-    {
-        this->place.emplace(room, this->context.service->name, request, monotonicNow());
-        this->context.place = &*this->place;
-    }
-    /// Without a queue every request is first.
     routing::QueueDecision decide(const routing::Choice& choice, Time now)
     {
-        routing::QueueDecision decision;
-        decision.isFirst = true;
-        if (!this->place)
-            return decision;
         if (choice.blockReason != routing::BlockReason::None)
-            this->place->recordBlocked(choice, now);
-        return this->place->decide(now);
-    }
-    void start(Time now)
-    {
-        if (this->place)
-            this->place->start(now);
-    }
-    void refuse(Time now)
-    {
-        if (this->place)
-            this->place->refuse(now);
+            this->place.recordBlocked(choice, now);
+        return this->place.decide(now);
     }
+    void start(Time now) { this->place.start(now); }
+    void refuse(Time now) { this->place.refuse(now); }
     /// Waits until the request may find a worker.
-    /// @return false at once if there is no queue.
-    bool wait(const routing::QueueDecision& decision)
+    void wait(const routing::QueueDecision& decision)
     {
-        if (!this->place)
-            return false;
         if (!this->context.queuePosition)
             this->context.queuePosition = decision.position;
-        this->place->wait(workerRetryInterval);
-        return true;
+        this->place.wait(workerRetryInterval);
     }
 
 private:
     RequestContext& context;
-    std::optional<WaitingRoom::Place> place;
+    WaitingRoom::Place place;
 };
 
 void Relay::recordPassedOver(RequestContext& context, const routing::Choice& choice)
@@ -588,6 +568,15 @@
     return true;
 }
 
+void Relay::waitForChange(const RequestContext& context) const
+{
+    auto end = monotonicNow() + workerRetryInterval;
+    auto seenChanges = this->vm.fleet.changes();
+    do
+        sleepFor(workerPollInterval);
+    while (!context.isCancelled() && this->vm.fleet.changes() == seenChanges && monotonicNow() < end);
+}
+
 /// Waits until a worker can take the request.
 /// @return false if the request was refused or the caller has gone.
 bool Relay::waitForWorker(RequestContext& context, Fleet::Selection& selection)
@@ -595,9 +584,9 @@
     const auto& shape = context.head.shape;
     ScopedMissingItem missingItem(this->peers);
     auto lastChoiceAt = monotonicNow();
-    ScopedPlace place(context);
+    std::optional<ScopedPlace> place; // Without a queue all requests look for a worker by themselves, as if each were the first.
     if (this->ordersByUrgency(*context.configuration))
-        place.enter(this->waitingRoom, Relay::makeWaitingRequest(context));
+        place.emplace(context, this->waitingRoom, Relay::makeWaitingRequest(context));
     while (!context.isCancelled()) {
         // What crashes workers may become known while the request waits, and a shutdown may begin.
         if (this->endIfHeldOff(context) || this->endIfLeaving(context, Time { 0 }))
@@ -607,9 +596,10 @@
         this->recordPassedOver(context, selection.choice);
         auto blockReason = selection.choice.blockReason;
         context.waitTime += now - std::exchange(lastChoiceAt, now);
-        auto turn = place.decide(selection.choice, now);
-        if (blockReason == routing::BlockReason::None && turn.isFirst) {
-            place.start(now);
+        auto turn = place ? place->decide(selection.choice, now) : routing::QueueDecision {};
+        if (blockReason == routing::BlockReason::None && (turn.isFirst || !place)) {
+            if (place)
+                place->start(now);
             return true;
         }
         if (blockReason == routing::BlockReason::NoModel)
@@ -622,19 +612,18 @@
             return false;
         auto decision = routing::decideWait(selection.choice, routing::findModel(*context.service, shape.model), now - context.startedAt, context.firstByteDeadline - context.startedAt);
         if (!decision.admitted) {
-            place.refuse(now);
+            if (place)
+                place->refuse(now);
             if (context.possibleRuns > 0)
                 this->finish(context, context.lastResult);
             else
                 this->refuseBlocked(context, selection.choice, decision.retryAfter);
             return false;
         }
-        if (place.wait(turn))
-            continue;
-        auto seenChanges = this->vm.fleet.changes();
-        do
-            sleepFor(workerPollInterval);
-        while (!context.isCancelled() && this->vm.fleet.changes() == seenChanges && monotonicNow() - now < workerRetryInterval);
+        if (place)
+            place->wait(turn);
+        else
+            this->waitForChange(context);
     }
     this->finish(context, context.lastResult);
     return false;
--- a/edge/src/relay.h
+++ b/edge/src/relay.h
@@ -66,6 +66,8 @@
     /// @return whether it was refused.
     bool endIfLeaving(RequestContext& context, Time expected);
     void waitForAdapter(RequestContext& context, const routing::WorkerEntry& worker);
+    /// Waits until a request that is in no queue may find a worker: the fleet has changed, or some time has passed.
+    void waitForChange(const RequestContext& context) const;
     bool waitForWorker(RequestContext& context, Fleet::Selection& selection);
     /// Returns whether waiting requests of this configuration are ordered by urgency.
     bool ordersByUrgency(const routing::Configuration& configuration) const;
