Summaries count only from members, about their own data centre

Cause: a heartbeat that sums up a data centre was applied before its sender was looked up. A datagram of anybody could say that workers are full or leave, and each name of a data centre was kept.

Change: the sender is a known start of a member, of the data centre that it sums up.

--- a/edge/src/peers.cpp
+++ b/edge/src/peers.cpp
@@ -553,8 +553,6 @@
     if (!heartbeat)
         return;
     increment(this->vm.counters, CountedEvent::BeatsReceived);
-    if (!heartbeat->summaryOf.empty())
-        return this->receiveSummary(std::move(*heartbeat));
     bool hasMissingItems = !heartbeat->missingItems.empty();
     this->applySenderRecord(*heartbeat);
     std::unique_lock lock(this->mutex);
@@ -566,6 +564,13 @@
             this->onUnknownMember();
         return;
     }
+    if (!heartbeat->summaryOf.empty()) {
+        bool isOwn = heartbeat->summaryOf == found->second.member.dataCentre;
+        lock.unlock();
+        if (isOwn)
+            this->receiveSummary(std::move(*heartbeat));
+        return;
+    }
     if (!heartbeat->quota.isEmpty()) {
         lock.unlock();
         if (this->onQuota)
--- a/tests/unit/peers_test.cpp
+++ b/tests/unit/peers_test.cpp
@@ -648,6 +648,31 @@
     cr_assert_eq(countRuns(cluster, 0, 20, "summary-"), 0);
 }
 
+// Guards against datagrams of anybody that tell of loads and leaving workers: only a member sums up its own data centre.
+CLUSTER_TEST(summaries_of_strangers_and_of_other_data_centres_are_ignored, 17300)
+{
+    SimulatedPeers group(cluster, 17350, { "near" }, "dc");
+    cluster.configureAndWait();
+    std::this_thread::sleep_for(milliseconds { 1000 });
+    cr_assert_gt(countRuns(cluster, 0, 20, "before-"), 0);
+    transport::DatagramSocket socket(cluster.runtime, loopback(17360), [](std::string_view) {});
+    cr_assert(socket.start());
+    cluster.runtime.spawn([&] {
+        // One of nobody, one of an earlier start of a member, and one of a member about a data centre that is not its own.
+        for (const auto& [node, incarnation] : { std::pair("stranger", 1), std::pair("near", 2), std::pair("near", 1) }) {
+            edge::Heartbeat summary;
+            summary.node = node;
+            summary.incarnation = static_cast<uint64_t>(incarnation);
+            summary.sequence = 1;
+            summary.summaryOf = "elsewhere";
+            summary.loads[edge::workerKey("app0")] = { 0, 0, 100 };
+            (void)socket.send(loopback(cluster.base + 23), edge::encodeHeartbeat(summary));
+        }
+    });
+    std::this_thread::sleep_for(milliseconds { 300 });
+    cr_assert_gt(countRuns(cluster, 0, 20, "after-"), 0);
+}
+
 // Guards against a model that never gets a second copy. If refused requests did not count as demand, a model whose only worker
 // is full would seem to need no more than that worker.
 CLUSTER_TEST(refused_requests_count_as_demand, 31050)
