The record of the configuration is for members only

Cause: the record holds the keys of client accounts. The listener of the counters gave it to anybody who can connect, workers and tools included.

Change: the asker names itself and its incarnation, which stands in the member records and the heartbeats of VMs only. Others get 403.

Result: edge.configuration_is_served_to_other_vms_only, which got the record without naming itself before, now is a member, and expects 403 without a name, without an incarnation and with those of another start.

--- a/edge/src/configuration_exchange.cpp
+++ b/edge/src/configuration_exchange.cpp
@@ -13,10 +13,12 @@
     constexpr std::string_view versionHeader = "Configuration-Version";
     constexpr std::string_view eraHeader = "Configuration-Era";
     constexpr std::string_view offsetHeader = "Configuration-Offset";
+    constexpr std::string_view nodeHeader = "Configuration-Node";
+    constexpr std::string_view incarnationHeader = "Configuration-Incarnation";
 
-    std::optional<uint64_t> readNumber(const transport::HttpResponse& response, std::string_view header)
+    std::optional<uint64_t> readNumber(const std::vector<transport::Header>& headers, std::string_view header)
     {
-        auto text = transport::findHeader(response.headers, header);
+        auto text = transport::findHeader(headers, header);
         uint64_t number = 0;
         auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
         bool isNumber = !text.empty() && error == std::errc {} && end == text.data() + text.size();
@@ -36,9 +38,16 @@
     return sources;
 }
 
-transport::HttpRequest makeConfigurationRequest()
+transport::HttpRequest makeConfigurationRequest(const ConfigurationAsker& asker)
 {
-    return { "GET", std::string(configurationTarget), {}, {} };
+    return { "GET", std::string(configurationTarget), { { std::string(nodeHeader), asker.node }, { std::string(incarnationHeader), std::to_string(asker.incarnation) } }, {} };
+}
+
+std::optional<ConfigurationAsker> decodeConfigurationAsker(const transport::HttpRequest& request)
+{
+    auto node = transport::findHeader(request.headers, nodeHeader);
+    auto incarnation = readNumber(request.headers, incarnationHeader);
+    return !node.empty() && incarnation ? std::optional(ConfigurationAsker { std::string(node), *incarnation }) : std::nullopt;
 }
 
 bool isConfigurationRequest(const transport::HttpRequest& request)
@@ -68,6 +77,11 @@
     writer.finishStream();
 }
 
+transport::HttpResponse makeConfigurationDenial()
+{
+    return { 403, {}, "" };
+}
+
 transport::HttpResponse makeConfigurationRefusal()
 {
     return { 503, {}, "" };
@@ -75,9 +89,9 @@
 
 std::optional<ConfigurationRecord> decodeConfigurationResponse(const transport::HttpResponse& response)
 {
-    auto version = readNumber(response, versionHeader);
-    auto era = readNumber(response, eraHeader);
-    auto offset = readNumber(response, offsetHeader);
+    auto version = readNumber(response.headers, versionHeader);
+    auto era = readNumber(response.headers, eraHeader);
+    auto offset = readNumber(response.headers, offsetHeader);
     if (response.status != 200 || !version || !era || !offset)
         return std::nullopt;
     return ConfigurationRecord { response.body, *version, { *era, *offset } };
--- a/edge/src/configuration_exchange.h
+++ b/edge/src/configuration_exchange.h
@@ -27,6 +27,12 @@
     transport::Endpoint address; ///< Its listener for counters and the configuration.
 };
 
+/// A VM that asks for the record. Its incarnation is known to VMs only.
+struct ConfigurationAsker {
+    std::string node;
+    uint64_t incarnation = 0; ///< See `Member::incarnation`.
+};
+
 /// Maximum number of VMs that are asked for one version.
 constexpr size_t maxConfigurationSources = 3;
 
@@ -36,7 +42,9 @@
 /// @param dataCentre its data centre.
 std::vector<ConfigurationSource> orderConfigurationSources(std::vector<ConfigurationSource> sources, std::string_view node, std::string_view dataCentre);
 
-transport::HttpRequest makeConfigurationRequest();
+transport::HttpRequest makeConfigurationRequest(const ConfigurationAsker& asker);
+/// @return nothing if the request names no VM.
+std::optional<ConfigurationAsker> decodeConfigurationAsker(const transport::HttpRequest& request);
 bool isConfigurationRequest(const transport::HttpRequest& request);
 /// Memory that an answer with a record takes beside the record.
 constexpr size_t configurationChunkBytes = 64 * 1024;
@@ -44,6 +52,8 @@
 /// @param record null while no configuration is known; the answer is 404 then.
 /// @param isInForce returns whether the record still is the newest. If not, the answer ends unfinished.
 void sendConfiguration(const ConfigurationRecordPtr& record, transport::ResponseWriter& writer, const std::function<bool()>& isInForce);
+/// Returns the answer to those that are no member.
+transport::HttpResponse makeConfigurationDenial();
 /// Returns the answer of a VM that has no memory left for another copy of the record.
 transport::HttpResponse makeConfigurationRefusal();
 /// @return nothing if the answer holds no record. VMs of earlier versions answer with their counters.
--- a/edge/src/edge.cpp
+++ b/edge/src/edge.cpp
@@ -77,7 +77,7 @@
               },
               [this] { this->peers.sendHeartbeat(); },
               [this](const auto& entry) { this->peers.forwardEntry(entry); },
-              { [this](Time ownReadAt) { return this->peers.enoughPeersReadWorkers(ownReadAt); }, [this] { return this->peers.enoughPeersFollowStore(); }, [this](uint64_t version) { return this->peers.configurationSources(version); } })
+              { [this](Time ownReadAt) { return this->peers.enoughPeersReadWorkers(ownReadAt); }, [this] { return this->peers.enoughPeersFollowStore(); }, [this](uint64_t version) { return this->peers.configurationSources(version); }, { this->settings.node, this->peers.ownIncarnation() } })
         , orders(this->vm, this->peers)
         , quota(this->vm, this->peers)
         , relay(this->vm, this->peers, this->crashes, this->quota)
@@ -129,11 +129,14 @@
         writer.send({ ready ? 200U : 503U, {}, "" });
     }
 
-    /// Answers a request of another VM for the record of the configuration, any other request with the counters.
+    /// Answers a request of another VM for the record of the configuration, which holds keys, any other request with the counters.
     void serveInner(const transport::HttpRequest& request, transport::ResponseWriter& writer)
     {
         if (!isConfigurationRequest(request))
             return this->serveMetrics(writer);
+        auto asker = decodeConfigurationAsker(request);
+        if (!asker || !this->peers.isMember(*asker))
+            return static_cast<void>(writer.send(makeConfigurationDenial()));
         auto record = this->vm.fleet.configurationRecord();
         transport::BufferReservation chunk(this->vm.bufferMemory);
         if (record && !chunk.tryHold(configurationChunkBytes))
--- a/edge/src/peers.cpp
+++ b/edge/src/peers.cpp
@@ -836,6 +836,13 @@
     return orderConfigurationSources(std::move(sources), this->vm.settings.node, this->vm.settings.dataCentre);
 }
 
+bool Peers::isMember(const ConfigurationAsker& asker) const
+{
+    std::lock_guard lock(this->mutex);
+    auto found = this->peers.find(asker.node);
+    return found != this->peers.end() && found->second.member.incarnation == asker.incarnation;
+}
+
 uint32_t Peers::memberCount() const
 {
     if (!this->vm.status.membersKnown)
--- a/edge/src/peers.h
+++ b/edge/src/peers.h
@@ -77,6 +77,8 @@
     /// Returns the VMs to ask for the record of a configuration, see `orderConfigurationSources`: reachable ones that have this version or a
     /// newer one.
     std::vector<ConfigurationSource> configurationSources(uint64_t version) const;
+    /// Returns whether a VM is a member, in this start of it.
+    bool isMember(const ConfigurationAsker& asker) const;
     /// Returns the number of VMs with a member record, reachable or not, this one included; 0 until the records have been read.
     uint32_t memberCount() const;
 
--- a/edge/src/store_task.h
+++ b/edge/src/store_task.h
@@ -26,6 +26,7 @@
         std::function<bool()> storeFollowed;
         /// Returns the VMs to ask for a configuration of this version or a newer one, see `Peers::configurationSources`.
         std::function<std::vector<ConfigurationSource>(uint64_t version)> configurationSources;
+        ConfigurationAsker self; ///< This VM, as the others know it.
     };
 
     StoreTask(Vm& vm, MemberListener onMembers, WorkerListener onWorkerGone, ConfigurationListener onConfiguration, RestorationListener onRestored, EntryListener onEntry, PeerReads peerReads);
--- a/tests/unit/configuration_exchange_test.cpp
+++ b/tests/unit/configuration_exchange_test.cpp
@@ -94,18 +94,29 @@
 CLUSTER_TEST(configuration_is_served_to_other_vms_only, 16750)
 {
     auto settings = cluster.settingsOf(0);
-    auto none = cluster.call(settings.metrics, edge::makeConfigurationRequest());
+    const edge::ConfigurationAsker asker { "asker", 5 };
+    cr_assert(cluster.waitUntil([&] {
+        auto response = cluster.call(settings.metrics, edge::makeConfigurationRequest(asker));
+        return response && response.value().status == 403; }), "nobody is a member");
+    cluster.writeMember(asker.node, edge::encodeMember({ asker.incarnation, loopback(16798), loopback(16799), "dc", 1 }));
+    cr_assert(cluster.waitUntil([&] { return cluster.call(settings.metrics, edge::makeConfigurationRequest(asker)).value().status != 403; }));
+    auto none = cluster.call(settings.metrics, edge::makeConfigurationRequest(asker));
     cr_assert(none && none.value().status == 404 && !edge::decodeConfigurationResponse(none.value()), "there is no configuration yet");
     cluster.configureAndWait();
     for (const auto& endpoint : { settings.front, settings.directory, settings.readiness }) {
-        auto response = cluster.call(endpoint, edge::makeConfigurationRequest());
+        auto response = cluster.call(endpoint, edge::makeConfigurationRequest(asker));
         cr_assert(response && !edge::decodeConfigurationResponse(response.value()));
         cr_assert_eq(response.value().body.find("routes"), std::string::npos);
     }
-    auto response = cluster.call(settings.metrics, edge::makeConfigurationRequest());
+    auto response = cluster.call(settings.metrics, edge::makeConfigurationRequest(asker));
     cr_assert(static_cast<bool>(response));
     auto record = edge::decodeConfigurationResponse(response.value());
     cr_assert(record && record->version == 1 && record->value == standins::makePlatformConfiguration(1, ""));
+    // Anybody, a member without the number of its start, and one with that of another start.
+    for (const auto& request : { HttpRequest { "GET", "/configuration", {}, {} }, HttpRequest { "GET", "/configuration", { { "Configuration-Node", "asker" } }, {} }, edge::makeConfigurationRequest({ "asker", 6 }), edge::makeConfigurationRequest({ "vm0", 5 }) }) {
+        auto denied = cluster.call(settings.metrics, request);
+        cr_assert(denied && denied.value().status == 403 && denied.value().body.empty());
+    }
 }
 
 // A VM with little memory passes on a record that is larger than what one answer may hold of it.
@@ -117,8 +128,10 @@
     cr_assert(cluster.vms.back()->start());
     auto route = standins::makePlatformRoute("large", "/" + std::string(1024 * 1024, 'x') + "/");
     cluster.configure(1, route);
-    cr_assert(cluster.waitUntil([&] { return cluster.isReady(1); }));
-    auto response = cluster.call(settings.metrics, edge::makeConfigurationRequest());
+    const edge::ConfigurationAsker asker { "asker", 5 };
+    cluster.writeMember(asker.node, edge::encodeMember({ asker.incarnation, loopback(16798), loopback(16799), "dc", 1 }));
+    cr_assert(cluster.waitUntil([&] { return cluster.isReady(1) && cluster.call(settings.metrics, edge::makeConfigurationRequest(asker)).value().status != 403; }));
+    auto response = cluster.call(settings.metrics, edge::makeConfigurationRequest(asker));
     auto record = response ? edge::decodeConfigurationResponse(response.value()) : std::nullopt;
     cr_assert(record && record->value == standins::makePlatformConfiguration(1, route));
 }
