Names of client accounts hold no control characters

Cause: workers are told the account in a header. A name with a line end was decoded and put there as it is.

--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -399,6 +399,19 @@
     }
 }
 
+// Guards against a name that brings a further header to workers: they are told the account in one.
+Test(configurations, client_accounts_with_control_characters_are_an_error)
+{
+    auto decode = [](const std::string& name, std::string& error) { return decodeConfiguration(R"({"version":3,"routes":[],"services":[],"tenants":[{"name":")" + name + R"("}]})", error); };
+    std::string error;
+    cr_assert(decode("A & B \u00e9", error).has_value());
+    for (const auto* name : { R"(a\r\nTenant: b)", R"(a\nb)", R"(a\u0000)", R"(\u007f)" }) {
+        error.clear();
+        cr_assert_not(decode(name, error).has_value(), "%s", name);
+        cr_assert_not(error.empty());
+    }
+}
+
 Test(configurations, client_accounts_are_decoded_without_their_keys)
 {
     std::string error;
