Accounts stand in the metrics as Prometheus reads labels

Cause: the names were escaped as in log lines. The text format knows no such escapes, so that one name with a space makes the whole page unreadable.

Change: quotes and backslashes are escaped; control characters are in no name.

Result: quotas.metrics_name_accounts_as_prometheus_reads_them fails before and passes after; quota_test passes.

--- a/edge/src/quota_task.cpp
+++ b/edge/src/quota_task.cpp
@@ -19,6 +19,18 @@
     /// Retry-After while no VM that knows the level answers: another VM may reach one.
     constexpr milliseconds retryAfterUnknown { 200 };
 
+    /// Returns a value of a label in Prometheus text format, which knows no other escapes.
+    std::string escapeForLabel(std::string_view text)
+    {
+        std::string value;
+        for (char character : text) {
+            if (character == '"' || character == '\\')
+                value.push_back('\\');
+            value.push_back(character);
+        }
+        return value;
+    }
+
     /// Returns the time for buckets: it goes on while the VM is suspended.
     Time quotaNow()
     {
@@ -225,7 +237,7 @@
 {
     std::string text;
     auto append = [&text](const std::string& account, const char* outcome, double value) {
-        text += "comfreypier_quota_cost_total{account=\"" + transport::escapeForLog(account) + "\",outcome=\"" + outcome + "\"} " + std::to_string(value) + "\n";
+        text += "comfreypier_quota_cost_total{account=\"" + escapeForLabel(account) + "\",outcome=\"" + outcome + "\"} " + std::to_string(value) + "\n";
     };
     for (const auto& [account, totals] : this->totalsByAccount) {
         append(account, "granted", totals.granted);
--- a/tests/unit/quota_test.cpp
+++ b/tests/unit/quota_test.cpp
@@ -131,3 +131,15 @@
     }
     exitProcess();
 }
+
+// Guards against names of accounts that make the metrics unreadable: a label knows no escapes but these.
+Test(quotas, metrics_name_accounts_as_prometheus_reads_them, .timeout = 60)
+{
+    auto* cluster = new TestCluster(18500);
+    cluster->configureAccounts(1, "[" + accountJson(R"(Ann & \"Sons\" \\ 1)", "k1", 100, 100) + "]");
+    waitUntilReady(*cluster, 1);
+    cr_assert(cluster->waitUntil([&] { return cluster->sendRequest("/order/x", "a", keyHeader("k1")).status == 200; }));
+    auto metrics = cluster->call(cluster->metrics(), { "GET", "/", {}, {} }).value().body;
+    cr_assert_neq(metrics.find(R"(comfreypier_quota_cost_total{account="Ann & \"Sons\" \\ 1",outcome="granted"} 1)"), std::string::npos, "%s", metrics.c_str() + metrics.find("quota_cost"));
+    exitProcess();
+}
