--- a/edge/src/peers.h
+++ b/edge/src/peers.h
@@ -7,6 +7,7 @@
 #include "forward_tracker.h"
 #include "resident_news.h"
 #include "send_order.h"
+#include "send_pacer.h"
 
 #include <deque>
 
@@ -78,6 +79,8 @@
     /// Returns the VMs to ask for the record of a configuration, see `orderConfigurationSources`: reachable ones that have this version or a
     /// newer one.
     std::vector<ConfigurationSource> configurationSources(uint64_t version) const;
+    /// Returns whether a VM is a member, in this start of it.
+    bool isMember(const ConfigurationAsker& asker) const;
     /// Returns the number of VMs with a member record, reachable or not, this one included; 0 until the records have been read.
     uint32_t memberCount() const;
 
@@ -260,14 +263,13 @@
     CrashTracker& crashes;
     transport::DatagramSocket socket;
     uint64_t incarnation; ///< See `Member::incarnation`.
-    // The next seven and `heartbeatPending` are used only on the I/O thread.
+    // The next six are used only on the I/O thread.
     bool isPublished = false; ///< The store has this VM's member record.
     LogPosition publishedAt; ///< Position of that record.
     uint64_t sequence = 0; ///< Sequence number of the last heartbeat.
     Time publishedSince { 0 }; ///< When the store accepted that record.
-    Time lastReaderHeartbeatAt { 0 }; ///< When a heartbeat last told the group that this VM reads the store for it.
-    bool readerHeartbeatPending = false; ///< One is scheduled.
-    Time lastFullHeartbeatAt { 0 }; ///< When the last full heartbeat was sent.
+    SendPacer readerHeartbeatPacer; ///< Of heartbeats that tell the group that this VM reads the store for it.
+    SendPacer heartbeatPacer; ///< Of full heartbeats.
     mutable std::mutex mutex;
     std::map<std::string, Peer> peers; ///< By VM name; without this VM.
     /// Heartbeats of a VM or of a start of it that is not known as a member.
@@ -292,7 +294,6 @@
     uint64_t leaseToken = 0;
     LogPosition leasePosition;
     ResidentNews resident;
-    bool heartbeatPending = false; ///< A full heartbeat is scheduled.
     Time dropLoggedAt { -std::chrono::hours { 1 } }; ///< When dropped heartbeats were last logged.
     transport::Log log { "peers" };
 };
--- a/edge/src/quota_task.cpp
+++ b/edge/src/quota_task.cpp
@@ -1,7 +1,5 @@
 #include "quota_task.h"
 
-#include <random>
-
 namespace comfreypier::edge {
 
 namespace {
@@ -21,10 +19,16 @@
     /// Retry-After while no VM that knows the level answers: another VM may reach one.
     constexpr milliseconds retryAfterUnknown { 200 };
 
-    uint64_t drawFirstAsk()
+    /// Returns a value of a label in Prometheus text format, which knows no other escapes.
+    std::string escapeForLabel(std::string_view text)
     {
-        std::random_device device;
-        return static_cast<uint64_t>(device()) << 32 | device();
+        std::string value;
+        for (char character : text) {
+            if (character == '"' || character == '\\')
+                value.push_back('\\');
+            value.push_back(character);
+        }
+        return value;
     }
 
     /// Returns the time for buckets: it goes on while the VM is suspended.
@@ -39,7 +43,7 @@
     : vm(vm)
     , peers(peers)
     , ledger(vm.settings.node, peers.ownIncarnation())
-    , lastAsk(drawFirstAsk())
+    , lastAsk(drawUniqueNumber())
 {
 }
 
@@ -233,7 +237,7 @@
 {
     std::string text;
     auto append = [&text](const std::string& account, const char* outcome, double value) {
-        text += "comfreypier_quota_cost_total{account=\"" + transport::escapeForLog(account) + "\",outcome=\"" + outcome + "\"} " + std::to_string(value) + "\n";
+        text += "comfreypier_quota_cost_total{account=\"" + escapeForLabel(account) + "\",outcome=\"" + outcome + "\"} " + std::to_string(value) + "\n";
     };
     for (const auto& [account, totals] : this->totalsByAccount) {
         append(account, "granted", totals.granted);
