How many idle connections, open bodies and streams a VM bears, measured

The stand-in's configuration takes the slots of workers, so that more than 24 streams run; streams whose path ends with `pausing` pause there. crowd.streams_read_slowly runs with 600 slots of each worker now, so that 360 of its streams are open at once instead of 24; its other figures and all bounds are as before. Other unit tests with the stand-in not run.

--- a/tests/crowds/main.cpp
+++ b/tests/crowds/main.cpp
@@ -31,10 +31,13 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
-/// Memory of the VM. What a process has received and not read yet counts as its own.
-constexpr uint64_t memoryMegabytes = 48;
-/// Descriptors of the VM, and how many of them are for files.
-constexpr uint64_t maxDescriptors = 1000;
+/// A VM. What a process has received and not read yet counts as its memory.
+struct Machine {
+    uint64_t memoryMegabytes = 48;
+    uint64_t descriptors = 1000;
+    int slots = 8; ///< Streams that each worker runs at once.
+};
+/// Descriptors of a VM that are for files.
 constexpr uint64_t fileDescriptors = 200;
 /// Limits of the stand-in's configuration.
 constexpr size_t maxHeadBytes = 16384;
@@ -68,6 +71,7 @@
     /// daemon closes; the others read nothing.
     bool readsSlowly = false;
     std::string first; ///< Fields of a request that is answered with 200 before the clients connect. Empty for none.
+    int slots = Machine {}.slots; ///< Streams that each worker runs at once.
 };
 
 struct Client {
@@ -121,6 +125,12 @@
     return requestHead("POST", largeStream, client, std::string(streamFields) + "Content-Length: 5\r\n\r\nhello");
 }
 
+/// Two events, then nothing until the time limit of the route. It takes few tokens, so that workers have room for many.
+std::string requestForPausingStream(const char*, int client)
+{
+    return requestHead("POST", "/chat/pausing", client, "Model: m1\r\nToken-Count: 50,10\r\nContent-Length: 5\r\n\r\nhello");
+}
+
 const std::map<std::string, Crowd>& crowds()
 {
     static const std::map<std::string, Crowd> all {
@@ -156,7 +166,7 @@
                                       return bytes;
                                   } } },
         { "large_answers_read_slowly", { 600, requestForAnswer, 64 * 1024, false, true, "" } },
-        { "streams_read_slowly", { 600, requestForStream, 64 * 1024, false, true, streamFields } },
+        { "streams_read_slowly", { 600, requestForStream, 64 * 1024, false, true, streamFields, 600 } },
         { "stops_after_four_bytes", { 1500, [](const char*, int) { return std::string("POST"); } } },
         { "sends_a_byte_now_and_then", { 900, [](const char* path, int client) { return requestHead("GET", path, client, shortFields(8000)); }, 1 } },
         { "connections_that_send_nothing", { 1500, [](const char*, int) { return std::string(); } } },
@@ -211,8 +221,9 @@
 /// The daemon and the stand-in for its platform.
 class Processes {
 public:
-    Processes(std::string daemonPath, std::string platformPath, int basePort, std::filesystem::path directory)
-        : daemonPath(std::move(daemonPath))
+    Processes(Machine machine, std::string daemonPath, std::string platformPath, int basePort, std::filesystem::path directory)
+        : machine(machine)
+        , daemonPath(std::move(daemonPath))
         , platformPath(std::move(platformPath))
         , basePort(basePort)
         , directory(std::move(directory))
@@ -241,10 +252,10 @@
         int offset = 0;
         for (const auto* listener : { "front", "directory", "readiness", "inner", "metrics" })
             file << listener << " = 127.0.0.1:" << this->port(offset++) << "\n";
-        file << "[store]\naddress = 127.0.0.1:" << this->basePort + 1 << "\n[limits]\nmemory_megabytes = " << memoryMegabytes << "\n[log]\nlevel = warn\n";
+        file << "[store]\naddress = 127.0.0.1:" << this->basePort + 1 << "\n[limits]\nmemory_megabytes = " << this->machine.memoryMegabytes << "\n[log]\nlevel = warn\n";
         file.close();
         this->platform = this->spawn({ this->platformPath, std::to_string(this->basePort) }, "platform.log");
-        this->setDescriptorLimit(maxDescriptors);
+        this->setDescriptorLimit(this->machine.descriptors);
         this->daemon = this->spawn({ this->daemonPath, "edge", "--config", settings.string() }, "vm.log");
         return this->configure() && this->answersOrdinaryRequest();
     }
@@ -311,13 +322,14 @@
         return { count, unread };
     }
 
+    const Machine machine;
     int lastStatus = 0; ///< Of the last ordinary request.
 
 private:
     bool configure() const
     {
         for (int i = 0; i < ordinaryTries; i++) {
-            if (sendOrdinary(this->basePort, "POST /configure?version=1 HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n") == 200)
+            if (sendOrdinary(this->basePort, "POST /configure?version=1&slots=" + std::to_string(this->machine.slots) + " HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n") == 200)
                 return true;
             std::this_thread::sleep_for(ordinaryDelay);
         }
@@ -478,14 +490,85 @@
     for (auto& client : clients)
         close(client.socket);
     std::this_thread::sleep_for(holdTime);
-    std::cout << "peak: memory " << peaks.memory / 1024 << " KB of " << memoryMegabytes * 1024 << ", unread " << peaks.unread / 1024 << " at most, resident " << processes.peakBytes() / 1024 << " at most; sockets " << peaks.sockets
+    std::cout << "peak: memory " << peaks.memory / 1024 << " KB of " << processes.machine.memoryMegabytes * 1024 << ", unread " << peaks.unread / 1024 << " at most, resident " << processes.peakBytes() / 1024 << " at most; sockets " << peaks.sockets
               << "; afterwards: resident " << processes.residentBytes() / 1024 << " KB" << std::endl;
     bool held = check(alive && processes.isAlive(), "the process ended");
-    held = check(peaks.memory <= memoryMegabytes * 1024 * 1024, "memory") && held;
-    held = check(peaks.sockets <= maxDescriptors - fileDescriptors, "descriptors") && held;
+    held = check(peaks.memory <= processes.machine.memoryMegabytes * 1024 * 1024, "memory") && held;
+    held = check(peaks.sockets <= processes.machine.descriptors - fileDescriptors, "descriptors") && held;
     return check(answered, "an ordinary request was not answered, last status " + std::to_string(processes.lastStatus)) && held;
 }
 
+/// Connections of one kind, for a measurement of how many a VM bears.
+struct Load {
+    const char* name;
+    int count; ///< More than any VM bears.
+    std::function<std::string(const char* path, int client)> makeBytes;
+    bool answered; ///< They count if their answers have begun, else if there is none.
+    milliseconds time; ///< Between the last connection and the measurement.
+};
+
+/// Returns whether a connection is open, with the begin of an answer of 200 or without any.
+bool isOpen(int socket, bool answered)
+{
+    std::array<char, 65536> bytes {};
+    auto count = recv(socket, bytes.data(), bytes.size(), MSG_DONTWAIT);
+    if (count < 0 || !answered)
+        return count < 0 && errno == EAGAIN && !answered;
+    bool succeeded = count >= 12 && std::string_view(bytes.data() + 9, 3) == "200";
+    while (count > 0)
+        count = recv(socket, bytes.data(), bytes.size(), MSG_DONTWAIT);
+    return succeeded && count < 0 && errno == EAGAIN;
+}
+
+/// Opens connections of one kind at the front and prints how many are open some time later.
+bool measureLoad(const Load& load, Processes& processes)
+{
+    if (!check(processes.start() && processes.answersStream(streamFields), "the daemon did not start"))
+        return false;
+    Peaks peaks;
+    auto calm = processes.residentBytes();
+    std::vector<int> sockets;
+    for (int i = 0; i < load.count; i++) {
+        sockets.push_back(connectTo(processes.port(0), slowReceiveBytes));
+        auto bytes = load.makeBytes("/order/x", i);
+        for (size_t sent = 0; sent < bytes.size();) {
+            auto count = send(sockets.back(), bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+            if (count <= 0)
+                break;
+            sent += static_cast<size_t>(count);
+        }
+    }
+    std::this_thread::sleep_for(load.time);
+    peaks.sample(processes);
+    auto resident = processes.residentBytes();
+    auto open = std::count_if(sockets.begin(), sockets.end(), [&](int socket) { return isOpen(socket, load.answered); });
+    bool ordinary = processes.answersOrdinaryRequest();
+    peaks.sample(processes);
+    std::cout << "| " << processes.machine.memoryMegabytes << " MB, " << processes.machine.descriptors << " descriptors | " << load.name << " | " << open << " of " << load.count << " | " << calm / 1024 << " | "
+              << resident / 1024 << " | " << processes.peakBytes() / 1024 << " | " << peaks.unread / 1024 << " | " << peaks.sockets << " | " << (ordinary ? "yes" : "no") << " |" << std::endl;
+    for (int socket : sockets)
+        close(socket);
+    return ordinary;
+}
+
+/// Prints a table of how many connections of each kind VMs bear.
+bool measureCapacity(const std::string& daemonPath, const std::string& platformPath, int basePort, const std::string& directory)
+{
+    constexpr std::array<Machine, 3> machines { { { 120, 3075, 2000 }, { 260, 4100, 2000 }, { 512, 4100, 2000 } } };
+    const std::array<Load, 3> loads { { { "idle", 3500, [](const char*, int) { return std::string(); }, false, milliseconds { 1000 } },
+        { "open body of 100 KB", 1200, bodyShortOfItsEnd, false, milliseconds { 3000 } },
+        { "stream", 2500, requestForPausingStream, true, milliseconds { 1000 } } } };
+    std::cout << "| VM | connections | open | calm, KB | resident, KB | peak, KB | unread, KB | sockets | ordinary request |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- |" << std::endl;
+    bool served = true;
+    for (const auto& machine : machines) {
+        for (const auto& load : loads) {
+            Processes processes(machine, daemonPath, platformPath, basePort, directory);
+            served = measureLoad(load, processes) && served;
+        }
+    }
+    return served;
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -495,12 +578,14 @@
             std::cout << name << "\n";
         return 0;
     }
+    signal(SIGPIPE, SIG_IGN); // NOLINT(bugprone-signal-handler)
+    if (argc == 6 && std::string(argv[1]) == "--capacity")
+        return measureCapacity(argv[2], argv[3], std::atoi(argv[4]), argv[5]) ? 0 : 1;
     auto found = argc == 6 ? crowds().find(argv[1]) : crowds().end();
     if (found == crowds().end()) {
-        std::cerr << "usage: comfreypier-crowd CASE DAEMON PLATFORM PORT DIRECTORY, or --list\n";
+        std::cerr << "usage: comfreypier-crowd CASE DAEMON PLATFORM PORT DIRECTORY, or --capacity in place of CASE, or --list\n";
         return 2;
     }
-    signal(SIGPIPE, SIG_IGN); // NOLINT(bugprone-signal-handler)
-    Processes processes(argv[2], argv[3], std::atoi(argv[4]), argv[5]);
+    Processes processes({ .slots = found->second.slots }, argv[2], argv[3], std::atoi(argv[4]), argv[5]);
     return runCase(found->second, processes) ? 0 : 1;
 }
--- a/tests/standins/platform_main.cpp
+++ b/tests/standins/platform_main.cpp
@@ -3,7 +3,8 @@
 ///
 /// `comfreypier-platform PORT` serves the control calls below on PORT, the store on PORT + 1 and the workers on the ports after
 /// that:
-///   POST /configure?version=N[&path=/p/]        writes a configuration, with an additional route if a path is given
+///   POST /configure?version=N[&path=/p/][&slots=N]
+///     Writes a configuration, with an additional route if a path is given, and with these slots of each worker.
 ///   POST /fault?store=sound|refusing|silent|losing|copied|restored
 ///     `copied` takes a copy of the store's records, `restored` has the store come back from it.
 ///   POST /fault?worker=ID&mood=sound|full|closes|foreign|unsigned|failing|breaks_stream|fails_stream|silent
@@ -34,6 +35,8 @@
 constexpr int appWorkerCount = 2;
 /// Workers that serve models. No model is loaded at first.
 constexpr int modelWorkerCount = 3;
+/// Pause of streams whose path ends with `pausing`: longer than the time limit of their routes.
+constexpr int streamPauseMs = 10000;
 /// Time to load or unload a model.
 constexpr int modelOrderDurationMs = 100;
 
@@ -58,6 +61,7 @@
             auto& worker = this->addWorker("llm" + std::to_string(i), "llm");
             standins::setModelMemory(worker);
             worker.orderDurationMs = modelOrderDurationMs;
+            worker.thirdEventDelayMs = streamPauseMs;
         }
         bool started = this->store.start() && this->control.start();
         for (auto& worker : this->workers)
@@ -113,7 +117,10 @@
         auto route = queryValue(target, "path");
         if (version <= 0)
             return { 400, {}, "version is missing\n" };
-        this->store.write("keyed.op", "config", standins::makePlatformConfiguration(version, route.empty() ? "" : standins::makePlatformRoute("more", route)));
+        auto slots = queryValue(target, "slots");
+        for (auto& worker : this->workers)
+            worker->slots = slots.empty() ? standins::defaultSlots : std::atoi(slots.c_str());
+        this->store.write("keyed.op", "config", standins::makePlatformConfiguration(version, route.empty() ? "" : standins::makePlatformRoute("more", route), this->workers.front()->slots));
         return { 200, {}, "" };
     }
 
--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -75,7 +75,7 @@
 
 } // namespace
 
-std::string makePlatformConfiguration(int version, const std::string& extraRoutes)
+std::string makePlatformConfiguration(int version, const std::string& extraRoutes, int slots)
 {
     constexpr const char* configurationTemplate = R"({"version":%V,"routes":[
 {"name":"order","host":"h.example","path-prefix":"/order/","kind":"non_idempotent","timeout-ms":1500,"target-latency-ms":150,"priority":1,"service":"app","max-attempts":1},
@@ -83,12 +83,14 @@
 {"name":"chat","host":"h.example","path-prefix":"/chat/","kind":"streaming","timeout-ms":6000,"target-latency-ms":400,"priority":0,"service":"llm","max-attempts":1,"sticky":true,"resumable":false,"target-gap-ms":100},
 {"name":"draft","host":"h.example","path-prefix":"/draft/","kind":"streaming","timeout-ms":6000,"target-latency-ms":400,"priority":0,"service":"llm","max-attempts":2,"sticky":true,"resumable":true,"target-gap-ms":100}%R],
 "services":[{"name":"app","health-path":"/health","max-conns":100,"protocol":"h1","tls":false},
-{"name":"llm","health-path":"/health","max-conns":100,"protocol":"h1","tls":false,"engine":{"slots":8,"kv-capacity":200000,"moves":true,"backups":true,"stride":1,"models":[
+{"name":"llm","health-path":"/health","max-conns":%C,"protocol":"h1","tls":false,"engine":{"slots":%S,"kv-capacity":200000,"moves":true,"backups":true,"stride":1,"models":[
 {"name":"m1","weights-mb":40,"load-s":0.1,"adapters":3,"adapter-mb":1},{"name":"m2","weights-mb":40,"load-s":0.1,"adapters":0,"adapter-mb":1},{"name":"m3","weights-mb":40,"load-s":0.1,"adapters":0,"adapter-mb":1}],
 "weights-mb":100,"adapter-slots":2,"loads-per-s":5}}],
 "limits":{"max-header-bytes":16384,"max-body-bytes":100000,"header-timeout-ms":3000,"idle-timeout-ms":15000}})";
     std::string text = configurationTemplate;
     text.replace(text.find("%V"), 2, std::to_string(version));
+    text.replace(text.find("%C"), 2, std::to_string(std::max(100, slots)));
+    text.replace(text.find("%S"), 2, std::to_string(slots));
     text.replace(text.find("%R"), 2, extraRoutes);
     return text;
 }
@@ -350,7 +352,7 @@
     std::lock_guard lock(this->mutex);
     this->completeOrderIfDue(false);
     this->store.write(workerTopic, this->id,
-        R"({"service":")" + this->service + R"(","addr":")" + transport::toString(this->publishedAddress) + R"(","zone":"dc","version":"v1","slots":8,"state":")"
+        R"({"service":")" + this->service + R"(","addr":")" + transport::toString(this->publishedAddress) + R"(","zone":"dc","version":"v1","slots":)" + std::to_string(this->slots) + R"(,"state":")"
             + (this->draining ? "draining" : "ready") + R"(","cold-left-ms":0,"born":)" + std::to_string(this->startedAtMs) + R"(,"stage":"unified","models":)" + this->modelsJson() + R"(,"seq":)" + std::to_string(++this->publishCount) + "}");
 }
 
--- a/tests/standins/platform_standin.h
+++ b/tests/standins/platform_standin.h
@@ -18,11 +18,15 @@
 
 using std::chrono::milliseconds;
 
+/// Batch slots of a worker.
+constexpr int defaultSlots = 8;
+
 /// Returns a configuration in the format of the platform's operators: two services, four routes and three models, of which `m1`
 /// has adapters.
 /// @param version version number of the configuration; daemons apply only higher ones than theirs.
 /// @param extraRoutes JSON of further routes, each preceded by a comma.
-std::string makePlatformConfiguration(int version, const std::string& extraRoutes = "");
+/// @param slots batch slots and connections of each worker with models.
+std::string makePlatformConfiguration(int version, const std::string& extraRoutes = "", int slots = defaultSlots);
 
 /// Returns the JSON of a route for idempotent requests under `path`, with a comma before it, as `extraRoutes` of
 /// `makePlatformConfiguration`.
@@ -163,6 +167,7 @@
     std::atomic<double> retryAfterSeconds { -1 };
     std::atomic<bool> refusesWithoutId { false }; ///< Refusals don't carry the id of the request.
     std::atomic<int64_t> startedAtMs { transport::wallNow().count() }; ///< Start time in the worker's entry, in Unix milliseconds.
+    std::atomic<int> slots { defaultSlots }; ///< Published.
     std::atomic<int> eventsPerStream { 8 }; ///< Number of the last event of each stream.
     std::atomic<int> eventDelayMs { 5 }; ///< Delay after each event of a stream.
     std::atomic<int> responseDelayMs { 0 }; ///< Delay between the run of a request and its response.
