Check of a configuration: large ones, hosts with a port, routes with the same name

A host with a port never matches, as ports of requests are ignored, and nothing said so. Routes need no name of their own, but only the first of each name was compared. Change: One search for each route; an error for ports; further routes of a name are compared as `name (2)`.

--- a/routing/src/configuration_check.cpp
+++ b/routing/src/configuration_check.cpp
@@ -54,12 +54,10 @@
         EntryCheck check(findings, routeLabel(route));
         check.error(!route.pathPrefix.starts_with('/') || !route.pathPrefix.ends_with('/'), "path prefix \"" + route.pathPrefix + "\" does not begin and end with a slash");
         check.error(route.host.empty(), "host is empty, so that no request matches");
-        for (const auto& other : configuration.routes) {
-            if (&other == &route)
-                break;
-            check.error(findRoute(configuration, route.host, route.pathPrefix) == &other && other.pathPrefix == route.pathPrefix,
-                "never matches: " + routeLabel(other) + " has the same host and path prefix and comes first");
-        }
+        check.error(route.host.find(':') != std::string::npos, "host \"" + route.host + "\" has a port, so that no request matches: those of requests are ignored");
+        const auto* found = findRoute(configuration, route.host, route.pathPrefix);
+        bool isHidden = found != nullptr && found != &route && found->pathPrefix == route.pathPrefix;
+        check.error(isHidden, "never matches: " + (isHidden ? routeLabel(*found) : "") + " has the same host and path prefix and comes first");
         checkTargets(configuration, route, check);
         check.warn(route.timeout > milliseconds { 0 } && route.targetLatency > route.timeout, "target latency of " + toText(route.targetLatency) + " is longer than the timeout of " + toText(route.timeout));
         check.warn(route.timeout > milliseconds { 0 } && route.targetGap > route.timeout, "target gap of " + toText(route.targetGap) + " is longer than the timeout of " + toText(route.timeout));
--- a/routing/src/configuration_compare.cpp
+++ b/routing/src/configuration_compare.cpp
@@ -104,12 +104,17 @@
         }
     }
 
+    /// Further entries with the same name get its number, for example `order (2)`.
     template <class Entry, class Name>
     std::map<std::string, const Entry*> byName(const std::vector<Entry>& entries, Name&& nameOf)
     {
         std::map<std::string, const Entry*> result;
-        for (const auto& entry : entries)
-            result.try_emplace(nameOf(entry), &entry);
+        std::map<std::string, int> counts;
+        for (const auto& entry : entries) {
+            auto name = nameOf(entry);
+            auto count = ++counts[name];
+            result.try_emplace(count == 1 ? name : name + " (" + std::to_string(count) + ")", &entry);
+        }
         return result;
     }
 
--- a/tests/unit/platform_check_test.cpp
+++ b/tests/unit/platform_check_test.cpp
@@ -1,6 +1,7 @@
 /// Tests of the check of a configuration before it is sent.
 #include <algorithm>
 #include <criterion/criterion.h>
+#include <ctime>
 #include <platform/platform.h>
 #include <rapidcheck.h>
 
@@ -59,6 +60,7 @@
              { R"("service":"app")", R"("service":"apq")", FindingLevel::Error, "route order", "service \"apq\" does not exist" },
              { R"("service":"app")", R"("service":"apq")", FindingLevel::Warning, "service app", "no route leads to it" },
              { R"("path-prefix":"/chat/")", R"("path-prefix":"/order/")", FindingLevel::Error, "route chat", "never matches: route order" },
+             { R"("host":"h.example")", R"("host":"h.example:80")", FindingLevel::Error, "route order", "has a port" },
              { R"("path-prefix":"/chat/")", R"("path-prefix":"/chat")", FindingLevel::Error, "route chat", "does not begin and end" },
              { R"("service":"app")", R"("traffic-split":[{"service":"app","weight":0}])", FindingLevel::Error, "route order", "no service has a weight above 0" },
              { R"("target-latency-ms":150)", R"("target-latency-ms":1600)", FindingLevel::Warning, "route order", "longer than the timeout" },
@@ -91,6 +93,26 @@
         cr_assert(hasFinding(replaced(item.from, item.to), item.level, item.entry, item.text), "%s -> %s: %s: %s", item.from, item.to, item.entry, item.text);
 }
 
+// Guards against a check that takes minutes for a large configuration. That of each pair of routes looked through all of them.
+Test(configuration_check, thousands_of_routes_are_checked_in_a_second)
+{
+    auto configuration = *checkConfigurationText(soundConfiguration).configuration;
+    auto sound = configuration.routes.front();
+    for (int i = 0; i < 2000; i++) {
+        sound.name = "r" + std::to_string(i);
+        sound.pathPrefix = "/r/" + std::to_string(i) + "/";
+        configuration.routes.push_back(sound);
+    }
+    configuration.routes.push_back(sound);
+    configuration.routes.back().name = "hidden";
+    auto before = std::clock();
+    auto findings = routing::checkConfiguration(configuration);
+    auto seconds = static_cast<double>(std::clock() - before) / CLOCKS_PER_SEC;
+    cr_assert_eq(findings.size(), 1U);
+    cr_assert_eq(findings[0].entry, "route hidden");
+    cr_assert_lt(seconds, 1.0, "%g s", seconds);
+}
+
 // Findings are printed and kept in logs of builds.
 Test(configuration_check, no_finding_contains_a_key)
 {
@@ -117,6 +139,21 @@
         cr_assert(std::find(changes.begin(), changes.end(), expected) != changes.end(), "%s", expected.entry.c_str());
 }
 
+// Names of routes need not differ. A change of the second one must not go unseen.
+Test(configuration_check, differences_of_routes_with_the_same_name_are_named)
+{
+    auto before = *checkConfigurationText(replaced(R"("name":"chat")", R"("name":"order")")).configuration;
+    auto after = before;
+    after.routes[1].priority = 3;
+    auto changes = routing::compareConfigurations(before, after);
+    cr_assert_eq(changes.size(), 1U);
+    cr_assert_eq(changes[0].entry, "route order (2)");
+    after.routes.pop_back();
+    changes = routing::compareConfigurations(before, after);
+    cr_assert_eq(changes.size(), 1U);
+    cr_assert_eq(changes[0].kind, routing::ConfigurationChange::Kind::Removed);
+}
+
 // Guards against a crash of the tool on a damaged file.
 Test(configuration_check, damaged_texts_are_handled)
 {
