Queue: nothing is refused for which there is room behind one that needs more

Cause: Only the first request of a group may be sent. If it is a long prompt for which no worker has memory, short ones behind it were refused although there was room for them. Change: A request that would be refused is sent if there is room for it, the first waits for room, needs more, and is not of a size or model that starves.

--- a/edge/src/relay.cpp
+++ b/edge/src/relay.cpp
@@ -588,7 +588,8 @@
         auto blockReason = selection.choice.blockReason;
         context.waitTime += now - std::exchange(lastChoiceAt, now);
         auto turn = place ? place->decide(selection.choice, now) : routing::QueueDecision {};
-        if (blockReason == routing::BlockReason::None && (turn.isFirst || !place)) {
+        bool mayStart = !place || turn.isFirst || turn.mayPass;
+        if (blockReason == routing::BlockReason::None && mayStart) {
             if (place)
                 place->start(now);
             return true;
