Micro benchmark: choice of a worker for a prompt, and looks at the queue

Change: bench/micro.cpp measures one choice (3 copies of 9 workers, 20 of 80, 20 of 2,600) and the looks of 100, 1,000 and 4,000 waiting requests.

--- a/bench/micro.cpp
+++ b/bench/micro.cpp
@@ -6,6 +6,7 @@
 #include <iostream>
 #include <malloc.h>
 #include <platform/platform.h>
+#include <routing/routing.h>
 #include <state/state.h>
 
 using namespace comfreypier;
@@ -241,6 +242,59 @@
     answer.quota.answers.push_back({ makeRandomId().low, {} });
     print("quota_ask", static_cast<double>(edge::encodeHeartbeat(ask).size()), "B");
     print("quota_answer", static_cast<double>(edge::encodeHeartbeat(answer).size()), "B");
+/// Measures the choice of the worker for one prompt with shared parts among the copies of its model, with loads of 32 other VMs.
+void measureChoice(size_t workers, size_t copies)
+{
+    routing::Service service;
+    service.name = "s";
+    service.engine = routing::EngineSpec { 64, 167000, 200, 8, 1, false, {} };
+    routing::RequestShape shape;
+    shape.model = "m";
+    shape.parts = { { 1, 2520 }, { 2, 3780 }, { 3, 2000 } };
+    shape.promptTokens = 8300;
+    auto hashes = routing::hashPrefixes(shape);
+    std::vector<routing::Worker> fleet(workers);
+    std::vector<routing::Worker*> pointers;
+    for (size_t i = 0; i < workers; i++) {
+        auto& worker = fleet[i];
+        worker.entry.id = "worker-" + std::to_string(i);
+        worker.entry.service = "s";
+        worker.entry.models = { { "x" + std::to_string(i % 30), 1, {} }, { i % (workers / copies) == 0 ? "m" : "y", 1, {} } };
+        for (size_t vm = 0; vm < 32; vm++)
+            worker.peerLoads["vm-" + std::to_string(vm)] = { static_cast<double>((i * 7919 + vm) % 3000), 1000, 1 };
+        if (i % 4 == 0)
+            worker.prefixCache.add(hashes[0], 2520, 140000);
+        pointers.push_back(&worker);
+    }
+    routing::ChoiceInputs inputs;
+    inputs.service = &service;
+    inputs.shape = &shape;
+    inputs.prefixHashes = &hashes;
+    inputs.targetLatency = std::chrono::milliseconds { 800 };
+    inputs.peerUpdateAge = std::chrono::milliseconds { 450 };
+    inputs.now = std::chrono::seconds { 100 };
+    auto time = meanMicroseconds(2000, [&](int i) {
+        inputs.choiceSeed = static_cast<uint64_t>(i);
+        routing::chooseWorker(pointers, inputs);
+    });
+    print("choice_" + std::to_string(copies) + "_of_" + std::to_string(workers), time, "us");
+}
+
+/// Measures how long all of a number of waiting requests take to look at their places, which they do every 40 ms.
+void measureQueue(size_t waiting)
+{
+    routing::WaitQueue queue;
+    routing::Time now { std::chrono::seconds { 1 } };
+    for (uint64_t id = 1; id <= waiting; id++)
+        queue.add({ id, "m", "", false, static_cast<uint32_t>(id % 3), "", now, now + std::chrono::milliseconds { 800 }, now + std::chrono::seconds { 12 }, 0.05, 0 }, now);
+    auto time = meanMicroseconds(10, [&](int) {
+        now += std::chrono::milliseconds { 40 };
+        for (uint64_t id = 1; id <= waiting; id++) {
+            queue.recordBlocked(id, routing::BlockReason::NoCapacity, std::chrono::milliseconds { 1 }, now);
+            queue.decide(id, now);
+        }
+    });
+    print("queue_look_" + std::to_string(waiting), time, "us");
 }
 
 } // namespace
@@ -255,6 +309,11 @@
     measureViewChange(350, 2600);
     for (size_t workers : { 10, 260, 2600 })
         measureRouting(workers);
+    measureChoice(9, 3);
+    measureChoice(80, 20);
+    measureChoice(2600, 20);
+    for (size_t waiting : { 100, 1000, 4000 })
+        measureQueue(waiting);
     measurePlanning(14, 13);
     measurePlanning(130, 100);
     measurePlanning(520, 400);
