Queue: a kind whose callers give up does not starve

Cause: A caller who leaves was counted neither as served nor as refused. Batch callers who wait 3 of their 8 s each were never served under an urgent overload, and the queue didn't take their kind for starved.

--- a/routing/include/routing/routing.h
+++ b/routing/include/routing/routing.h
@@ -928,7 +928,7 @@
     void start(uint64_t id, Time now);
     /// Removes a request that is refused now.
     void refuse(uint64_t id, Time now);
-    /// Removes a request that ended otherwise: its caller has gone, or the VM shuts down.
+    /// Removes a request that ended otherwise: its caller has gone, or the VM shuts down. It counts as not served if it has waited for a step of aging.
     void remove(uint64_t id, Time now);
     /// Records what a request waits for: room, or a model to be loaded or a worker to take requests again. The rate of starts is measured while
     /// one waits for room.
--- a/routing/src/wait_queue.cpp
+++ b/routing/src/wait_queue.cpp
@@ -178,7 +178,11 @@
 
 void WaitQueue::remove(uint64_t id, Time now)
 {
-    this->takeOut(id, now);
+    auto entry = this->takeOut(id, now);
+    const auto& request = entry.request;
+    // Its caller has given up. Those who leave at once tell nothing of the order.
+    if (isForRoom(entry.blocked) && request.deadline > request.arrivedAt && now - request.arrivedAt >= std::chrono::duration_cast<Time>((request.deadline - request.arrivedAt) * queueAgingShare))
+        this->recordEnd(entry, false, now);
 }
 
 void WaitQueue::recordBlocked(uint64_t id, BlockReason reason, Time timeToCapacity, Time now)
--- a/tests/unit/wait_queue_test.cpp
+++ b/tests/unit/wait_queue_test.cpp
@@ -662,3 +662,30 @@
     cr_assert_eq(refusedWithRoom, 0);
     cr_assert_geq(served, 1150, "%d of 1,200", served);
 }
+
+// Callers that give up are not refused, but the order has kept them from being served all the same.
+Test(wait_queue, kind_whose_callers_give_up_does_not_starve)
+{
+    SteadyFlow flow;
+    std::deque<std::pair<Time, uint64_t>> patient;
+    int served = 0;
+    for (int i = 0; i < 200; i++) {
+        // Urgent callers alone keep the place busy.
+        flow.add(makeRequest(0, 0, flow.now));
+        if (i % 5 == 0)
+            patient.emplace_back(flow.now + seconds { 3 }, flow.add(makeRequest(0, 2, flow.now)));
+        auto first = flow.queue.firsts().front();
+        for (int look = 0; look < 2; look++) {
+            flow.decide(first);
+            first = flow.queue.firsts().front();
+        }
+        flow.queue.start(first, flow.now);
+        served += static_cast<int>(std::erase_if(patient, [first](const auto& item) { return item.second == first; }));
+        while (!patient.empty() && patient.front().first <= flow.now) {
+            flow.queue.remove(patient.front().second, flow.now);
+            patient.pop_front();
+        }
+        flow.now += SteadyFlow::gap;
+    }
+    cr_assert_gt(served, 0);
+}
