Soak: client accounts, keys that change on open connections, one hot account

Cause: the soak ran without accounts, so that nothing outside the program checked keys and quotas under faults.

Change: the configuration has three accounts: one within a quota of requests, one within a quota of tokens whose keys change with each version (every 3 to 5 s), one that sends some thirteen times its rate. Callers send keys, also ended and unknown ones, and name an account that is not theirs. Routes of the check of configurations are open. Four invariants: key (an unknown key reaches no worker, an ended one none beyond the bound, a valid one is not refused with 401), account (workers are told the right account and no key, no log of a VM contains one), quota (no window of 8 s or more has more than rate x window + burst and the tolerance), within (no 429 while the account has room; lost levels are allowed for only where fewer than two VMs knew them). 401 counts among the answers that say not run.

--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -50,12 +50,26 @@
         return spec;
     }
 
-    /// Returns the request in the format of the platform's callers. Streams state 500 prompt and 100 output tokens. Their prompts
+    /// Key of a request. A quarter of the callers belongs to each of `Account::Turning` and `Account::Hot`, the others to `Account::Steady`.
+    /// Those of `Account::Turning` send a key of the newest versions, some of which have ended, and at times one of no account.
+    std::pair<Account, int> drawKey(TestCluster& cluster, int caller, Random& random)
+    {
+        if (caller % 4 > 1)
+            return { Account::Steady, 0 };
+        if (caller % 4 == 1)
+            return { Account::Hot, 0 };
+        if (random() % 8 == 0)
+            return { Account::None, 0 };
+        std::lock_guard lock(cluster.mutex);
+        return { Account::Turning, std::max(0, cluster.configurationVersion - static_cast<int>(random() % 4)) };
+    }
+
+    /// Returns the request in the format of the platform's callers. It names an account that is never that of its key. Streams state 500 prompt and 100 output tokens. Their prompts
     /// consist of 300 tokens that all share and 200 tokens that few others have.
-    transport::HttpRequest makeRequest(const RequestSpec& spec, const std::string& id)
+    transport::HttpRequest makeRequest(const RequestSpec& spec, const std::string& id, const std::string& key)
     {
         transport::HttpRequest request { spec.kind == RequestKind::Status ? "GET" : "POST", spec.path,
-            { { "Host", "h.example" }, { "Attempt-Id", id }, { "Deadline-Ms", std::to_string(requestTimeout.count()) } }, "" };
+            { { "Host", "h.example" }, { "Attempt-Id", id }, { "Deadline-Ms", std::to_string(requestTimeout.count()) }, { "Authorization", "Bearer " + key }, { "Tenant", "other" } }, "" };
         if (spec.kind != RequestKind::Status)
             request.body = "body of " + id;
         if (!spec.model.empty()) {
@@ -83,10 +97,32 @@
     /// the statuses of `impliesNotRun` in edge/src/relay.cpp.
     bool statesNotRun(unsigned status)
     {
-        return status == 404 || status == 408 || status == 421 || status == 429 || status == 503;
+        return status == 401 || status == 404 || status == 408 || status == 421 || status == 429 || status == 503;
+    }
+
+    /// Returns what must become of the attempt because of its key.
+    KeyExpectation expectKey(TestCluster& cluster, const Attempt& attempt)
+    {
+        if (attempt.account != Account::Turning)
+            return attempt.account == Account::None ? KeyExpectation::Refused : KeyExpectation::Taken;
+        std::lock_guard lock(cluster.mutex);
+        const auto& writtenAt = cluster.configurationsWrittenAt;
+        // A VM that was disturbed reads the configuration like a new one.
+        auto isInForce = [&](size_t version) {
+            auto since = std::max(writtenAt[version], attempt.vmDisturbedAt);
+            return attempt.sentAt > since + configurationApplyTime && cluster.storeLastDisturbedAt[static_cast<size_t>(attempt.vm)] + faultEffectTime < since;
+        };
+        auto firstVersion = static_cast<size_t>(attempt.keyVersion);
+        auto endVersion = firstVersion + 2;
+        bool isFirst = firstVersion == 0; // It comes with version 1 as well.
+        for (auto version = endVersion; version < writtenAt.size(); version++) {
+            if (isInForce(version))
+                return KeyExpectation::Refused;
+        }
+        return writtenAt.size() <= endVersion && isInForce(isFirst ? 1 : firstVersion) ? KeyExpectation::Taken : KeyExpectation::Any;
     }
 
-    /// Checks the invariants that a single attempt can violate, and sets its `cutByDrain`.
+    /// Checks the invariants that a single attempt can violate, and sets its `cutByDrain` and `keyExpectation`.
     /// @param incarnation `Daemon::incarnation` when the attempt was sent.
     void checkAttempt(TestCluster& cluster, Attempt& attempt, int incarnation)
     {
@@ -103,6 +139,7 @@
             vmUndisturbed = daemon.incarnation == incarnation && daemon.lastDisturbedAt < attempt.sentAt && !daemon.paused;
             vmDraining = daemon.drainingSince && *daemon.drainingSince < attempt.endedAt;
         }
+        attempt.keyExpectation = expectKey(cluster, attempt);
         auto duration = attempt.endedAt - attempt.sentAt;
         if (vmUndisturbed && attempt.error != "refused" && duration > requestTimeout + requestTimeoutTolerance)
             cluster.invariants.reportViolation("time", attempt.id + " took " + std::to_string(std::chrono::duration_cast<milliseconds>(duration).count()) + " ms");
@@ -147,7 +184,7 @@
     }
 
     /// Sends one request to the VM, waits for the response, checks it and records the attempt.
-    void sendAttempt(TestCluster& cluster, const RequestSpec& spec, int vm, const std::string& id)
+    void sendAttempt(TestCluster& cluster, const RequestSpec& spec, const std::pair<Account, int>& key, int vm, const std::string& id)
     {
         auto& daemon = *cluster.daemons[static_cast<size_t>(vm)];
         int incarnation = 0;
@@ -155,12 +192,20 @@
             std::lock_guard lock(daemon.mutex);
             incarnation = daemon.incarnation;
         }
-        Attempt attempt { id, spec.kind, vm, cluster.invariants.now(), {}, 0, "", false, false, false, {}, false };
+        Attempt attempt;
+        attempt.id = id;
+        attempt.kind = spec.kind;
+        attempt.vm = vm;
+        std::tie(attempt.account, attempt.keyVersion) = key;
+        // As `makeAccounts` and `makeRequest` state.
+        attempt.cost = attempt.account != Account::Turning ? 1 : spec.model.empty() ? 100
+                                                                                    : 600;
+        attempt.sentAt = cluster.invariants.now();
         transport::CallLimits limits;
         limits.connect = milliseconds { 500 };
         // Longer than `checkAttempt` allows, so that a late response is seen as late.
         limits.response = requestTimeout + 2 * requestTimeoutTolerance;
-        auto response = cluster.client.call(daemon.frontEndpoint(), makeRequest(spec, id), limits);
+        auto response = cluster.client.call(daemon.frontEndpoint(), makeRequest(spec, id, makeKey(key.first, key.second)), limits);
         attempt.endedAt = cluster.invariants.now();
         if (response) {
             attempt.status = response.value().status;
@@ -177,6 +222,7 @@
     void runCaller(TestCluster& cluster, int number)
     {
         Random random(cluster.options.seed * 1000 + static_cast<uint64_t>(number));
+        Random keyRandom(cluster.options.seed * 1000 + 500 + static_cast<uint64_t>(number));
         // A third of the callers stay with a VM until its process has exited. The others query the directory again when its
         // response has expired.
         bool staysWithVm = number % 3 == 0;
@@ -191,7 +237,7 @@
             if (vm != noVm) {
                 auto spec = drawRequestSpec(random);
                 auto id = "c" + std::to_string(number) + "-" + std::to_string(i);
-                sendAttempt(cluster, spec, vm, id);
+                sendAttempt(cluster, spec, drawKey(cluster, number, keyRandom), vm, id);
                 auto& daemon = *cluster.daemons[static_cast<size_t>(vm)];
                 std::lock_guard lock(daemon.mutex);
                 if (!daemon.running)
@@ -225,7 +271,7 @@
             {
                 std::lock_guard lock(cluster.mutex);
                 version = cluster.configurationVersion;
-                configurationWrittenAt = cluster.configurationWrittenAt;
+                configurationWrittenAt = cluster.configurationsWrittenAt.back();
                 storeUndisturbed = cluster.storeLastDisturbedAt[vm] + faultEffectTime < configurationWrittenAt;
             }
             auto queriedAt = cluster.invariants.now();
@@ -285,7 +331,7 @@
                     transport::CallLimits limits;
                     limits.response = requestTimeout + requestTimeoutTolerance;
                     auto id = "last-" + std::to_string(vm) + "-" + spec.model + spec.path + std::to_string(i);
-                    auto response = cluster.client.call(cluster.daemons[vm]->frontEndpoint(), makeRequest(spec, id), limits);
+                    auto response = cluster.client.call(cluster.daemons[vm]->frontEndpoint(), makeRequest(spec, id, makeKey(Account::Steady)), limits);
                     answered = response && response.value().status == 200;
                     lastResult = response ? std::to_string(response.value().status) + " " + response.value().body : transport::name(response.error());
                     if (!answered)
--- a/tests/soak/daemon.cpp
+++ b/tests/soak/daemon.cpp
@@ -45,7 +45,8 @@
                                  << "\nreadiness = " << transport::toString(this->endpointAt(2))
                                  << "\ninner = " << transport::toString(this->endpointAt(3)) << "\nmetrics = " << transport::toString(this->endpointAt(4))
                                  << "\n[store]\naddress = " << transport::toString(this->storeEndpoint)
-                                 << "\n[orders]\nlease_time = 3000ms\nworkers_check_tokens = yes\n[drain]\ngrace = " << gracePeriod.count() << "ms\n[log]\nlevel = " << logLevel << "\n";
+                                 << "\n[orders]\nlease_time = 3000ms\nworkers_check_tokens = yes\n[drain]\ngrace = " << gracePeriod.count() << "ms\n[quotas]\nwindow = " << std::chrono::duration_cast<milliseconds>(quotaTolerance.window).count() << "ms\noverage = " << quotaTolerance.overage
+                                 << "\nslack = " << quotaTolerance.slack << "\n[log]\nlevel = " << logLevel << "\n";
     std::filesystem::rename(temporaryPath, path);
 }
 
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -38,6 +38,7 @@
             : cluster(cluster)
             , random(cluster.options.seed)
             , signalRandom(cluster.options.seed + 1)
+            , keyRandom(cluster.options.seed + 2)
         {
         }
 
@@ -64,6 +65,11 @@
                 this->startSignal();
                 this->nextSignalAt = now + milliseconds { drawFrom(this->signalRandom, 1000, 3000) };
             }
+            if (mayStartFaults && now >= this->nextKeyChangeAt) {
+                this->log("new keys");
+                this->cluster.configure();
+                this->nextKeyChangeAt = now + milliseconds { drawFrom(this->keyRandom, 3000, 5000) };
+            }
             for (auto& [number, changeAt] : this->nextFaultChangeAt) {
                 if (now < changeAt)
                     continue;
@@ -410,12 +416,14 @@
         TestCluster& cluster;
         Random random;
         Random signalRandom; ///< Draws what workers say. Separate, so that the other faults of a seed stay the same.
+        Random keyRandom; ///< Draws when keys change.
         std::vector<Fault> faults;
         std::map<size_t, bool> hasFault; ///< Whether a fault of the worker itself is in progress, by worker.
         std::map<size_t, Time> nextFaultChangeAt; ///< Misbehaving workers, and when each switches to another kind of fault.
         std::map<size_t, bool> unpublished; ///< Whether the worker publishes no entry, by worker.
         Time nextFaultAt { warmUpTime };
         Time nextSignalAt { warmUpTime };
+        Time nextKeyChangeAt { warmUpTime };
         Time nextPublishAt { 0 };
     };
 
@@ -431,6 +439,11 @@
         injector.update(now < faultsEndAt);
         for (auto& daemon : cluster.daemons)
             daemon->supervise();
+        int knowing = 0;
+        for (size_t i = 0; i < cluster.daemons.size(); i++)
+            knowing += cluster.knowsQuotas(i) ? 1 : 0;
+        if (knowing < 2)
+            cluster.quotaLossTimes.push_back(now);
         bool idle = now >= faultsEndAt && injector.isIdle();
         for (auto& daemon : cluster.daemons) {
             std::lock_guard lock(daemon->mutex);
--- a/tests/soak/invariants.cpp
+++ b/tests/soak/invariants.cpp
@@ -1,6 +1,7 @@
 /// Records attempts and checks the invariants: what callers observed against what the workers ran.
 #include "soak.h"
 
+#include <fstream>
 #include <iostream>
 
 namespace comfreypier::soak {
@@ -18,6 +19,71 @@
     /// Longest effect of a fault of connections: requests and answers that were held back arrive.
     constexpr milliseconds connectionFaultEffect { 6000 };
 
+    /// Part of the burst by which the own count of an account's bucket may differ from that of the VMs, for charges that VMs lost.
+    constexpr double bucketDoubt = 0.25;
+
+    /// Returns the most that an account may have in a window, which is at least as long as that of the tolerance.
+    double allowedCost(const accounts::Quota& quota, Time window)
+    {
+        window = std::max(window, quotaTolerance.window);
+        return (quota.ratePerSecond * std::chrono::duration<double>(window).count() + quota.burst) * (1 + quotaTolerance.overage) + quotaTolerance.slack;
+    }
+
+    /// What an account had in a window.
+    struct WindowUse {
+        double cost = 0;
+        double allowed = 1;
+        Time from { 0 };
+        Time to { 0 };
+    };
+
+    /// Returns the use in the window with the largest share of what is allowed. A request counts if it was sent, arrived and so was charged
+    /// within the window.
+    /// @param ran times of arrival, with the requests.
+    WindowUse findWorstWindow(const accounts::Quota& quota, const std::vector<std::pair<Time, const Attempt*>>& ran)
+    {
+        WindowUse worst;
+        for (const auto& [unused, first] : ran) {
+            double cost = 0;
+            for (const auto& [arrivedAt, attempt] : ran) {
+                if (attempt->sentAt < first->sentAt)
+                    continue;
+                cost += attempt->cost;
+                auto allowed = allowedCost(quota, arrivedAt - first->sentAt);
+                if (cost / allowed > worst.cost / worst.allowed)
+                    worst = { cost, allowed, first->sentAt, arrivedAt };
+            }
+        }
+        return worst;
+    }
+
+    /// Returns the lowest level of an account's bucket from `from` to `to` that its requests and lost levels explain.
+    /// @param events in order: times and costs, or nothing for a lost level.
+    double lowestLevel(const accounts::Quota& quota, const std::vector<std::pair<Time, std::optional<double>>>& events, Time from, Time to)
+    {
+        double level = 0;
+        double lowest = quota.burst;
+        Time then { 0 };
+        auto fillUntil = [&](Time at) {
+            level = std::min(quota.burst, level + quota.ratePerSecond * std::chrono::duration<double>(at - std::exchange(then, at)).count());
+        };
+        for (const auto& [at, cost] : events) {
+            if (at > to)
+                break;
+            if (then < from && at >= from) {
+                fillUntil(from);
+                lowest = level;
+            }
+            fillUntil(at);
+            level = cost ? level - *cost : std::min(level, 0.0);
+            if (at >= from)
+                lowest = std::min(lowest, level);
+        }
+        if (then < from)
+            fillUntil(from);
+        return std::min(lowest, level);
+    }
+
     /// Returns the time in seconds with three decimal places.
     std::string formatSeconds(Time time)
     {
@@ -142,6 +208,88 @@
     std::cout << leavesTold << " leaves told to VMs, " << timesTold << " refusals that name a time" << std::endl;
 }
 
+void InvariantChecker::checkAccounts(const std::vector<std::unique_ptr<standins::WorkerStandin>>& workers, const std::vector<Time>& lossTimes)
+{
+    std::map<std::string, Attempt> attemptsById;
+    {
+        std::lock_guard lock(this->mutex);
+        for (const auto& attempt : this->attempts)
+            attemptsById.emplace(attempt.id, attempt);
+    }
+    auto accounts = makeAccounts(1);
+    std::map<std::string, Time> ranAt; // First arrival at a worker that ran it.
+    for (const auto& worker : workers) {
+        std::lock_guard lock(worker->mutex);
+        for (const auto& arrival : worker->arrivals) {
+            auto attempt = attemptsById.find(arrival.requestId);
+            if (attempt == attemptsById.end())
+                continue;
+            const auto& [id, sent] = *attempt;
+            auto subject = id + " with a key of version " + std::to_string(sent.keyVersion) + " reached " + worker->id + " from vm" + std::to_string(sent.vm);
+            if (sent.keyExpectation == KeyExpectation::Refused)
+                this->reportViolation("key", subject + " although the key belongs to no account");
+            else if (arrival.carriesKey || arrival.account != accounts[static_cast<size_t>(sent.account)].name)
+                this->reportViolation("account", subject + " as of account \"" + arrival.account + "\"" + (arrival.carriesKey ? " and with the key" : ""));
+            if (worker->runsByRequestId.contains(id)) {
+                auto [known, isNew] = ranAt.emplace(id, arrival.at - this->start);
+                known->second = std::min(known->second, arrival.at - this->start);
+            }
+        }
+    }
+    std::map<Account, std::vector<const Attempt*>> attemptsByAccount;
+    for (const auto& [id, attempt] : attemptsById) {
+        attemptsByAccount[attempt.account].push_back(&attempt);
+        if (attempt.keyExpectation == KeyExpectation::Taken && attempt.status == 401)
+            this->reportViolation("key", id + " with a key of version " + std::to_string(attempt.keyVersion) + " was refused by vm" + std::to_string(attempt.vm));
+    }
+    for (size_t number = 0; number < accounts.size(); number++)
+        this->checkQuota(accounts[number], attemptsByAccount[static_cast<Account>(number)], ranAt, lossTimes);
+}
+
+void InvariantChecker::checkQuota(const accounts::ClientAccount& account, std::vector<const Attempt*> sent, const std::map<std::string, Time>& ranAt, const std::vector<Time>& lossTimes)
+{
+    std::sort(sent.begin(), sent.end(), [](const auto* a, const auto* b) { return a->sentAt < b->sentAt; });
+    std::vector<std::pair<Time, std::optional<double>>> events;
+    std::vector<std::pair<Time, const Attempt*>> ran;
+    for (const auto* attempt : sent) {
+        if (attempt->status != 429 && attempt->status != 401)
+            events.emplace_back(attempt->sentAt, attempt->cost);
+        if (auto found = ranAt.find(attempt->id); found != ranAt.end())
+            ran.emplace_back(found->second, attempt);
+    }
+    std::sort(ran.begin(), ran.end());
+    auto worst = findWorstWindow(account.quota, ran);
+    auto use = std::to_string(worst.cost) + " of " + std::to_string(worst.allowed) + " from " + formatSeconds(worst.from) + " to " + formatSeconds(worst.to);
+    if (worst.cost > worst.allowed)
+        this->reportViolation("quota", account.name + " had " + use);
+    for (const auto& at : lossTimes)
+        events.emplace_back(at, std::nullopt);
+    std::sort(events.begin(), events.end());
+    size_t refused = 0;
+    for (const auto* attempt : sent) {
+        if (attempt->status != 429)
+            continue;
+        refused++;
+        auto level = lowestLevel(account.quota, events, attempt->sentAt, attempt->endedAt);
+        if (level >= attempt->cost + bucketDoubt * account.quota.burst)
+            this->reportViolation("within", attempt->id + " of account " + account.name + " was refused by vm" + std::to_string(attempt->vm) + " at " + formatSeconds(attempt->endedAt) + " with " + std::to_string(level) + " left");
+    }
+    std::cout << "account " << account.name << ": " << sent.size() << " requests, " << refused << " over its quota, at most " << use << std::endl;
+}
+
+void InvariantChecker::checkLogs(const std::filesystem::path& directory)
+{
+    for (const auto& entry : std::filesystem::directory_iterator(directory)) {
+        if (entry.path().extension() != ".log" || entry.path().stem() == "soak")
+            continue;
+        std::ifstream file(entry.path());
+        for (std::string line; std::getline(file, line);) {
+            if (line.find(keyPrefix) != std::string::npos)
+                return this->reportViolation("account", entry.path().filename().string() + " contains a key");
+        }
+    }
+}
+
 size_t InvariantChecker::printSummary()
 {
     std::lock_guard lock(this->mutex);
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -18,6 +18,10 @@
     constexpr int workerPortOffset = 1;
     constexpr int workerProxyPortOffset = 20;
     constexpr int storeProxyPortOffset = 40;
+    /// Time within which a VM learns the level of the quotas from the others.
+    constexpr milliseconds quotaLearnTime { 1500 };
+    /// Longest fault of the store and time for which it delays what VMs read.
+    constexpr milliseconds storeFaultEffect { 8000 };
 
 } // namespace
 
@@ -81,9 +85,9 @@
 {
     std::lock_guard lock(this->mutex);
     this->configurationVersion++;
-    this->configurationWrittenAt = this->invariants.now();
-    auto route = standins::makePlatformRoute("probe", "/v" + std::to_string(this->configurationVersion) + "/");
-    this->store.write("keyed.op", "config", standins::makePlatformConfiguration(this->configurationVersion, route));
+    this->configurationsWrittenAt.push_back(this->invariants.now());
+    auto route = standins::makePlatformRoute("probe", "/v" + std::to_string(this->configurationVersion) + "/", milliseconds { 1500 }, true);
+    this->store.write("keyed.op", "config", standins::makePlatformConfiguration(this->configurationVersion, route, makeAccounts(this->configurationVersion)));
 }
 
 bool TestCluster::wasDisturbed(const Daemon& daemon, Time since) const
@@ -91,6 +95,14 @@
     return !daemon.running || daemon.paused || daemon.lastDisturbedAt >= since;
 }
 
+bool TestCluster::knowsQuotas(size_t vm)
+{
+    auto& daemon = *this->daemons[vm];
+    std::scoped_lock lock(daemon.mutex, this->mutex);
+    // A VM that has just started learns from the store which others there are.
+    return !daemon.drainingSince && !this->wasDisturbed(daemon, this->invariants.now() - quotaLearnTime) && this->storeLastDisturbedAt[vm] + storeFaultEffect < daemon.startedAt;
+}
+
 } // namespace comfreypier::soak
 
 int main(int argc, char** argv)
@@ -132,6 +144,8 @@
         std::lock_guard lock(cluster->mutex);
         cluster->invariants.checkSignals(cluster->workers, cluster->connectionsDisturbedAt);
     }
+    cluster->invariants.checkAccounts(cluster->workers, cluster->quotaLossTimes);
+    cluster->invariants.checkLogs(cluster->options.outputDirectory);
     auto violations = cluster->invariants.printSummary();
     for (auto& daemon : cluster->daemons)
         daemon->terminate();
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -78,6 +78,32 @@
 /// Returns the name of the kind, which is also its route's first path segment.
 const char* name(RequestKind kind);
 
+/// Client accounts of a run, and callers that belong to none.
+enum class Account {
+    Steady, ///< Sends half to three quarters of its quota, always with the same key.
+    Turning, ///< Each configuration takes away its older key and adds one. Within its quota, which counts tokens.
+    Hot, ///< Sends many times its quota.
+    Count,
+    None = Count ///< The caller's key belongs to no account.
+};
+
+/// Returns the accounts of a version of the configuration, in the order of `Account`.
+std::vector<accounts::ClientAccount> makeAccounts(int version);
+/// Returns the key of `Account::Turning` that comes with `version` and ends with the next but one; those of the other accounts have version 0.
+/// That of `Account::None` is never valid.
+std::string makeKey(Account account, int version = 0);
+/// Beginning of all keys.
+constexpr std::string_view keyPrefix = "soak-key-";
+/// Tolerance of the quotas, which the daemons' settings state.
+constexpr accounts::QuotaTolerance quotaTolerance { std::chrono::seconds { 8 }, 0.1, 5 };
+
+/// What must become of a request because of its key.
+enum class KeyExpectation {
+    Any,
+    Taken, ///< Must not be refused with 401.
+    Refused ///< Must not reach a worker.
+};
+
 /// One request of a caller and its result.
 struct Attempt {
     std::string id; ///< Sent as `Attempt-Id`; unique in the run.
@@ -92,6 +118,10 @@
     bool toldLeaving = false; ///< The response says that the worker that sent it leaves.
     Time vmDisturbedAt { 0 }; ///< `Daemon::lastDisturbedAt` at the end of the attempt.
     bool cutByDrain = false; ///< The connection closed while the VM was draining, with no other fault that explains it.
+    Account account = Account::None; ///< Account to which the request's key belongs, or once belonged.
+    int keyVersion = 0; ///< Version that brought the key.
+    double cost = 0; ///< What it counts against the account's quota.
+    KeyExpectation keyExpectation = KeyExpectation::Any;
 };
 
 /// Records attempts and checks the invariants that must hold despite faults. All functions may be called on any thread.
@@ -109,12 +139,22 @@
     /// Checks that VMs send workers no requests after those have said that they leave, or before the time that they named.
     /// @param disturbedTimes by worker: starts and ends of faults of its connections.
     void checkSignals(const std::vector<std::unique_ptr<standins::WorkerStandin>>& workers, const std::vector<std::vector<Time>>& disturbedTimes);
+    /// Checks which requests reached workers with which account, and the accounts' quotas.
+    /// @param lossTimes times at which the levels of all quotas may have been lost, in order.
+    void checkAccounts(const std::vector<std::unique_ptr<standins::WorkerStandin>>& workers, const std::vector<Time>& lossTimes);
+    /// Checks that no log of a VM in the directory contains a key.
+    void checkLogs(const std::filesystem::path& directory);
     /// Prints the number of attempts by kind and result, and all violations. @return the number of violations.
     size_t printSummary();
     /// Returns the time since the start of the run.
     Time now() const { return transport::monotonicNow() - this->start; }
 
 private:
+    /// Checks that an account had no more than its quota in any window of the tolerance or longer, and that none of its requests was refused while it had room.
+    /// @param sent its requests.
+    /// @param ranAt when each request that ran arrived at a worker first.
+    void checkQuota(const accounts::ClientAccount& account, std::vector<const Attempt*> sent, const std::map<std::string, Time>& ranAt, const std::vector<Time>& lossTimes);
+
     std::mutex mutex; ///< Guards `attempts` and `violations`.
     Time start; ///< On the monotonic clock.
     std::vector<Attempt> attempts;
@@ -181,6 +221,8 @@
     void configure();
     /// Returns whether the VM is down or paused now, or was disturbed at or after `since`. It does not lock the daemon's mutex.
     bool wasDisturbed(const Daemon& daemon, Time since) const;
+    /// Returns whether the VM knows the level of the accounts' quotas, if others that know it were disturbed.
+    bool knowsQuotas(size_t vm);
 
     Options options;
     InvariantChecker invariants;
@@ -198,9 +240,10 @@
 
     std::mutex mutex; ///< Guards the members below.
     int configurationVersion = 0; ///< Newest version in the store.
-    Time configurationWrittenAt { 0 }; ///< When that version was written.
+    std::vector<Time> configurationsWrittenAt { Time { 0 } }; ///< When each version was written, by version. The first stands for version 0.
     Time workersLastDisturbedAt { -std::chrono::hours { 1 } }; ///< Last start or end of a fault of a worker or of a proxy to one.
     std::vector<std::vector<Time>> connectionsDisturbedAt; ///< Starts and ends of faults of the connections to a worker, by worker.
+    std::vector<Time> quotaLossTimes; ///< Times at which fewer than two VMs knew the level of the quotas. Accessed only by `runFaults` until its end.
     std::vector<Time> storeLastDisturbedAt; ///< Last start or end of a fault of the store or of the VM's proxy to it, by VM.
 };
 
--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -66,9 +66,24 @@
         writer.abort();
     }
 
+    /// Returns the JSON of client accounts.
+    std::string encodeAccounts(const std::vector<accounts::ClientAccount>& accounts)
+    {
+        json::array list;
+        for (const auto& account : accounts) {
+            const auto& quota = account.quota;
+            json::object item { { "name", account.name }, { "api-keys", json::value_from(account.keys) }, { "rate-per-s", quota.ratePerSecond }, { "burst", quota.burst } };
+            item["unit"] = quota.unit == accounts::QuotaUnit::Tokens ? "token_count" : "requests";
+            if (quota.unit == accounts::QuotaUnit::Tokens)
+                item["raw-tokens"] = quota.defaultTokens;
+            list.push_back(std::move(item));
+        }
+        return json::serialize(list);
+    }
+
 } // namespace
 
-std::string makePlatformConfiguration(int version, const std::string& extraRoutes)
+std::string makePlatformConfiguration(int version, const std::string& extraRoutes, const std::vector<accounts::ClientAccount>& accounts)
 {
     constexpr const char* configurationTemplate = R"({"version":%V,"routes":[
 {"name":"order","host":"h.example","path-prefix":"/order/","kind":"non_idempotent","timeout-ms":1500,"target-latency-ms":150,"priority":1,"service":"app","max-attempts":1},
@@ -79,10 +94,11 @@
 {"name":"llm","health-path":"/health","max-conns":100,"protocol":"h1","tls":false,"engine":{"slots":8,"kv-capacity":200000,"moves":true,"backups":true,"stride":1,"models":[
 {"name":"m1","weights-mb":40,"load-s":0.1,"adapters":3,"adapter-mb":1},{"name":"m2","weights-mb":40,"load-s":0.1,"adapters":0,"adapter-mb":1},{"name":"m3","weights-mb":40,"load-s":0.1,"adapters":0,"adapter-mb":1}],
 "weights-mb":100,"adapter-slots":2,"loads-per-s":5}}],
-"limits":{"max-header-bytes":16384,"max-body-bytes":100000,"header-timeout-ms":3000,"idle-timeout-ms":15000}})";
+"limits":{"max-header-bytes":16384,"max-body-bytes":100000,"header-timeout-ms":3000,"idle-timeout-ms":15000}%A})";
     std::string text = configurationTemplate;
     text.replace(text.find("%V"), 2, std::to_string(version));
     text.replace(text.find("%R"), 2, extraRoutes);
+    text.replace(text.find("%A"), 2, accounts.empty() ? "" : ",\"tenants\":" + encodeAccounts(accounts));
     return text;
 }
 
@@ -91,10 +107,10 @@
     return "id: " + std::to_string(number) + "\ndata: piece " + std::to_string(number) + " of " + std::string(requestId) + "\n\n";
 }
 
-std::string makePlatformRoute(const std::string& name, const std::string& path, milliseconds timeout)
+std::string makePlatformRoute(const std::string& name, const std::string& path, milliseconds timeout, bool open)
 {
     return R"(,{"name":")" + name + R"(","host":"h.example","path-prefix":")" + path
-        + R"(","kind":"idempotent","timeout-ms":)" + std::to_string(timeout.count()) + R"(,"target-latency-ms":150,"priority":1,"service":"app","max-attempts":2})";
+        + R"(","kind":"idempotent","timeout-ms":)" + std::to_string(timeout.count()) + R"(,"target-latency-ms":150,"priority":1,"service":"app","max-attempts":2)" + (open ? R"(,"public":true})" : "}");
 }
 
 StoreStandin::StoreStandin(transport::Runtime& runtime, transport::Endpoint address)
@@ -479,7 +495,7 @@
     {
         std::lock_guard lock(this->mutex);
         this->completeOrderIfDue(false);
-        this->arrivals.push_back({ requestId, transport::monotonicNow(), this->startedAtMs, this->leaving, std::nullopt });
+        this->arrivals.push_back({ requestId, transport::monotonicNow(), this->startedAtMs, this->leaving, std::nullopt, std::string(findHeader(request.headers, "Tenant")), !findHeader(request.headers, "Authorization").empty() });
         this->recentRequests.push_back(request);
         while (this->recentRequests.size() > maxRecentRequests)
             this->recentRequests.pop_front();
--- a/tests/standins/platform_standin.h
+++ b/tests/standins/platform_standin.h
@@ -3,6 +3,7 @@
 /// They run inside the test's process, each on a loopback port of its own. Tests switch faults through public members.
 #pragma once
 
+#include <accounts/accounts.h>
 #include <atomic>
 #include <deque>
 #include <map>
@@ -22,11 +23,13 @@
 /// has adapters.
 /// @param version version number of the configuration; daemons apply only higher ones than theirs.
 /// @param extraRoutes JSON of further routes, each preceded by a comma.
-std::string makePlatformConfiguration(int version, const std::string& extraRoutes = "");
+/// @param accounts client accounts; callers need no key if there are none.
+std::string makePlatformConfiguration(int version, const std::string& extraRoutes = "", const std::vector<accounts::ClientAccount>& accounts = {});
 
 /// Returns the JSON of a route for idempotent requests under `path`, with a comma before it, as `extraRoutes` of
 /// `makePlatformConfiguration`.
-std::string makePlatformRoute(const std::string& name, const std::string& path, milliseconds timeout = milliseconds { 1500 });
+/// @param open whether the route takes requests without a key, although there are client accounts.
+std::string makePlatformRoute(const std::string& name, const std::string& path, milliseconds timeout = milliseconds { 1500 }, bool open = false);
 
 /// Returns event `number` (from 1) of the stream that a worker sends in response to the request.
 std::string streamEvent(int number, std::string_view requestId);
@@ -121,6 +124,8 @@
     int64_t startedAtMs = 0; ///< Start of the worker at which it arrived.
     bool toldLeaving = false; ///< The answer says that the worker leaves.
     std::optional<double> toldRetryAfter; ///< Time that the refusal names, in seconds.
+    std::string account; ///< Client account that the request names.
+    bool carriesKey = false; ///< The request has the header of the caller's key.
 };
 
 /// One worker. It serves models if `memoryMegabytes` is not 0.
