Capacity of client accounts: keys, quotas and their messages, measured

Change: scripts/bench micro measures the table of keys, lookups, decoding, the quota ledger of one VM and its reports in encoded datagrams, and the datagrams of one ask. Memory is counted as allocated bytes, since the allocator keeps what earlier measurements freed.

--- a/bench/micro.cpp
+++ b/bench/micro.cpp
@@ -1,6 +1,11 @@
 /// Microbenchmarks of the decision functions: record sizes, log replay, view changes (a session opens, so that the owners of all
-/// workers are computed again), routing and planning.
+/// workers are computed again), routing, planning, and client accounts.
+#include "heartbeat_codec.h"
+#include "platform_standin.h"
+
 #include <iostream>
+#include <malloc.h>
+#include <platform/platform.h>
 #include <state/state.h>
 
 using namespace comfreypier;
@@ -147,6 +152,97 @@
     print(name + "_steady_moves", static_cast<double>(change.adds.size() + change.drops.size()), "moves");
 }
 
+/// Returns the bytes that this process has allocated and not freed, which memory that the allocator keeps does not change.
+uint64_t allocatedBytes()
+{
+    auto info = mallinfo2();
+    return info.uordblks + info.hblkhd;
+}
+
+/// Measures keys of client accounts: the memory of the table, the time to build it, to find a key and to find none, and to decode the whole
+/// configuration.
+/// @param keys a multiple of ten.
+void measureKeys(size_t keys)
+{
+    auto name = "keys_" + std::to_string(keys) + "_";
+    std::vector<accounts::ClientAccount> list(keys / 10);
+    for (size_t i = 0; i < keys; i++)
+        list[i / 10].keys.push_back("0123456789abcdef-" + std::to_string(i));
+    for (size_t i = 0; i < list.size(); i++) {
+        list[i].name = "account-" + std::to_string(i);
+        list[i].quota = { accounts::QuotaUnit::Requests, 50, 100, 0 };
+    }
+    auto before = allocatedBytes();
+    auto start = monotonicNow();
+    accounts::KeyTable table(list);
+    print(name + "build", microseconds(monotonicNow() - start) / 1000, "ms");
+    print(name + "memory", static_cast<double>(allocatedBytes() - before) / 1e6, "MB");
+    size_t found = 0; // Keeps the compiler from removing the calls.
+    print(name + "lookup", meanMicroseconds(200000, [&](int i) { found += table.find(list[static_cast<size_t>(i) * 7919 % list.size()].keys[static_cast<size_t>(i) % 10]) ? 1 : 0; }) * 1000, "ns");
+    print(name + "lookup_of_unknown", meanMicroseconds(200000, [&](int i) { found += table.find("another-" + std::to_string(i)) ? 1 : 0; }) * 1000, "ns");
+    print(name + "found", static_cast<double>(found), "keys");
+    auto text = standins::makePlatformConfiguration(1, "", list);
+    std::string error;
+    start = monotonicNow();
+    auto configuration = platform::decodeConfiguration(text, error);
+    print(name + "decode", microseconds(monotonicNow() - start) / 1000, "ms");
+    print(name + "text", static_cast<double>(text.size()) / 1e6, "MB");
+}
+
+/// Measures the quotas of one VM of many: memory, the times to apply a configuration, a changed one and a changed list of VMs, and one round of
+/// reports with its bytes in datagrams.
+void measureQuotas(size_t vms, size_t accounts)
+{
+    constexpr size_t maxLevelsPerMessage = 200; // As in edge/src/quota_task.cpp.
+    auto name = "quotas_" + std::to_string(vms) + "x" + std::to_string(accounts) + "_";
+    std::vector<accounts::ClientAccount> list;
+    for (size_t i = 0; i < accounts; i++)
+        list.push_back({ "account-" + std::to_string(i), {}, std::nullopt, { accounts::QuotaUnit::Requests, 50, 100, 0 } });
+    accounts::Time now = std::chrono::seconds { 100 };
+    std::vector<accounts::QuotaVm> members;
+    for (size_t i = 0; i < vms; i++)
+        members.push_back({ "entry-" + std::to_string(i), 1, true, now });
+    auto elapsedMs = [](auto&& operation) { return meanMicroseconds(1, [&](int) { operation(); }) / 1000; };
+    auto before = allocatedBytes();
+    accounts::QuotaLedger ledger("entry-0", 1);
+    ledger.setVms(members, now);
+    print(name + "apply_first", elapsedMs([&] { ledger.setAccounts(list, now); }), "ms");
+    print(name + "memory", static_cast<double>(allocatedBytes() - before) / 1e6, "MB");
+    print(name + "apply_next", elapsedMs([&] { ledger.setAccounts(list, now); }), "ms");
+    print(name + "vm_leaves", elapsedMs([&] { ledger.setVms({ members.begin(), members.end() - 1 }, now); }), "ms");
+    now += accounts::levelReportInterval;
+    std::vector<std::pair<std::string, accounts::LevelReport>> reports;
+    print(name + "report_round", elapsedMs([&] { reports = ledger.takeReports(now, false); }), "ms");
+    std::map<std::string, edge::Heartbeat> messages;
+    size_t bytes = 0;
+    for (const auto& [vm, report] : reports) {
+        auto& message = messages[vm];
+        message.node = "entry-0";
+        message.quota.levels.push_back(report);
+        if (message.quota.levels.size() == maxLevelsPerMessage) {
+            bytes += edge::encodeHeartbeat(message).size();
+            message.quota.levels.clear();
+        }
+    }
+    for (const auto& [vm, message] : messages)
+        bytes += message.quota.levels.empty() ? 0 : edge::encodeHeartbeat(message).size();
+    print(name + "reports", static_cast<double>(reports.size()), "levels");
+    print(name + "report_receivers", static_cast<double>(messages.size()), "vms");
+    print(name + "report_bytes", static_cast<double>(bytes), "B");
+}
+
+/// Measures the datagrams that charge one request at another VM: the ask and its answer.
+void measureAsk()
+{
+    edge::Heartbeat ask;
+    ask.node = "entry-0";
+    auto answer = ask;
+    ask.quota.asks.push_back({ "account-1234", makeRandomId().low, 1 });
+    answer.quota.answers.push_back({ makeRandomId().low, {} });
+    print("quota_ask", static_cast<double>(edge::encodeHeartbeat(ask).size()), "B");
+    print("quota_answer", static_cast<double>(edge::encodeHeartbeat(answer).size()), "B");
+}
+
 } // namespace
 
 int main()
@@ -162,5 +258,12 @@
     measurePlanning(14, 13);
     measurePlanning(130, 100);
     measurePlanning(520, 400);
+    for (size_t keys : { 10000, 100000, 1000000 })
+        measureKeys(keys);
+    measureQuotas(8, 10000);
+    measureQuotas(80, 10000);
+    for (size_t accounts : { 100, 1000, 10000 })
+        measureQuotas(350, accounts);
+    measureAsk();
     return 0;
 }
