Soak: an ended key also ends at a VM that the store turns away

Cause: the check of keys left out every VM whose own connection to the store was disturbed, although a VM that runs gets the configuration from another that reads the store.

Change: such a VM has the same bound if it and that other VM were undisturbed. The check only becomes stricter.

--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -105,12 +105,24 @@
     {
         if (attempt.account != Account::Turning)
             return attempt.account == Account::None ? KeyExpectation::Refused : KeyExpectation::Taken;
+        auto vm = static_cast<size_t>(attempt.vm);
+        std::vector<Time> disturbedAt;
+        for (const auto& daemon : cluster.daemons) {
+            std::lock_guard lock(daemon->mutex);
+            disturbedAt.push_back(daemon->running && !daemon->paused && !daemon->drainingSince ? daemon->lastDisturbedAt : attempt.endedAt);
+        }
+        disturbedAt[vm] = attempt.vmDisturbedAt;
         std::lock_guard lock(cluster.mutex);
         const auto& writtenAt = cluster.configurationsWrittenAt;
-        // A VM that was disturbed reads the configuration like a new one.
         auto isInForce = [&](size_t version) {
-            auto since = std::max(writtenAt[version], attempt.vmDisturbedAt);
-            return attempt.sentAt > since + configurationApplyTime && cluster.storeLastDisturbedAt[static_cast<size_t>(attempt.vm)] + faultEffectTime < since;
+            // A VM that was disturbed reads the configuration like a new one.
+            auto since = std::max(writtenAt[version], disturbedAt[vm]);
+            auto readsStore = [&](size_t reader) { return cluster.storeLastDisturbedAt[reader] + faultEffectTime < since; };
+            bool isRead = readsStore(vm);
+            // A VM that has run all the time gets it from one that reads the store.
+            for (size_t peer = 0; peer < disturbedAt.size() && disturbedAt[vm] + configurationApplyTime < since; peer++)
+                isRead = isRead || (readsStore(peer) && disturbedAt[peer] + configurationApplyTime < since);
+            return isRead && attempt.sentAt > since + configurationApplyTime;
         };
         auto firstVersion = static_cast<size_t>(attempt.keyVersion);
         auto endVersion = firstVersion + 2;
