Records of new workers are repeated twice in large groups

Change: where there are several groups, the record of a worker that was not known, and does not leave, is in two heartbeats of each reader in place of five. A VM that misses both finds the count short and reads the stream, as before. Restarts, moves and leaves keep five; so do all records in one group.

--- a/edge/include/edge/edge.h
+++ b/edge/include/edge/edge.h
@@ -69,6 +69,9 @@
 constexpr milliseconds summaryTimeout { 4000 };
 /// Number of heartbeats that carry a forwarded record, because datagrams may be lost.
 constexpr int forwardRepeats = 5;
+/// The same for the record of a worker that was not known, if there are several groups: no promise depends on it, and a VM that misses it reads
+/// the stream.
+constexpr int newWorkerRepeats = 2;
 /// Interval between reads of the worker stream. Each worker writes to it about once a second.
 constexpr milliseconds workerReadInterval { 700 };
 /// Interval between reads of the configuration. In a burst of changes only the newest version matters.
--- a/edge/src/forward_queue.cpp
+++ b/edge/src/forward_queue.cpp
@@ -4,9 +4,9 @@
 
 namespace comfreypier::edge {
 
-void ForwardQueue::push(const ForwardedEntry& entry)
+void ForwardQueue::push(const ForwardedEntry& entry, int repeats)
 {
-    this->items.push_back({ entry });
+    this->items.push_back({ entry, repeats });
     this->items.back().entry.number = ++this->queuedCount;
 }
 
@@ -26,7 +26,7 @@
     }
     heartbeat.forwardedCount = this->sentCount;
     std::sort(heartbeat.forwardedEntries.begin(), heartbeat.forwardedEntries.end(), [](const auto& a, const auto& b) { return a.number < b.number; });
-    std::erase_if(this->items, [](const Item& item) { return item.sends >= forwardRepeats; });
+    std::erase_if(this->items, [](const Item& item) { return item.sends >= item.repeats; });
 }
 
 } // namespace comfreypier::edge
--- a/edge/src/forward_queue.h
+++ b/edge/src/forward_queue.h
@@ -11,7 +11,8 @@
 class ForwardQueue {
 public:
     /// Adds a record and numbers it.
-    void push(const ForwardedEntry& entry);
+    /// @param repeats number of heartbeats that carry it.
+    void push(const ForwardedEntry& entry, int repeats = forwardRepeats);
     /// Counts a record as forwarded that is not: who relies on this VM later finds it missing, and reads the stream.
     void skip()
     {
@@ -19,7 +20,7 @@
         this->sentCount++;
     }
     /// Moves records into a heartbeat, and sets its `forwardedCount` to the number of records that were sent so far. Those that were sent less
-    /// often come first; a record leaves the queue with its last of `forwardRepeats` heartbeats.
+    /// often come first; a record leaves the queue with its last repeat.
     /// @param maxBytes bound of the records' size, which a single larger record may exceed.
     void fill(Heartbeat& heartbeat, size_t maxBytes);
     /// Returns whether a record has not been sent yet.
@@ -28,7 +29,8 @@
 private:
     struct Item {
         ForwardedEntry entry;
-        int sends = 0; ///< Number of heartbeats that carried it.
+        int repeats = forwardRepeats; ///< Number of heartbeats that are to carry it.
+        int sends = 0; ///< Number of those that did.
     };
     std::deque<Item> items; ///< In the order of their numbers.
     uint64_t queuedCount = 0;
--- a/edge/src/heartbeat_codec.h
+++ b/edge/src/heartbeat_codec.h
@@ -46,6 +46,7 @@
     uint64_t number = 0; ///< Counts the records that the sender has forwarded, from 1.
     uint64_t era = ownership::firstEra; ///< Era in which the sender read the record.
     bool fromCopy = false; ///< The record may stem from the copy with which that era began.
+    bool isNewWorker = false; ///< It makes the worker known, and nothing else. Not sent.
 };
 
 /// A prompt prefix that a VM has just sent to a worker, which now has it in its prefix cache.
--- a/edge/src/peers.cpp
+++ b/edge/src/peers.cpp
@@ -173,7 +173,7 @@
         std::lock_guard lock(this->mutex);
         hasOthers = this->hasOtherGroups();
         if (isReader)
-            this->forwardQueue.push(entry);
+            this->forwardQueue.push(entry, hasOthers && entry.isNewWorker ? newWorkerRepeats : forwardRepeats);
         else
             this->forwardQueue.skip();
     }
--- a/edge/src/store_task.cpp
+++ b/edge/src/store_task.cpp
@@ -417,8 +417,9 @@
     for (const auto& record : page.records) {
         present.insert(record.key);
         bool fromCopy = record.offset < this->workersCopyEnd->offset;
-        if (this->applyWorker(record, page.era, fromCopy, grace) && forwardsEntries)
-            this->onEntry({ record.key, record.value.value_or(""), record.offset, 0, page.era, fromCopy });
+        auto news = this->applyWorker(record, page.era, fromCopy, grace);
+        if (news != RecordNews::None && forwardsEntries)
+            this->onEntry({ record.key, record.value.value_or(""), record.offset, 0, page.era, fromCopy, news == RecordNews::NewWorker });
     }
     if (fullRead) {
         this->workersFullReadEnd = end;
@@ -432,21 +433,23 @@
     this->vm.status.workersKnown = true;
 }
 
-bool StoreTask::applyWorker(const platform::StoreRecord& record, uint64_t era, bool fromCopy, Time grace)
+StoreTask::RecordNews StoreTask::applyWorker(const platform::StoreRecord& record, uint64_t era, bool fromCopy, Time grace)
 {
     auto now = monotonicNow();
     LogPosition position { era, record.offset };
     if (!record.value)
-        return this->vm.fleet.markRemoved(record.key, position, now, grace);
+        return this->vm.fleet.markRemoved(record.key, position, now, grace) ? RecordNews::Change : RecordNews::None;
     auto entry = platform::decodeWorkerEntry(record.key, *record.value);
     if (!entry) {
         this->log.warn("event=worker_entry_unreadable worker=" + transport::escapeForLog(record.key) + " offset=" + std::to_string(record.offset));
-        return false;
+        return RecordNews::None;
     }
     // Stays false for a worker that was not known.
     bool restarted = false;
+    bool known = false;
     transport::Endpoint addressBefore;
     this->vm.fleet.updateWorker(entry->id, [&](routing::Worker& worker) {
+        known = true;
         restarted = worker.entry.startedAt != entry->startedAt;
         addressBefore = worker.entry.address;
     });
@@ -458,14 +461,14 @@
     // Changes of a worker's models and adapters are neither logged nor forwarded here: the lease holder logs its orders
     // and publishes what the workers hold.
     if (change != EntryChange::Status)
-        return false;
+        return RecordNews::None;
     std::string models;
     for (const auto& model : entry->models)
         models += (models.empty() ? "" : ",") + transport::escapeForLog(model.name) + ":" + std::to_string(model.adapters.size());
     this->log.info("event=worker worker=" + transport::escapeForLog(entry->id) + " service=" + transport::escapeForLog(entry->service) + " address=" + transport::toString(entry->address)
         + " state=" + (entry->draining ? "leaving" : "ready") + " started=" + std::to_string(entry->startedAt) + " models=" + models + " cached=" + std::to_string(entry->onDisk.size())
         + " era=" + std::to_string(era) + " offset=" + std::to_string(record.offset));
-    return true;
+    return known || entry->draining ? RecordNews::Change : RecordNews::NewWorker;
 }
 
 void StoreTask::applyMembers(const platform::StorePage& page, bool fullRead)
--- a/edge/src/store_task.h
+++ b/edge/src/store_task.h
@@ -100,6 +100,10 @@
     void updateStreamState(platform::Stream stream, bool succeeded, const std::string& detail);
 
     void applyConfiguration(const platform::StoreRecord& record, uint64_t era);
+    /// What a record of the worker stream tells other VMs.
+    enum class RecordNews { None,
+        NewWorker,
+        Change };
     /// Applies records of the worker stream and forwards those that the other VMs need.
     /// @param fullRead `page` holds the newest record of each key, so that workers without one are removed.
     void applyWorkers(const platform::StorePage& page, bool fullRead);
@@ -107,8 +111,8 @@
     /// @param era era in which the record was read.
     /// @param fromCopy the record may stem from the copy with which that era began.
     /// @param grace time in which a removed entry may come back.
-    /// @return true if the other VMs need the record.
-    bool applyWorker(const platform::StoreRecord& record, uint64_t era, bool fromCopy, Time grace);
+    /// @return whether the other VMs need the record.
+    RecordNews applyWorker(const platform::StoreRecord& record, uint64_t era, bool fromCopy, Time grace);
     /// Drops the workers whose entries did not come back within their grace period, and those whose grace period has not ended yet as
     /// soon as it does.
     void dropMissingWorkers();
--- a/tests/unit/group_news_test.cpp
+++ b/tests/unit/group_news_test.cpp
@@ -1,5 +1,7 @@
 /// Tests of what VMs tell those of other data centres about workers, without a network.
 #include "fleet.h"
+#include "forward_queue.h"
+#include "forward_tracker.h"
 #include "resident_news.h"
 
 #include <array>
@@ -338,3 +340,33 @@
     same.missingItems = { { "", "m", "" } };
     cr_assert_eq(encodeHeartbeat(*decoded), encodeHeartbeat(same));
 }
+
+// A record with fewer repeats leaves the others theirs, and a receiver that misses all of its repeats knows that something is missing.
+Test(group_news, records_of_new_workers_are_repeated_less_often)
+{
+    ForwardQueue queue;
+    ForwardTracker heard;
+    ForwardTracker missed;
+    Heartbeat first;
+    queue.fill(first, 1000);
+    heard.record(first, seconds { 1 });
+    missed.record(first, seconds { 1 });
+    queue.push({ "leaving", "v", 1 });
+    queue.push({ "new", "v", 2 }, newWorkerRepeats);
+    std::map<std::string, int> sends;
+    for (int round = 2; round < 10; round++) {
+        Heartbeat heartbeat;
+        queue.fill(heartbeat, 1000);
+        for (const auto& entry : heartbeat.forwardedEntries)
+            sends[entry.worker]++;
+        // Both get the last heartbeat that names the new worker; the second VM none before it.
+        if (sends["new"] == newWorkerRepeats || heartbeat.forwardedEntries.empty())
+            heard.record(heartbeat, seconds { round });
+        if (sends["new"] == newWorkerRepeats && heartbeat.forwardedEntries.size() == 1)
+            missed.record(heartbeat, seconds { round });
+    }
+    cr_assert_eq(sends["leaving"], forwardRepeats);
+    cr_assert_eq(sends["new"], newWorkerRepeats);
+    cr_assert(heard.isComplete(seconds { 2 }));
+    cr_assert(!missed.isComplete(seconds { 2 }));
+}
