--- a/edge/src/relay.cpp
+++ b/edge/src/relay.cpp
@@ -588,8 +588,7 @@
         auto blockReason = selection.choice.blockReason;
         context.waitTime += now - std::exchange(lastChoiceAt, now);
         auto turn = place ? place->decide(selection.choice, now) : routing::QueueDecision {};
-        bool mayStart = !place || turn.isFirst || turn.mayPass;
-        if (blockReason == routing::BlockReason::None && mayStart) {
+        if (blockReason == routing::BlockReason::None && (turn.isFirst || !place)) {
             if (place)
                 place->start(now);
             return true;
--- a/routing/include/routing/routing.h
+++ b/routing/include/routing/routing.h
@@ -904,8 +904,6 @@
 /// What a queue says of a request that waits in it.
 struct QueueDecision {
     bool isFirst = false; ///< No request that waits for the same goes before it: it may be sent as soon as there is room.
-    /// It is refused, and the first one waits for more room than it needs: it is sent instead if there is room for it.
-    bool mayPass = false;
     QueueRefusal refusal = QueueRefusal::None; ///< Whether it is refused now.
     milliseconds retryAfter { 0 }; ///< Set on refusal: time until there is expected to be room.
     size_t position = 0; ///< Number of requests for the same that go before it.
--- a/routing/src/wait_queue.cpp
+++ b/routing/src/wait_queue.cpp
@@ -229,8 +229,6 @@
         this->plan(group, now);
     auto decision = entry.decision;
     decision.isFirst = group.order.front() == id;
-    const auto& first = this->entries.at(group.order.front());
-    decision.mayPass = decision.refusal != QueueRefusal::None && first.lacksRoom && first.mayGiveWay && entry.request.workSeconds < first.request.workSeconds;
     if (decision.refusal != QueueRefusal::None)
         decision.retryAfter = spreadRetryAfter(std::max(minRetryAfter, std::chrono::ceil<milliseconds>(WaitQueue::returnTime(entry, group, now) - now)), id);
     return decision;
