Quotas: a VM exchanges levels from its first configuration on

Cause: the first round of reports comes before the configuration; the next one came a second later, as for a VM without quotas. So after all VMs were killed, holders did not learn from each other that nobody knows a level, and refused everything with quota_unknown meanwhile. Change: until there is a configuration the rounds come as often as with quotas.

--- a/edge/src/quota_task.cpp
+++ b/edge/src/quota_task.cpp
@@ -103,7 +103,9 @@
         this->update();
         if (this->hasQuotas)
             this->sendReports(false);
-        sleepFor(this->hasQuotas ? accounts::levelReportInterval : idleInterval);
+        // A VM that starts beside others takes up levels with the first configuration.
+        bool mayHaveQuotasSoon = this->hasQuotas || !this->configuration;
+        sleepFor(mayHaveQuotasSoon ? accounts::levelReportInterval : idleInterval);
     }
 }
 
--- a/tests/unit/quota_test.cpp
+++ b/tests/unit/quota_test.cpp
@@ -188,3 +188,43 @@
     cr_assert(sent.load());
     exitProcess();
 }
+
+// Guards against a VM that begins to exchange levels up to a second after its first configuration, and refuses all requests of accounts with a
+// quota meanwhile.
+Test(quotas, levels_are_exchanged_from_the_first_configuration_on, .timeout = 60)
+{
+    auto* cluster = new TestCluster(18700, 0);
+    std::atomic<bool> reported { false };
+    transport::DatagramSocket peer(cluster->runtime, loopback(18760), [&](std::string_view bytes) {
+        auto message = edge::decodeHeartbeat(bytes);
+        if (message && !message->quota.levels.empty())
+            reported = true;
+    });
+    cr_assert(peer.start());
+    cluster->writeMember("peer", edge::encodeMember({ 1, loopback(18760), loopback(18761), "dc", 1 }));
+    // The VM holds the buckets of some of them.
+    std::string accounts = accountJson("account0", "key0", 10, 5);
+    for (int i = 1; i < 12; i++)
+        accounts += "," + accountJson("account" + std::to_string(i), "key" + std::to_string(i), 10, 5);
+    cluster->configureAccounts(1, "[" + accounts + "]");
+    cluster->startVm(0);
+    std::atomic<bool> sending { true };
+    std::atomic<bool> ended { false };
+    cluster->runtime.spawn([&] {
+        edge::Heartbeat heartbeat;
+        heartbeat.node = "peer";
+        heartbeat.incarnation = 1;
+        heartbeat.ready = true;
+        heartbeat.storeEra = 1;
+        while (sending) {
+            heartbeat.sequence++;
+            (void)peer.send(loopback(cluster->base + 23), edge::encodeHeartbeat(heartbeat));
+            transport::sleepFor(milliseconds { 20 });
+        }
+        ended = true;
+    });
+    cr_assert(cluster->waitUntil([&] { return reported.load(); }, milliseconds { 700 }), "no report within a few rounds");
+    sending = false;
+    cr_assert(cluster->waitUntil([&] { return ended.load(); }));
+    exitProcess();
+}
