Messages about quotas leave out empty lists as heartbeats do

Cause: fillQuota set up each of its four lists, of which a message has one; an empty one takes bytes. The heartbeat's other lists use initList for that. Change: fillQuota calls initList.

--- a/edge/src/heartbeat_codec_capnp.cpp
+++ b/edge/src/heartbeat_codec_capnp.cpp
@@ -70,21 +70,28 @@
             items.push_back({ toStdString(item.getWorker()), toStdString(item.getModel()), toStdString(item.getAdapter()) });
     }
 
+    /// Returns a list field of a heartbeat, or a list outside of it if it is empty: an empty one takes bytes as well.
+    template <class Builder>
+    Builder initList(wire::Beat::Builder& root, Builder (wire::Beat::Builder::*init)(unsigned), size_t size)
+    {
+        return size == 0 ? Builder() : (root.*init)(static_cast<unsigned>(size));
+    }
+
     void fillQuota(wire::Beat::Builder root, const QuotaMessage& message)
     {
-        auto asks = root.initQuotaAsks(static_cast<unsigned>(message.asks.size()));
+        auto asks = initList(root, &wire::Beat::Builder::initQuotaAsks, message.asks.size());
         for (unsigned i = 0; i < message.asks.size(); i++) {
             asks[i].setAccount(message.asks[i].account);
             asks[i].setNumber(message.asks[i].number);
             asks[i].setCost(message.asks[i].cost);
         }
-        auto answers = root.initQuotaAnswers(static_cast<unsigned>(message.answers.size()));
+        auto answers = initList(root, &wire::Beat::Builder::initQuotaAnswers, message.answers.size());
         for (unsigned i = 0; i < message.answers.size(); i++) {
             answers[i].setNumber(message.answers[i].number);
             answers[i].setOutcome(static_cast<uint8_t>(message.answers[i].answer.outcome));
             answers[i].setRetryAfterMs(toAgeMs(std::chrono::ceil<milliseconds>(message.answers[i].answer.retryAfter)));
         }
-        auto levels = root.initQuotaLevels(static_cast<unsigned>(message.levels.size()));
+        auto levels = initList(root, &wire::Beat::Builder::initQuotaLevels, message.levels.size());
         for (unsigned i = 0; i < message.levels.size(); i++) {
             const auto& report = message.levels[i];
             levels[i].setAccount(report.account);
@@ -97,7 +104,7 @@
             levels[i].setAnswers(report.answers.count());
             levels[i].setWantsAnswer(report.wantsAnswer);
         }
-        auto returns = root.initQuotaReturns(static_cast<unsigned>(message.returns.size()));
+        auto returns = initList(root, &wire::Beat::Builder::initQuotaReturns, message.returns.size());
         for (unsigned i = 0; i < message.returns.size(); i++)
             returns.set(i, message.returns[i]);
     }
@@ -121,13 +128,6 @@
             message.returns.push_back(number);
     }
 
-    /// Returns a list field of a heartbeat, or a list outside of it if it is empty: an empty one takes bytes as well.
-    template <class Builder>
-    Builder initList(wire::Beat::Builder& root, Builder (wire::Beat::Builder::*init)(unsigned), size_t size)
-    {
-        return size == 0 ? Builder() : (root.*init)(static_cast<unsigned>(size));
-    }
-
     /// Writes the list fields of a heartbeat.
     void fillLists(wire::Beat::Builder root, const Heartbeat& heartbeat)
     {
