Edge: one ending for requests that may have run, one source of random numbers, one list of VMs for quotas

Cause: reading the change again. Three places chose between the last attempt's result and a refusal; drawUniqueNumber did what protocol::makeRandomId does; QuotaTask kept a copy of the VMs that its ledger has; replacing what a VM reports kept apart what it had reported before, though all of it happens under one lock; the key of a worker was hashed anew for each part of a prompt. Change: Relay::refuseUnlessRun; makeRandomId; QuotaLedger::knownVms; forgetReports discards everything, then what is reported is added.

--- a/accounts/include/accounts/accounts.h
+++ b/accounts/include/accounts/accounts.h
@@ -229,6 +229,8 @@
     void recordRunning(Time now);
     /// Sets the VMs, this one included.
     void setVms(std::vector<QuotaVm> vms, Time now);
+    /// Returns the VMs that were set; empty before.
+    const std::vector<QuotaVm>& knownVms() const { return this->vms; }
     /// Returns whether a VM is one of those that were set.
     bool knows(const std::string& vm) const { return this->aliveByVm.contains(vm); }
     /// Returns the order of the VMs for an account; empty if the account has no quota.
--- a/edge/src/edge.cpp
+++ b/edge/src/edge.cpp
@@ -4,7 +4,6 @@
 #include "relay.h"
 #include "store_task.h"
 
-#include <random>
 #include <thread>
 
 namespace comfreypier::edge {
@@ -51,12 +50,6 @@
 
 } // namespace
 
-uint64_t drawUniqueNumber()
-{
-    std::random_device device;
-    return static_cast<uint64_t>(device()) << 32 | device();
-}
-
 struct Edge::Impl {
     explicit Impl(Settings given)
         : settings(std::move(given))
--- a/edge/src/fleet.cpp
+++ b/edge/src/fleet.cpp
@@ -365,46 +365,31 @@
     }
 }
 
-void Fleet::forgetReports(const std::string& source, const std::vector<WorkerKey>& keep)
+void Fleet::forgetReports(const std::string& source)
 {
     auto reported = this->reportedWorkers.find(source);
     if (reported == this->reportedWorkers.end())
         return;
     for (auto key : reported->second) {
-        if (std::binary_search(keep.begin(), keep.end(), key))
-            continue;
         this->forEachWithKey(key, [&source](KnownWorker& known) {
             known.worker.peerLoads.erase(source);
             known.worker.peerOutcomes.erase(source);
         });
     }
-    if (keep.empty())
-        this->reportedWorkers.erase(reported);
+    this->reportedWorkers.erase(reported);
 }
 
 void Fleet::replacePeerLoad(const std::string& source, const Heartbeat& heartbeat, Time now)
 {
+    this->forgetReports(source);
     std::vector<WorkerKey> keys;
-    for (const auto& [key, load] : heartbeat.loads)
+    for (const auto& [key, load] : heartbeat.loads) {
         keys.push_back(key);
-    for (const auto& [key, outcomes] : heartbeat.outcomes)
+        this->forEachWithKey(key, [&source, &load = load](KnownWorker& known) { known.worker.peerLoads[source] = load; });
+    }
+    for (const auto& [key, outcomes] : heartbeat.outcomes) {
         keys.push_back(key);
-    std::sort(keys.begin(), keys.end());
-    keys.erase(std::unique(keys.begin(), keys.end()), keys.end());
-    this->forgetReports(source, keys);
-    for (auto key : keys) {
-        auto load = heartbeat.loads.find(key);
-        auto outcomes = heartbeat.outcomes.find(key);
-        this->forEachWithKey(key, [&](KnownWorker& known) {
-            if (load == heartbeat.loads.end())
-                known.worker.peerLoads.erase(source);
-            else
-                known.worker.peerLoads[source] = load->second;
-            if (outcomes == heartbeat.outcomes.end())
-                known.worker.peerOutcomes.erase(source);
-            else
-                known.worker.peerOutcomes[source] = { outcomes->second.failures, outcomes->second.total, now };
-        });
+        this->forEachWithKey(key, [&source, &outcomes = outcomes, now](KnownWorker& known) { known.worker.peerOutcomes[source] = { outcomes.failures, outcomes.total, now }; });
     }
     if (!keys.empty())
         this->reportedWorkers[source] = std::move(keys);
@@ -468,7 +453,7 @@
 void Fleet::forgetPeerLoad(const std::string& peer)
 {
     std::lock_guard lock(this->mutex);
-    this->forgetReports(peer, {});
+    this->forgetReports(peer);
 }
 
 void Fleet::applyResident(const std::map<std::string, std::set<std::string>>& resident)
@@ -705,7 +690,7 @@
             // The last part is specific to this request, so other VMs hardly ever see it again.
             if (alreadyCached || i + 1 == prefixHashes.size())
                 continue;
-            SentPrefix prefix { workerKey(id), prefixHashes[i], shape.parts[i].tokens };
+            SentPrefix prefix { found->second.key, prefixHashes[i], shape.parts[i].tokens };
             if (this->sentPrefixes.size() < maxQueuedPrefixes)
                 this->sentPrefixes.push_back(prefix);
             this->queueGroupPrefix(prefix);
--- a/edge/src/fleet.h
+++ b/edge/src/fleet.h
@@ -206,9 +206,8 @@
     void markRemoved(const std::string& id, KnownWorker& known, const LogPosition& newerFrom, Time now, Time grace);
     /// Calls `change` with each known worker that has this key. The caller must hold the lock.
     void forEachWithKey(WorkerKey key, const std::function<void(KnownWorker&)>& change);
-    /// Discards what `source` has reported about workers whose key is not in `keep`. The caller must hold the lock.
-    /// @param keep sorted.
-    void forgetReports(const std::string& source, const std::vector<WorkerKey>& keep);
+    /// Discards what `source` has reported. The caller must hold the lock.
+    void forgetReports(const std::string& source);
     /// Replaces the load and the outcomes that `source` (a VM or a data centre) reports. The caller must hold the lock.
     void replacePeerLoad(const std::string& source, const Heartbeat& heartbeat, Time now);
     /// Sets until when the workers' limits keep this VM from sending to them. The caller must hold the lock.
@@ -240,7 +239,7 @@
     std::set<std::string> removedWorkers; ///< Ids of the known workers whose entry was removed.
     std::set<std::string> busyWorkers; ///< Ids of workers on which this VM has put a load; the others have none of it.
     std::unordered_multimap<WorkerKey, KnownWorker*> workersByKey; ///< The known workers, by the key that heartbeats use.
-    std::map<std::string, std::vector<WorkerKey>> reportedWorkers; ///< Workers of which a VM or a data centre last reported something, sorted.
+    std::map<std::string, std::vector<WorkerKey>> reportedWorkers; ///< Workers of which a VM or a data centre last reported something.
     std::vector<SentPrefix> sentPrefixes; ///< Prefixes for the next heartbeat.
     std::deque<SentPrefix> groupPrefixes; ///< Long prefixes of the whole group for the next summary, newest last.
     std::atomic<uint64_t> changeCount { 0 };
--- a/edge/src/peers.cpp
+++ b/edge/src/peers.cpp
@@ -50,7 +50,7 @@
     : vm(vm)
     , crashes(crashes)
     , socket(runtime, vm.settings.inner, [this](std::string_view bytes) { this->receive(bytes); })
-    , incarnation(drawUniqueNumber())
+    , incarnation(protocol::makeRandomId().high)
 {
 }
 
--- a/edge/src/quota_task.cpp
+++ b/edge/src/quota_task.cpp
@@ -43,7 +43,7 @@
     : vm(vm)
     , peers(peers)
     , ledger(vm.settings.node, peers.ownIncarnation())
-    , lastAsk(drawUniqueNumber())
+    , lastAsk(protocol::makeRandomId().high)
 {
 }
 
@@ -77,7 +77,6 @@
     std::vector<accounts::QuotaVm> vms { { this->vm.settings.node, capacityInCores(this->vm.settings), true, Time { 0 } } };
     for (const auto& peer : this->peers.peerViews())
         vms.push_back({ peer.node, peer.capacity, peer.alive, peer.heardAt });
-    this->quotaVms = vms;
     this->ledger.setVms(std::move(vms), quotaNow());
 }
 
@@ -111,7 +110,7 @@
 
 std::optional<accounts::ChargeAnswer> QuotaTask::ask(const std::string& account, uint64_t number, double cost, milliseconds targetLatency, std::string& decidedBy)
 {
-    Pending state { {}, AskSequence { this->contacts.choose(this->ledger.ranking(account), this->quotaVms), targetLatency, monotonicNow() } };
+    Pending state { {}, AskSequence { this->contacts.choose(this->ledger.ranking(account), this->ledger.knownVms()), targetLatency, monotonicNow() } };
     this->pending[number] = &state;
     for (auto step = state.sequence.next(monotonicNow()); step.action != AskSequence::Action::Done; step = state.sequence.next(monotonicNow())) {
         if (step.action == AskSequence::Action::Wait)
@@ -145,7 +144,7 @@
         return decision;
     // The request's configuration may be newer than that of the buckets.
     this->applyConfiguration();
-    if (this->quotaVms.empty())
+    if (this->ledger.knownVms().empty())
         this->update();
     auto& totals = this->totals(account.name);
     if (cost > accounts::quotaCapacity(accounts::quotaWithTolerance(account.quota, this->tolerance()))) {
--- a/edge/src/quota_task.h
+++ b/edge/src/quota_task.h
@@ -70,7 +70,6 @@
     Peers& peers;
     accounts::QuotaLedger ledger;
     accounts::QuotaContacts contacts;
-    std::vector<accounts::QuotaVm> quotaVms; ///< As in `ledger`.
     ConfigurationPtr configuration; ///< Applied to `ledger`.
     bool hasQuotas = false;
     uint64_t lastAsk; ///< Number of the last ask. Starts at random, so that the numbers of all VMs and starts differ.
--- a/edge/src/relay.cpp
+++ b/edge/src/relay.cpp
@@ -521,7 +521,14 @@
     // All callers that are refused now would come back at the same moment.
     if (choice.blockReason == routing::BlockReason::Held || choice.blockReason == routing::BlockReason::Limited)
         retryAfter = routing::spreadRetryAfter(retryAfter, routing::hashText(context.head.id));
-    this->refuse(context, 503, refusals[static_cast<size_t>(choice.blockReason)], retryAfter);
+    this->refuseUnlessRun(context, refusals[static_cast<size_t>(choice.blockReason)], retryAfter);
+}
+
+void Relay::refuseUnlessRun(RequestContext& context, RefusalReason refusal, std::optional<milliseconds> retryAfter)
+{
+    if (context.possibleRuns > 0)
+        return this->finish(context, context.lastResult);
+    this->refuse(context, 503, refusal, retryAfter);
 }
 
 bool Relay::ordersByUrgency(const routing::Configuration& configuration) const
@@ -552,10 +559,7 @@
     if (decision.refusal == routing::QueueRefusal::None)
         return false;
     context.place->refuse(monotonicNow());
-    if (context.possibleRuns > 0)
-        this->finish(context, context.lastResult);
-    else
-        this->refuse(context, 503, decision.refusal == routing::QueueRefusal::Outranked ? RefusalReason::Outranked : RefusalReason::Hopeless, decision.retryAfter);
+    this->refuseUnlessRun(context, decision.refusal == routing::QueueRefusal::Outranked ? RefusalReason::Outranked : RefusalReason::Hopeless, decision.retryAfter);
     return true;
 }
 
@@ -605,10 +609,7 @@
         if (!decision.admitted) {
             if (place)
                 place->refuse(now);
-            if (context.possibleRuns > 0)
-                this->finish(context, context.lastResult);
-            else
-                this->refuseBlocked(context, selection.choice, decision.retryAfter);
+            this->refuseBlocked(context, selection.choice, decision.retryAfter);
             return false;
         }
         if (place)
@@ -634,10 +635,7 @@
 {
     if (context.progressed || !this->crashes.isHeldOff(context.crashCauses))
         return false;
-    if (context.possibleRuns > 0)
-        this->finish(context, context.lastResult);
-    else
-        this->refuse(context, 503, RefusalReason::CrashesWorkers, std::nullopt);
+    this->refuseUnlessRun(context, RefusalReason::CrashesWorkers, std::nullopt);
     return true;
 }
 
--- a/edge/src/relay.h
+++ b/edge/src/relay.h
@@ -108,8 +108,10 @@
     void recordSignals(const Fleet::Selection& selection, unsigned status, const platform::ResponseHead& head, bool matchesRequest, bool signatureDue);
     /// Records which workers a choice passed over.
     void recordPassedOver(RequestContext& context, const routing::Choice& choice);
-    /// Refuses a request that ran nowhere and that no worker may take now.
+    /// Ends a request that no worker may take now, as `refuseUnlessRun` does.
     void refuseBlocked(RequestContext& context, const routing::Choice& choice, milliseconds retryAfter);
+    /// Refuses a request with 503. If a worker may have run it, ends it with the result of the last attempt instead.
+    void refuseUnlessRun(RequestContext& context, RefusalReason refusal, std::optional<milliseconds> retryAfter);
     /// Records the limit that a worker named in an answer, or that it named none, and tells the other VMs of a change.
     void recordLimit(const routing::WorkerEntry& worker, std::optional<double> limit);
     /// Gives up an answer that exceeds the buffer memory.
--- a/edge/src/vm_p.h
+++ b/edge/src/vm_p.h
@@ -77,9 +77,6 @@
     EdgeCounters counters;
 };
 
-/// Returns a random number that no other VM or start of this one draws.
-uint64_t drawUniqueNumber();
-
 /// Formats a time in milliseconds with one decimal, for log lines.
 std::string formatMilliseconds(Time time);
 
