--- a/placement/include/placement/placement.h
+++ b/placement/include/placement/placement.h
@@ -142,8 +142,9 @@
     Time nextReportAt { 0 };
     std::optional<Order> modelOrder; ///< Model order in progress or about to be sent.
     bool modelOrderSent = false; ///< `modelOrder` was sent and answered with `Accepted` or `AlreadyDone`.
-    /// The worker executes a model order that this VM did not send, or unloads an adapter that requests still use.
-    bool foreignOrderRunning = false;
+    /// The worker executes an order other than `modelOrder`, and refuses further ones: a model order that another VM sent, or the unload of an
+    /// adapter that requests still use.
+    bool otherOrderRunning = false;
 };
 
 /// Replaces what is known of the weights on a worker's disk and in its host memory, if the worker tells something new: it evicts the weights
--- a/placement/src/tracked_worker.cpp
+++ b/placement/src/tracked_worker.cpp
@@ -49,7 +49,7 @@
 
 bool needsReport(const TrackedWorker& tracked, Time now)
 {
-    bool isNeeded = !tracked.synced || tracked.foreignOrderRunning || (tracked.modelOrder && tracked.modelOrderSent);
+    bool isNeeded = !tracked.synced || tracked.otherOrderRunning || (tracked.modelOrder && tracked.modelOrderSent);
     return isNeeded && now >= tracked.nextReportAt;
 }
 
@@ -65,9 +65,9 @@
     tracked.nextReportAt = requestedAt + busyReportInterval;
     updateCachedModels(tracked, report.cachedModels);
     bool ownOrderRunning = tracked.modelOrder && tracked.modelOrderSent;
-    if (!tracked.synced || tracked.foreignOrderRunning)
+    if (!tracked.synced || tracked.otherOrderRunning)
         replaceInventory(tracked, report, requestedAt);
-    tracked.foreignOrderRunning = report.modelOrderRunning && !ownOrderRunning;
+    tracked.otherOrderRunning = report.modelOrderRunning && !ownOrderRunning;
     // A lower count of accepted orders shows that the report is older than the last order.
     if (!ownOrderRunning || report.modelOrderRunning || report.ordersAccepted < tracked.ordersAccepted)
         return false;
@@ -131,19 +131,19 @@
         tracked.inventory.adapters.erase(key);
     else {
         // Requests still use the adapter: its slot is free after they end, and the worker refuses other orders until then.
-        tracked.foreignOrderRunning = true;
+        tracked.otherOrderRunning = true;
         tracked.nextReportAt = sentAt + maxReportAge;
     }
 }
 
 bool mayOrderModel(const TrackedWorker& tracked)
 {
-    return tracked.synced && !tracked.modelOrder && !tracked.foreignOrderRunning;
+    return tracked.synced && !tracked.modelOrder && !tracked.otherOrderRunning;
 }
 
 bool mayOrderAdapter(const TrackedWorker& tracked)
 {
-    return tracked.synced && !tracked.foreignOrderRunning && !(tracked.modelOrder && tracked.modelOrderSent);
+    return tracked.synced && !tracked.otherOrderRunning && !(tracked.modelOrder && tracked.modelOrderSent);
 }
 
 const char* name(OrderOutcome outcome)
--- a/routing/src/configuration_check.cpp
+++ b/routing/src/configuration_check.cpp
@@ -1,6 +1,7 @@
 /// Check of a configuration before it is published.
+#include "routing_p.h"
+
 #include <algorithm>
-#include <routing/routing.h>
 
 namespace comfreypier::routing {
 
@@ -28,16 +29,6 @@
         const std::string entry;
     };
 
-    std::string toText(milliseconds time)
-    {
-        return std::to_string(time.count()) + " ms";
-    }
-
-    std::string routeLabel(const Route& route)
-    {
-        return "route " + (route.name.empty() ? route.host + route.pathPrefix : route.name);
-    }
-
     void checkTargets(const Configuration& configuration, const Route& route, EntryCheck& check)
     {
         uint64_t totalWeight = 0;
@@ -51,16 +42,16 @@
 
     void checkRoute(const Configuration& configuration, const Route& route, std::vector<ConfigurationFinding>& findings)
     {
-        EntryCheck check(findings, routeLabel(route));
+        EntryCheck check(findings, "route " + labelOf(route));
         check.error(!route.pathPrefix.starts_with('/') || !route.pathPrefix.ends_with('/'), "path prefix \"" + route.pathPrefix + "\" does not begin and end with a slash");
         check.error(route.host.empty(), "host is empty, so that no request matches");
         check.error(route.host.find(':') != std::string::npos, "host \"" + route.host + "\" has a port, so that no request matches: those of requests are ignored");
         const auto* found = findRoute(configuration, route.host, route.pathPrefix);
         bool isHidden = found != nullptr && found != &route && found->pathPrefix == route.pathPrefix;
-        check.error(isHidden, "never matches: " + (isHidden ? routeLabel(*found) : "") + " has the same host and path prefix and comes first");
+        check.error(isHidden, "never matches: " + (isHidden ? "route " + labelOf(*found) : "") + " has the same host and path prefix and comes first");
         checkTargets(configuration, route, check);
-        check.warn(route.timeout > milliseconds { 0 } && route.targetLatency > route.timeout, "target latency of " + toText(route.targetLatency) + " is longer than the timeout of " + toText(route.timeout));
-        check.warn(route.timeout > milliseconds { 0 } && route.targetGap > route.timeout, "target gap of " + toText(route.targetGap) + " is longer than the timeout of " + toText(route.timeout));
+        check.warn(route.timeout > milliseconds { 0 } && route.targetLatency > route.timeout, "target latency of " + formatTime(route.targetLatency) + " is longer than the timeout of " + formatTime(route.timeout));
+        check.warn(route.timeout > milliseconds { 0 } && route.targetGap > route.timeout, "target gap of " + formatTime(route.targetGap) + " is longer than the timeout of " + formatTime(route.timeout));
         check.warn(route.targetGap > milliseconds { 0 } && !route.streaming, "target gap has no effect: answers are no streams");
         check.warn(route.maxAttempts > 1 && !route.idempotent && !route.resumable, "more than one attempt has no effect: requests may run once only");
         check.warn(route.open && !configuration.accounts, "takes requests without a key, but there are no client accounts");
--- a/routing/src/configuration_compare.cpp
+++ b/routing/src/configuration_compare.cpp
@@ -1,7 +1,8 @@
 /// Differences between two configurations.
+#include "routing_p.h"
+
 #include <algorithm>
 #include <cstdio>
-#include <routing/routing.h>
 
 namespace comfreypier::routing {
 
@@ -18,11 +19,6 @@
         return text.data();
     }
 
-    std::string toText(milliseconds time)
-    {
-        return std::to_string(time.count()) + " ms";
-    }
-
     std::string toText(bool value)
     {
         return value ? "yes" : "no";
@@ -34,14 +30,14 @@
         for (const auto& target : route.targets)
             targets += (targets.empty() ? "" : ",") + target.service + ":" + std::to_string(target.weight);
         return { { "host", route.host }, { "path prefix", route.pathPrefix }, { "services", targets }, { "streaming", toText(route.streaming) }, { "idempotent", toText(route.idempotent) },
-            { "resumable", toText(route.resumable) }, { "timeout", toText(route.timeout) }, { "target latency", toText(route.targetLatency) }, { "target gap", toText(route.targetGap) },
+            { "resumable", toText(route.resumable) }, { "timeout", formatTime(route.timeout) }, { "target latency", formatTime(route.targetLatency) }, { "target gap", formatTime(route.targetGap) },
             { "priority", std::to_string(route.priority) }, { "attempts", std::to_string(route.maxAttempts) }, { "open", toText(route.open) } };
     }
 
     Fields fieldsOf(const ModelSpec& model)
     {
         return { { "weights", toText(model.weightsMegabytes) + " MB" }, { "adapters", std::to_string(model.adapterCount) }, { "adapter", toText(model.adapterMegabytes) + " MB" },
-            { "load from store", toText(model.storeLoadTime) }, { "load from disk", toText(model.diskLoadTime) } };
+            { "load from store", formatTime(model.storeLoadTime) }, { "load from disk", formatTime(model.diskLoadTime) } };
     }
 
     Fields fieldsOf(const Service& service)
@@ -64,8 +60,8 @@
 
     Fields fieldsOf(const CallerLimits& limits)
     {
-        return { { "head", std::to_string(limits.maxHeaderBytes) + " bytes" }, { "body", std::to_string(limits.maxBodyBytes) + " bytes" }, { "time to send a head", toText(limits.headerTimeout) },
-            { "idle time", toText(limits.idleTimeout) } };
+        return { { "head", std::to_string(limits.maxHeaderBytes) + " bytes" }, { "body", std::to_string(limits.maxBodyBytes) + " bytes" }, { "time to send a head", formatTime(limits.headerTimeout) },
+            { "idle time", formatTime(limits.idleTimeout) } };
     }
 
     /// Adds a change if any field differs.
@@ -145,6 +141,16 @@
 
 } // namespace
 
+std::string formatTime(milliseconds time)
+{
+    return std::to_string(time.count()) + " ms";
+}
+
+std::string labelOf(const Route& route)
+{
+    return route.name.empty() ? route.host + route.pathPrefix : route.name;
+}
+
 const char* name(Kind kind)
 {
     constexpr std::array<const char*, static_cast<size_t>(Kind::Count)> names { "added", "removed", "changed" };
@@ -155,8 +161,7 @@
 {
     std::vector<ConfigurationChange> changes;
     compareFields("version", { { "number", std::to_string(before.version) } }, { { "number", std::to_string(after.version) } }, changes);
-    auto routeName = [](const Route& route) { return route.name.empty() ? route.host + route.pathPrefix : route.name; };
-    compareEntries("route ", byName(before.routes, routeName), byName(after.routes, routeName), changes);
+    compareEntries("route ", byName(before.routes, labelOf), byName(after.routes, labelOf), changes);
     compareEntries("service ", servicesOf(before), servicesOf(after), changes);
     compareEntries("model ", modelsOf(before), modelsOf(after), changes);
     compareEntries("client account ", accountsOf(before), accountsOf(after), changes);
