Review case 9: answers that are read slowly are cut after three seconds

Seen: clients that read nothing for 4.5 s get a tenth of their stream and a reset, during a planned stop.

--- /dev/null
+++ b/review/9/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+exec "$(dirname "$0")/../run-case-2" "$(dirname "$0")"
