--- a/review/standins-2/standins.cc
+++ b/review/standins-2/standins.cc
@@ -18,6 +18,7 @@
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
+#include <utility>
 
 namespace review {
 
@@ -641,6 +642,23 @@
     return sendAnswer(connection, status, {}, "");
 }
 
+size_t Worker::sendEndlessEvent(Connection& connection)
+{
+    constexpr size_t chunksPerWrite = 1000;
+    std::ostringstream chunk;
+    chunk << std::hex << this->endlessChunkBytes << "\r\n"
+          << std::string(this->endlessChunkBytes, 'x') << "\r\n";
+    std::string chunks;
+    for (size_t i = 0; i < chunksPerWrite; i++)
+        chunks += chunk.str();
+    size_t sent = 0;
+    if (!connection.send("a\r\nid: 1\ndata\r\n"))
+        return sent;
+    while (!this->down && !connection.isClosed() && connection.send(chunks))
+        sent += chunksPerWrite * this->endlessChunkBytes;
+    return sent;
+}
+
 bool Worker::serveStream(const Message& request, Connection& connection)
 {
     auto attempt = request.header("Attempt-Id");
@@ -676,6 +694,12 @@
     }
     if (!connection.send("HTTP/1.1 200 OK\r\n" + encodeHeaders({ { "Attempt-Id", attempt }, { "Server-Seal", "seal-" + attempt }, { "Content-Type", "text/event-stream" }, { "Transfer-Encoding", "chunked" } }) + "\r\n"))
         return false;
+    if (this->endlessStreams > 0 && this->endlessStreams-- > 0) {
+        this->record.write("worker " + this->id + " begins an event without end, request " + attempt);
+        auto sent = this->sendEndlessEvent(connection);
+        this->record.write("worker " + this->id + " sent " + std::to_string(sent) + " bytes of the event until its caller closed, request " + attempt);
+        return false;
+    }
     auto lastEvent = request.header("Last-Event-Id");
     for (int i = lastEvent.empty() ? 1 : std::stoi(lastEvent) + 1; i <= this->eventsPerStream; i++) {
         auto event = "id: " + std::to_string(i) + "\ndata: piece " + std::to_string(i) + " of " + attempt + " ";
@@ -694,18 +718,26 @@
     : name("vm-" + std::to_string(number))
     , command(std::move(command))
     , folder(std::move(folder))
+    , zone(std::move(zone))
+    , storePort(storePort)
 {
     auto ports = findFreePorts(5);
     this->front = ports[0];
     this->directory = ports[1];
     this->readiness = ports[2];
+    this->inner = ports[3];
+    this->metrics = ports[4];
+}
+
+void Daemon::writeSettings(bool firstStart) const
+{
     auto address = [](uint16_t port) { return "127.0.0.1:" + std::to_string(port) + "\n"; };
     std::ofstream settings(this->folder + "/" + this->name + ".ini");
-    settings << "[node]\nname = " << this->name << "\nregion = mn-central\ndata_centre = " << zone << "\n[listen]\nfront = " << address(ports[0]) << "directory = " << address(ports[1])
-             << "readiness = " << address(ports[2]) << "inner = " << address(ports[3]) << "metrics = " << address(ports[4]) << "[store]\naddress = " << address(storePort)
-             << "configuration_bound = 2000ms\n[repeats]\nratio = 0.2\nslack = 56\nwindow = 10s\nfirst_start = yes\n[orders]\nlease_time = 3000ms\nworkers_check_tokens = yes\n"
+    settings << "[node]\nname = " << this->name << "\nregion = mn-central\ndata_centre = " << this->zone << "\n[listen]\nfront = " << address(this->front) << "directory = " << address(this->directory)
+             << "readiness = " << address(this->readiness) << "inner = " << address(this->inner) << "metrics = " << address(this->metrics) << "[store]\naddress = " << address(this->storePort)
+             << "configuration_bound = 2000ms\n[repeats]\nratio = 0.2\nslack = 56\nwindow = 10s\nfirst_start = " << (firstStart ? "yes" : "no") << "\n[orders]\nlease_time = 3000ms\nworkers_check_tokens = yes\n"
              << "[drain]\ngrace = 8s\n[limits]\nprocessor_share = 0.25\nprocessor_speed = 1\nlink_megabits = 1000.0\nmemory_megabytes = " << memoryMegabytes << "\ndescriptors = 4100\n[log]\nlevel = info\n";
-    if (!settings)
+    if (!settings.flush())
         failToRun("the settings of " + this->name + " cannot be written");
 }
 
@@ -716,6 +748,7 @@
 
 void Daemon::start()
 {
+    this->writeSettings(!std::exchange(this->wasStarted, true));
     std::istringstream words(this->command);
     std::vector<std::string> arguments;
     for (std::string word; words >> word;)
--- a/review/standins-2/standins.hpp
+++ b/review/standins-2/standins.hpp
@@ -193,11 +193,17 @@
     milliseconds eventInterval { 30 };
     double prefillTokensPerMs = 38.7;
     milliseconds loadTime { 4200 }; ///< Of a model.
+    /// Number of its next streams that are no answer: an event without end, in small chunks, until the caller closes.
+    std::atomic<int> endlessStreams { 0 };
+    size_t endlessChunkBytes = 1;
 
 private:
     bool serve(const Message& request, Connection& connection);
     bool serveOrder(const Message& request, Connection& connection);
     bool serveStream(const Message& request, Connection& connection);
+    /// Sends an event without end.
+    /// @return number of bytes of the event that were sent.
+    size_t sendEndlessEvent(Connection& connection);
     /// Writes its entry. The caller must hold `mutex`.
     void publish();
     /// Ends the load of a model when its time has passed. The caller must hold `mutex`.
@@ -234,6 +240,7 @@
     /// @param command the `run` line of the deploy file up to the path of the settings.
     Daemon(std::string command, std::string folder, int number, std::string zone, uint16_t storePort);
     ~Daemon();
+    /// Starts the process. May be called again after its end.
     void start();
     /// Sends a signal.
     void signal(int number) const;
@@ -250,13 +257,21 @@
     uint16_t front = 0;
     uint16_t readiness = 0;
     uint16_t directory = 0;
-    pid_t pid = -1;
+    std::atomic<pid_t> pid { -1 };
     const std::string name;
     static constexpr int memoryMegabytes = 260; ///< Of the machine, as its settings state.
 
 private:
+    /// @param firstStart the whole system starts for the first time.
+    void writeSettings(bool firstStart) const;
+
     std::string command;
     std::string folder;
+    std::string zone;
+    uint16_t storePort;
+    uint16_t inner = 0;
+    uint16_t metrics = 0;
+    bool wasStarted = false;
 };
 
 /// Returns ports that were free a moment ago.
