--- a/review/standins-2/standins.cc
+++ b/review/standins-2/standins.cc
@@ -642,23 +642,6 @@
     return sendAnswer(connection, status, {}, "");
 }
 
-size_t Worker::sendEndlessEvent(Connection& connection)
-{
-    constexpr size_t chunksPerWrite = 1000;
-    std::ostringstream chunk;
-    chunk << std::hex << this->endlessChunkBytes << "\r\n"
-          << std::string(this->endlessChunkBytes, 'x') << "\r\n";
-    std::string chunks;
-    for (size_t i = 0; i < chunksPerWrite; i++)
-        chunks += chunk.str();
-    size_t sent = 0;
-    if (!connection.send("a\r\nid: 1\ndata\r\n"))
-        return sent;
-    while (!this->down && !connection.isClosed() && connection.send(chunks))
-        sent += chunksPerWrite * this->endlessChunkBytes;
-    return sent;
-}
-
 bool Worker::serveStream(const Message& request, Connection& connection)
 {
     auto attempt = request.header("Attempt-Id");
@@ -694,12 +677,6 @@
     }
     if (!connection.send("HTTP/1.1 200 OK\r\n" + encodeHeaders({ { "Attempt-Id", attempt }, { "Server-Seal", "seal-" + attempt }, { "Content-Type", "text/event-stream" }, { "Transfer-Encoding", "chunked" } }) + "\r\n"))
         return false;
-    if (this->endlessStreams > 0 && this->endlessStreams-- > 0) {
-        this->record.write("worker " + this->id + " begins an event without end, request " + attempt);
-        auto sent = this->sendEndlessEvent(connection);
-        this->record.write("worker " + this->id + " sent " + std::to_string(sent) + " bytes of the event until its caller closed, request " + attempt);
-        return false;
-    }
     auto lastEvent = request.header("Last-Event-Id");
     for (int i = lastEvent.empty() ? 1 : std::stoi(lastEvent) + 1; i <= this->eventsPerStream; i++) {
         auto event = "id: " + std::to_string(i) + "\ndata: piece " + std::to_string(i) + " of " + attempt + " ";
--- a/review/standins-2/standins.hpp
+++ b/review/standins-2/standins.hpp
@@ -193,17 +193,11 @@
     milliseconds eventInterval { 30 };
     double prefillTokensPerMs = 38.7;
     milliseconds loadTime { 4200 }; ///< Of a model.
-    /// Number of its next streams that are no answer: an event without end, in small chunks, until the caller closes.
-    std::atomic<int> endlessStreams { 0 };
-    size_t endlessChunkBytes = 1;
 
 private:
     bool serve(const Message& request, Connection& connection);
     bool serveOrder(const Message& request, Connection& connection);
     bool serveStream(const Message& request, Connection& connection);
-    /// Sends an event without end.
-    /// @return number of bytes of the event that were sent.
-    size_t sendEndlessEvent(Connection& connection);
     /// Writes its entry. The caller must hold `mutex`.
     void publish();
     /// Ends the load of a model when its time has passed. The caller must hold `mutex`.
