--- a/review/standins-2/standins.cc
+++ b/review/standins-2/standins.cc
@@ -12,6 +12,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <random>
 #include <sstream>
 #include <strings.h>
 #include <sys/prctl.h>
@@ -797,15 +798,29 @@
 
 std::vector<uint16_t> findFreePorts(size_t count)
 {
-    std::vector<int> sockets;
+    constexpr int firstPort = 10000;
+    int endPort = 32768;
+    // The system takes the ports of outgoing connections from this range.
+    std::ifstream("/proc/sys/net/ipv4/ip_local_port_range") >> endPort;
+    static std::mt19937 generator(std::random_device {}());
+    static std::set<uint16_t> used;
+    std::uniform_int_distribution<int> choose(firstPort, std::max(endPort, firstPort + 1000) - 1);
     std::vector<uint16_t> ports;
-    for (size_t i = 0; i < count; i++) {
-        uint16_t port = 0;
-        sockets.push_back(openListener(port));
-        ports.push_back(port);
+    constexpr int maxTries = 10000;
+    for (int i = 0; i < maxTries && ports.size() < count; i++) {
+        auto port = static_cast<uint16_t>(choose(generator));
+        int fd = openListener(port);
+        int datagramFd = ::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+        auto address = loopback(port);
+        bool isFree = fd >= 0 && ::bind(datagramFd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0;
+        ::close(datagramFd);
+        if (fd >= 0)
+            ::close(fd);
+        if (isFree && used.insert(port).second)
+            ports.push_back(port);
     }
-    for (int fd : sockets)
-        ::close(fd);
+    if (ports.size() < count)
+        failToRun("there are too few free ports");
     return ports;
 }
 
--- a/review/standins-2/standins.hpp
+++ b/review/standins-2/standins.hpp
@@ -268,7 +268,7 @@
     bool wasStarted = false;
 };
 
-/// Returns ports that were free a moment ago.
+/// Returns ports that were free a moment ago and that the system does not give to outgoing connections.
 std::vector<uint16_t> findFreePorts(size_t count);
 
 /// Answer to a client.
