--- a/review/standins-2/standins.cc
+++ b/review/standins-2/standins.cc
@@ -26,6 +26,7 @@
 namespace {
 
     const Clock::time_point processStart = Clock::now();
+    std::string temporaryFolder; ///< Of the process; empty if there is none.
 
     sockaddr_in loopback(uint16_t port)
     {
@@ -119,6 +120,9 @@
 void failToRun(const std::string& reason)
 {
     std::cerr << "the case could not run: " << reason << "\n";
+    std::error_code ignored;
+    if (!temporaryFolder.empty())
+        std::filesystem::remove_all(temporaryFolder, ignored);
     std::_Exit(ExitNotRun);
 }
 
@@ -880,6 +884,7 @@
     if (::mkdtemp(text.data()) == nullptr)
         failToRun("no temporary folder can be created");
     this->folder = text;
+    temporaryFolder = text;
 }
 
 TemporaryFolder::~TemporaryFolder()
