An answer whose status HTTP does not have is no answer

What callers saw: a worker's "HTTP/1.1 000 OK" was forwarded as "HTTP/1.1 0", as 099, 600 and 999 were, and its connection was used for further requests. Reports, orders, probes and the store's calls took it too: a probe counted the worker as running, a head with such a status could say that the worker leaves, and an append that may have taken effect counted as malformed. The own front recorded it as the end of an action. Two and four digits were refused before.

Cause: Beast's parser takes any three digits for a status, and nobody after it looked.

Change: `transport::ResponseParser` decides what an answer is, for all that reads answers through `HttpClient`. A status that is not from 100 to 599 fails with `IoError::Malformed`, which no caller takes for "not run". The connection of an answer that fails is never used again. The client tells its owner of each answer that has begun and is not valid: the daemons log it (`broken_answer`, escaped, with the request's id) and count it (`broken_answers`), and one to a report, order or probe counts as a failure of its worker, as one to a request already did. What the parsers of requests and answers share is in `StrictParser`; answers keep no trailers any more, which nothing read.

--- a/daemon/src/daemon.cpp
+++ b/daemon/src/daemon.cpp
@@ -51,6 +51,8 @@
     explicit Impl(protocol::NodeSettings nodeSettings)
         : settings(std::move(nodeSettings))
         , runtime(this->settings.threads)
+        , client([this](const auto& answer) { this->recordBrokenAnswer(answer); })
+        , controlClient([this](const auto& answer) { this->recordBrokenAnswer(answer); })
         , node(this->settings, this->client, this->controlClient)
         , regionFollower(this->node, makeFollowedStream(this->node.regionStream, this->node.region, coordination::restoreRegion))
         , configFollower(this->node, makeFollowedStream(this->node.configStream, this->node.config, coordination::restoreConfig))
@@ -84,6 +86,12 @@
         this->node.config.setListener([this](const auto&, Offset, const auto&, const auto&) { this->router.scheduleRebuild(); });
     }
 
+    void recordBrokenAnswer(const transport::BrokenAnswer& answer)
+    {
+        add(this->node.counters, state::Counter::BrokenAnswers);
+        this->log.warn("broken answer: " + transport::formatForLog(answer));
+    }
+
     /// Returns the replayed state for a peer that starts while the log is unavailable. Empty until this node has caught up.
     protocol::PeerState makePeerState() const
     {
--- a/edge/src/counters.cpp
+++ b/edge/src/counters.cpp
@@ -46,7 +46,7 @@
 const char* name(CountedEvent event)
 {
     constexpr std::array<const char*, static_cast<size_t>(CountedEvent::Count)> names {
-        "requests", "answers", "stream_events", "streams_cut", "store_calls", "store_failures", "beats_sent", "beat_bytes_sent", "beats_dropped", "beats_split", "missing_items_held_back", "beats_received", "orders", "configurations_applied", "configurations_fetched", "blamed_crashes", "oversized_answers", "worker_holds", "statements_ignored", "quota_asks", "quota_asks_unanswered", "quota_fallbacks", "quota_returns", "withdrawals"
+        "requests", "answers", "stream_events", "streams_cut", "store_calls", "store_failures", "beats_sent", "beat_bytes_sent", "beats_dropped", "beats_split", "missing_items_held_back", "beats_received", "orders", "configurations_applied", "configurations_fetched", "blamed_crashes", "broken_answers", "oversized_answers", "worker_holds", "statements_ignored", "quota_asks", "quota_asks_unanswered", "quota_fallbacks", "quota_returns", "withdrawals"
     };
     return names[static_cast<size_t>(event)];
 }
--- a/edge/src/counters.h
+++ b/edge/src/counters.h
@@ -65,6 +65,7 @@
     ConfigurationsApplied,
     ConfigurationsFetched, ///< Records of the configuration that another VM passed on.
     BlamedCrashes, ///< Crashes of workers that requests of this VM are blamed for.
+    BrokenAnswers, ///< Answers of workers, the store and other VMs that were no valid HTTP or had ended early.
     OversizedAnswers, ///< Answers of workers that were given up because they exceed the buffer memory.
     WorkerHolds, ///< Refusals of workers that named a time until which they want no request of this VM.
     StatementsIgnored, ///< Answers that say that a worker leaves, or name a time, and are no statement of the worker that was called.
--- a/edge/src/edge.cpp
+++ b/edge/src/edge.cpp
@@ -54,6 +54,12 @@
     explicit Impl(Settings given)
         : settings(std::move(given))
         , runtime(ioThreads)
+        , client([this](const auto& answer) { this->recordBrokenAnswer(answer); })
+        , controlClient([this](const auto& answer) {
+            // The relay records the failures of requests itself.
+            auto now = monotonicNow();
+            this->vm.fleet.updateWorker(this->recordBrokenAnswer(answer), [now](routing::Worker& worker) { routing::recordAnswer(worker, true, Time { 0 }, Time { 0 }, now); });
+        })
         , vm(this->settings, this->client, this->controlClient)
         , crashes(this->vm)
         , peers(this->vm, this->runtime, this->crashes)
@@ -100,6 +106,16 @@
         this->peers.onConfigurationVersion = [this](uint64_t version) { this->store.refreshIfOlderThan(version); };
     }
 
+    /// Counts and logs an answer that is not valid.
+    /// @return the id of the worker that sent it; empty if no worker did.
+    std::string recordBrokenAnswer(const transport::BrokenAnswer& answer)
+    {
+        auto worker = this->vm.fleet.workerAt(answer.peer);
+        increment(this->vm.counters, CountedEvent::BrokenAnswers);
+        this->log.warn("event=broken_answer worker=" + (worker.empty() ? "-" : transport::escapeForLog(worker)) + " " + transport::formatForLog(answer));
+        return worker;
+    }
+
     /// Answers a request for the addresses to which callers may connect; 503 if no VM is ready.
     void serveDirectory(const transport::HttpRequest& request, transport::ResponseWriter& writer)
     {
--- a/edge/src/fleet.cpp
+++ b/edge/src/fleet.cpp
@@ -311,6 +311,16 @@
     return found == this->workers.end() ? std::nullopt : std::optional(found->second.worker.entry);
 }
 
+std::string Fleet::workerAt(const transport::Endpoint& address) const
+{
+    std::lock_guard lock(this->mutex);
+    for (const auto& [id, known] : this->workers) {
+        if (known.removedAt == Time { 0 } && known.worker.entry.address == address)
+            return id;
+    }
+    return {};
+}
+
 std::vector<routing::WorkerEntry> Fleet::entries() const
 {
     std::lock_guard lock(this->mutex);
--- a/edge/src/fleet.h
+++ b/edge/src/fleet.h
@@ -99,6 +99,8 @@
     std::vector<routing::WorkerEntry> entries() const;
     /// Returns the entry of one worker; nothing if none is known.
     std::optional<routing::WorkerEntry> entryOf(const std::string& id) const;
+    /// Returns the id of the worker whose entry names this address; empty if there is none.
+    std::string workerAt(const transport::Endpoint& address) const;
 
     /// Applies a peer's load, its failure counts and the prefixes it sent. Ignores partial heartbeats.
     void applyHeartbeat(const std::string& peer, const Heartbeat& heartbeat);
--- a/state/include/state/state.h
+++ b/state/include/state/state.h
@@ -161,6 +161,7 @@
     RequestsPlain,
     TokensRelayed,
     StreamsResumed, ///< Streams continued on another attempt after an earlier one broke off.
+    BrokenAnswers, ///< Answers of engines, plain services, the platform and other nodes that were no valid HTTP or had ended early.
     CrossedAnswersDropped, ///< Answers and stream events from an engine that belong to another request.
     RepeatedTokensDropped, ///< Tokens from an engine that the caller already has.
     ActionsRun, ///< Plain requests that must not run twice and that an endpoint answered.
--- a/state/src/counters.cpp
+++ b/state/src/counters.cpp
@@ -7,7 +7,7 @@
 
     /// In the order of `Counter`.
     constexpr std::array<const char*, static_cast<size_t>(Counter::Count)> counterNames {
-        "requests_completion", "requests_plain", "tokens_relayed", "streams_resumed", "crossed_answers_dropped",
+        "requests_completion", "requests_plain", "tokens_relayed", "streams_resumed", "broken_answers", "crossed_answers_dropped",
         "repeated_tokens_dropped", "actions_run", "actions_repeated", "log_appends", "log_append_failures", "log_reads",
         "log_read_failures", "log_bytes_read", "log_bytes_appended", "sessions_opened", "sessions_lapsed",
         "sessions_expired", "orders_sent", "orders_withheld", "orders_stale", "orders_unanswered", "plan_changes",
--- /dev/null
+++ b/tests/unit/broken_answers.h
@@ -0,0 +1,46 @@
+/// Answers that are not valid HTTP/1.1, for tests of all that reads answers.
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace comfreypier::testing {
+
+/// What an answer has in place of its sound parts.
+struct BrokenAnswer {
+    std::string name; ///< For the messages of checks.
+    std::string statusLine = "HTTP/1.1 200 OK";
+    std::string firstLine; ///< Line after the status line; empty for none.
+    std::string lastLine; ///< Last line of the head; empty for none.
+    std::string trailer; ///< Line after the last chunk. Answers with one are framed by chunks.
+    bool framed = true; ///< Whether the head frames the body otherwise.
+    std::string bodyPrefix; ///< For a body that `lastLine` would frame.
+};
+
+/// Returns the bytes of an answer.
+/// @param fields lines of the head that callers of the test's worker expect, each with its end.
+inline std::string format(const BrokenAnswer& answer, const std::string& fields, const std::string& body)
+{
+    auto line = [](const std::string& text) { return text.empty() ? text : text + "\r\n"; };
+    auto bytes = line(answer.statusLine) + line(answer.firstLine) + fields;
+    char size[20];
+    std::snprintf(size, sizeof size, "%zx\r\n", body.size());
+    if (!answer.trailer.empty())
+        return bytes + "Transfer-Encoding: chunked\r\n" + line(answer.lastLine) + "\r\n" + size + body + "\r\n0\r\n" + line(answer.trailer) + "\r\n";
+    if (answer.framed)
+        bytes += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    return bytes + line(answer.lastLine) + "\r\n" + answer.bodyPrefix + body;
+}
+
+/// Returns answers with a status that HTTP does not have.
+inline std::vector<BrokenAnswer> answersWithBrokenStatus()
+{
+    std::vector<BrokenAnswer> answers;
+    for (const char* status : { "000", "001", "099", "600", "999", "0200", "2000", "20", "2", "", "2x0", "-20", "+20", " 200", "0x2" })
+        answers.push_back({ .name = "status '" + std::string(status) + "'", .statusLine = "HTTP/1.1 " + std::string(status) + " OK" });
+    for (const char* line : { "HTTP/1.1 000", "HTTP/1.1 000 ", "HTTP/1.1 200", "HTTP/1.1  200 OK", "HTTP/1.1\t200 OK", "HTTP/1.1 200\tOK", "HTTP/1.1 200 O\x01K", "HTTP/2.0 200 OK", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 OK" })
+        answers.push_back({ .name = "status line '" + std::string(line) + "'", .statusLine = line });
+    return answers;
+}
+
+} // namespace comfreypier::testing
--- a/tests/unit/node_answers_test.cpp
+++ b/tests/unit/node_answers_test.cpp
@@ -1,9 +1,11 @@
 /// Tests of a whole node against a plain service and an engine whose every byte the tests control.
+#include "broken_answers.h"
 #include "raw_peer.h"
 #include "standins.h"
 
 #include <criterion/criterion.h>
 #include <daemon/daemon.h>
+#include <sys/socket.h>
 #include <thread>
 
 using namespace comfreypier;
@@ -210,12 +212,54 @@
 
 const std::string plainBody = "the whole answer";
 
+/// Returns the body of an engine's whole answer to a request: a stream if it asks for one.
+std::string makeCompletion(const std::string& request)
+{
+    const std::string field = "X-Request-Id: ";
+    auto start = request.find(field) + field.size();
+    auto id = request.substr(start, request.find('\r', start) - start);
+    if (request.find("\"stream\":true") != std::string::npos)
+        return "id: 1\ndata: {\"id\":\"" + id + "\",\"text\":\"a\"}\n\ndata: [DONE]\n\n";
+    return "{\"id\":\"" + id + "\",\"choices\":[{\"text\":\"the whole answer\"}]}";
+}
+
+/// Returns all broken answers; requests name one by its index.
+const std::vector<testing::BrokenAnswer>& brokenAnswers()
+{
+    static const auto all = testing::answersWithBrokenStatus();
+    return all;
+}
+
+/// Returns the broken answer that a request names; null if it names none.
+const testing::BrokenAnswer* findBrokenAnswer(const std::string& request)
+{
+    const std::string_view mark = "broken-";
+    auto start = request.find(mark);
+    return start == std::string::npos ? nullptr : &brokenAnswers()[std::stoul(request.substr(start + mark.size()))];
+}
+
+/// Sends a broken answer. Its connection stays open for further requests if its end can be told.
+/// @return whether another request came on the connection.
+bool sendBroken(int connection, const testing::BrokenAnswer& answer, const std::string& contentType, const std::string& body)
+{
+    RawPeer::write(connection, testing::format(answer, "Content-Type: " + contentType + "\r\n", body));
+    if (!answer.framed)
+        ::shutdown(connection, SHUT_WR);
+    return !RawPeer::readRequest(connection).empty();
+}
+
+std::atomic<int> reusedConnections { 0 }; ///< On which a request came after a broken answer.
+
 void servePlain(int connection)
 {
     while (true) {
         auto request = RawPeer::readRequest(connection);
         if (request.empty())
             return;
+        if (const auto* broken = findBrokenAnswer(request)) {
+            reusedConnections += sendBroken(connection, *broken, "text/plain", plainBody) ? 1 : 0;
+            return;
+        }
         auto order = findOrder(request);
         sendOrdered(connection, order, makeAnswer(order.framing, "text/plain", plainBody));
         if (order.bytes != SIZE_MAX || order.framing == Framing::EndOfConnection)
@@ -266,11 +310,8 @@
     std::atomic<int> cutAnswers { 0 };
     auto serve = [&](int connection, const std::string& request) {
         auto order = findOrder(request);
-        const std::string field = "X-Request-Id: ";
-        auto start = request.find(field) + field.size();
-        auto id = request.substr(start, request.find('\r', start) - start);
         bool streaming = request.find("\"stream\":true") != std::string::npos;
-        auto body = streaming ? "id: 1\ndata: {\"id\":\"" + id + "\",\"text\":\"a\"}\n\ndata: [DONE]\n\n" : "{\"id\":\"" + id + "\",\"choices\":[{\"text\":\"the whole answer\"}]}";
+        auto body = makeCompletion(request);
         auto answer = makeAnswer(order.framing, streaming ? "text/event-stream" : "application/json", body);
         // Counted from the end of the answer, whose length depends on the id.
         order.bytes = order.bytes == SIZE_MAX ? SIZE_MAX : answer.size() - std::min(answer.size(), order.bytes);
@@ -309,3 +350,76 @@
     cr_assert_gt(cutAnswers, total / 2, "only %d answers to %d requests were cut off", cutAnswers.load(), total.load());
     std::_Exit(0);
 }
+
+// An answer that is no valid HTTP must reach no caller as an answer, and nobody may be told that its request did not run.
+Test(node, broken_answers_of_plain_services_reach_no_caller, .timeout = 120)
+{
+    auto* cluster = new NodeCluster(13945, servePlain, [](int, const std::string&) {});
+    std::string wrong;
+    int sent = 0;
+    for (const char* kind : { "repeatable", "not repeatable", "with a key" }) {
+        bool repeatable = kind == std::string("repeatable");
+        // The end of each action is written to the log.
+        for (size_t i = 0; i < brokenAnswers().size(); i += kind == std::string("with a key") ? 7 : 1) {
+            HttpRequest request { repeatable ? "GET" : "POST", "/services/kiln/orders/broken-" + std::to_string(i), {}, repeatable ? "" : "x" };
+            if (kind == std::string("with a key"))
+                request.headers.push_back({ "Idempotency-Key", "broken" + std::to_string(i) });
+            auto answer = cluster->call(request);
+            sent++;
+            if (answer.status < 400 || answer.body.find("\"unknown\"") == std::string::npos)
+                wrong += transport::escapeForLog(brokenAnswers()[i].name) + ", " + kind + ": status " + std::to_string(answer.status) + " '" + answer.body + "'\n";
+        }
+    }
+    cr_assert(wrong.empty(), "%s", wrong.c_str());
+    cr_assert_eq(reusedConnections, 0);
+    auto counters = cluster->call({ "GET", "/metrics", {}, {} }).body;
+    cr_assert_neq(counters.find("comfreypier_broken_answers_total " + std::to_string(sent) + "\n"), std::string::npos, "%s", counters.c_str());
+    std::_Exit(0);
+}
+
+// The same for engines.
+Test(node, broken_answers_of_engines_reach_no_caller, .timeout = 120)
+{
+    std::mutex mutex;
+    std::set<std::string> broken; // Requests that got a broken answer.
+    auto serve = [&](int connection, const std::string& request) {
+        bool streaming = request.find("\"stream\":true") != std::string::npos;
+        auto body = makeCompletion(request);
+        if (const auto* answer = findBrokenAnswer(request)) {
+            std::unique_lock lock(mutex);
+            broken.insert(request.substr(request.find("broken-")));
+            lock.unlock();
+            reusedConnections += sendBroken(connection, *answer, streaming ? "text/event-stream" : "application/json", body) ? 1 : 0;
+        } else
+            RawPeer::write(connection, makeAnswer(Framing::Length, "application/json", body));
+    };
+    auto* cluster = new NodeCluster(13955, servePlain, serve);
+    auto send = [&](bool streaming, const std::string& prompt) {
+        return cluster->call({ "POST", "/v1/completions", { { "Content-Type", "application/json" } }, R"({"model":"chat","prompt":")" + prompt + R"(","max_tokens":2)" + (streaming ? R"(,"stream":true})" : "}") });
+    };
+    std::string wrong;
+    int sent = 0;
+    for (bool streaming : { false, true }) {
+        cr_assert(cluster->waitUntil([&] { return send(streaming, "sound").status == 200; }));
+        // At the same time: an engine that has broken an answer is avoided for a while.
+        std::vector<std::thread> callers;
+        for (size_t i = 0; i < brokenAnswers().size(); i++) {
+            // The last event of a stream tells that it is complete, so that its trailers don't matter.
+            if (streaming && !brokenAnswers()[i].trailer.empty())
+                continue;
+            sent++;
+            callers.emplace_back([&, i] {
+                auto answer = send(streaming, "broken-" + std::to_string(i) + ".");
+                std::lock_guard lock(mutex);
+                if (answer.status < 500 && answer.status != 0)
+                    wrong += transport::escapeForLog(brokenAnswers()[i].name) + (streaming ? ", stream" : "") + ": status " + std::to_string(answer.status) + " '" + answer.body + "'\n";
+            });
+        }
+        for (auto& caller : callers)
+            caller.join();
+    }
+    cr_assert(wrong.empty(), "%s", wrong.c_str());
+    cr_assert_eq(reusedConnections, 0);
+    cr_assert_gt(broken.size(), static_cast<size_t>(sent) / 2, "only %zu of %d requests got a broken answer", broken.size(), sent);
+    std::_Exit(0);
+}
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -1,4 +1,5 @@
 /// Tests of the platform adapter: decoding of entries, configurations and headers, building of requests and responses, and calls.
+#include "broken_answers.h"
 #include "raw_peer.h"
 
 #include <criterion/criterion.h>
@@ -6,6 +7,7 @@
 #include <platform/platform.h>
 #include <rapidcheck.h>
 #include <sys/resource.h>
+#include <sys/socket.h>
 #include <thread>
 
 using namespace comfreypier;
@@ -623,3 +625,51 @@
     cr_assert_neq(state, WorkerState::Ended, "the worker counts as ended");
     cr_assert_neq(evidence, routing::RunEvidence::Ended, "the run counts as ended");
 }
+
+// An answer that is no valid HTTP must tell a VM nothing, whatever it has called.
+Test(calls, broken_answers_tell_nothing)
+{
+    constexpr uint16_t port = 19404;
+    auto answers = comfreypier::testing::answersWithBrokenStatus();
+    std::atomic<size_t> current { 0 };
+    standins::RawPeer peer(port, [&](int connection) {
+        standins::RawPeer::readRequest(connection);
+        standins::RawPeer::write(connection, format(answers[current], "Server-Leaving: 1\r\nRetry-After: 5\r\nStore-Era: 7\r\nInstance-Id: i-1\r\n", R"({"seq":1,"born":5,"runs":[],"queued":0,"items":[],"end":3,"offset":2})"));
+        ::shutdown(connection, SHUT_WR);
+    });
+    transport::Runtime runtime(1);
+    transport::HttpClient client;
+    std::string wrong;
+    std::atomic<bool> done { false };
+    runtime.spawn([&] {
+        routing::WorkerEntry worker;
+        worker.id = "i-1";
+        worker.startedAt = 5;
+        worker.address = { "127.0.0.1", port };
+        uint64_t era = 0;
+        const Store store { &client, worker.address, [&era](uint64_t named) { era = named; } };
+        for (; current < answers.size(); current++) {
+            auto expect = [&](const char* call, bool holds) { wrong += holds ? "" : transport::escapeForLog(answers[current].name) + ": " + call + "\n"; };
+            auto tellsNothing = [](const auto& reply) { return !reply.leaving && !reply.retryAfter && reply.source.status == 0; };
+            auto report = fetchReport(client, worker);
+            expect("report", !report.value && tellsNothing(report));
+            auto order = sendOrder(client, worker, {}, {});
+            expect("order", order.value == placement::OrderOutcome::Unknown && tellsNothing(order));
+            auto probe = probeWorker(client, worker);
+            expect("probe", probe.value == WorkerState::Unknown && tellsNothing(probe));
+            transport::CancelToken cancel;
+            auto run = probeRun(client, worker, "id", cancel);
+            expect("probe of a run", run.value == routing::RunEvidence::NoAnswer && tellsNothing(run));
+            auto mayHaveHappened = [](const auto& result) { return !result && result.error() == StoreError::NoAnswer; };
+            expect("read of the newest", mayHaveHappened(readLatest(store, Stream::Workers)));
+            expect("read", mayHaveHappened(readFrom(store, Stream::Workers, 0, milliseconds { 0 })));
+            expect("append", mayHaveHappened(append(store, Stream::Members, "key", "value", std::nullopt)));
+            expect("era", std::exchange(era, 0) == 0);
+        }
+        done = true;
+    });
+    while (!done)
+        std::this_thread::sleep_for(milliseconds { 10 });
+    cr_assert(runtime.stop(std::chrono::seconds { 5 }));
+    cr_assert(wrong.empty(), "taken for an answer:\n%s", wrong.c_str());
+}
--- a/transport/include/transport/transport.h
+++ b/transport/include/transport/transport.h
@@ -90,7 +90,7 @@
     ConnectTimeout, ///< The connection was not established in time. No byte was sent.
     Timeout, ///< The peer did not answer in time.
     Closed, ///< The peer closed the connection, or the connection failed.
-    Malformed, ///< The received bytes are not valid HTTP.
+    Malformed, ///< The received bytes are not valid HTTP, or not a status from 100 to 599.
     TooLarge, ///< Head or body exceeds the limit.
     Cancelled, ///< Cancelled through `CancelToken`.
     Withdrawn, ///< `CallLimits::maySend` returned false. No byte was sent.
@@ -504,10 +504,26 @@
     virtual Result<std::string_view, IoError> read(std::chrono::milliseconds timeout) = 0;
 };
 
-/// HTTP/1.1 client with a pool of idle connections per thread.
+/// An answer that has begun and is not valid HTTP, exceeds a limit of its call, or has ended early.
+struct BrokenAnswer {
+    Endpoint peer;
+    std::string call; ///< Method and target of the request.
+    std::string id; ///< Id of the request, see `CallLimits::idHeader`; empty if it has none.
+    IoError error = IoError::Malformed; ///< With which the call or the read fails.
+    std::string fault; ///< What is wrong.
+    std::string bytes; ///< Part of the answer that is wrong, as received; empty if it has ended early.
+};
+using BrokenAnswerHandler = std::function<void(const BrokenAnswer&)>;
+
+/// Formats a broken answer as words of a log line, with what others chose escaped.
+std::string formatForLog(const BrokenAnswer& answer);
+
+/// HTTP/1.1 client with a pool of idle connections per thread. Fails calls whose answers are not valid, with `IoError::Malformed` or
+/// `IoError::TooLarge`, and does not use their connections again.
 class HttpClient {
 public:
-    HttpClient();
+    /// @param onBrokenAnswer called on the fiber of the call for each answer that is not valid. Must not suspend. May be empty.
+    explicit HttpClient(BrokenAnswerHandler onBrokenAnswer = {});
     ~HttpClient();
     HttpClient(const HttpClient&) = delete;
     HttpClient& operator=(const HttpClient&) = delete;
--- a/transport/src/http_client_beast.cpp
+++ b/transport/src/http_client_beast.cpp
@@ -1,5 +1,5 @@
 /// HTTP/1.1 client over Boost.Beast with a pool of idle connections per thread.
-#include "transport_p.h"
+#include "response_parser.h"
 
 #include <deque>
 #include <map>
@@ -132,6 +132,11 @@
 }
 
 struct HttpClient::Impl : std::enable_shared_from_this<HttpClient::Impl> {
+    explicit Impl(BrokenAnswerHandler onBrokenAnswer)
+        : onBrokenAnswer(std::move(onBrokenAnswer))
+    {
+    }
+
     /// Returns the most recently pooled connection that is still usable, or null. Closes the unusable ones that it finds.
     /// @param avoided numbers of connections that stay in the pool; null if there are none.
     ConnectionPtr takeIdleConnection(const Endpoint& endpoint, const std::set<uint64_t>* avoided) const
@@ -226,6 +231,7 @@
         return now < connection.reusableUntil && now - connection.idleSince < limit && isUsable(connection);
     }
 
+    const BrokenAnswerHandler onBrokenAnswer; ///< May be empty.
     mutable std::mutex mutex;
     std::chrono::nanoseconds learnedIdleTimeout { 0 }; ///< Guarded by `mutex`. Applies before `learnedIdleTimeoutEnd`.
     std::chrono::nanoseconds learnedIdleTimeoutEnd { 0 }; ///< Monotonic time; 0 if none was learned. Guarded by `mutex`.
@@ -278,11 +284,15 @@
     class BeastResponseStream : public ResponseStream {
     public:
         using ReturnToPool = std::function<void(ConnectionPtr)>;
+        /// @param faulty part of the answer that is wrong; empty if it has ended early.
+        using OnBroken = std::function<void(const ErrorCode& error, std::string faulty)>;
 
         /// @param returnToPool empty if the connection is not reused.
-        BeastResponseStream(ConnectionPtr connection, ReturnToPool returnToPool, const CallLimits& limits)
+        /// @param onBroken called if the answer turns out not to be a valid one. May be empty.
+        BeastResponseStream(ConnectionPtr connection, ReturnToPool returnToPool, const CallLimits& limits, OnBroken onBroken)
             : connection(std::move(connection))
             , returnToPool(std::move(returnToPool))
+            , onBroken(std::move(onBroken))
             , cancel(limits.cancel)
             , cancelRegistration(limits.cancel, *this->connection)
             , firstOnConnection(this->connection->idleSince.count() == 0)
@@ -360,8 +370,12 @@
                     return IoError::Cancelled;
                 // Bytes that arrived just before the deadline are returned. After a timeout the caller can continue to read.
                 // `need_buffer` is no failure: `chunk` is full.
-                if (result.error && result.error != http::error::need_buffer)
-                    return deadline.hasExpired() ? IoError::Timeout : toIoError(result.error);
+                if (result.error && result.error != http::error::need_buffer) {
+                    if (deadline.hasExpired())
+                        return IoError::Timeout;
+                    this->reportBroken(result.error);
+                    return toIoError(result.error);
+                }
                 auto length = readChunkSize - body.size; // The parser reduces `body.size` by what it has written.
                 if (length > 0)
                     return std::string_view(this->chunk.data(), length);
@@ -389,13 +403,29 @@
                 this->connection->stream.expires_after(this->deadline - monotonicNow());
                 auto result = readMessage(this->connection->stream, this->connection->buffer, *this->parser, ReadUntil::HeadEnd);
                 auto status = this->parser->get().result_int();
-                if (result.error || http::to_status_class(status) != http::status_class::informational)
+                if (result.error) {
+                    this->reportBroken(result.error);
+                    return result;
+                }
+                if (http::to_status_class(status) != http::status_class::informational)
                     return result;
                 if (status == static_cast<unsigned>(http::status::switching_protocols))
                     break;
             }
+            // A protocol that was not asked for, or interim answers without end.
+            this->reportBroken(http::error::bad_status);
+            return { http::error::bad_status };
+        }
+
+        /// Reports an answer that has begun and is not valid. Its connection is not used again.
+        void reportBroken(const ErrorCode& error)
+        {
             this->returnToPool = nullptr;
-            return { http::error::bad_value };
+            auto unparsed = this->connection->buffer.data();
+            std::string_view bytes(static_cast<const char*>(unparsed.data()), unparsed.size());
+            bool begun = this->parser->got_some() || !bytes.empty();
+            if (begun && !this->isCancelled() && this->onBroken)
+                this->onBroken(error, this->parser->faultyPart(error, bytes));
         }
 
         /// Reads the body of a response that is not wanted.
@@ -416,20 +446,21 @@
 
         ConnectionPtr connection;
         ReturnToPool returnToPool;
+        OnBroken onBroken;
         CancelToken* cancel;
         CancelRegistration cancelRegistration;
         bool firstOnConnection;
         uint64_t maxBodyBytes;
         std::chrono::nanoseconds deadline; ///< For sending the request and receiving the head.
-        std::optional<http::response_parser<http::buffer_body>> parser; ///< Writes the body into `chunk`. Set before the first read.
+        std::optional<ResponseParser> parser; ///< Writes the body into `chunk`. Set before the first read.
         std::vector<Header> responseHeaders;
         std::vector<char> chunk; ///< The result of `read` points into it.
     };
 
 } // namespace
 
-HttpClient::HttpClient()
-    : impl(std::make_shared<Impl>())
+HttpClient::HttpClient(BrokenAnswerHandler onBrokenAnswer)
+    : impl(std::make_shared<Impl>(std::move(onBrokenAnswer)))
 {
 }
 
@@ -456,7 +487,17 @@
     BeastResponseStream::ReturnToPool returnToPool;
     if (!limits.freshConnection)
         returnToPool = [impl = this->impl, endpoint](ConnectionPtr idle) { impl->returnToPool(endpoint, std::move(idle)); };
-    auto stream = std::make_unique<BeastResponseStream>(std::move(connection), std::move(returnToPool), limits);
+    BeastResponseStream::OnBroken onBroken;
+    if (this->impl->onBrokenAnswer) {
+        auto id = limits.idHeader.empty() ? std::string_view {} : findHeader(request.headers, limits.idHeader);
+        onBroken = [impl = this->impl, answer = BrokenAnswer { endpoint, request.method + " " + request.target, std::string(id), {}, {}, {} }](const ErrorCode& error, std::string faulty) mutable {
+            answer.error = toIoError(error);
+            answer.fault = error.message();
+            answer.bytes = std::move(faulty);
+            impl->onBrokenAnswer(answer);
+        };
+    }
+    auto stream = std::make_unique<BeastResponseStream>(std::move(connection), std::move(returnToPool), limits, std::move(onBroken));
     auto message = toBeastRequest(endpoint, request);
     auto result = stream->sendAndReadHead(message);
     if (!result.error && !limits.idHeader.empty())
@@ -507,6 +548,12 @@
     this->impl->closeIdleConnections(endpoint);
 }
 
+std::string formatForLog(const BrokenAnswer& answer)
+{
+    auto text = "peer=" + toString(answer.peer) + " call=" + escapeForLog(answer.call) + " id=" + (answer.id.empty() ? "-" : escapeForLog(answer.id)) + " reason=" + name(answer.error) + " fault=\"" + answer.fault + "\"";
+    return answer.bytes.empty() ? text : text + " bytes=" + escapeForLog(answer.bytes);
+}
+
 const char* name(IoError error)
 {
     constexpr std::array<const char*, static_cast<size_t>(IoError::Count)> names {
--- a/transport/src/http_server_beast.cpp
+++ b/transport/src/http_server_beast.cpp
@@ -1,6 +1,6 @@
 /// HTTP/1.1 server over Boost.Beast: one listening socket that all I/O threads accept from, one fiber per connection.
 #include "connection_pressure.h"
-#include "transport_p.h"
+#include "strict_parser.h"
 
 #include <algorithm>
 #include <malloc.h>
@@ -186,19 +186,18 @@
     }
 
     /// Returns whether every reader finds the end of a request at the same place: it has one length, or chunks and no other coding.
-    /// @param version of HTTP, 10 or 11. Readers of 1.0 know no codings.
+    /// @param version of HTTP, 10 or 11.
     bool isFramingClear(const http::fields& fields, unsigned version)
     {
-        auto codings = fields.count(http::field::transfer_encoding);
         auto lengths = fields.count(http::field::content_length);
-        if (codings > 0)
-            return codings == 1 && lengths == 0 && version == 11 && beast::iequals(fields[http::field::transfer_encoding], "chunked");
+        if (fields.count(http::field::transfer_encoding) > 0)
+            return lengths == 0 && isOnlyCodingChunked(fields, version);
         return lengths == 0 || (lengths == 1 && fields[http::field::content_length].find(',') == std::string_view::npos);
     }
 
     /// Parser that also refuses what other readers may take for something else: unclear framing, lines that continue the line before,
     /// and chunk heads and trailers beyond the limit of a head.
-    class RequestParser : public http::request_parser<http::string_body> {
+    class RequestParser : public StrictParser<true, http::string_body> {
     public:
         explicit RequestParser(const ServerLimits& limits)
             : maxHeaderBytes(limits.maxHeaderBytes)
@@ -207,16 +206,6 @@
             this->body_limit(limits.maxBodyBytes);
         }
 
-        /// Returns the memory of the fields in bytes, beside that of the buffer.
-        /// @param buffered bytes that are not parsed yet; each of their lines may be a field.
-        uint64_t fieldBytes(std::string_view buffered) const
-        {
-            auto fields = this->fieldCount;
-            if (!this->is_header_done())
-                fields += static_cast<uint64_t>(std::count(buffered.begin(), buffered.end(), '\n'));
-            return fields * headerFieldBytes;
-        }
-
         /// Returns the memory of the body in bytes, with the copy that is sent on.
         uint64_t bodyBytes() const
         {
@@ -225,19 +214,16 @@
             return length ? 2 * *length : 3 * this->get().body().size();
         }
 
-        /// Hides `basic_parser::put`, which parses one part of the message: lines of the head, a body, or the head of a chunk. That of the
-        /// last chunk includes the trailers.
+        /// Hides `StrictParser::put`.
         size_t put(asio::const_buffer buffer, ErrorCode& error)
         {
             bool inHead = !this->is_header_done();
-            auto bodySize = this->get().body().size();
-            auto used = http::request_parser<http::string_body>::put(buffer, error);
-            bool inChunkHead = !inHead && this->chunked() && this->get().body().size() == bodySize;
-            if (inChunkHead && (error == http::error::need_more ? buffer.size() : used) > this->maxHeaderBytes)
+            auto used = StrictParser::put(buffer, error);
+            if (this->inChunkHead && (error == http::error::need_more ? buffer.size() : used) > this->maxHeaderBytes)
                 error = http::error::bad_chunk;
             if (error && error != http::error::need_more)
                 return used;
-            if ((inHead || inChunkHead) && hasContinuedLine({ static_cast<const char*>(buffer.data()), used }))
+            if ((inHead || this->inChunkHead) && hasContinuedLine({ static_cast<const char*>(buffer.data()), used }))
                 error = http::error::bad_field;
             else if (inHead && this->is_header_done() && !isFramingClear(this->get(), this->get().version()))
                 error = http::error::bad_transfer_encoding;
@@ -245,22 +231,12 @@
         }
 
     private:
-        /// Leaves trailers out.
-        void on_field_impl(http::field field, beast::string_view name, beast::string_view value, ErrorCode&) override
-        {
-            if (this->is_header_done())
-                return;
-            this->fieldCount++;
-            this->get().insert(field, name, value);
-        }
-
         static bool hasContinuedLine(std::string_view lines)
         {
             return lines.find("\r\n ") != std::string_view::npos || lines.find("\r\n\t") != std::string_view::npos;
         }
 
         size_t maxHeaderBytes;
-        uint64_t fieldCount = 0; ///< Fields of the head.
     };
 
     /// A request while it is received and handled. Its memory is freed before the reservation for it ends.
--- /dev/null
+++ b/transport/src/response_parser.h
@@ -0,0 +1,33 @@
+/// Parser of answers, which decides what counts as one.
+#pragma once
+
+#include "strict_parser.h"
+
+namespace comfreypier::transport {
+
+/// Parser that also refuses statuses that HTTP does not have.
+class ResponseParser : public StrictParser<false, http::buffer_body> {
+public:
+    /// Hides `StrictParser::put`. Fails with `bad_status` if the status is not from 100 to 599.
+    size_t put(asio::const_buffer buffer, ErrorCode& error)
+    {
+        bool inHead = !this->is_header_done();
+        auto used = StrictParser::put(buffer, error);
+        if (error || !inHead || !this->is_header_done())
+            return used;
+        if (http::to_status_class(this->get().result_int()) == http::status_class::unknown)
+            error = http::error::bad_status;
+        return used;
+    }
+
+    /// Returns the part of an answer for which `put` failed: the status, or the line that is not valid.
+    /// @param unparsed bytes that the parser has not used.
+    std::string faultyPart(const ErrorCode& error, std::string_view unparsed) const
+    {
+        if (error == http::error::bad_status && this->is_header_done())
+            return std::to_string(this->get().result_int());
+        return std::string(unparsed.substr(0, unparsed.find_first_of("\r\n", 1)));
+    }
+};
+
+} // namespace comfreypier::transport
