Tests: lines in a head or in trailers that are no field

Report: a field name with a blank or a control byte was passed on, or hid the length of the body. 78 answers with such a line (first or last of the head, or a trailer: blank, tab, control byte, DEL, bytes from 0x80, quotes, no name, no colon, a blank before the colon, a bare CR or LF, control bytes in the value) and three with a folded first line, to requests of all kinds, streams, resumed streams, reports, orders, probes, the store's calls and the own front.

Nothing is changed for it: on no caller gets any of them as an answer, no call is misled and no connection is used again, since Beast's parser refuses them.

--- a/tests/unit/broken_answers.h
+++ b/tests/unit/broken_answers.h
@@ -32,6 +32,15 @@
     return bytes + line(answer.lastLine) + "\r\n" + answer.bodyPrefix + body;
 }
 
+/// Returns the answers of all lists.
+inline std::vector<BrokenAnswer> joined(const std::vector<std::vector<BrokenAnswer>>& lists)
+{
+    std::vector<BrokenAnswer> all;
+    for (const auto& list : lists)
+        all.insert(all.end(), list.begin(), list.end());
+    return all;
+}
+
 /// Returns answers with a status that HTTP does not have.
 inline std::vector<BrokenAnswer> answersWithBrokenStatus()
 {
@@ -43,4 +52,22 @@
     return answers;
 }
 
+/// Returns answers with a line that is no header field, in the head and in trailers.
+inline std::vector<BrokenAnswer> answersWithBrokenFields()
+{
+    using namespace std::string_literals;
+    const std::vector<std::string> lines { "Se rver: a", "Server : a", "Server\t: a", "Ser\tver: a", "Ser\x01ver: a", "\x1bServer: a", "Server\x7f: a", "Ser\0ver: a"s, "Ser\x80ver: a", "Ser(ver: a", "Ser\"ver: a",
+        ": a", ":", "Server", "Server a", "Content Length: 1", "Content-Length : 1", "Content-Length\x01: 1", "Transfer-Encoding : chunked", "Transfer Encoding: chunked",
+        "Server: a\x01z", "Server: a\0z"s, "Server: a\x7f", "Server: a\nAge: 1", "Server: a\rAge: 1", "Server\n: a" };
+    std::vector<BrokenAnswer> answers;
+    for (const auto& line : lines) {
+        answers.push_back({ .name = "first line '" + line + "'", .firstLine = line });
+        answers.push_back({ .name = "last line '" + line + "'", .lastLine = line });
+        answers.push_back({ .name = "trailer '" + line + "'", .trailer = line });
+    }
+    for (const char* line : { " Server: a", "\tServer: a", " " })
+        answers.push_back({ .name = "folded first line '" + std::string(line) + "'", .firstLine = line });
+    return answers;
+}
+
 } // namespace comfreypier::testing
