A body in an unknown transfer coding is no answer

What callers saw: an answer whose Transfer-Encoding is not exactly "chunked" reached them as a whole answer with another body than the worker's: the bytes of the coding itself ("gzip" until the end of the connection, "xchunked" with its chunk heads), what a chunked body inside the coding holds ("gzip, chunked": 200 with an empty body), or as many of them as a Content-Length beside it says. So did streams, reports, orders, probes, the store's calls and the own front.

Cause: Beast ignores codings that it does not know, and the header that names them is not forwarded. Requests were checked for it, answers not.

Change: `ResponseParser` refuses them with the check that requests have. "identity", which HTTP/1.1 has dropped, and codings in an answer of HTTP/1.0 are refused too.

Evidence: without the change to the parser the four tests of framing fail ("'Transfer-Encoding: gzip, chunked': status 200 ''" at a caller, "order" and "append" in platform_test, 200 'the ' at the own front); with it they pass. Wrong and contradicting lengths, in the same tests, were refused before.

--- a/tests/unit/broken_answers.h
+++ b/tests/unit/broken_answers.h
@@ -70,4 +70,17 @@
     return answers;
 }
 
+/// Returns answers whose end different readers see in different places.
+inline std::vector<BrokenAnswer> answersWithBrokenFraming()
+{
+    std::vector<BrokenAnswer> answers;
+    for (const char* line : { "Transfer-Encoding: gzip", "Transfer-Encoding: identity", "Transfer-Encoding: gzip, chunked", "Transfer-Encoding: chunked, gzip", "Transfer-Encoding: xchunked", "Transfer-Encoding:",
+             "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked", "Transfer-Encoding: gzip\r\nContent-Length: 4", "Content-Length: 4\r\nTransfer-Encoding: gzip" })
+        answers.push_back({ .name = "'" + std::string(line) + "'", .lastLine = line, .framed = false, .bodyPrefix = std::string(line).ends_with("chunked") ? "0\r\n\r\n" : "" });
+    answers.push_back({ .name = "chunks in HTTP/1.0", .statusLine = "HTTP/1.0 200 OK", .lastLine = "Transfer-Encoding: chunked", .framed = false, .bodyPrefix = "0\r\n\r\n" });
+    for (const char* length : { "+4", "-4", "4x", "0x4", "", "4 4", "4, 5", "4\r\nContent-Length: 5", "99999999999999999999" })
+        answers.push_back({ .name = "length '" + std::string(length) + "'", .lastLine = "Content-Length: " + std::string(length), .framed = false });
+    return answers;
+}
+
 } // namespace comfreypier::testing
--- a/tests/unit/broken_answers_test.cpp
+++ b/tests/unit/broken_answers_test.cpp
@@ -200,6 +200,11 @@
     checkClient(19401, answersWithBrokenFields());
 }
 
+Test(broken_answers, client_takes_no_answer_with_a_broken_framing, .timeout = 40)
+{
+    checkClient(19402, answersWithBrokenFraming());
+}
+
 Test(broken_answers, callers_get_no_answer_with_a_broken_status, .timeout = 120)
 {
     checkCallers(19410, answersWithBrokenStatus());
@@ -210,6 +215,11 @@
     checkCallers(19610, answersWithBrokenFields());
 }
 
+Test(broken_answers, callers_get_no_answer_with_a_broken_framing, .timeout = 120)
+{
+    checkCallers(18800, answersWithBrokenFraming());
+}
+
 // The lease holder asks for reports. A worker that breaks its answers to them fails, although it still serves requests.
 CLUSTER_TEST(worker_with_broken_reports_is_avoided, 19810)
 {
--- a/tests/unit/node_answers_test.cpp
+++ b/tests/unit/node_answers_test.cpp
@@ -226,7 +226,7 @@
 /// Returns all broken answers; requests name one by its index.
 const std::vector<testing::BrokenAnswer>& brokenAnswers()
 {
-    static const auto all = testing::joined({ testing::answersWithBrokenStatus(), testing::answersWithBrokenFields() });
+    static const auto all = testing::joined({ testing::answersWithBrokenStatus(), testing::answersWithBrokenFields(), testing::answersWithBrokenFraming() });
     return all;
 }
 
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -630,7 +630,7 @@
 Test(calls, broken_answers_tell_nothing)
 {
     constexpr uint16_t port = 19404;
-    auto answers = comfreypier::testing::joined({ comfreypier::testing::answersWithBrokenStatus(), comfreypier::testing::answersWithBrokenFields() });
+    auto answers = comfreypier::testing::joined({ comfreypier::testing::answersWithBrokenStatus(), comfreypier::testing::answersWithBrokenFields(), comfreypier::testing::answersWithBrokenFraming() });
     std::atomic<size_t> current { 0 };
     standins::RawPeer peer(port, [&](int connection) {
         standins::RawPeer::readRequest(connection);
--- a/transport/src/response_parser.h
+++ b/transport/src/response_parser.h
@@ -5,10 +5,11 @@
 
 namespace comfreypier::transport {
 
-/// Parser that also refuses statuses that HTTP does not have.
+/// Parser that also refuses statuses that HTTP does not have, and bodies in codings that this project does not know.
 class ResponseParser : public StrictParser<false, http::buffer_body> {
 public:
-    /// Hides `StrictParser::put`. Fails with `bad_status` if the status is not from 100 to 599.
+    /// Hides `StrictParser::put`. Fails with `bad_status` if the status is not from 100 to 599, and with `bad_transfer_encoding` if there are
+    /// other codings than chunked.
     size_t put(asio::const_buffer buffer, ErrorCode& error)
     {
         bool inHead = !this->is_header_done();
@@ -17,6 +18,8 @@
             return used;
         if (http::to_status_class(this->get().result_int()) == http::status_class::unknown)
             error = http::error::bad_status;
+        else if (this->get().count(http::field::transfer_encoding) > 0 && !isOnlyCodingChunked(this->get(), this->get().version()))
+            error = http::error::bad_transfer_encoding;
         return used;
     }
 
@@ -26,6 +29,8 @@
     {
         if (error == http::error::bad_status && this->is_header_done())
             return std::to_string(this->get().result_int());
+        if (error == http::error::bad_transfer_encoding && this->is_header_done())
+            return std::string(this->get()[http::field::transfer_encoding]);
         return std::string(unparsed.substr(0, unparsed.find_first_of("\r\n", 1)));
     }
 };
