An empty body in chunks that arrives in pieces ends no process

What callers saw: the process of a VM ended, with all requests on it, when the body of an answer was "0\r\n\r\n" and its first three bytes and the next one arrived apart. Any worker, store, engine or other VM could do that, and any caller with a request's body.

Cause: Beast's parser asserts, on seeing the size of the last chunk for the second time, that five bytes are there. It holds only if a chunk went before, whose line end counts too.

Change: `StrictParser`, the base of the parsers for requests and answers, does not pass on those four bytes alone; the fifth always follows in a valid message.

--- a/tests/unit/broken_answers_test.cpp
+++ b/tests/unit/broken_answers_test.cpp
@@ -205,6 +205,57 @@
     checkClient(19402, answersWithBrokenFraming());
 }
 
+// A sound answer may arrive byte by byte, and so may one that is broken.
+Test(broken_answers, client_reads_answers_that_trickle, .timeout = 40)
+{
+    constexpr uint16_t port = 19403;
+    const std::string head = "HTTP/1.1 200 OK\r\nA: \r\n";
+    const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    struct Case {
+        std::string bytes;
+        std::optional<std::string> body; ///< Nothing if the answer is broken.
+    };
+    const std::vector<Case> cases {
+        { head + "Content-Length: 4\r\n\r\ndone", "done" },
+        { chunked + "4\r\ndone\r\n0\r\n\r\n", "done" },
+        { chunked + "0\r\n\r\n", "" },
+        { chunked + "4;a=\"b\";c\r\ndone\r\n00;d\r\nA: a\r\nB:\r\n\r\n", "done" },
+        { chunked + "0;a\r\nA: a\r\n\r\n", "" },
+        { head + "\r\ndone", "done" },
+        { "HTTP/1.1 100 Continue\r\n\r\n" + head + "\r\ndone", "done" },
+        { "HTTP/1.1 000 OK\r\n\r\n", std::nullopt },
+        { head + "A b: c\r\nContent-Length: 4\r\n\r\ndone", std::nullopt },
+        { chunked + "4\r\ndone\r\n0\r\nA b: c\r\n\r\n", std::nullopt },
+        { chunked + "4;\r\ndone\r\n0\r\n\r\n", std::nullopt },
+        { chunked + "4;a\x01\r\ndone\r\n0\r\n\r\n", std::nullopt },
+        { chunked + "-4\r\ndone\r\n0\r\n\r\n", std::nullopt },
+        { chunked + "4\r\ndone0\r\n\r\n", std::nullopt },
+        { chunked + "\r\n\r\n", std::nullopt },
+    };
+    std::atomic<size_t> current { 0 };
+    const RawPeer peer(port, [&](int connection) {
+        int enabled = 1;
+        ::setsockopt(connection, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
+        RawPeer::readRequest(connection);
+        for (char byte : cases[current].bytes) {
+            RawPeer::write(connection, std::string(1, byte));
+            std::this_thread::sleep_for(std::chrono::microseconds { 300 });
+        }
+    });
+    runWithClient([&] {
+        transport::HttpClient client;
+        for (; current < cases.size(); current++) {
+            transport::CallLimits limits;
+            limits.freshConnection = true; // The peer closes after each answer.
+            auto response = client.call(loopback(port), { "GET", "/", {}, "" }, limits);
+            const auto& body = cases[current].body;
+            cr_assert_eq(response.has_value(), body.has_value(), "case %zu: %s", current.load(), response ? response.value().body.c_str() : transport::name(response.error()));
+            cr_assert(!response || response.value().body == *body, "case %zu: '%s'", current.load(), response.value().body.c_str());
+        }
+    });
+    exitProcess();
+}
+
 Test(broken_answers, callers_get_no_answer_with_a_broken_status, .timeout = 120)
 {
     checkCallers(19410, answersWithBrokenStatus());
--- a/tests/unit/transport_test.cpp
+++ b/tests/unit/transport_test.cpp
@@ -1,12 +1,13 @@
 /// The HTTP server with malformed requests, and the HTTP client with a peer that drops idle connections.
 #include "generators.h"
 #include "raw_peer.h"
-#include "transport_p.h"
+#include "response_parser.h"
 
 #include <arpa/inet.h>
 #include <boost/json.hpp>
 #include <criterion/criterion.h>
 #include <csignal>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -23,7 +24,8 @@
 /// Sends `bytes` on a new connection, and returns everything that the server sends until it closes its sending side, or is silent
 /// for some seconds.
 /// @param callerCloses whether the sending side is shut down after the bytes.
-std::string sendRaw(const std::string& bytes, uint16_t port = defaultPort, bool callerCloses = true)
+/// @param pause between two bytes; 0 to send all at once.
+std::string sendRaw(const std::string& bytes, uint16_t port = defaultPort, bool callerCloses = true, std::chrono::microseconds pause = {})
 {
     int connection = ::socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in address {};
@@ -34,7 +36,13 @@
     ::setsockopt(connection, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
     std::string response;
     if (::connect(connection, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0) {
-        ::send(connection, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        int noDelay = 1;
+        ::setsockopt(connection, IPPROTO_TCP, TCP_NODELAY, &noDelay, sizeof noDelay);
+        auto pieceBytes = pause.count() > 0 ? 1 : bytes.size();
+        for (size_t sent = 0; sent < bytes.size(); sent += pieceBytes) {
+            ::send(connection, bytes.data() + sent, pieceBytes, MSG_NOSIGNAL);
+            std::this_thread::sleep_for(pause);
+        }
         if (callerCloses)
             ::shutdown(connection, SHUT_WR);
         char buffer[4096];
@@ -377,6 +385,75 @@
     cr_assert(runtime.stop(std::chrono::seconds { 5 }));
 }
 
+namespace {
+
+/// Parses an answer that arrives in pieces, as `readMessage` does.
+/// @param cuts whether there is a cut before each byte.
+/// @return the first error, or none if the parser takes all bytes or is done before.
+ErrorCode parseInPieces(ResponseParser& parser, std::string_view bytes, const std::vector<bool>& cuts)
+{
+    beast::flat_buffer buffer;
+    std::array<char, 16> body {};
+    size_t received = 0;
+    while (!parser.is_done()) {
+        parser.get().body().data = body.data();
+        parser.get().body().size = body.size();
+        auto error = buffer.size() > 0 ? parseBuffered(buffer, parser) : ErrorCode(http::error::need_more);
+        if (error && error != http::error::need_more && error != http::error::need_buffer)
+            return error;
+        if (error != http::error::need_more)
+            continue;
+        if (received == bytes.size())
+            return {};
+        auto end = received + 1;
+        while (end < bytes.size() && !cuts[end])
+            end++;
+        auto piece = bytes.substr(received, end - received);
+        asio::buffer_copy(buffer.prepare(piece.size()), asio::buffer(piece.data(), piece.size()));
+        buffer.commit(piece.size());
+        received = end;
+    }
+    return {};
+}
+
+} // namespace
+
+// Whatever a server sends, and in whatever pieces it arrives, the parser of answers takes it or refuses it.
+Test(http_client, answers_in_any_pieces_end_no_process)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nA: a\r\nB:\r\n";
+    const std::vector<std::string> sound { head + "Content-Length: 4\r\n\r\ndone", head + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", head + "Transfer-Encoding: chunked\r\n\r\n4;a=\"b\"\r\ndone\r\n00;c\r\nD: d\r\n\r\n", head + "\r\ndone",
+        "HTTP/1.1 204 No Content\r\n\r\n" };
+    cr_assert(rc::check("pieces", [&] {
+        auto whole = *rc::gen::elementOf(sound);
+        auto damaged = *rc::gen::arbitrary<bool>();
+        auto bytes = damaged ? *genDamaged(whole) : whole;
+        auto cuts = *rc::gen::container<std::vector<bool>>(bytes.size(), rc::gen::arbitrary<bool>());
+        ResponseParser parser;
+        auto error = parseInPieces(parser, bytes, cuts);
+        RC_ASSERT((damaged || !error));
+    }));
+}
+
+// A caller may send its request byte by byte.
+Test(http_server, requests_that_trickle_are_served)
+{
+    signal(SIGPIPE, SIG_IGN);
+    constexpr uint16_t port = 26981;
+    constexpr std::chrono::microseconds pause { 300 };
+    Runtime runtime(1);
+    HttpServer server(
+        runtime, { "127.0.0.1", port }, {}, [](const HttpRequest& request, ResponseWriter& writer) { writer.send({ 200, {}, request.body }); }, [](unsigned status, std::string_view) { return HttpResponse { status, {}, {} }; });
+    cr_assert(server.start());
+    const std::string head = "POST /echo HTTP/1.1\r\nHost: a\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const char* body : { "0\r\n\r\n", "0\r\nA: a\r\n\r\n", "000\r\n\r\n", "0;a\r\n\r\n", "5\r\nhello\r\n0\r\n\r\n" }) {
+        auto response = sendRaw(head + body, port, true, pause);
+        cr_assert(response.starts_with("HTTP/1.1 200 ") && response.ends_with(body[0] == '5' ? "hello" : "\r\n\r\n"), "%s: got %s", body, response.c_str());
+    }
+    server.closeAll();
+    cr_assert(runtime.stop(std::chrono::seconds { 5 }));
+}
+
 // Servers in trouble send bytes that are no answer, without end, until the caller closes. They must cost the caller neither memory nor
 // time without bound, wherever in the answer they come.
 Test(http_client, answers_without_end_are_given_up)
--- a/transport/src/strict_parser.h
+++ b/transport/src/strict_parser.h
@@ -14,7 +14,7 @@
     return version == 11 && fields.count(http::field::transfer_encoding) == 1 && beast::iequals(fields[http::field::transfer_encoding], "chunked");
 }
 
-/// Parser that leaves trailers out and counts the fields of the head.
+/// Parser that leaves trailers out and counts the fields of the head. Unlike that of Beast it takes any bytes in any pieces.
 template <bool isRequest, class Body>
 class StrictParser : public http::parser<isRequest, Body> {
 public:
@@ -33,6 +33,10 @@
     size_t put(asio::const_buffer buffer, ErrorCode& error)
     {
         bool inHead = !this->is_header_done();
+        if (this->inChunkHead && !this->chunkHeadEnded && isUnparsableChunkHead({ static_cast<const char*>(buffer.data()), buffer.size() })) {
+            error = http::error::need_more;
+            return 0;
+        }
         this->chunkHeadEnded = false;
         auto used = http::parser<isRequest, Body>::put(buffer, error);
         // A body takes any bytes, so that only the head of a chunk can be incomplete.
@@ -45,6 +49,10 @@
     bool inChunkHead = false;
 
 private:
+    /// Returns whether Beast's parser, which has seen the first three bytes alone, would end the process: after the size of a last chunk that
+    /// is the first one, it asserts that five bytes are there.
+    static bool isUnparsableChunkHead(std::string_view bytes) { return bytes.size() == 4 && bytes.starts_with("0\r\n"); }
+
     void on_field_impl(http::field field, beast::string_view name, beast::string_view value, ErrorCode&) override
     {
         if (this->is_header_done())
@@ -60,7 +68,7 @@
     }
 
     uint64_t fieldCount = 0; ///< Fields of the head.
-    bool chunkHeadEnded = false;
+    bool chunkHeadEnded = false; ///< Whether the last call of `put` parsed the end of a chunk's head.
 };
 
 } // namespace comfreypier::transport
