A part of an answer to an upload is no whole answer if the worker also closes its side

What callers saw: a worker answered an upload early with a 200 that had neither a length nor chunks, sent a part of the body, closed its side of the connection and reset it while the upload was still on its way. They got the part, or an empty body, as a whole answer; so did streams and the own front, which recorded it as the end of an action.

Cause: once the peer's side has ended, Linux reports the end of the stream instead of the reset, and an answer without a length ends with the stream. That the request was never received shows only in the state of the socket.

Change: such an answer counts as cut unless the peer has acknowledged the whole request and has not reset the connection (`hasReceivedAll`). A worker that has read its request acknowledges it at the latest with the end of its side. The answer fails as others that are cut do: the request may have run.

Not covered: if the kernel of the worker's machine has taken the whole upload, and its side ends before the reset arrives, nothing tells the answer from a whole one.

--- a/tests/standins/raw_peer.cpp
+++ b/tests/standins/raw_peer.cpp
@@ -7,11 +7,13 @@
 
 namespace comfreypier::standins {
 
-RawPeer::RawPeer(uint16_t port, ConnectionHandler serve)
+RawPeer::RawPeer(uint16_t port, ConnectionHandler serve, int receiveBytes)
 {
     int listener = ::socket(AF_INET, SOCK_STREAM, 0);
     int enabled = 1;
     ::setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof enabled);
+    if (receiveBytes > 0)
+        ::setsockopt(listener, SOL_SOCKET, SO_RCVBUF, &receiveBytes, sizeof receiveBytes);
     sockaddr_in address {};
     address.sin_family = AF_INET;
     address.sin_port = htons(port);
--- a/tests/standins/raw_peer.h
+++ b/tests/standins/raw_peer.h
@@ -15,7 +15,8 @@
     /// Serves one connection, given by its file descriptor, which is closed when the function returns.
     using ConnectionHandler = std::function<void(int connection)>;
     /// Listens on the loopback port. Aborts the process if that fails.
-    RawPeer(uint16_t port, ConnectionHandler serve);
+    /// @param receiveBytes size of the connections' receive buffers, beyond which bytes wait at their sender; 0 for the system's.
+    RawPeer(uint16_t port, ConnectionHandler serve, int receiveBytes = 0);
 
     /// Reads one request with its body, but at most `limit` bytes.
     /// @return the bytes read; fewer than a whole request if the caller closed the connection.
--- a/tests/unit/broken_answers_test.cpp
+++ b/tests/unit/broken_answers_test.cpp
@@ -77,7 +77,16 @@
     bool resumes = false; ///< The answer is to an attempt that resumes a stream.
 };
 
-/// Two workers of a service that send the same answer to every request of a caller, and a VM with a retry budget that is never used up.
+/// Starts the VM with a retry budget that is never used up.
+void startVmWithRetries(TestCluster& cluster)
+{
+    auto settings = cluster.settingsOf(0);
+    settings.retrySlack = 1'000'000;
+    cluster.vms.push_back(std::make_unique<edge::Edge>(settings));
+    cr_assert(cluster.vms.back()->start());
+}
+
+/// Two workers of a service that send the same answer to every request of a caller, and a VM.
 class BrokenWorkers {
 public:
     BrokenWorkers(uint16_t base, const RouteCase& route)
@@ -87,10 +96,7 @@
         auto serve = [this](int connection) { this->serve(connection); };
         this->cluster->useRawWorker(0, route.service, serve);
         this->cluster->addRawWorker(1, route.service, serve);
-        auto settings = this->cluster->settingsOf(0);
-        settings.retrySlack = 1'000'000;
-        this->cluster->vms.push_back(std::make_unique<edge::Edge>(settings));
-        cr_assert(this->cluster->vms.back()->start());
+        startVmWithRetries(*this->cluster);
         this->cluster->configureAndWait();
         cr_assert(this->cluster->waitUntil([this] { return this->send("id-first" + std::to_string(this->number++)).status == 200; }));
     }
@@ -174,6 +180,58 @@
     int reused = 0; ///< Requests on a connection after a broken answer. Guarded by `mutex`.
 };
 
+/// Receive buffer of workers that answer uploads early: the rest of an upload waits at its sender.
+constexpr int smallReceiveBytes = 8 * 1024;
+
+/// How a worker answers an upload before it ends its connection.
+struct EarlyAnswer {
+    std::string name;
+    std::string framing; ///< Fields that frame the body; empty if it ends with the connection.
+    std::string body; ///< As sent.
+    size_t readBytes = SIZE_MAX; ///< Of the request, before the answer.
+    bool reset = false;
+    bool closes = false; ///< Its sending side, before the reset.
+};
+
+/// Returns answers that are cut by a reset before, while and after the upload is written, in all framings.
+/// @param part what is sent of the body, where any is.
+std::vector<EarlyAnswer> answersCutByResets(const std::string& part)
+{
+    std::array<char, 20> size {};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", part.size());
+    const std::vector<EarlyAnswer> shapes {
+        { "neither length nor chunks", "", part },
+        { "neither length nor chunks, no body", "", "" },
+        { "length", "Content-Length: 1000\r\n", part },
+        { "chunks", "Transfer-Encoding: chunked\r\n", size.data() + part + "\r\n" },
+    };
+    std::vector<EarlyAnswer> answers;
+    for (const auto& [name, framing, body, readBytes, reset, closes] : shapes) {
+        for (size_t read : { size_t { 0 }, size_t { 600 }, size_t { 20000 } }) {
+            auto when = name + ", after " + std::to_string(read) + " bytes of the request, ";
+            answers.push_back({ when + "reset", framing, body, read, true });
+            answers.push_back({ when + "closed with the rest unread", framing, body, read });
+            answers.push_back({ when + "closed and reset", framing, body, read, true, true });
+        }
+        answers.push_back({ name + ", after the request, reset", framing, body, SIZE_MAX, true });
+    }
+    return answers;
+}
+
+/// Sends such an answer and ends the connection.
+/// @param makeFields returns the fields that the caller expects, each with its line end.
+void sendEarly(int connection, const EarlyAnswer& answer, const std::function<std::string(const std::string& request)>& makeFields)
+{
+    auto request = RawPeer::readRequest(connection, answer.readBytes);
+    RawPeer::write(connection, "HTTP/1.1 200 OK\r\n" + makeFields(request) + answer.framing + "\r\n" + answer.body);
+    if (answer.closes) {
+        ::shutdown(connection, SHUT_WR);
+        std::this_thread::sleep_for(milliseconds { 5 });
+    }
+    if (answer.reset)
+        RawPeer::resetOnClose(connection);
+}
+
 void checkCallers(uint16_t base, const std::vector<BrokenAnswer>& answers)
 {
     std::string wrong;
@@ -256,6 +314,100 @@
     exitProcess();
 }
 
+// What a server has sent when it resets a connection on which a request is still written is a part of an answer, however it looks.
+Test(broken_answers, client_takes_no_part_of_an_answer_to_an_upload, .timeout = 60)
+{
+    constexpr uint16_t port = 19405;
+    auto answers = answersCutByResets("part");
+    std::atomic<size_t> current { 0 };
+    auto serve = [&](int connection) { sendEarly(connection, answers[current], [](const auto&) { return ""; }); };
+    const RawPeer early(port, serve, smallReceiveBytes);
+    const RawPeer late(port + 1, serve);
+    const RawPeer sound(port + 2, [&](int connection) { sendEarly(connection, { .body = "whole" }, [](const auto&) { return ""; }); });
+    std::string wrong;
+    runWithClient([&] {
+        transport::HttpClient client;
+        // The larger one never fits into the sender's buffer.
+        for (size_t uploadBytes : { 90000, 4 * 1024 * 1024 }) {
+            for (auto delay : { milliseconds { 0 }, milliseconds { 20 } }) {
+                for (current = 0; current < answers.size(); current++) {
+                    bool readsAll = answers[current].readBytes == SIZE_MAX;
+                    auto opened = client.open(loopback(readsAll ? port + 1 : port), { "POST", "/", {}, std::string(readsAll ? 90000 : uploadBytes, 'u') }, {});
+                    transport::sleepFor(delay);
+                    auto bytes = opened ? opened.value()->read(milliseconds { 1000 }) : opened.error();
+                    while (bytes && !bytes.value().empty())
+                        bytes = opened.value()->read(milliseconds { 1000 });
+                    if (bytes)
+                        wrong += answers[current].name + ", upload of " + std::to_string(uploadBytes) + " bytes, read after " + std::to_string(delay.count()) + " ms\n";
+                }
+            }
+        }
+        // Answers that end with their connection are sound as long as the request was received.
+        for (int i = 0; i < 20; i++) {
+            auto whole = client.call(loopback(port + 2), { "POST", "/", {}, std::string(90000, 'u') }, {});
+            cr_assert(whole && whole.value().body == "whole", "%s", whole ? whole.value().body.c_str() : transport::name(whole.error()));
+        }
+    });
+    cr_assert(wrong.empty(), "taken for whole answers:\n%s", wrong.c_str());
+    exitProcess();
+}
+
+// The same for callers of all routes: the worker may have run the request.
+Test(broken_answers, callers_get_no_part_of_an_answer_to_an_upload, .timeout = 120)
+{
+    std::string wrong;
+    uint16_t base = 19910;
+    for (const auto& route : { RouteCase { "/order/", "app" }, RouteCase { "/chat/", "llm", true }, RouteCase { "/draft/", "llm", true, 2 } }) {
+        auto* cluster = new TestCluster(base, 0);
+        base = static_cast<uint16_t>(base + 30);
+        struct State {
+            std::mutex mutex;
+            std::optional<EarlyAnswer> answer; // Nothing at first: the workers answer as they should.
+            std::map<std::string, int> runs; // By request id.
+        };
+        auto* state = new State; // The workers use it until the process ends.
+        auto serve = [state, route](int connection) {
+            std::unique_lock lock(state->mutex);
+            auto current = state->answer.value_or(EarlyAnswer { .body = "id: 1\ndata: a\n\n" });
+            lock.unlock();
+            sendEarly(connection, current, [&](const std::string& request) {
+                auto id = TestCluster::requestId(request);
+                lock.lock();
+                // A stream that resumes from its backup copy is still the same run.
+                state->runs[id] += request.find("Last-Event-Id") == std::string::npos ? 1 : 0;
+                lock.unlock();
+                auto head = TestCluster::answerHead(id);
+                return head.substr(head.find('\n') + 1) + "Content-Type: " + (route.streaming ? "text/event-stream" : "text/plain") + "\r\n";
+            });
+        };
+        cluster->useRawWorker(0, route.service, serve, smallReceiveBytes);
+        cluster->addRawWorker(1, route.service, serve, smallReceiveBytes);
+        startVmWithRetries(*cluster);
+        cluster->configureAndWait();
+        int number = 0;
+        auto send = [&](const std::string& id, size_t uploadBytes) {
+            auto path = route.path + id.substr(3); // Without the prefix by which workers find the id.
+            std::string body(uploadBytes, 'u');
+            return route.streaming ? cluster->sendPrompt(id, "a1:300,b2:200", body, 0, path) : cluster->sendRequest(path, id, {}, 0, body);
+        };
+        cr_assert(cluster->waitUntil([&] { return send("id-first" + std::to_string(number++), 10).status == 200; }));
+        for (const auto& item : answersCutByResets("id: 1\ndata: a\n\n")) {
+            {
+                std::lock_guard lock(state->mutex);
+                state->answer = item;
+            }
+            auto id = "id-" + std::to_string(number++);
+            auto received = send(id, item.readBytes == SIZE_MAX ? 1000 : 90000);
+            bool cut = route.streaming && received.status == 0 && received.body == transport::name(transport::IoError::Closed);
+            std::lock_guard lock(state->mutex);
+            if ((received.status != 502 && received.status != 504 && !cut) || state->runs[id] > route.maxRuns)
+                wrong += std::string(route.path) + ", " + item.name + ": status " + std::to_string(received.status) + " '" + received.body + "', ran " + std::to_string(state->runs[id]) + " times\n";
+        }
+    }
+    cr_assert(wrong.empty(), "taken for whole answers:\n%s", wrong.c_str());
+    exitProcess();
+}
+
 Test(broken_answers, callers_get_no_answer_with_a_broken_status, .timeout = 120)
 {
     checkCallers(19410, answersWithBrokenStatus());
--- a/tests/unit/edge_world.h
+++ b/tests/unit/edge_world.h
@@ -88,19 +88,20 @@
     /// ends.
     /// @param number 0 to 9, different for each such worker.
     /// @param serve serves one connection; also gets the calls of the lease holder, which have no id.
-    void useRawWorker(int number, const std::string& service, standins::RawPeer::ConnectionHandler serve)
+    /// @param receiveBytes see `RawPeer`.
+    void useRawWorker(int number, const std::string& service, standins::RawPeer::ConnectionHandler serve, int receiveBytes = 0)
     {
         for (auto& worker : this->workers) {
             if (worker->id.starts_with(service))
                 worker->unpublish();
         }
-        this->addRawWorker(number, service, std::move(serve));
+        this->addRawWorker(number, service, std::move(serve), receiveBytes);
     }
 
     /// Adds such a worker beside the others.
-    void addRawWorker(int number, const std::string& service, standins::RawPeer::ConnectionHandler serve)
+    void addRawWorker(int number, const std::string& service, standins::RawPeer::ConnectionHandler serve, int receiveBytes = 0)
     {
-        new standins::RawPeer(static_cast<uint16_t>(this->base + 10 + number), std::move(serve));
+        new standins::RawPeer(static_cast<uint16_t>(this->base + 10 + number), std::move(serve), receiveBytes);
         this->publishRawWorker(number, service);
     }
 
@@ -277,9 +278,9 @@
 
     /// Sends a streaming request with a prompt of 500 tokens in the given parts and a body of its own.
     /// @param parts `ID:TOKENS` of each part, separated by commas.
-    HttpResponse sendPrompt(const std::string& id, const std::string& parts, const std::string& body, int vm = 0)
+    HttpResponse sendPrompt(const std::string& id, const std::string& parts, const std::string& body, int vm = 0, const std::string& path = "/chat/x")
     {
-        return this->sendRequest("/chat/x", id, { { "Model", "m1" }, { "Token-Count", "500,100" }, { "Prompt-Prefix", parts } }, vm, body);
+        return this->sendRequest(path, id, { { "Model", "m1" }, { "Token-Count", "500,100" }, { "Prompt-Prefix", parts } }, vm, body);
     }
 
     /// Checks a condition every 10 ms until it is true.
--- a/tests/unit/node_answers_test.cpp
+++ b/tests/unit/node_answers_test.cpp
@@ -48,7 +48,8 @@
 /// A node with its log service and VM list, the plain service `kiln` and an engine.
 struct NodeCluster {
     /// @param base first of six ports.
-    NodeCluster(int base, RawPeer::ConnectionHandler servePlain, std::function<void(int connection, const std::string& request)> serveCompletion)
+    /// @param receiveBytes of the plain service, see `RawPeer`.
+    NodeCluster(int base, RawPeer::ConnectionHandler servePlain, std::function<void(int connection, const std::string& request)> serveCompletion, int receiveBytes = 0)
         : base(base)
         , serveCompletion(std::move(serveCompletion))
     {
@@ -58,7 +59,7 @@
         this->listen(base + 1, this->vmList);
         this->vmList.add("vm", "entry", loopback(base + 2), "dc", 0);
         this->vmList.add("engine", "worker", loopback(base + 5), "dc", 1'000'000'000'000);
-        new RawPeer(static_cast<uint16_t>(base + 4), std::move(servePlain));
+        new RawPeer(static_cast<uint16_t>(base + 4), std::move(servePlain), receiveBytes);
         new RawPeer(static_cast<uint16_t>(base + 5), [this](int connection) { this->serveEngine(connection); });
         protocol::NodeSettings settings;
         settings.node = "vm";
@@ -377,7 +378,35 @@
     std::_Exit(0);
 }
 
-// The same for engines.
+// What a plain service has sent when it resets a connection on which a request is still written is a part of an answer.
+Test(node, parts_of_answers_to_uploads_reach_no_caller, .timeout = 120)
+{
+    constexpr int smallReceiveBytes = 8 * 1024;
+    auto serve = [](int connection) {
+        auto request = RawPeer::readRequest(connection, 600);
+        RawPeer::write(connection, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\npart");
+        // The end of its side may hide the reset.
+        if (request.find("-closes") != std::string::npos)
+            ::shutdown(connection, SHUT_WR);
+        if (request.starts_with("POST"))
+            RawPeer::resetOnClose(connection);
+    };
+    auto* cluster = new NodeCluster(
+        13965, serve, [](int, const std::string&) {}, smallReceiveBytes);
+    int number = 0;
+    for (const char* path : { "/services/kiln/orders/x", "/services/kiln/orders/x-closes", "/services/kiln/jobs/x", "/services/kiln/jobs/x-closes" }) {
+        for (bool withKey : { false, true }) {
+            HttpRequest request { "POST", path, {}, std::string(90000, 'u') };
+            if (withKey)
+                request.headers.push_back({ "Idempotency-Key", "upload" + std::to_string(number++) });
+            auto answer = cluster->call(request);
+            cr_assert(answer.status >= 400 && answer.body.find("\"unknown\"") != std::string::npos, "%s: got %u '%s'", path, answer.status, answer.body.c_str());
+        }
+    }
+    std::_Exit(0);
+}
+
+// An answer of an engine that is no valid HTTP must reach no caller.
 Test(node, broken_answers_of_engines_reach_no_caller, .timeout = 120)
 {
     std::mutex mutex;
--- a/transport/src/http_client_beast.cpp
+++ b/transport/src/http_client_beast.cpp
@@ -2,9 +2,11 @@
 #include "response_parser.h"
 
 #include <deque>
+#include <linux/sockios.h>
 #include <map>
 #include <netinet/tcp.h>
 #include <optional>
+#include <sys/ioctl.h>
 
 namespace comfreypier::transport {
 
@@ -78,6 +80,17 @@
         return message;
     }
 
+    /// Returns whether a peer that has closed its side of a connection has received all that was written, and has not reset the connection.
+    /// The end of its side hides a reset from reads.
+    bool hasReceivedAll(Stream::socket_type& socket)
+    {
+        int unacknowledged = 0; // Bytes.
+        int error = 0;
+        socklen_t size = sizeof error;
+        bool known = ::ioctl(socket.native_handle(), SIOCOUTQ, &unacknowledged) == 0 && ::getsockopt(socket.native_handle(), SOL_SOCKET, SO_ERROR, &error, &size) == 0;
+        return known && unacknowledged == 0 && error == 0;
+    }
+
     std::vector<Header> toHeaders(const http::fields& fields)
     {
         std::vector<Header> headers;
@@ -368,6 +381,9 @@
                 auto result = readMessage(socket, this->connection->buffer, *this->parser, ReadUntil::Progress);
                 if (this->isCancelled())
                     return IoError::Cancelled;
+                // A peer that ends its connection while the request is still written may have failed just as well.
+                if (!result.error && this->parser->is_done() && this->parser->need_eof() && !hasReceivedAll(socket))
+                    result.error = http::error::partial_message;
                 // Bytes that arrived just before the deadline are returned. After a timeout the caller can continue to read.
                 // `need_buffer` is no failure: `chunk` is full.
                 if (result.error && result.error != http::error::need_buffer) {
