Tests: the stand-in of broken answers keeps the answer that it sends

client_takes_no_answer_with_a_broken_status ended once in 12 runs with an assertion of std::vector in the test itself: the stand-in looked up the current answer once more after it had sent it, when the test may have gone on to the end of the list.

--- a/tests/unit/broken_answers_test.cpp
+++ b/tests/unit/broken_answers_test.cpp
@@ -36,9 +36,10 @@
     std::atomic<int> reused { 0 };
     const RawPeer peer(port, [&](int connection) {
         RawPeer::readRequest(connection);
-        RawPeer::write(connection, format(answers[current], "", "done"));
+        const auto& answer = answers[current];
+        RawPeer::write(connection, format(answer, "", "done"));
         // Without a valid framing an answer might end with the connection.
-        if (!answers[current].framed)
+        if (!answer.framed)
             ::shutdown(connection, SHUT_WR);
         reused += RawPeer::readRequest(connection).empty() ? 0 : 1;
     });
