Own front: what all answers together hold is bounded

What callers saw: nothing yet. Answers of plain services and engines that don't end were kept up to 4 MB each (1 MB for an event of a stream), without a bound on their sum: 80 of them at once took the process 168 MB further.

Change: the daemon's clients reserve from one `BufferMemory`, `[limits] answers` (64 MB by default, at least 16 MB, so that one answer of the largest size fits), and so does the relay of streams for what it parses.

--- a/daemon/src/completions.cpp
+++ b/daemon/src/completions.cpp
@@ -317,13 +317,14 @@
         if (stream.status() != 200)
             return AttemptOutcome::Refused;
         protocol::SseParser parser;
+        transport::BufferReservation buffered(this->node.answerMemory);
         this->crossedAnswers = 0;
         while (true) {
             auto chunk = stream.read(this->node.settings.streamIdleTimeout);
             if (!chunk)
                 return toAttemptOutcome(chunk.error());
             // An empty chunk is the end of the body, which must not come before the event `[DONE]`.
-            if (chunk.value().empty() || !protocol::feedSse(parser, chunk.value()))
+            if (chunk.value().empty() || !buffered.tryHold(parser.buffer.size() + chunk.value().size()) || !protocol::feedSse(parser, chunk.value()))
                 return AttemptOutcome::Cut;
             if (auto outcome = this->relayEvents(parser))
                 return *outcome;
--- a/daemon/src/daemon.cpp
+++ b/daemon/src/daemon.cpp
@@ -51,9 +51,10 @@
     explicit Impl(protocol::NodeSettings nodeSettings)
         : settings(std::move(nodeSettings))
         , runtime(this->settings.threads)
-        , client([this](const auto& answer) { this->recordBrokenAnswer(answer); })
-        , controlClient([this](const auto& answer) { this->recordBrokenAnswer(answer); })
-        , node(this->settings, this->client, this->controlClient)
+        , answerMemory(this->settings.answerMemory)
+        , client([this](const auto& answer) { this->recordBrokenAnswer(answer); }, &this->answerMemory)
+        , controlClient([this](const auto& answer) { this->recordBrokenAnswer(answer); }, &this->answerMemory)
+        , node(this->settings, this->answerMemory, this->client, this->controlClient)
         , regionFollower(this->node, makeFollowedStream(this->node.regionStream, this->node.region, coordination::restoreRegion))
         , configFollower(this->node, makeFollowedStream(this->node.configStream, this->node.config, coordination::restoreConfig))
         , writer(this->node, this->regionFollower)
@@ -204,6 +205,7 @@
 
     protocol::NodeSettings settings;
     transport::Runtime runtime;
+    transport::BufferMemory answerMemory;
     transport::HttpClient client;
     transport::HttpClient controlClient;
     Node node;
--- a/daemon/src/node_p.h
+++ b/daemon/src/node_p.h
@@ -21,10 +21,12 @@
 
 /// State and services that all parts of the daemon share.
 struct Node {
+    /// @param answerMemory also that of the clients.
     /// @param controlClient for the engines' reports and orders, whose answers carry no id: on connections of their own, a late copy of
     /// another answer is not taken for theirs.
-    Node(const protocol::NodeSettings& settings, transport::HttpClient& client, transport::HttpClient& controlClient)
+    Node(const protocol::NodeSettings& settings, transport::BufferMemory& answerMemory, transport::HttpClient& client, transport::HttpClient& controlClient)
         : settings(settings)
+        , answerMemory(answerMemory)
         , client(client)
         , log(protocol::makeHttpLog(client, settings.log))
         , vmList(protocol::makeHttpVmList(client, settings.vmList))
@@ -38,6 +40,7 @@
     }
 
     const protocol::NodeSettings& settings;
+    transport::BufferMemory& answerMemory; ///< For answers that are not complete.
     transport::HttpClient& client;
     protocol::LogService log;
     protocol::VmListService vmList;
--- a/protocol/include/protocol/protocol.h
+++ b/protocol/include/protocol/protocol.h
@@ -255,6 +255,7 @@
     std::chrono::milliseconds addressCacheTtl { 10000 };
     std::chrono::milliseconds drainTimeout { 120000 }; ///< Time limit for finishing open requests when the node drains.
     std::chrono::milliseconds drainNotice { 1000 }; ///< Time between the start of draining and the end of accepting new work.
+    uint64_t answerMemory = 64 * 1024 * 1024; ///< Bytes that answers of others may hold together while they are read.
     uint32_t queueLimit = 256; ///< Maximum number of waiting requests per model.
     double retryShare = 0.1; ///< Retry budget: retries allowed per first attempt.
     /// Maximum time without data on a stream before it is resumed on another worker.
--- a/protocol/src/node_settings.cpp
+++ b/protocol/src/node_settings.cpp
@@ -35,6 +35,7 @@
             { "limits", false, false, false, IniType::Text,
                 { { "header", IniType::Bytes, false, {} },
                     { "body", IniType::Bytes, false, {} },
+                    { "answers", IniType::Bytes, false, {} },
                     { "read_timeout", IniType::Duration, false, {} },
                     { "idle_timeout", IniType::Duration, false, {} },
                     { "write_timeout", IniType::Duration, false, {} },
@@ -82,6 +83,8 @@
     {
         limits.bytes("header", settings.server.maxHeaderBytes, 256, 1024 * 1024);
         limits.bytes("body", settings.server.maxBodyBytes, 1024, 1024 * 1024 * 1024);
+        // One answer may hold half of it.
+        limits.bytes("answers", settings.answerMemory, 4 * transport::defaultMaxBodyBytes, 1024 * 1024 * 1024);
         limits.duration("read_timeout", settings.server.readTimeout, milliseconds { 10 }, oneHour);
         limits.duration("idle_timeout", settings.server.idleTimeout, milliseconds { 10 }, oneHour);
         limits.duration("write_timeout", settings.server.writeTimeout, milliseconds { 10 }, oneHour);
--- a/tests/unit/node_answers_test.cpp
+++ b/tests/unit/node_answers_test.cpp
@@ -71,6 +71,7 @@
         settings.vmList = loopback(base + 1);
         settings.threads = 1;
         settings.retryShare = 100;
+        settings.answerMemory = 16 * 1024 * 1024;
         settings.logLevel = transport::LogLevel::Error;
         this->node = std::make_unique<daemon::Daemon>(settings);
         cr_assert(this->node->start());
@@ -455,3 +456,45 @@
     cr_assert_gt(broken.size(), static_cast<size_t>(sent) / 2, "only %zu of %d requests got a broken answer", broken.size(), sent);
     std::_Exit(0);
 }
+
+// What answers without end hold together is bounded, however many there are.
+Test(node, answers_without_end_fill_no_memory, .timeout = 120)
+{
+    constexpr int atOnce = 80;
+    constexpr uint64_t allowedBytes = 96 * 1024 * 1024;
+    constexpr size_t sentBytes = 64 * 1024 * 1024;
+    auto serveEndless = [](int connection, const std::string& contentType) {
+        RawPeer::write(connection, "HTTP/1.1 200 OK\r\nContent-Type: " + contentType + "\r\n\r\n");
+        RawPeer::writeWithoutEnd(connection, std::string(4096, 'x'), sentBytes);
+    };
+    auto serve = [&](int connection) {
+        if (RawPeer::readRequest(connection).find("ready") == std::string::npos)
+            serveEndless(connection, "text/plain");
+        else
+            RawPeer::write(connection, makeAnswer(Framing::EndOfConnection, "text/plain", plainBody));
+    };
+    auto* cluster = new NodeCluster(13975, serve, [&](int connection, const std::string&) { serveEndless(connection, "text/event-stream"); });
+    auto before = transport::residentBytes();
+    std::atomic<uint64_t> peak { before };
+    std::atomic<bool> done { false };
+    std::thread monitor([&] {
+        for (; !done; std::this_thread::sleep_for(milliseconds { 1 }))
+            peak = std::max(peak.load(), transport::residentBytes());
+    });
+    std::vector<std::thread> callers;
+    for (int i = 0; i < atOnce; i++) {
+        callers.emplace_back([&, i] {
+            HttpRequest plain { "GET", "/services/kiln/orders/x", {}, "" };
+            HttpRequest stream { "POST", "/v1/completions", { { "Content-Type", "application/json" } }, R"({"model":"chat","prompt":")" + std::to_string(i) + R"(","max_tokens":2,"stream":true})" };
+            auto answer = cluster->call(i % 2 == 0 ? plain : stream);
+            cr_expect(answer.status == 0 || answer.status >= 400, "got %u", answer.status);
+        });
+    }
+    for (auto& caller : callers)
+        caller.join();
+    cr_assert_eq(cluster->call({ "GET", "/services/kiln/ready", {}, {} }).status, 200U);
+    done = true;
+    monitor.join();
+    cr_assert_lt(peak, before + allowedBytes, "%zu MB more", static_cast<size_t>((peak - before) / 1024 / 1024));
+    std::_Exit(0);
+}
