--- a/transport/include/transport/transport.h
+++ b/transport/include/transport/transport.h
@@ -91,7 +91,7 @@
     Timeout, ///< The peer did not answer in time.
     Closed, ///< The peer closed the connection, or the connection failed.
     Malformed, ///< The received bytes are not valid HTTP, or not a status from 100 to 599.
-    TooLarge, ///< Head or body exceeds a limit.
+    TooLarge, ///< Head or body exceeds a limit, or there is no memory for it.
     Cancelled, ///< Cancelled through `CancelToken`.
     Withdrawn, ///< `CallLimits::maySend` returned false. No byte was sent.
     NoPlace, ///< `CallLimits::connections` has no place for a connection, which says nothing about the peer. No byte was sent.
@@ -505,7 +505,7 @@
     virtual Result<std::string_view, IoError> read(std::chrono::milliseconds timeout) = 0;
 };
 
-/// An answer that has begun and is not valid HTTP, exceeds a limit of its call, or has ended early.
+/// An answer that has begun and is not valid HTTP, exceeds a limit or the memory for it, or has ended early.
 struct BrokenAnswer {
     Endpoint peer;
     std::string call; ///< Method and target of the request.
