Tests: one capture of the log and one watch of the resident memory

The tests of broken answers had copies of both. `captureLog` is now in edge_world.h, also for the older test of escaped names, whose checks stay as they are; `ResidentPeak` is used for the client and the own front.

--- a/tests/unit/broken_answers_test.cpp
+++ b/tests/unit/broken_answers_test.cpp
@@ -1,6 +1,7 @@
 /// Tests of the HTTP client and of the whole daemon against workers whose answers are no valid HTTP, or end before their end.
 #include "broken_answers.h"
 #include "edge_world.h"
+#include "resident_peak.h"
 
 #include <csignal>
 #include <netinet/in.h>
@@ -364,18 +365,10 @@
             transport::CallLimits limits;
             limits.response = seconds { 3 };
             limits.maxBodyBytes = 1024 * 1024;
-            auto before = transport::residentBytes();
-            std::atomic<uint64_t> peak { before };
-            std::atomic<bool> done { false };
-            std::thread monitor([&] {
-                for (; !done; std::this_thread::sleep_for(milliseconds { 1 }))
-                    peak = std::max(peak.load(), transport::residentBytes());
-            });
+            const ResidentPeak peak;
             auto answer = client.call(loopback(port), { "GET", "/", {}, "" }, limits);
-            done = true;
-            monitor.join();
             cr_expect_not(answer.has_value(), "case %zu", current.load());
-            cr_expect_lt(peak, before + allowedBytes, "case %zu: %zu MB more", current.load(), static_cast<size_t>((peak - before) / 1024 / 1024));
+            cr_expect_lt(peak.growth(), allowedBytes, "case %zu: %zu MB more", current.load(), static_cast<size_t>(peak.growth() / 1024 / 1024));
         }
     });
     exitProcess();
@@ -527,20 +520,7 @@
     cluster.useRawWorker(0, "app", serve);
     cluster.configureAndWait();
     cr_assert(cluster.waitUntil([&] { return cluster.sendRequest("/order/1", "id-first").status == 502; }));
-    auto path = "/tmp/comfreypier-log-" + std::to_string(::getpid());
-    auto* file = std::fopen(path.c_str(), "w+");
-    std::fflush(stdout);
-    int standardOutput = ::dup(STDOUT_FILENO);
-    ::dup2(::fileno(file), STDOUT_FILENO);
-    transport::setUpLogging(transport::LogLevel::Warn, {});
-    cluster.sendRequest("/order/1", "id-logged");
-    std::this_thread::sleep_for(milliseconds { 100 });
-    ::dup2(standardOutput, STDOUT_FILENO);
-    std::rewind(file);
-    std::string text(64 * 1024, '\0');
-    text.resize(std::fread(text.data(), 1, text.size(), file));
-    std::fclose(file);
-    std::remove(path.c_str());
+    auto text = captureLog(transport::LogLevel::Warn, [&] { cluster.sendRequest("/order/1", "id-logged"); });
     const std::string line = "event=broken_answer worker=raw0 peer=127.0.0.1:19870 call=POST\\x20/order/1 id=id-logged reason=malformed fault=\"bad field\" bytes=Od\\x20d\\x20outcome=forged:\\x20\\x1b[31m\n";
     cr_assert_neq(text.find(line), std::string::npos, "%s", text.c_str());
 }
--- a/tests/unit/edge_faults_test.cpp
+++ b/tests/unit/edge_faults_test.cpp
@@ -1041,22 +1041,9 @@
 // A caller's id must not look like further fields of a log line.
 CLUSTER_TEST(names_of_others_stand_escaped_in_logs, 12200)
 {
-    transport::setUpLogging(transport::LogLevel::Info, {});
     cluster.configureAndWait();
     cr_assert(cluster.waitUntil([&] { return cluster.sendRequest("/status/1", "id-first").status == 200; }));
-    auto path = "/tmp/comfreypier-log-" + std::to_string(::getpid());
-    auto* file = std::fopen(path.c_str(), "w+");
-    std::fflush(stdout);
-    int standardOutput = ::dup(STDOUT_FILENO);
-    ::dup2(::fileno(file), STDOUT_FILENO);
-    cluster.sendRequest("/status/1", "id-odd outcome=forged");
-    std::this_thread::sleep_for(milliseconds { 100 });
-    ::dup2(standardOutput, STDOUT_FILENO);
-    std::rewind(file);
-    std::string text(64 * 1024, '\0');
-    text.resize(std::fread(text.data(), 1, text.size(), file));
-    std::fclose(file);
-    std::remove(path.c_str());
+    auto text = captureLog(transport::LogLevel::Info, [&] { cluster.sendRequest("/status/1", "id-odd outcome=forged"); });
     cr_assert_neq(text.find("id=id-odd"), std::string::npos, "the request is not logged: %s", text.c_str());
     cr_assert_eq(text.find(" outcome=forged"), std::string::npos, "%s", text.c_str());
 }
--- a/tests/unit/edge_world.h
+++ b/tests/unit/edge_world.h
@@ -7,6 +7,7 @@
 #include <criterion/criterion.h>
 #include <edge/edge.h>
 #include <thread>
+#include <unistd.h>
 
 namespace comfreypier::testing {
 
@@ -388,6 +389,27 @@
     std::vector<std::unique_ptr<edge::Edge>> vms;
 };
 
+/// Runs a task and returns what is logged meanwhile, and shortly after.
+/// @param level lowest level that is logged from now on.
+inline std::string captureLog(transport::LogLevel level, const std::function<void()>& task)
+{
+    auto path = "/tmp/comfreypier-log-" + std::to_string(::getpid());
+    auto* file = std::fopen(path.c_str(), "w+");
+    std::fflush(stdout);
+    int standardOutput = ::dup(STDOUT_FILENO);
+    ::dup2(::fileno(file), STDOUT_FILENO);
+    transport::setUpLogging(level, {});
+    task();
+    std::this_thread::sleep_for(milliseconds { 100 });
+    ::dup2(standardOutput, STDOUT_FILENO);
+    std::rewind(file);
+    std::string text(64 * 1024, '\0');
+    text.resize(std::fread(text.data(), 1, text.size(), file));
+    std::fclose(file);
+    std::remove(path.c_str());
+    return text;
+}
+
 /// Ends the test process without waiting for the daemons' fibers.
 inline void exitProcess()
 {
--- a/tests/unit/node_answers_test.cpp
+++ b/tests/unit/node_answers_test.cpp
@@ -1,6 +1,7 @@
 /// Tests of a whole node against a plain service and an engine whose every byte the tests control.
 #include "broken_answers.h"
 #include "raw_peer.h"
+#include "resident_peak.h"
 #include "standins.h"
 
 #include <criterion/criterion.h>
@@ -474,13 +475,7 @@
             RawPeer::write(connection, makeAnswer(Framing::EndOfConnection, "text/plain", plainBody));
     };
     auto* cluster = new NodeCluster(13975, serve, [&](int connection, const std::string&) { serveEndless(connection, "text/event-stream"); });
-    auto before = transport::residentBytes();
-    std::atomic<uint64_t> peak { before };
-    std::atomic<bool> done { false };
-    std::thread monitor([&] {
-        for (; !done; std::this_thread::sleep_for(milliseconds { 1 }))
-            peak = std::max(peak.load(), transport::residentBytes());
-    });
+    const testing::ResidentPeak peak;
     std::vector<std::thread> callers;
     for (int i = 0; i < atOnce; i++) {
         callers.emplace_back([&, i] {
@@ -493,8 +488,6 @@
     for (auto& caller : callers)
         caller.join();
     cr_assert_eq(cluster->call({ "GET", "/services/kiln/ready", {}, {} }).status, 200U);
-    done = true;
-    monitor.join();
-    cr_assert_lt(peak, before + allowedBytes, "%zu MB more", static_cast<size_t>((peak - before) / 1024 / 1024));
+    cr_assert_lt(peak.growth(), allowedBytes, "%zu MB more", static_cast<size_t>(peak.growth() / 1024 / 1024));
     std::_Exit(0);
 }
