--- a/transport/include/transport/transport.h
+++ b/transport/include/transport/transport.h
@@ -512,7 +512,7 @@
     std::string id; ///< Id of the request, see `CallLimits::idHeader`; empty if it has none.
     IoError error = IoError::Malformed; ///< With which the call or the read fails.
     std::string fault; ///< What is wrong.
-    std::string bytes; ///< Part of the answer that is wrong, as received; empty if it has ended early.
+    std::string bytes; ///< Part of the answer that is wrong, as received; what was not parsed of it if it has ended early, or empty.
 };
 using BrokenAnswerHandler = std::function<void(const BrokenAnswer&)>;
 
--- a/transport/src/http_client_beast.cpp
+++ b/transport/src/http_client_beast.cpp
@@ -300,7 +300,7 @@
     class BeastResponseStream : public ResponseStream {
     public:
         using ReturnToPool = std::function<void(ConnectionPtr)>;
-        /// @param faulty part of the answer that is wrong; empty if it has ended early.
+        /// @param faulty see `BrokenAnswer::bytes`.
         using OnBroken = std::function<void(const ErrorCode& error, std::string faulty)>;
 
         /// @param returnToPool empty if the connection is not reused.
