A peer that stalls says in the log what the kernel knows of it

There the daemon logs connection_cut by=unreachable for live callers, which does not tell why: the kernel gives no TCP_INFO but the state, the caller's kernel drops data in silence, or the process checked too late.

Change: event=peer_stalled, once for each time without progress of 2.5 s, before anything is cut. It and event=connection_cut also tell the segments in flight, retransmissions, unanswered probes of a closed window (- where the kernel does not tell) and the longest gap between two checks. Nothing is decided otherwise.

Which of them holds on the users' machine is not known.

--- a/tests/unit/slow_readers_test.cpp
+++ b/tests/unit/slow_readers_test.cpp
@@ -1,4 +1,5 @@
 /// Peers that read slowly, beside peers that are unreachable: who ends their connections, when, and what of an answer is lost.
+#include "kernel_answers.h"
 #include "send_watch.h"
 #include "slow_caller.h"
 
@@ -11,6 +12,7 @@
 using namespace comfreypier;
 using namespace comfreypier::transport;
 using namespace comfreypier::testing;
+using standins::KernelAnswers;
 using standins::SlowCaller;
 
 namespace {
@@ -144,6 +146,23 @@
     cr_assert_eq(timeout({ 1000 }, seconds { 9 }), tcpUserTimeout, "the kernel does not tell");
 }
 
+// An answer that waits must leave a trace before anything is cut: what the kernel tells of the peer, as far as it does.
+Test(slow_readers, stalled_caller_is_reported_with_what_the_kernel_tells)
+{
+    for (auto answers : { KernelAnswers::All, KernelAnswers::StateOnly }) {
+        standins::setKernelAnswers(answers);
+        auto log = captureLog(LogLevel::Info, [&] {
+            SlowReaderServer server(26962);
+            SlowCaller caller(server.port);
+            caller.send(makeGet("/small", false));
+            std::this_thread::sleep_for(stallReportTime + 3 * sendCheckInterval);
+        });
+        cr_assert(log.find("event=peer_stalled with=caller peer=127.0.0.1:") != std::string::npos, "%s", log.c_str());
+        auto told = std::string(answers == KernelAnswers::All ? " window_bytes=0 in_flight=0 retransmissions=0 unanswered_probes=0" : " last_ack_ms=- window_bytes=- in_flight=- retransmissions=- unanswered_probes=-");
+        cr_assert(log.find(told) != std::string::npos, "%s", log.c_str());
+    }
+}
+
 // A caller whose network is lost must be known in time also while bytes are on their way to it or wait for its window, and the log must say
 // that it was unreachable, how long and how many bytes.
 Test(slow_readers, unreachable_caller_is_reported_as_such)
--- a/transport/src/send_state.h
+++ b/transport/src/send_state.h
@@ -13,6 +13,8 @@
     std::optional<std::chrono::milliseconds> sinceLastAck; ///< Since anything came from the peer. Nothing if unknown.
     std::optional<uint64_t> windowBytes; ///< What the peer is ready to receive. Nothing if unknown.
     bool connected = false;
+    std::optional<uint64_t> retransmissions; ///< Of the oldest segment in flight, one after the other. Nothing if unknown.
+    std::optional<uint64_t> unansweredProbes; ///< Of the peer's closed window. Nothing if unknown.
 };
 
 /// Returns the state of a socket.
--- a/transport/src/send_state_linux.cpp
+++ b/transport/src/send_state_linux.cpp
@@ -38,6 +38,8 @@
     state.segmentsInFlight = info.tcpi_unacked;
     state.sinceLastAck = std::chrono::milliseconds { info.tcpi_last_ack_recv };
     state.windowBytes = info.tcpi_snd_wnd;
+    state.retransmissions = info.tcpi_retransmits;
+    state.unansweredProbes = info.tcpi_probes;
     return state;
 }
 
--- a/transport/src/send_watch.cpp
+++ b/transport/src/send_watch.cpp
@@ -144,9 +144,13 @@
 
 void SendWatch::recordWritten(size_t bytes)
 {
-    transport::recordWritten(this->progress, bytes, monotonicNow());
+    auto now = monotonicNow();
+    transport::recordWritten(this->progress, bytes, now);
     if (this->ended || !this->table->add(this))
         return;
+    this->checkedAt = now;
+    this->maxCheckGap = {};
+    this->stallReported = false;
     if (!std::exchange(this->table->checkerRunning, true))
         spawnOnCurrentThread([table = this->table] { checkWatches(*table); });
 }
@@ -163,15 +167,20 @@
 {
     if (this->ended || !this->socket.is_open())
         return false;
-    this->lastState = this->readState();
-    bool advanced = recordAcknowledged(this->progress, this->lastState, now);
-    this->applyUserTimeout(advanced ? tcpUserTimeout : computeUserTimeout(this->progress, this->lastState, now, this->userTimeout));
+    auto state = this->readState();
+    bool advanced = recordAcknowledged(this->progress, state, now);
+    // A connection that has failed no longer tells what it was doing.
+    if (state.connected)
+        this->lastState = state;
+    this->recordCheck(advanced, now);
+    this->applyUserTimeout(advanced ? tcpUserTimeout : computeUserTimeout(this->progress, state, now, this->userTimeout));
     // The operation that fails on a connection that has ended reports it.
-    if (this->lastState.unacknowledgedBytes == 0 || !this->lastState.connected)
+    if (state.unacknowledgedBytes == 0 || !state.connected)
         return false;
     // The address is unknown once the connection has failed.
     if (this->peer.empty())
         this->peer = this->peerAddress();
+    this->reportStall(now);
     if (!this->limit || now - this->progress.progressAt < *this->limit)
         return true;
     this->onExpired();
@@ -222,10 +231,7 @@
     if (state.unacknowledgedBytes == 0)
         return;
     cuts[static_cast<size_t>(this->side)][static_cast<size_t>(by)]++;
-    auto stalled = std::chrono::duration_cast<std::chrono::milliseconds>(monotonicNow() - this->progress.progressAt);
-    auto sinceLastAck = state.sinceLastAck ? std::optional<uint64_t>(state.sinceLastAck->count()) : std::nullopt;
-    auto text = std::string("event=connection_cut with=") + name(this->side) + " peer=" + (this->peer.empty() ? this->peerAddress() : this->peer) + " by=" + name(by) + " unacknowledged_bytes=" + std::to_string(state.unacknowledgedBytes)
-        + " stalled_ms=" + std::to_string(stalled.count()) + " last_ack_ms=" + formatOptional(sinceLastAck) + " window_bytes=" + formatOptional(state.windowBytes);
+    auto text = std::string("event=connection_cut with=") + name(this->side) + " peer=" + (this->peer.empty() ? this->peerAddress() : this->peer) + " by=" + name(by) + " " + this->formatState(state);
     // Whoever uses the connection reports the others.
     if (by == CutBy::Unreachable || by == CutBy::ClosedWindow || by == CutBy::WriteTimeout)
         Log("http").warn(text);
@@ -233,4 +239,27 @@
         Log("http").debug(text);
 }
 
+void SendWatch::recordCheck(bool advanced, std::chrono::nanoseconds now)
+{
+    this->maxCheckGap = advanced ? std::chrono::nanoseconds { 0 } : std::max(this->maxCheckGap, now - this->checkedAt);
+    this->checkedAt = now;
+    this->stallReported = this->stallReported && !advanced;
+}
+
+void SendWatch::reportStall(std::chrono::nanoseconds now)
+{
+    if (now - this->progress.progressAt < stallReportTime || std::exchange(this->stallReported, true))
+        return;
+    Log("http").info(std::string("event=peer_stalled with=") + name(this->side) + " peer=" + this->peer + " " + this->formatState(this->lastState));
+}
+
+std::string SendWatch::formatState(const SendState& state) const
+{
+    auto milliseconds = [](std::chrono::nanoseconds time) { return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count()); };
+    // Once a connection has failed, the last check tells more.
+    const auto& detail = state.connected ? state : this->lastState;
+    return "unacknowledged_bytes=" + std::to_string(state.unacknowledgedBytes) + " stalled_ms=" + milliseconds(monotonicNow() - this->progress.progressAt) + " last_ack_ms=" + (state.sinceLastAck ? std::to_string(state.sinceLastAck->count()) : "-") + " window_bytes=" + formatOptional(state.windowBytes)
+        + " in_flight=" + (detail.windowBytes ? std::to_string(detail.segmentsInFlight) : "-") + " retransmissions=" + formatOptional(detail.retransmissions) + " unanswered_probes=" + formatOptional(detail.unansweredProbes) + " max_check_gap_ms=" + milliseconds(this->maxCheckGap);
+}
+
 } // namespace comfreypier::transport
--- a/transport/src/send_watch.h
+++ b/transport/src/send_watch.h
@@ -15,6 +15,9 @@
 /// The kernel's limit for a live peer reaches this far beyond each check. The kernel probes a closed window at the latest when that time is over.
 constexpr std::chrono::milliseconds userTimeoutAhead { 1250 };
 
+/// Time without progress after which a peer is reported as stalled.
+constexpr std::chrono::milliseconds stallReportTime = tcpUserTimeout - 2 * sendCheckInterval;
+
 /// Course of the bytes that were written to a connection.
 struct SendProgress {
     uint64_t writtenBytes = 0;
@@ -84,6 +87,12 @@
     SendState currentState() const;
     std::string peerAddress() const;
     void report(CutBy by, const SendState& state) const;
+    /// Records when the connection was checked, and whether its peer had acknowledged more.
+    void recordCheck(bool advanced, std::chrono::nanoseconds now);
+    /// Logs once for each time without progress that the peer has acknowledged nothing for `stallReportTime`.
+    void reportStall(std::chrono::nanoseconds now);
+    /// Formats a state as words of a log line, with what the kernel does not tell as `-`.
+    std::string formatState(const SendState& state) const;
     /// Sets TCP_USER_TIMEOUT, unless it is in force.
     void applyUserTimeout(std::chrono::milliseconds timeout);
 
@@ -97,6 +106,9 @@
     SendProgress progress;
     std::chrono::milliseconds userTimeout = tcpUserTimeout; ///< In force.
     SendState lastState; ///< Of the last check.
+    std::chrono::nanoseconds checkedAt { 0 }; ///< Time of the last check, or of the first write since all was acknowledged.
+    std::chrono::nanoseconds maxCheckGap { 0 }; ///< Longest time between two checks since the last progress.
+    bool stallReported = false; ///< Since the last progress.
     bool ended = false; ///< The end was recorded.
 };
 
