Callers have one limit: the write timeout

Cause: TCP_USER_TIMEOUT of 3 s stood on the connections of callers, and the process had to move it on in time, by what the kernel knew of the peer. Unknown meant gone. So did a caller's path that was cut for 3 s, and a process that did not run for 3 s. Keep-alive probes cut callers that waited for an answer in the same way.

Change: neither option is set on callers' connections. What ends them is the write timeout (no byte acknowledged for 20 s, SIOCOUTQ), the idle timeout and the time limits of requests, which were there before; a caller that is gone keeps its place as long as one that reads nothing.

Tests: without the change slow_readers.callers_that_read_nothing_get_their_answers_whatever_the_kernel_tells (2,048 bytes of 100 KB), .callers_whose_kernel_drops_data_get_their_answers (0 bytes), .callers_whose_path_is_cut_for_seconds_get_their_answers (5 of 5 cases short, one of which waits for its answer) and .callers_keep_their_answers_while_the_process_stands_still (4 of 4 short) fail. .unreachable_caller_is_reported_as_such asked that a caller counts as gone after 3 s of silence, which is the fault. In its place .unreachable_caller_is_ended_by_the_write_timeout asks for the limit of the settings, as tightly (+ 1 s), for the same requests, and that the place is given back; .caller_that_becomes_unreachable_while_it_reads_nothing_is_found likewise. slow_readers_test 23 of 23.

--- a/transport/src/http_server_beast.cpp
+++ b/transport/src/http_server_beast.cpp
@@ -579,7 +579,7 @@
         ErrorCode ignored;
         connection->stream.socket().set_option(Tcp::no_delay(true), ignored);
         connection->stream.socket().non_blocking(true, ignored);
-        setTcpKeepAlive(connection->stream.socket());
+        // No keep-alive and no limit of the kernel's: the write timeout, the idle timeout and the time limits of requests end these connections.
         if (this->connectionBudget != nullptr)
             setTcpOption(connection->stream.socket(), TCP_NOTSENT_LOWAT, maxUnsentBytes);
         spawnOnCurrentThread([self = this->shared_from_this(), thread, connection] {
--- a/transport/src/send_watch.cpp
+++ b/transport/src/send_watch.cpp
@@ -173,7 +173,8 @@
     if (state.connected)
         this->lastState = state;
     this->recordCheck(advanced, now);
-    this->applyUserTimeout(advanced ? tcpUserTimeout : computeUserTimeout(this->progress, state, now, this->userTimeout));
+    if (this->side == ConnectionSide::Endpoint)
+        this->applyUserTimeout(advanced ? tcpUserTimeout : computeUserTimeout(this->progress, state, now, this->userTimeout));
     // The operation that fails on a connection that has ended reports it.
     if (state.unacknowledgedBytes == 0 || !state.connected)
         return false;
