Endpoints count as unreachable by evidence of our own, not by TCP_USER_TIMEOUT

What callers saw: an upload to a worker that reads nothing for some seconds was cut after 3 s where the kernel tells only the state of a connection in TCP_INFO, or where the worker's kernel drops data in silence. The request may then have run.

Workers, VMs and the store must be found fast when they are gone, so here the limit can't simply go.

Change: TCP_USER_TIMEOUT and what moved it on are gone. An endpoint is unreachable - if it has acknowledged nothing of a message for 3 s: one that lives has received all before it and takes the beginning; - if it has acknowledged a part, nothing for 3 s, and a probe shows that it answers nothing: a second, idle connection, opened after 0.5 s without progress and shared by all stalled messages of a thread to that endpoint. Its connection attempt or its keep-alive probes are not answered. The kernel sends such probes only where nothing is unacknowledged, and the peer's kernel answers them whatever its process does. A refusal, an end by the peer, or no place for the connection show nothing, and the call's own time limit remains; - if nothing is unacknowledged, by keep-alive probes after 1, 2 and 3 s; TCP_USER_TIMEOUT had shortened 2 + 3 s to 3 s. CutBy::ClosedWindow can't occur any more and is gone.

Tests: with the code before, slow_readers.worker_that_reads_an_upload_slowly_answers_it_whatever_the_kernel_tells and .worker_whose_kernel_drops_data_answers_an_upload (0 of 2 uploads answered) and .worker_that_becomes_unreachable_during_an_upload_is_found (now also where the kernel tells nothing, and before the probe begins: a live worker is cut) fail. The latter now loses all connections of the worker at once and new ones, as a lost network does; before, a second connection to it would have worked. send_watch.kernel_goes_on_only_for_live_peers and half of .causes_of_ends_are_told_apart tested the functions that are gone; peer_probe.only_peers_that_answer_nothing_are_unreachable and send_watch.message_is_begun_once_a_part_of_it_is_acknowledged test what decides now. .worker_that_becomes_unreachable_beside_small_requests_is_found and .slow_worker_that_refuses_connections_answers_an_upload are new.

--- a/tests/standins/raw_peer.h
+++ b/tests/standins/raw_peer.h
@@ -18,6 +18,11 @@
     /// @param receiveBytes size of the connections' receive buffers, beyond which bytes wait at their sender; 0 for the system's.
     RawPeer(uint16_t port, ConnectionHandler serve, int receiveBytes = 0);
 
+    /// Returns the listening socket.
+    int listener() const { return this->listenerSocket; }
+    /// Refuses further connections, and ends the thread that accepts them.
+    void stopListening() const;
+
     /// Reads one request with its body, but at most `limit` bytes.
     /// @return the bytes read; fewer than a whole request if the caller closed the connection.
     static std::string readRequest(int connection, size_t limit = SIZE_MAX);
@@ -30,6 +35,9 @@
     static size_t writeWithoutEnd(int connection, const std::string& bytes, size_t limit, std::chrono::milliseconds pause = std::chrono::milliseconds { 0 });
     /// Makes the later close of the connection send a TCP reset, by a linger time of 0.
     static void resetOnClose(int connection);
+
+private:
+    int listenerSocket;
 };
 
 } // namespace comfreypier::standins
--- a/transport/include/transport/transport.h
+++ b/transport/include/transport/transport.h
@@ -74,14 +74,14 @@
 /// A pooled connection is retired this long before the idle timeout that the peer announced in its Keep-Alive header, to allow
 /// for network latency and timer inaccuracy.
 constexpr std::chrono::milliseconds idleTimeoutMargin { 200 };
-/// TCP_USER_TIMEOUT: the kernel closes a connection whose sent bytes stay unacknowledged for this long. While the peer lives and only reads
-/// nothing, the limit moves on.
-constexpr std::chrono::milliseconds tcpUserTimeout { 3000 };
-/// TCP_KEEPIDLE, TCP_KEEPINTVL and TCP_KEEPCNT: idle time before the kernel probes a connection, time between probes, and
-/// number of unanswered probes after which it closes the connection.
-constexpr std::chrono::seconds tcpKeepAliveIdle { 2 };
+/// Time for which an endpoint answers nothing until it counts as unreachable.
+constexpr std::chrono::milliseconds unreachableTimeout { 3000 };
+/// TCP_KEEPIDLE, TCP_KEEPINTVL and TCP_KEEPCNT of connections to endpoints: time without anything from the peer before the kernel probes a connection
+/// on which nothing is unacknowledged, time between probes, and number of unanswered probes after which it closes the connection.
+constexpr std::chrono::seconds tcpKeepAliveIdle { 1 };
 constexpr std::chrono::seconds tcpKeepAliveInterval { 1 };
-constexpr int tcpKeepAliveCount = 3;
+constexpr int tcpKeepAliveCount = 2;
+static_assert(tcpKeepAliveIdle + tcpKeepAliveCount * tcpKeepAliveInterval == unreachableTimeout);
 
 // Errors
 
@@ -345,8 +345,7 @@
 /// Who ended a connection while its peer had not acknowledged all that was sent on it.
 enum class CutBy {
     Peer, ///< The peer closed or reset it.
-    Unreachable, ///< The kernel: the peer answered nothing for `tcpUserTimeout`.
-    ClosedWindow, ///< The kernel: the peer answered its probes and read nothing.
+    Unreachable, ///< The client or the kernel: the peer answered nothing in time.
     WriteTimeout, ///< The server: the peer read nothing for `ServerLimits::writeTimeout`.
     Pressure, ///< The server, see `ClosedFor`.
     Self, ///< This process for another reason: a time limit, a cancelled call, a stop.
--- a/transport/src/http_client_beast.cpp
+++ b/transport/src/http_client_beast.cpp
@@ -31,6 +31,13 @@
         ClientConnection(const ClientConnection&) = delete;
         ClientConnection& operator=(const ClientConnection&) = delete;
 
+        /// Closes the socket. The pending operations fail.
+        void end(CutBy by)
+        {
+            this->sendWatch.recordEnd(by);
+            this->stream.close();
+        }
+
         ConnectionBudget* place = nullptr; ///< Budget of which it has a place; null if none.
         const uint64_t number = nextConnectionNumber++;
         std::deque<std::string> earlierIds; ///< Ids of the newest requests that were answered, see `CallLimits::idHeader`.
@@ -292,6 +299,7 @@
             return IoError::NotConnected;
         connection->stream.socket().set_option(Tcp::no_delay(true), error);
         setTcpKeepAlive(connection->stream.socket());
+        connection->sendWatch.setProbe([peer, budget = limits.connections] { return PeerProbe::share(peer, budget); }, [raw = connection.get()] { raw->end(CutBy::Unreachable); });
         return connection;
     }
 };
@@ -340,6 +348,7 @@
             auto& stream = this->connection->stream;
             stream.expires_after(this->deadline - monotonicNow());
             http::request_serializer<http::span_body<const char>> serializer(message);
+            this->connection->sendWatch.beginMessage();
             while (!serializer.is_done()) {
                 auto sent = awaitIo([&](auto handler) { http::async_write_some(stream, serializer, std::move(handler)); });
                 this->connection->sendWatch.recordWritten(sent.bytes);
@@ -645,7 +654,6 @@
     setTcpOption(socket, TCP_KEEPIDLE, static_cast<int>(tcpKeepAliveIdle.count()));
     setTcpOption(socket, TCP_KEEPINTVL, static_cast<int>(tcpKeepAliveInterval.count()));
     setTcpOption(socket, TCP_KEEPCNT, tcpKeepAliveCount);
-    setTcpOption(socket, TCP_USER_TIMEOUT, static_cast<int>(tcpUserTimeout.count()));
 }
 
 void setTcpOption(Stream::socket_type& socket, int option, int value)
--- a/transport/src/send_watch.cpp
+++ b/transport/src/send_watch.cpp
@@ -1,8 +1,6 @@
 /// Checks of sent bytes. One fiber of a thread checks all of its connections that have some.
 #include "send_watch.h"
 
-#include <netinet/tcp.h>
-
 namespace comfreypier::transport {
 
 /// Connections of a thread with bytes that were unacknowledged when they were last looked at.
@@ -59,7 +57,7 @@
 
 const char* name(CutBy by)
 {
-    constexpr std::array<const char*, static_cast<size_t>(CutBy::Count)> names { "peer", "unreachable", "closed_window", "write_timeout", "pressure", "self" };
+    constexpr std::array<const char*, static_cast<size_t>(CutBy::Count)> names { "peer", "unreachable", "write_timeout", "pressure", "self" };
     return names[static_cast<size_t>(by)];
 }
 
@@ -96,29 +94,16 @@
     return true;
 }
 
-bool isPeerAlive(const SendState& state)
-{
-    // A peer with an open window acknowledges what is sent, whatever else it sends.
-    bool lost = state.segmentsInFlight > 0 && state.windowBytes > 0U;
-    // The kernel gives up an unreachable peer no earlier.
-    return !lost && state.sinceLastAck && *state.sinceLastAck < tcpUserTimeout - 2 * sendCheckInterval;
-}
-
-std::chrono::milliseconds computeUserTimeout(const SendProgress& progress, const SendState& state, std::chrono::nanoseconds now, std::chrono::milliseconds current)
+StalledMessage stalledMessage(const SendProgress& progress, std::chrono::nanoseconds now)
 {
-    if (!isPeerAlive(state) || *state.sinceLastAck + userTimeoutAhead > tcpUserTimeout)
-        return current;
-    // The kernel measures from its first probe, which is later than the last progress.
-    return std::max(tcpUserTimeout, std::chrono::ceil<std::chrono::milliseconds>(now - progress.progressAt) + userTimeoutAhead);
+    return { now - progress.progressAt, progress.acknowledgedBytes > progress.messageStart };
 }
 
-CutBy causeOfEnd(const ErrorCode& error, const SendState& state)
+CutBy causeOfEnd(const ErrorCode& error)
 {
     if (error == beast::error::timeout || error == asio::error::operation_aborted)
         return CutBy::Self;
-    if (error == asio::error::timed_out)
-        return isPeerAlive(state) ? CutBy::ClosedWindow : CutBy::Unreachable;
-    if (error == asio::error::host_unreachable || error == asio::error::network_unreachable)
+    if (error == asio::error::timed_out || error == asio::error::host_unreachable || error == asio::error::network_unreachable)
         return CutBy::Unreachable;
     return CutBy::Peer;
 }
@@ -142,6 +127,12 @@
     this->onExpired = std::move(onExpired);
 }
 
+void SendWatch::setProbe(std::function<std::shared_ptr<PeerProbe>()> probe, std::function<void()> onUnreachable)
+{
+    this->makeProbe = std::move(probe);
+    this->onUnreachable = std::move(onUnreachable);
+}
+
 void SendWatch::recordWritten(size_t bytes)
 {
     auto now = monotonicNow();
@@ -173,15 +164,19 @@
     if (state.connected)
         this->lastState = state;
     this->recordCheck(advanced, now);
-    if (this->side == ConnectionSide::Endpoint)
-        this->applyUserTimeout(advanced ? tcpUserTimeout : computeUserTimeout(this->progress, state, now, this->userTimeout));
     // The operation that fails on a connection that has ended reports it.
-    if (state.unacknowledgedBytes == 0 || !state.connected)
+    if (state.unacknowledgedBytes == 0 || !state.connected) {
+        this->probe = nullptr;
         return false;
+    }
     // The address is unknown once the connection has failed.
     if (this->peer.empty())
         this->peer = this->peerAddress();
     this->reportStall(now);
+    if (this->makeProbe && this->findUnreachable(now)) {
+        this->onUnreachable();
+        return false;
+    }
     if (!this->limit || now - this->progress.progressAt < *this->limit)
         return true;
     this->onExpired();
@@ -190,16 +185,15 @@
 
 void SendWatch::recordEnd(CutBy by)
 {
-    if (!std::exchange(this->ended, true))
-        this->report(by, this->currentState());
+    if (std::exchange(this->ended, true))
+        return;
+    this->probe = nullptr;
+    this->report(by, this->currentState());
 }
 
 void SendWatch::recordEnd(const ErrorCode& error)
 {
-    if (std::exchange(this->ended, true))
-        return;
-    auto state = this->currentState();
-    this->report(causeOfEnd(error, state), state);
+    this->recordEnd(causeOfEnd(error));
 }
 
 SendState SendWatch::readState() const
@@ -221,10 +215,14 @@
     return error ? "-" : toString(Endpoint { endpoint.address().to_string(), endpoint.port() });
 }
 
-void SendWatch::applyUserTimeout(std::chrono::milliseconds timeout)
+bool SendWatch::findUnreachable(std::chrono::nanoseconds now)
 {
-    if (std::exchange(this->userTimeout, timeout) != timeout)
-        setTcpOption(this->socket, TCP_USER_TIMEOUT, static_cast<int>(timeout.count()));
+    auto message = stalledMessage(this->progress, now);
+    if (!needsProbe(message))
+        this->probe = nullptr;
+    else if (!this->probe)
+        this->probe = this->makeProbe();
+    return isUnreachable(message, this->probe ? this->probe->evidence(now) : PeerEvidence::None);
 }
 
 void SendWatch::report(CutBy by, const SendState& state) const
@@ -234,7 +232,7 @@
     cuts[static_cast<size_t>(this->side)][static_cast<size_t>(by)]++;
     auto text = std::string("event=connection_cut with=") + name(this->side) + " peer=" + (this->peer.empty() ? this->peerAddress() : this->peer) + " by=" + name(by) + " " + this->formatState(state);
     // Whoever uses the connection reports the others.
-    if (by == CutBy::Unreachable || by == CutBy::ClosedWindow || by == CutBy::WriteTimeout)
+    if (by == CutBy::Unreachable || by == CutBy::WriteTimeout)
         Log("http").warn(text);
     else
         Log("http").debug(text);
--- a/transport/src/send_watch.h
+++ b/transport/src/send_watch.h
@@ -1,9 +1,11 @@
 /// Watches the bytes that were written to a connection until its peer has acknowledged them.
 ///
-/// Load that it answers: peers that read nothing for some time, beside peers that have become unreachable. Neither acknowledges what is sent;
-/// the former acknowledge the kernel's probes of their closed window. TCP_USER_TIMEOUT makes no difference between them.
+/// Load that it answers: peers that read nothing for some time, beside peers that have become unreachable. Neither acknowledges what is sent, and
+/// what a kernel knows beyond that differs: a peer's kernel may answer probes of its closed window or drop data in silence, and the own one may not
+/// tell. So no decision uses more than the number of unacknowledged bytes.
 #pragma once
 
+#include "peer_probe.h"
 #include "send_state.h"
 #include "transport_p.h"
 
@@ -12,16 +14,14 @@
 /// Interval between two checks of a thread's connections with unacknowledged bytes.
 constexpr std::chrono::milliseconds sendCheckInterval { 250 };
 
-/// The kernel's limit for a live peer reaches this far beyond each check. The kernel probes a closed window at the latest when that time is over.
-constexpr std::chrono::milliseconds userTimeoutAhead { 1250 };
-
 /// Time without progress after which a peer is reported as stalled.
-constexpr std::chrono::milliseconds stallReportTime = tcpUserTimeout - 2 * sendCheckInterval;
+constexpr std::chrono::milliseconds stallReportTime { 2500 };
 
 /// Course of the bytes that were written to a connection.
 struct SendProgress {
     uint64_t writtenBytes = 0;
     uint64_t acknowledgedBytes = 0;
+    uint64_t messageStart = 0; ///< Number of bytes written before the current message.
     std::chrono::nanoseconds progressAt { 0 }; ///< When the peer last acknowledged some, or the first ones were written.
 };
 
@@ -32,18 +32,12 @@
 /// @return whether it has acknowledged more than before.
 bool recordAcknowledged(SendProgress& progress, const SendState& state, std::chrono::nanoseconds now);
 
-/// Returns whether a peer that acknowledges none of the bytes has answered the kernel's probes lately: it reads slowly and is not
-/// unreachable.
-bool isPeerAlive(const SendState& state);
-
-/// Returns the TCP_USER_TIMEOUT of a connection with unacknowledged bytes. The kernel applies this limit to all that acknowledge none of them, so
-/// it moves on with a live peer. For an unreachable one it stays where it was: `tcpUserTimeout` after the last sign of life at the latest.
-/// @param current value in force.
-std::chrono::milliseconds computeUserTimeout(const SendProgress& progress, const SendState& state, std::chrono::nanoseconds now, std::chrono::milliseconds current);
+/// Returns how long the current message has been waiting for its peer.
+StalledMessage stalledMessage(const SendProgress& progress, std::chrono::nanoseconds now);
 
 /// Returns who ended a connection with unacknowledged bytes.
 /// @param error of the operation that failed first.
-CutBy causeOfEnd(const ErrorCode& error, const SendState& state);
+CutBy causeOfEnd(const ErrorCode& error);
 
 struct WatchTable;
 
@@ -63,6 +57,12 @@
     /// Calls `onExpired` once the peer has acknowledged nothing for `limit` while bytes for it wait. The connection should then be closed.
     /// @param onExpired must not suspend.
     void setLimit(std::chrono::milliseconds limit, std::function<void()> onExpired);
+    /// Calls `onUnreachable` once the peer is found unreachable, see `isUnreachable`. The connection should then be closed.
+    /// @param probe returns the probe of the peer; called once for each time without progress that needs one.
+    /// @param onUnreachable must not suspend.
+    void setProbe(std::function<std::shared_ptr<PeerProbe>()> probe, std::function<void()> onUnreachable);
+    /// Begins a message. The peer has received all before it.
+    void beginMessage() { this->progress.messageStart = this->progress.writtenBytes; }
     /// Records bytes that were passed to the kernel. They are checked until the peer has acknowledged them.
     void recordWritten(size_t bytes);
     /// Returns whether the peer has not acknowledged all bytes, and may still do so.
@@ -74,7 +74,7 @@
     /// See above.
     /// @param error of the operation that failed.
     void recordEnd(const ErrorCode& error);
-    /// Reads the state of the socket, and has the kernel go on if the peer lives.
+    /// Reads the state of the socket, and ends the connection if its limit has passed or its peer is unreachable.
     /// @return whether bytes are still unacknowledged and the connection is open.
     bool check(std::chrono::nanoseconds now);
 
@@ -93,8 +93,9 @@
     void reportStall(std::chrono::nanoseconds now);
     /// Formats a state as words of a log line, with what the kernel does not tell as `-`.
     std::string formatState(const SendState& state) const;
-    /// Sets TCP_USER_TIMEOUT, unless it is in force.
-    void applyUserTimeout(std::chrono::milliseconds timeout);
+    /// Probes the peer while that is needed.
+    /// @return whether it is unreachable.
+    bool findUnreachable(std::chrono::nanoseconds now);
 
     Stream::socket_type& socket;
     ConnectionSide side;
@@ -103,8 +104,10 @@
     std::string peer; ///< Address and port; empty before the first check that finds unacknowledged bytes.
     std::optional<std::chrono::milliseconds> limit; ///< See `setLimit`.
     std::function<void()> onExpired;
+    std::function<std::shared_ptr<PeerProbe>()> makeProbe; ///< Empty if the peer is not probed.
+    std::function<void()> onUnreachable;
+    std::shared_ptr<PeerProbe> probe; ///< Null while none is needed.
     SendProgress progress;
-    std::chrono::milliseconds userTimeout = tcpUserTimeout; ///< In force.
     SendState lastState; ///< Of the last check.
     std::chrono::nanoseconds checkedAt { 0 }; ///< Time of the last check, or of the first write since all was acknowledged.
     std::chrono::nanoseconds maxCheckGap { 0 }; ///< Longest time between two checks since the last progress.
--- a/transport/src/transport_p.h
+++ b/transport/src/transport_p.h
@@ -191,7 +191,8 @@
     bool expired = false;
 };
 
-/// Makes the kernel close a connection whose peer has become unreachable without closing it.
+/// Makes the kernel close a connection whose peer has become unreachable without closing it, while nothing that was sent to the peer is
+/// unacknowledged.
 void setTcpKeepAlive(Stream::socket_type& socket);
 
 /// Sets an option of <netinet/tcp.h>. One that the kernel does not know has no effect.
