What the kernel does not tell at all is unknown, not read

Answers that wait behind a closed connection are left to the kernel, a caller that reads nothing keeps its connection for ever, and every close-delimited answer of a worker counts as broken off.

Cause: a failed query was read as "nothing unacknowledged" in two places, and as "not connected" in a third.

Change: SendState::unacknowledgedBytes is empty if unknown, and a connection counts as open unless the kernel says otherwise. On the callers' side what was written may be unread until the write timeout has passed since the kernel last took some; a write that waits for as long ends the connection. A caller that closes a connection which is being closed has read it. Requests to endpoints then have their time limits only.

Tests: slow_readers.callers_get_their_answers_where_the_kernel_tells_nothing, .callers_are_ended_in_time_where_the_kernel_tells_nothing, .endpoints_are_used_where_the_kernel_tells_nothing.

--- a/tests/unit/slow_readers_test.cpp
+++ b/tests/unit/slow_readers_test.cpp
@@ -266,7 +266,8 @@
     // The end of the sending side is one byte more in the kernel.
     cr_assert(recordAcknowledged(progress, { 1 }, at(600)));
     cr_assert_not(recordAcknowledged(progress, { 1 }, at(700)));
-    cr_assert(recordAcknowledged(progress, {}, at(800)));
+    cr_assert(recordAcknowledged(progress, { 0 }, at(800)));
+    cr_assert_not(recordAcknowledged(progress, {}, at(850)), "nothing is known");
     recordWritten(progress, 10, at(900));
     cr_assert_eq(progress.progressAt, at(900), "nothing was waiting before");
 }
@@ -297,7 +298,7 @@
     recordAcknowledged(progress, { 999 }, at(200));
     cr_assert(stalledMessage(progress, at(700)).begun);
     cr_assert_eq(stalledMessage(progress, at(700)).stalledFor, milliseconds { 500 });
-    recordAcknowledged(progress, {}, at(800));
+    recordAcknowledged(progress, { 0 }, at(800));
     progress.messageStart = progress.writtenBytes;
     recordWritten(progress, 1000, at(900));
     cr_assert_not(stalledMessage(progress, at(1000)).begun);
@@ -395,6 +396,62 @@
     expectWholeAnswers(server, answerCases, [](const SlowCaller&) { std::this_thread::sleep_for(readPause); });
 }
 
+// Guards against a connection that is closed, or an answer that counts as read, because nothing at all is known of it.
+Test(slow_readers, callers_get_their_answers_where_the_kernel_tells_nothing)
+{
+    standins::setKernelAnswers(KernelAnswers::Nothing);
+    auto cases = answerCases;
+    cases.push_back({ makeGet("/small"), smallBytes });
+    SlowReaderServer server(26957);
+    expectWholeAnswers(server, cases, [](const SlowCaller&) { std::this_thread::sleep_for(readPause); });
+    std::this_thread::sleep_for(2 * sendCheckInterval);
+    cr_assert_eq(server.server.stats().connections, 0U);
+}
+
+// Callers must not hold their places for ever where the kernel tells nothing: neither one that reads nothing, nor one that has read all.
+Test(slow_readers, callers_are_ended_in_time_where_the_kernel_tells_nothing)
+{
+    standins::setKernelAnswers(KernelAnswers::Nothing);
+    ServerLimits limits;
+    limits.writeTimeout = seconds { 2 };
+    limits.idleTimeout = seconds { 1 };
+    SlowReaderServer server(26956, limits);
+    SlowCaller blocked(server.port);
+    SlowCaller reader(server.port);
+    blocked.send(makeGet("/large", false));
+    reader.send(makeGet("/small", false));
+    cr_assert_gt(reader.readAll(milliseconds { 500 }).size(), smallBytes);
+    auto duration = SlowReaderServer::awaitCut(CutBy::WriteTimeout, seconds { 10 });
+    cr_assert(duration < limits.writeTimeout + milliseconds { 1000 }, "after %d ms", static_cast<int>(duration.count()));
+    std::this_thread::sleep_for(2 * limits.idleTimeout);
+    cr_assert_eq(cutConnections(ConnectionSide::Caller, CutBy::WriteTimeout), 1);
+    cr_assert_eq(server.server.stats().connections, 0U);
+    cr_assert_eq(server.server.stats().unreadAnswers, 0U);
+}
+
+// Guards against requests that fail, or connections that are not used again, because nothing is known of what their endpoint has received.
+Test(slow_readers, endpoints_are_used_where_the_kernel_tells_nothing)
+{
+    standins::setKernelAnswers(KernelAnswers::Nothing);
+    new UploadWorker(26955, [](int) { std::this_thread::sleep_for(readPause); });
+    cr_assert_eq(sendUploads(26955), 2);
+    new standins::RawPeer(26954, [](int connection) {
+        standins::RawPeer::readRequest(connection);
+        standins::RawPeer::write(connection, "HTTP/1.1 200 OK\r\n\r\nends with the connection");
+    });
+    runCall([](HttpClient& client) {
+        auto first = client.open(loopback(26955), {}, {});
+        cr_assert(first.has_value());
+        auto number = first.value()->connectionNumber();
+        while (!first.value()->read(seconds { 1 }).value().empty()) { }
+        first.value() = nullptr;
+        auto second = client.open(loopback(26955), {}, {});
+        cr_assert(second.has_value());
+        cr_assert_eq(second.value()->connectionNumber(), number);
+        cr_assert(client.call(loopback(26954), {}, {}).has_value());
+    });
+}
+
 // Guards against answers cut because the caller's kernel drops data without a word while its small receive buffer is full.
 Test(slow_readers, callers_whose_kernel_drops_data_get_their_answers)
 {
@@ -584,7 +641,7 @@
     }
     std::this_thread::sleep_for(seconds { 2 });
     server.server.stopAccepting();
-    cr_expect_eq(server.server.stats().unreadAnswers, requests.size());
+    cr_expect_eq(server.server.stats().unreadAnswers, requests.size(), "%zu", static_cast<size_t>(server.server.stats().unreadAnswers));
     for (auto& caller : callers)
         caller.join();
     for (size_t i = 0; i < requests.size(); i++)
--- a/transport/src/http_client_beast.cpp
+++ b/transport/src/http_client_beast.cpp
@@ -89,14 +89,14 @@
         return message;
     }
 
-    /// Returns whether a peer that has closed its side of a connection has received all that was written, and has not reset the connection.
-    /// The end of its side hides a reset from reads.
+    /// Returns whether a peer that has closed its side of a connection has received all that was written, as far as is known, and has not reset the
+    /// connection. The end of its side hides a reset from reads.
     bool hasReceivedAll(Stream::socket_type& socket)
     {
         int error = 0;
         socklen_t size = sizeof error;
         bool known = ::getsockopt(socket.native_handle(), SOL_SOCKET, SO_ERROR, &error, &size) == 0;
-        return known && error == 0 && unacknowledgedBytes(socket.native_handle()) == 0U;
+        return known && error == 0 && unacknowledgedBytes(socket.native_handle()).value_or(0) == 0;
     }
 
     std::vector<Header> toHeaders(const http::fields& fields)
--- a/transport/src/http_server_beast.cpp
+++ b/transport/src/http_server_beast.cpp
@@ -413,6 +413,7 @@
         bool writeRest(Buffers& remaining)
         {
             beginState(this->connection.activity, ConnectionState::Writing, monotonicNow());
+            this->connection.sendWatch.setWriteWaiting(true);
             while (!this->failed && asio::buffer_size(remaining) > 0) {
                 auto result = awaitIo([&](auto handler) { this->connection.stream.async_write_some(remaining, std::move(handler)); });
                 remaining.consume(result.bytes);
@@ -422,6 +423,7 @@
                 recordProgress(this->connection.activity, result.bytes, monotonicNow());
                 this->failed = result.error || this->connection.closing;
             }
+            this->connection.sendWatch.setWriteWaiting(false);
             beginState(this->connection.activity, ConnectionState::Handling, monotonicNow());
             return !this->failed;
         }
@@ -613,11 +615,14 @@
     }
 
     /// Discards what has arrived on a connection that is to be closed.
-    /// @return false if the connection has failed.
+    /// @return false if the connection has failed, or its caller has closed it and more is not known.
     static bool discardInput(Connection& connection)
     {
-        auto count = ::recv(connection.stream.socket().native_handle(), discarded.data(), discarded.size(), MSG_DONTWAIT);
-        if (count >= 0 || errno == EAGAIN || errno == EWOULDBLOCK)
+        auto socket = connection.stream.socket().native_handle();
+        auto count = ::recv(socket, discarded.data(), discarded.size(), MSG_DONTWAIT);
+        if (count == 0)
+            return unacknowledgedBytes(socket).has_value();
+        if (count > 0 || errno == EAGAIN || errno == EWOULDBLOCK)
             return true;
         connection.sendWatch.recordEnd(ErrorCode(errno, boost::system::system_category()));
         return false;
--- a/transport/src/send_state.h
+++ b/transport/src/send_state.h
@@ -8,11 +8,11 @@
 namespace comfreypier::transport {
 
 struct SendState {
-    uint64_t unacknowledgedBytes = 0; ///< Written and not acknowledged by the peer.
+    std::optional<uint64_t> unacknowledgedBytes; ///< Written and not acknowledged by the peer. Nothing if unknown.
     uint32_t segmentsInFlight = 0; ///< Sent and not acknowledged; further bytes wait for the peer's window. 0 if unknown.
     std::optional<std::chrono::milliseconds> sinceLastAck; ///< Since anything came from the peer. Nothing if unknown.
     std::optional<uint64_t> windowBytes; ///< What the peer is ready to receive. Nothing if unknown.
-    bool connected = false;
+    bool connected = true; ///< Also if unknown.
     std::optional<uint64_t> retransmissions; ///< Of the oldest segment in flight, one after the other. Nothing if unknown.
     std::optional<uint64_t> unansweredProbes; ///< Of the peer's closed window. Nothing if unknown.
 };
--- a/transport/src/send_state_linux.cpp
+++ b/transport/src/send_state_linux.cpp
@@ -26,11 +26,11 @@
 SendState readSendState(int socket)
 {
     SendState state;
+    state.unacknowledgedBytes = unacknowledgedBytes(socket);
     tcp_info info {};
     socklen_t size = sizeof info;
     if (::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) != 0 || size < sizeof info.tcpi_state)
         return state;
-    state.unacknowledgedBytes = unacknowledgedBytes(socket).value_or(0);
     state.connected = info.tcpi_state != closedState;
     // Where no segments are counted, the other fields that describe the peer are empty as well. Older kernels end the structure earlier.
     if (size < offsetof(tcp_info, tcpi_snd_wnd) + sizeof info.tcpi_snd_wnd || info.tcpi_segs_in == 0)
--- a/transport/src/send_watch.cpp
+++ b/transport/src/send_watch.cpp
@@ -86,7 +86,8 @@
 bool recordAcknowledged(SendProgress& progress, const SendState& state, std::chrono::nanoseconds now)
 {
     // The end of the sending side counts as one more byte in the kernel.
-    auto acknowledged = progress.writtenBytes - std::min(progress.writtenBytes, state.unacknowledgedBytes);
+    auto unacknowledged = std::min(progress.writtenBytes, state.unacknowledgedBytes.value_or(progress.writtenBytes));
+    auto acknowledged = progress.writtenBytes - unacknowledged;
     if (acknowledged <= progress.acknowledgedBytes)
         return false;
     progress.acknowledgedBytes = acknowledged;
@@ -137,6 +138,9 @@
 {
     auto now = monotonicNow();
     transport::recordWritten(this->progress, bytes, now);
+    // Where no more is known, the kernel's room for them is progress.
+    if (bytes > 0 && !this->lastState.unacknowledgedBytes)
+        this->progress.progressAt = now;
     if (this->ended || !this->table->add(this))
         return;
     this->checkedAt = now;
@@ -151,7 +155,9 @@
     if (this->ended || !this->table->active.contains(this) || !this->socket.is_open())
         return false;
     auto state = this->readState();
-    return state.unacknowledgedBytes > 0 && state.connected;
+    // An unknown request of this process has been answered.
+    bool unread = state.unacknowledgedBytes ? *state.unacknowledgedBytes > 0 : this->side == ConnectionSide::Caller;
+    return unread && state.connected;
 }
 
 bool SendWatch::check(std::chrono::nanoseconds now)
@@ -165,7 +171,8 @@
         this->lastState = state;
     this->recordCheck(advanced, now);
     // The operation that fails on a connection that has ended reports it.
-    if (state.unacknowledgedBytes == 0 || !state.connected) {
+    bool known = state.unacknowledgedBytes.has_value();
+    if (state.unacknowledgedBytes == 0U || !state.connected || (!known && !this->limit)) {
         this->probe = nullptr;
         return false;
     }
@@ -173,13 +180,14 @@
     if (this->peer.empty())
         this->peer = this->peerAddress();
     this->reportStall(now);
-    if (this->makeProbe && this->findUnreachable(now)) {
+    if (known && this->makeProbe && this->findUnreachable(now)) {
         this->onUnreachable();
         return false;
     }
     if (!this->limit || now - this->progress.progressAt < *this->limit)
         return true;
-    this->onExpired();
+    if (known || this->writeWaits)
+        this->onExpired();
     return false;
 }
 
@@ -200,7 +208,7 @@
 {
     auto socket = this->socket.native_handle();
     // Saves the second call for connections in calm.
-    return unacknowledgedBytes(socket).value_or(0) == 0 ? SendState {} : readSendState(socket);
+    return unacknowledgedBytes(socket) == 0U ? SendState { 0 } : readSendState(socket);
 }
 
 SendState SendWatch::currentState() const
@@ -227,7 +235,7 @@
 
 void SendWatch::report(CutBy by, const SendState& state) const
 {
-    if (state.unacknowledgedBytes == 0)
+    if (state.unacknowledgedBytes.value_or(by == CutBy::WriteTimeout ? 1 : 0) == 0)
         return;
     cuts[static_cast<size_t>(this->side)][static_cast<size_t>(by)]++;
     auto text = std::string("event=connection_cut with=") + name(this->side) + " peer=" + (this->peer.empty() ? this->peerAddress() : this->peer) + " by=" + name(by) + " " + this->formatState(state);
@@ -257,7 +265,7 @@
     auto milliseconds = [](std::chrono::nanoseconds time) { return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count()); };
     // Once a connection has failed, the last check tells more.
     const auto& detail = state.connected ? state : this->lastState;
-    return "unacknowledged_bytes=" + std::to_string(state.unacknowledgedBytes) + " stalled_ms=" + milliseconds(monotonicNow() - this->progress.progressAt) + " last_ack_ms=" + (state.sinceLastAck ? std::to_string(state.sinceLastAck->count()) : "-") + " window_bytes=" + formatOptional(state.windowBytes)
+    return "unacknowledged_bytes=" + formatOptional(state.unacknowledgedBytes) + " stalled_ms=" + milliseconds(monotonicNow() - this->progress.progressAt) + " last_ack_ms=" + (state.sinceLastAck ? std::to_string(state.sinceLastAck->count()) : "-") + " window_bytes=" + formatOptional(state.windowBytes)
         + " in_flight=" + (detail.windowBytes ? std::to_string(detail.segmentsInFlight) : "-") + " retransmissions=" + formatOptional(detail.retransmissions) + " unanswered_probes=" + formatOptional(detail.unansweredProbes) + " max_check_gap_ms=" + milliseconds(this->maxCheckGap);
 }
 
--- a/transport/src/send_watch.h
+++ b/transport/src/send_watch.h
@@ -29,7 +29,7 @@
 void recordWritten(SendProgress& progress, uint64_t bytes, std::chrono::nanoseconds now);
 
 /// Records what the peer has acknowledged.
-/// @return whether it has acknowledged more than before.
+/// @return whether it has acknowledged more than before, as far as is known.
 bool recordAcknowledged(SendProgress& progress, const SendState& state, std::chrono::nanoseconds now);
 
 /// Returns how long the current message has been waiting for its peer.
@@ -54,7 +54,9 @@
     SendWatch(const SendWatch&) = delete;
     SendWatch& operator=(const SendWatch&) = delete;
 
-    /// Calls `onExpired` once the peer has acknowledged nothing for `limit` while bytes for it wait. The connection should then be closed.
+    /// Calls `onExpired` once the peer has acknowledged nothing for `limit` while bytes for it wait. The connection should then be closed. Where
+    /// the kernel does not tell what is acknowledged, `onExpired` is called if a write has been waiting for as long, and the peer otherwise counts
+    /// as having read all after that time.
     /// @param onExpired must not suspend.
     void setLimit(std::chrono::milliseconds limit, std::function<void()> onExpired);
     /// Calls `onUnreachable` once the peer is found unreachable, see `isUnreachable`. The connection should then be closed.
@@ -65,7 +67,9 @@
     void beginMessage() { this->progress.messageStart = this->progress.writtenBytes; }
     /// Records bytes that were passed to the kernel. They are checked until the peer has acknowledged them.
     void recordWritten(size_t bytes);
-    /// Returns whether the peer has not acknowledged all bytes, and may still do so.
+    /// Records whether a write waits for room in the kernel's buffer.
+    void setWriteWaiting(bool waiting) { this->writeWaits = waiting; }
+    /// Returns whether the peer may not have acknowledged all bytes, and may still do so.
     bool isWaiting() const;
     /// Returns when the peer last acknowledged some, as far as the checks have seen.
     std::chrono::nanoseconds progressAt() const { return this->progress.progressAt; }
@@ -81,7 +85,7 @@
 private:
     friend struct WatchTable;
 
-    /// Returns the state of the open socket; the default one if all bytes are acknowledged.
+    /// Returns the state of the open socket; only that there are none if all bytes are acknowledged.
     SendState readState() const;
     /// Returns the current state, or that of the last check if the socket is closed already.
     SendState currentState() const;
@@ -111,6 +115,7 @@
     SendState lastState; ///< Of the last check.
     std::chrono::nanoseconds checkedAt { 0 }; ///< Time of the last check, or of the first write since all was acknowledged.
     std::chrono::nanoseconds maxCheckGap { 0 }; ///< Longest time between two checks since the last progress.
+    bool writeWaits = false; ///< See `setWriteWaiting`.
     bool stallReported = false; ///< Since the last progress.
     bool ended = false; ///< The end was recorded.
 };
