What arrived while the process stood still is read before its time limit counts

What callers saw: after a process had not run for some seconds, a request that had arrived meanwhile was refused with 408, and an answer of a worker that had arrived counted as late.

Cause: at the wake the check of read deadlines runs before the sockets are polled, and cancels reads whose bytes are there.

Change: a check that comes late (over 100 ms after the last one) leaves a read alone if bytes wait for it; the next one, 50 ms later, decides. In ordinary operation nothing changes, so slow senders are refused as before.

Tests: slow_readers.requests_that_arrive_while_the_process_stands_still_are_answered (before: 408) and .answers_that_arrive_while_the_process_stands_still_are_read (before: timeout after 2 of 4 bytes).

--- a/tests/unit/slow_readers_test.cpp
+++ b/tests/unit/slow_readers_test.cpp
@@ -489,6 +489,62 @@
     standstill.join();
 }
 
+// Guards against requests that are refused or dropped, because their time limit passed while the process did not run and they waited in the kernel.
+Test(slow_readers, requests_that_arrive_while_the_process_stands_still_are_answered)
+{
+    ServerLimits limits;
+    limits.readTimeout = seconds { 1 };
+    limits.idleTimeout = seconds { 1 };
+    SlowReaderServer server(26949, limits);
+    SlowCaller idle(server.port);
+    SlowCaller sending(server.port);
+    auto request = makeGet("/small", false);
+    idle.send(request);
+    cr_assert_gt(idle.readAll(milliseconds { 300 }).size(), smallBytes);
+    sending.send(request.substr(0, request.size() / 2));
+    std::this_thread::sleep_for(milliseconds { 100 });
+    server.runtime.spawnOnEach([] { std::this_thread::sleep_for(seconds { 3 }); });
+    std::this_thread::sleep_for(milliseconds { 300 });
+    idle.send(request);
+    sending.send(request.substr(request.size() / 2));
+    for (auto* caller : { &idle, &sending }) {
+        auto answer = caller->readAll(seconds { 4 }, {}, smallBytes);
+        cr_expect(answer.starts_with("HTTP/1.1 200") && answer.size() >= smallBytes, "%s", answer.substr(0, 50).c_str());
+    }
+}
+
+// Guards against answers that count as late, because their time limit passed while the process did not run and they waited in the kernel.
+Test(slow_readers, answers_that_arrive_while_the_process_stands_still_are_read)
+{
+    signal(SIGPIPE, SIG_IGN);
+    new standins::RawPeer(26948, [](int connection) {
+        auto request = standins::RawPeer::readRequest(connection);
+        bool late = request.find("/head") != std::string::npos;
+        std::this_thread::sleep_for(milliseconds { late ? 500 : 0 });
+        standins::RawPeer::write(connection, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbo");
+        std::this_thread::sleep_for(milliseconds { late ? 0 : 500 });
+        standins::RawPeer::write(connection, "dy");
+        std::this_thread::sleep_for(seconds { 5 });
+    });
+    for (const char* part : { "/head", "/body" }) {
+        runCall([part](HttpClient& client) {
+            spawnOnCurrentThread([] {
+                sleepFor(milliseconds { 100 });
+                std::this_thread::sleep_for(seconds { 2 });
+            });
+            CallLimits limits;
+            limits.response = seconds { 1 };
+            auto stream = client.open(loopback(26948), { "GET", part, {}, {} }, limits);
+            cr_assert(stream.has_value(), "%s: %s", part, stream ? "" : transport::name(stream.error()));
+            for (std::string body; body.size() < 4;) {
+                auto bytes = stream.value()->read(seconds { 1 });
+                cr_assert(bytes.has_value(), "%s: %s after %zu bytes", part, bytes ? "" : transport::name(bytes.error()), body.size());
+                body.append(bytes.value());
+            }
+        });
+    }
+}
+
 // A caller that goes after it had read nothing for long must be found by the same limit as one that only reads nothing.
 Test(slow_readers, caller_that_becomes_unreachable_while_it_reads_nothing_is_found)
 {
--- a/transport/src/read_deadline.cpp
+++ b/transport/src/read_deadline.cpp
@@ -25,11 +25,14 @@
     /// Cancels expired reads of this thread every `sweepInterval`, until no read is pending.
     void sweepDeadlines(DeadlineTable& table)
     {
+        auto sweptAt = monotonicNow();
         while (!table.active.empty()) {
             sleepFor(sweepInterval);
             auto now = monotonicNow();
+            bool late = now - sweptAt > 2 * sweepInterval;
             for (auto* deadline : table.active)
-                deadline->cancelIfExpired(now);
+                deadline->cancelIfExpired(now, late);
+            sweptAt = now;
         }
         table.sweeperRunning = false;
     }
@@ -51,12 +54,12 @@
     this->table->active.erase(this);
 }
 
-void ReadDeadline::cancelIfExpired(std::chrono::nanoseconds now)
+void ReadDeadline::cancelIfExpired(std::chrono::nanoseconds now, bool late)
 {
-    if (now < this->expiresAt)
+    ErrorCode ignored;
+    if (now < this->expiresAt || (late && this->socket.available(ignored) > 0))
         return;
     this->expired = true;
-    ErrorCode ignored;
     this->socket.cancel(ignored);
 }
 
--- a/transport/src/transport_p.h
+++ b/transport/src/transport_p.h
@@ -182,7 +182,8 @@
     /// Returns true if the deadline has expired and the reads were cancelled.
     bool hasExpired() const { return this->expired; }
     /// Cancels the reads if `now` is at or after the deadline.
-    void cancelIfExpired(std::chrono::nanoseconds now);
+    /// @param late the thread did not run for some time. What has arrived meanwhile is then read first.
+    void cancelIfExpired(std::chrono::nanoseconds now, bool late);
 
 private:
     Stream::socket_type& socket;
