A server that ends while callers read nothing leaves no handler behind

What callers saw: nothing; a process that ends with answers in the making could crash at its very end, instead of exiting 0. Found when a test of callers that vanish ended its server: malloc_consolidate(): invalid chunk size, in threadConnections.erase (core of the test).

Cause: the handlers' fibers that are still open when an I/O thread ends are resumed after its thread-local objects are destroyed. The tables of send watches and read deadlines take care of that, the set of a thread's connections did not.

Change: the set of a thread is never destroyed (some words for each I/O thread).

--- a/tests/unit/slow_readers_test.cpp
+++ b/tests/unit/slow_readers_test.cpp
@@ -727,6 +727,20 @@
     cr_assert_eq(budget.closed[static_cast<size_t>(ClosedFor::SlowReader)], 0);
 }
 
+// Guards against a crash at the end of a process: the handlers that a server ends write to what its I/O thread has destroyed already.
+Test(slow_readers, server_ends_while_callers_read_nothing)
+{
+    for (int round = 0; round < 5; round++) {
+        std::vector<std::unique_ptr<SlowCaller>> callers;
+        SlowReaderServer server(26946);
+        for (int i = 0; i < 40; i++) {
+            callers.push_back(std::make_unique<SlowCaller>(server.port));
+            callers.back()->send(makeGet(i % 2 == 0 ? "/large" : "/stream", false));
+        }
+        std::this_thread::sleep_for(milliseconds { 500 });
+    }
+}
+
 // Guards against an idle timeout that runs while the caller still reads the last answer.
 Test(slow_readers, idle_timeout_begins_when_the_last_answer_is_read)
 {
--- a/transport/src/http_server_beast.cpp
+++ b/transport/src/http_server_beast.cpp
@@ -81,8 +81,9 @@
         bool served = false; ///< A request has been received.
     };
 
-    /// Open connections of a thread, of all its servers. Each is owned by its fiber.
-    thread_local std::set<Connection*> threadConnections;
+    /// Open connections of a thread, of all its servers. Each is owned by its fiber. The set is never destroyed: fibers that the thread ends last
+    /// still use it.
+    thread_local auto& threadConnections = *new std::set<Connection*>;
     /// Receives what connections of the thread send after an error response.
     thread_local std::array<char, 16 * 1024> discarded;
     /// A fiber of this thread runs `superviseConnections`.
