Callers that vanish leave no more in the kernel than their part

What callers saw: nothing yet. Since callers have the write timeout only, one that vanishes stays for 20 s in place of 3 s, with a whole window of its answer in the kernel: 35 of them with windows of 320 KB left 11,190 KB behind a budget of 40 places, also after their connections were closed, as the kernel goes on sending for minutes.

Change: while many connections are open, each thread closes those whose callers have acknowledged nothing for longest (500 ms or more) until the rest leaves at most 20 KB for each place. A connection that the server gives up (write timeout, pressure) drops what is unacknowledged (SO_LINGER 0); its caller sees a reset where it saw the end of a cut answer. event=peer_stalled is logged for 8 peers in one round of checks at most.

Tests: slow_readers.callers_that_vanish_leave_little_in_the_kernel: 11,190 KB of 800 KB without the closing, and without SO_LINGER; with both it passes, and a caller that reads meanwhile gets its three streams. New crowds answers_to_callers_that_vanish (900) and streams_to_callers_that_vanish (600): memory 33 and 38 MB of 48, unsent 1.1 and 6.5 MB of 12. Crowds no longer count connections of processes that have ended. slow_readers_test 35 of 35.

--- a/tests/crowds/main.cpp
+++ b/tests/crowds/main.cpp
@@ -4,6 +4,7 @@
 /// Checks what doesn't depend on the machine's speed: the daemon lives, its memory and descriptors stay within their bounds, and it
 /// answers an ordinary request while the crowd is still connected.
 #include "broken_peers.h"
+#include "slow_caller.h"
 
 #include <algorithm>
 #include <arpa/inet.h>
@@ -44,7 +45,7 @@
 /// Limits of the stand-in's configuration.
 constexpr size_t maxHeadBytes = 16384;
 constexpr size_t maxBodyBytes = 100000;
-/// Receive buffer of clients that read slowly: what they don't read waits at the daemon.
+/// Receive buffer of clients that read slowly or vanish: what they don't read waits at the daemon.
 constexpr int slowReceiveBytes = 4096;
 /// Time for which a crowd that sends no more stays connected.
 constexpr milliseconds holdTime { 5000 };
@@ -72,6 +73,8 @@
     /// All clients connect to the front, with small receive buffers. Every second one reads a byte in each round and connects again when the
     /// daemon closes; the others read nothing.
     bool readsSlowly = false;
+    /// All clients connect to the front, and lose their network once they have sent.
+    bool vanishes = false;
     std::string first; ///< Fields of a request that is answered with 200 before the clients connect. Empty for none.
     int slots = Machine {}.slots; ///< Streams that each worker runs at once.
     BrokenPeers peers; ///< What the daemon calls. All clients then connect to the front.
@@ -186,9 +189,11 @@
                                           bytes += requestHead("GET", path, client, "\r\n");
                                       return bytes;
                                   } } },
-        { "large_answers_read_slowly", { 600, requestForAnswer, 64 * 1024, false, true, "" } },
-        { "answers_left_unread_on_kept_connections", { 900, requestForSmallAnswer, 64 * 1024, false, true, "" } },
-        { "streams_read_slowly", { 600, requestForStream, 64 * 1024, false, true, streamFields, 600 } },
+        { "large_answers_read_slowly", { 600, requestForAnswer, 64 * 1024, false, true, false, "" } },
+        { "answers_left_unread_on_kept_connections", { 900, requestForSmallAnswer, 64 * 1024, false, true, false, "" } },
+        { "answers_to_callers_that_vanish", { 900, requestForAnswer, 64 * 1024, false, false, true, "" } },
+        { "streams_to_callers_that_vanish", { 600, requestForStream, 64 * 1024, false, false, true, streamFields, 600 } },
+        { "streams_read_slowly", { 600, requestForStream, 64 * 1024, false, true, false, streamFields, 600 } },
         { "stops_after_four_bytes", { 1500, [](const char*, int) { return std::string("POST"); } } },
         { "sends_a_byte_now_and_then", { 900, [](const char* path, int client) { return requestHead("GET", path, client, shortFields(8000)); }, 1 } },
         { "connections_that_send_nothing", { 1500, [](const char*, int) { return std::string(); } } },
@@ -369,11 +374,11 @@
         std::getline(table, line);
         while (std::getline(table, line)) {
             std::istringstream row(line);
-            std::string number, local, remote, state, queues;
-            row >> number >> local >> remote >> state >> queues;
+            std::string number, local, remote, state, queues, timer, retransmissions, user, timeouts, inode;
+            row >> number >> local >> remote >> state >> queues >> timer >> retransmissions >> user >> timeouts >> inode;
             auto localPort = std::stoi(local.substr(9), nullptr, 16);
-            // 0A is a listener, whose queue counts connections.
-            if (state == "0A" || localPort < this->port(0) || localPort > this->port(4))
+            // 0A is a listener, whose queue counts connections. One without an inode belonged to a process that has ended.
+            if (state == "0A" || inode == "0" || localPort < this->port(0) || localPort > this->port(4))
                 continue;
             sockets.unsent += std::stoull(queues.substr(0, 8), nullptr, 16);
             sockets.unread += std::stoull(queues.substr(9), nullptr, 16);
@@ -464,7 +469,7 @@
 void connectClient(Client& client, const Crowd& crowd, const Processes& processes)
 {
     close(client.socket);
-    client.socket = connectTo(processes.port(client.door.portOffset), crowd.readsSlowly ? slowReceiveBytes : 0);
+    client.socket = connectTo(processes.port(client.door.portOffset), crowd.readsSlowly || crowd.vanishes ? slowReceiveBytes : 0);
     client.sent = 0;
 }
 
@@ -496,6 +501,8 @@
     auto count = send(client.socket, client.bytes.data() + client.sent, size, MSG_DONTWAIT | MSG_NOSIGNAL);
     if (count > 0)
         client.sent += static_cast<size_t>(count);
+    if (crowd.vanishes && client.sent == client.bytes.size())
+        comfreypier::standins::makeUnreachable(client.socket);
     return count > 0;
 }
 
@@ -505,7 +512,7 @@
     for (int i = 0; i < crowd.count; i++) {
         Client client;
         client.number = i;
-        client.door = doors[crowd.readsSlowly || crowd.peers.makeBegin ? 0 : static_cast<size_t>(i) % doors.size()];
+        client.door = doors[crowd.readsSlowly || crowd.vanishes || crowd.peers.makeBegin ? 0 : static_cast<size_t>(i) % doors.size()];
         client.bytes = crowd.makeBytes(client.door.path, i);
         connectClient(client, crowd, processes);
         clients.push_back(std::move(client));
--- a/tests/standins/slow_caller.cpp
+++ b/tests/standins/slow_caller.cpp
@@ -15,9 +15,6 @@
 
 namespace {
 
-    /// Smallest that the kernel takes.
-    constexpr int receiveBufferBytes = 2048;
-
     /// Sets which arriving packets a socket keeps.
     void attachFilter(int socket, std::span<sock_filter> code)
     {
@@ -56,10 +53,10 @@
     ::setsockopt(socket, SOL_SOCKET, SO_DETACH_FILTER, &ignored, sizeof ignored);
 }
 
-SlowCaller::SlowCaller(uint16_t port)
+SlowCaller::SlowCaller(uint16_t port, int receiveBytes)
     : socket(::socket(AF_INET, SOCK_STREAM, 0))
 {
-    ::setsockopt(this->socket, SOL_SOCKET, SO_RCVBUF, &receiveBufferBytes, sizeof receiveBufferBytes);
+    ::setsockopt(this->socket, SOL_SOCKET, SO_RCVBUF, &receiveBytes, sizeof receiveBytes);
     sockaddr_in address {};
     address.sin_family = AF_INET;
     address.sin_port = htons(port);
--- a/tests/standins/slow_caller.h
+++ b/tests/standins/slow_caller.h
@@ -19,7 +19,8 @@
 /// One connection. What it doesn't read waits at the server, but for a few kilobytes. Aborts the process if it can't connect.
 class SlowCaller {
 public:
-    explicit SlowCaller(uint16_t port);
+    /// @param receiveBytes size of its receive buffer; by default the smallest that the kernel takes.
+    explicit SlowCaller(uint16_t port, int receiveBytes = 2048);
     ~SlowCaller();
     SlowCaller(const SlowCaller&) = delete;
     SlowCaller& operator=(const SlowCaller&) = delete;
--- a/tests/unit/slow_readers_test.cpp
+++ b/tests/unit/slow_readers_test.cpp
@@ -7,6 +7,8 @@
 #include "edge_world.h"
 
 #include <csignal>
+#include <fstream>
+#include <sstream>
 #include <sys/socket.h>
 
 using namespace comfreypier;
@@ -196,6 +198,23 @@
     return answered;
 }
 
+/// Returns the sum of what the callers of a server have not acknowledged, also on connections that it has closed, as the kernel's table says.
+uint64_t unacknowledgedBytesAt(uint16_t port)
+{
+    std::ifstream table("/proc/net/tcp");
+    uint64_t sum = 0;
+    std::string line;
+    std::getline(table, line);
+    while (std::getline(table, line)) {
+        std::istringstream row(line);
+        std::string number, local, remote, state, queues;
+        row >> number >> local >> remote >> state >> queues;
+        if (std::stoi(local.substr(9), nullptr, 16) == port)
+            sum += std::stoull(queues.substr(0, 8), nullptr, 16);
+    }
+    return sum;
+}
+
 struct AnswerCase {
     std::string requests;
     size_t minBytes;
@@ -727,6 +746,30 @@
     cr_assert_eq(budget.closed[static_cast<size_t>(ClosedFor::SlowReader)], 0);
 }
 
+// Callers that vanish leave a window of their answers in the kernel. It must stay within the part for connections, at the cost of those that have
+// acknowledged nothing for longest: a caller that reads is served meanwhile.
+Test(slow_readers, callers_that_vanish_leave_little_in_the_kernel)
+{
+    constexpr uint64_t places = 40;
+    constexpr uint64_t allowedBytes = places * 20 * 1024;
+    ConnectionBudget budget(2 * places, places, 100 * smallBytes);
+    SlowReaderServer server(26947, {}, &budget);
+    auto leftBefore = unacknowledgedBytesAt(server.port); // By an earlier run.
+    SlowCaller reader(server.port);
+    reader.send(makeGet("/stream", false) + makeGet("/stream", false) + makeGet("/stream", false));
+    std::vector<std::unique_ptr<SlowCaller>> callers;
+    for (uint64_t i = 0; i + 5 < places; i++) {
+        callers.push_back(std::make_unique<SlowCaller>(server.port, 256 * 1024));
+        callers.back()->makeUnreachable();
+        callers.back()->send(makeGet("/large", false));
+    }
+    cr_assert_geq(reader.readAll(seconds { 3 }, {}, 3 * smallBytes).size(), 3 * smallBytes);
+    auto left = unacknowledgedBytesAt(server.port);
+    cr_assert_leq(left, leftBefore + allowedBytes, "%zu KB", static_cast<size_t>((left - leftBefore) / 1024));
+    cr_assert_gt(budget.closed[static_cast<size_t>(ClosedFor::SlowReader)], 0);
+    cr_assert_eq(cutConnections(ConnectionSide::Caller, CutBy::WriteTimeout), 0);
+}
+
 // Guards against a crash at the end of a process: the handlers that a server ends write to what its I/O thread has destroyed already.
 Test(slow_readers, server_ends_while_callers_read_nothing)
 {
--- a/transport/src/http_server_beast.cpp
+++ b/transport/src/http_server_beast.cpp
@@ -26,6 +26,9 @@
     /// Bytes that wait in the kernel for the window of a caller if connections have a budget; what else is to be sent waits at its handler. What
     /// fits into the window is not limited.
     constexpr int maxUnsentBytes = 16 * 1024;
+    /// Bytes that callers may leave unacknowledged in the kernel for each place of the budget, on average: those that wait and some that are on their way. A
+    /// caller that vanishes leaves a whole window.
+    constexpr uint64_t unacknowledgedBytesPerPlace = maxUnsentBytes + 4 * 1024;
     /// Largest number of tries to get memory or a place that others are about to give back, and the delay between two.
     constexpr int roomTries = 10;
     constexpr std::chrono::milliseconds roomDelay { 2 };
@@ -93,11 +96,14 @@
     /// Checks in each round of `superviseConnections`.
     constexpr int checksPerRound = 10;
 
-    /// Closes the socket of a connection. Its fiber gives back the rest once its pending operation has failed.
+    /// Closes the socket of a connection, and drops what its caller has not acknowledged: the kernel would keep that for minutes. Its fiber gives back
+    /// the rest once its pending operation has failed.
     void closeEarly(Connection& connection, CutBy by)
     {
         connection.closing = true;
         connection.sendWatch.recordEnd(by);
+        ErrorCode ignored;
+        connection.stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
         connection.stream.close();
         auto watch = connection.watch.lock();
         if (watch && watch->onDisconnect)
@@ -161,6 +167,27 @@
         }
     }
 
+    /// Closes the connections of this thread whose callers have acknowledged nothing for longest, until what the others leave unacknowledged in the
+    /// kernel is within their part.
+    void closeThoseUnacknowledged(const ConnectionBudget& budget)
+    {
+        auto now = monotonicNow();
+        std::vector<std::pair<std::chrono::nanoseconds, Connection*>> stalled;
+        uint64_t sum = 0;
+        for (auto* connection : threadConnections) {
+            auto bytes = connection->budget == &budget && !connection->closing ? connection->sendWatch.lastUnacknowledgedBytes() : 0;
+            sum += bytes;
+            // Others may just have sent it.
+            if (bytes > 0 && now - connection->sendWatch.progressAt() >= progressWindow)
+                stalled.emplace_back(connection->sendWatch.progressAt(), connection);
+        }
+        std::sort(stalled.begin(), stalled.end());
+        for (size_t i = 0; i < stalled.size() && sum > budget.serverCapacity * unacknowledgedBytesPerPlace; i++) {
+            sum -= stalled[i].second->sendWatch.lastUnacknowledgedBytes();
+            closeToMakeRoom(*stalled[i].second, ClosedFor::SlowReader);
+        }
+    }
+
     /// Number of a thread's connections from which they are supervised.
     size_t supervisedConnections(const ConnectionBudget& budget)
     {
@@ -175,6 +202,7 @@
             for (int i = 0; i < checksPerRound; i++) {
                 sleepFor(unreadCheckInterval);
                 closeThoseSentAhead(budget);
+                closeThoseUnacknowledged(budget);
             }
         } while (memoryWasShort || threadConnections.size() > supervisedConnections(budget) / 2);
         ::malloc_trim(0);
--- a/transport/src/send_watch.cpp
+++ b/transport/src/send_watch.cpp
@@ -7,6 +7,7 @@
 struct WatchTable {
     std::set<SendWatch*, std::less<>> active;
     bool checkerRunning = false; ///< A fiber of this thread runs `checkWatches`.
+    int stallReportsLeft = 0; ///< In the current round of checks.
 
     /// @return false if it was active.
     bool add(SendWatch* watch)
@@ -34,6 +35,7 @@
         while (!table.active.empty()) {
             sleepFor(sendCheckInterval);
             auto now = monotonicNow();
+            table.stallReportsLeft = maxStallReports;
             for (auto* watch : std::vector(table.active.begin(), table.active.end())) {
                 if (!watch->check(now))
                     table.remove(watch);
@@ -160,6 +162,11 @@
     return unread && state.connected;
 }
 
+uint64_t SendWatch::lastUnacknowledgedBytes() const
+{
+    return this->ended || !this->table->active.contains(this) ? 0 : this->lastState.unacknowledgedBytes.value_or(0);
+}
+
 bool SendWatch::check(std::chrono::nanoseconds now)
 {
     if (this->ended || !this->socket.is_open())
@@ -255,8 +262,10 @@
 
 void SendWatch::reportStall(std::chrono::nanoseconds now)
 {
-    if (now - this->progress.progressAt < stallReportTime || std::exchange(this->stallReported, true))
+    if (this->stallReported || now - this->progress.progressAt < stallReportTime || this->table->stallReportsLeft == 0)
         return;
+    this->stallReported = true;
+    this->table->stallReportsLeft--;
     Log("http").info(std::string("event=peer_stalled with=") + name(this->side) + " peer=" + this->peer + " " + this->formatState(this->lastState));
 }
 
--- a/transport/src/send_watch.h
+++ b/transport/src/send_watch.h
@@ -17,6 +17,9 @@
 /// Time without progress after which a peer is reported as stalled.
 constexpr std::chrono::milliseconds stallReportTime { 2500 };
 
+/// Maximum number of stalled peers that are reported in one round of checks; the others follow in the next ones.
+constexpr int maxStallReports = 8;
+
 /// Course of the bytes that were written to a connection.
 struct SendProgress {
     uint64_t writtenBytes = 0;
@@ -73,6 +76,8 @@
     bool isWaiting() const;
     /// Returns when the peer last acknowledged some, as far as the checks have seen.
     std::chrono::nanoseconds progressAt() const { return this->progress.progressAt; }
+    /// Returns the bytes that the peer had not acknowledged at the last check; 0 if unknown.
+    uint64_t lastUnacknowledgedBytes() const;
     /// Counts and logs the end of the connection if bytes are unacknowledged. Calls after the first have no effect.
     void recordEnd(CutBy by);
     /// See above.
