--- a/tests/unit/node_answers_test.cpp
+++ b/tests/unit/node_answers_test.cpp
@@ -519,3 +519,34 @@
     cr_assert_lt(transport::monotonicNow() - stoppedAt, readPause + seconds { 2 });
     std::_Exit(0);
 }
+
+// Guards against answers of the node's own front that are cut because nothing passes between a caller and the node for some seconds, while the
+// caller reads or the answer is made.
+Test(node, callers_whose_path_is_cut_for_seconds_get_their_answers)
+{
+    constexpr milliseconds silence = transport::unreachableTimeout + milliseconds { 1500 };
+    const std::string body(100 * 1024, 'x');
+    auto serve = [&](int connection) {
+        for (std::string request; !(request = RawPeer::readRequest(connection)).empty();) {
+            if (request.find("/late") != std::string::npos)
+                std::this_thread::sleep_for(silence + milliseconds { 300 });
+            RawPeer::write(connection, makeAnswer(Framing::Length, "text/plain", body));
+        }
+    };
+    auto* cluster = new NodeCluster(13915, serve, [](int, const std::string&) {});
+    std::vector<std::unique_ptr<standins::SlowCaller>> callers;
+    for (const char* path : { "/services/kiln/orders/1", "/services/kiln/orders/late" }) {
+        auto& caller = *callers.emplace_back(std::make_unique<standins::SlowCaller>(static_cast<uint16_t>(cluster->base + 2)));
+        caller.send(std::string("GET ") + path + " HTTP/1.1\r\nHost: a\r\n\r\n");
+        std::this_thread::sleep_for(milliseconds { 100 });
+        caller.makeUnreachable();
+    }
+    std::this_thread::sleep_for(silence);
+    for (auto& caller : callers)
+        caller->makeReachable();
+    for (auto& caller : callers) {
+        auto answer = caller->readAll(silence, {}, body.size());
+        cr_expect_gt(answer.size(), body.size() - 1, "%zu bytes", answer.size());
+    }
+    std::_Exit(0);
+}
--- a/tests/unit/planned_stop_test.cpp
+++ b/tests/unit/planned_stop_test.cpp
@@ -255,3 +255,37 @@
     cr_assert_lt(stop.elapsed(), settings.grace);
     exitProcess();
 }
+
+// Guards against answers that a stop cuts because nothing is heard of their callers for some seconds: their path is cut, or their kernel drops data
+// in silence.
+Test(edge, stop_waits_for_callers_of_which_nothing_is_heard)
+{
+    constexpr milliseconds silence { 4500 };
+    TestCluster cluster(32700, 0);
+    auto settings = cluster.settingsOf(0);
+    settings.grace = milliseconds { 9500 };
+    cluster.vms.push_back(std::make_unique<edge::Edge>(settings));
+    cr_assert(cluster.vms[0]->start());
+    cluster.configure(1);
+    cr_assert(cluster.waitUntil([&] { return cluster.sendChat("first").status == 200; }));
+    setStreams(cluster, 100, milliseconds { 10 });
+    std::vector<std::unique_ptr<standins::SlowCaller>> callers;
+    for (auto lose : { &standins::SlowCaller::makeUnreachable, &standins::SlowCaller::dropData }) {
+        auto& caller = *callers.emplace_back(std::make_unique<standins::SlowCaller>(cluster.front().port));
+        caller.send(TestCluster::chatBytes("silent-" + std::to_string(callers.size()), ""));
+        std::this_thread::sleep_for(milliseconds { 100 });
+        (caller.*lose)();
+    }
+    PlannedStop stop(cluster);
+    stop.sleepUntil(silence);
+    for (auto& caller : callers)
+        caller->makeReachable();
+    // What was lost is sent again after as long a time as it was lost before.
+    for (auto& caller : callers) {
+        auto answer = caller->readAll(silence);
+        cr_assert(answer.ends_with("0\r\n\r\n"), "%zu bytes", answer.size());
+    }
+    cr_assert(stop.wait());
+    cr_assert_lt(stop.elapsed(), settings.grace);
+    exitProcess();
+}
