Only connections with unread answers are reset when a server gives them up

What callers saw: nothing yet.

Change: SO_LINGER 0 is set only if something is unacknowledged, which is what the kernel would keep.

--- a/transport/src/http_server_beast.cpp
+++ b/transport/src/http_server_beast.cpp
@@ -102,8 +102,10 @@
     {
         connection.closing = true;
         connection.sendWatch.recordEnd(by);
+        auto& socket = connection.stream.socket();
         ErrorCode ignored;
-        connection.stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+        if (unacknowledgedBytes(socket.native_handle()).value_or(0) > 0)
+            socket.set_option(asio::socket_base::linger(true, 0), ignored);
         connection.stream.close();
         auto watch = connection.watch.lock();
         if (watch && watch->onDisconnect)
--- a/transport/src/send_watch.cpp
+++ b/transport/src/send_watch.cpp
@@ -157,7 +157,7 @@
     if (this->ended || !this->table->active.contains(this) || !this->socket.is_open())
         return false;
     auto state = this->readState();
-    // An unknown request of this process has been answered.
+    // Where nothing is known, an answer may be unread, while a request that is no longer written has been read.
     bool unread = state.unacknowledgedBytes ? *state.unacknowledgedBytes > 0 : this->side == ConnectionSide::Caller;
     return unread && state.connected;
 }
