Crowds count what the daemon leaves on connections that it has closed

Change: connections that are there before the daemon starts are left out by their addresses; all others count, closed or not.

--- a/tests/crowds/main.cpp
+++ b/tests/crowds/main.cpp
@@ -18,6 +18,7 @@
 #include <functional>
 #include <iostream>
 #include <map>
+#include <set>
 #include <spawn.h>
 #include <sstream>
 #include <string>
@@ -282,6 +283,8 @@
     bool start()
     {
         std::filesystem::create_directories(this->directory);
+        for (const auto& connection : this->connections())
+            this->earlierConnections.insert(connection.addresses);
         auto settings = this->writeSettings(this->basePort + 1);
         this->platform = this->spawn({ this->platformPath, std::to_string(this->basePort) }, "platform.log");
         this->setDescriptorLimit(this->machine.descriptors);
@@ -369,19 +372,11 @@
             if (target.starts_with("socket:") || target.starts_with("pipe:"))
                 sockets.count++;
         }
-        std::ifstream table("/proc/net/tcp");
-        std::string line;
-        std::getline(table, line);
-        while (std::getline(table, line)) {
-            std::istringstream row(line);
-            std::string number, local, remote, state, queues, timer, retransmissions, user, timeouts, inode;
-            row >> number >> local >> remote >> state >> queues >> timer >> retransmissions >> user >> timeouts >> inode;
-            auto localPort = std::stoi(local.substr(9), nullptr, 16);
-            // 0A is a listener, whose queue counts connections. One without an inode belonged to a process that has ended.
-            if (state == "0A" || inode == "0" || localPort < this->port(0) || localPort > this->port(4))
+        for (const auto& connection : this->connections()) {
+            if (this->earlierConnections.contains(connection.addresses))
                 continue;
-            sockets.unsent += std::stoull(queues.substr(0, 8), nullptr, 16);
-            sockets.unread += std::stoull(queues.substr(9), nullptr, 16);
+            sockets.unsent += connection.unsent;
+            sockets.unread += connection.unread;
         }
         return sockets;
     }
@@ -390,6 +385,30 @@
     int lastStatus = 0; ///< Of the last ordinary request.
 
 private:
+    /// A connection at the daemon's ports, also one that it has closed.
+    struct Connection {
+        std::string addresses;
+        uint64_t unsent = 0;
+        uint64_t unread = 0;
+    };
+    std::vector<Connection> connections() const
+    {
+        std::vector<Connection> connections;
+        std::ifstream table("/proc/net/tcp");
+        std::string line;
+        std::getline(table, line);
+        while (std::getline(table, line)) {
+            std::istringstream row(line);
+            std::string number, local, remote, state, queues;
+            row >> number >> local >> remote >> state >> queues;
+            auto localPort = std::stoi(local.substr(9), nullptr, 16);
+            // 0A is a listener, whose queue counts connections.
+            if (state != "0A" && localPort >= this->port(0) && localPort <= this->port(4))
+                connections.push_back({ local + remote, std::stoull(queues.substr(0, 8), nullptr, 16), std::stoull(queues.substr(9), nullptr, 16) });
+        }
+        return connections;
+    }
+
     bool configure() const
     {
         for (int i = 0; i < ordinaryTries; i++) {
@@ -438,6 +457,7 @@
         return kilobytes * 1024;
     }
 
+    std::set<std::string> earlierConnections; ///< Left by an earlier process.
     uint64_t childDescriptors = 0; ///< 0 for no limit.
     std::string daemonPath;
     std::string platformPath;
