--- /dev/null
+++ b/review/standins-3/cluster.hpp
@@ -0,0 +1,108 @@
+/// A small deployment for a case: the store, workers and daemons, each in a process of its own.
+#pragma once
+
+#include "standin.hpp"
+
+namespace review {
+
+/// Routes and services with the figures of the site file `attar-vault.toml`.
+/// @param engineMegabytes memory of a model worker for weights; one model has 72,700.
+inline std::string makeConfiguration(int version, int engineMegabytes)
+{
+    std::string text = R"({"version":%V,"routes":[
+{"name":"accord-compare","host":"scent.example","path-prefix":"/accord/","kind":"streaming","timeout-ms":5000,"target-latency-ms":800,"priority":2,"service":"scent-models","max-attempts":1,"sticky":true,"resumable":false,"target-gap-ms":250},
+{"name":"dispute-compare","host":"scent.example","path-prefix":"/dispute/","kind":"streaming","timeout-ms":6000,"target-latency-ms":1500,"priority":1,"service":"scent-models","max-attempts":2,"sticky":true,"resumable":true,"target-gap-ms":250},
+{"name":"formula-register","host":"scent.example","path-prefix":"/register/","kind":"non_idempotent","timeout-ms":1200,"target-latency-ms":150,"priority":2,"service":"archive-ledger","max-attempts":1},
+{"name":"formula-lookup","host":"scent.example","path-prefix":"/lookup/","kind":"idempotent","timeout-ms":1200,"target-latency-ms":150,"priority":2,"service":"archive-ledger","max-attempts":2}],
+"services":[{"name":"archive-ledger","health-path":"/health","max-conns":96,"protocol":"h1","tls":false},
+{"name":"scent-models","health-path":"/health","max-conns":360,"protocol":"h1","tls":false,"engine":{"slots":64,"kv-capacity":232000,"kv-token-bytes":327680,"link-mbps":550000.0,"moves":true,"backups":true,"stride":4,"cap":12,
+"models":[{"name":"m0","weights-mb":72700.0,"load-s":1.2,"adapters":0,"adapter-mb":66.0},{"name":"m1","weights-mb":72700.0,"load-s":1.2,"adapters":0,"adapter-mb":66.0}],"weights-mb":%M,"adapter-slots":5,"loads-per-s":1.1}}],
+"limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000}})";
+    text.replace(text.find("%V"), 2, std::to_string(version));
+    text.replace(text.find("%M"), 2, std::to_string(engineMegabytes));
+    return text;
+}
+
+class Cluster {
+public:
+    explicit Cluster(const CaseFiles& files)
+        : record(files.record)
+        , files(files)
+    {
+        this->storePort = this->takePort();
+    }
+
+    uint16_t takePort()
+    {
+        if (this->freePorts.empty())
+            this->freePorts = findFreePorts(64);
+        auto port = this->freePorts.back();
+        this->freePorts.pop_back();
+        return port;
+    }
+
+    pid_t start(const std::string& name, const std::vector<std::string>& command) { return this->processes.start(command, this->files.scratch + "/" + name + ".log"); }
+
+    /// Starts the store and writes the first configuration.
+    bool startStore(const std::string& configuration)
+    {
+        this->start("store", { this->files.platform, "store", std::to_string(this->storePort) });
+        for (int i = 0; i < 50; i++) {
+            if (writeRecord(this->storePort, "keyed.op", "config", configuration))
+                return true;
+            sleepFor(milliseconds { 100 });
+        }
+        return false;
+    }
+
+    /// @param model that an engine holds; empty for a plain service.
+    /// @param further words for the stand-in.
+    pid_t startWorker(const std::string& id, const std::string& service, uint16_t port, const std::string& model, const std::vector<std::string>& further = {})
+    {
+        std::vector<std::string> command { this->files.platform, "worker", id, service, std::to_string(port), std::to_string(this->storePort) };
+        if (!model.empty())
+            command.push_back(model);
+        command.insert(command.end(), further.begin(), further.end());
+        return this->start(id, command);
+    }
+
+    /// Starts daemons and waits until all are ready.
+    bool startVms(size_t count)
+    {
+        for (size_t i = 0; i < count; i++) {
+            this->vms.push_back({ this->takePort(), this->takePort(), this->takePort(), this->takePort(), this->takePort() });
+            auto name = "edge-delta-tanta-" + std::to_string(i + 1);
+            auto settings = this->files.scratch + "/" + name + ".ini";
+            std::ofstream(settings) << renderSettings(name, this->vms.back(), this->storePort);
+            this->daemons.push_back(this->start(name, { this->files.daemon, "edge", "--config", settings }));
+        }
+        for (const auto& vm : this->vms) {
+            for (int i = 0; i < 100 && !isReady(vm); i++)
+                sleepFor(milliseconds { 100 });
+            if (!isReady(vm)) {
+                std::cerr << "a daemon did not become ready\n";
+                return false;
+            }
+        }
+        return true;
+    }
+
+    Record record;
+    Processes processes;
+    std::vector<VmPorts> vms;
+    std::vector<pid_t> daemons;
+    uint16_t storePort = 0;
+
+private:
+    const CaseFiles files;
+    std::vector<uint16_t> freePorts;
+};
+
+/// Returns whether the disruption is to take place: TROUBLE=0 leaves it out.
+inline bool hasTrouble()
+{
+    const auto* text = std::getenv("TROUBLE");
+    return text == nullptr || std::string(text) != "0";
+}
+
+} // namespace review
