--- a/review/standins-3/cluster.hpp
+++ b/review/standins-3/cluster.hpp
@@ -71,10 +71,8 @@
     {
         for (size_t i = 0; i < count; i++) {
             this->vms.push_back({ this->takePort(), this->takePort(), this->takePort(), this->takePort(), this->takePort() });
-            auto name = "edge-delta-tanta-" + std::to_string(i + 1);
-            auto settings = this->files.scratch + "/" + name + ".ini";
-            std::ofstream(settings) << renderSettings(name, this->vms.back(), this->storePort);
-            this->daemons.push_back(this->start(name, { this->files.daemon, "edge", "--config", settings }));
+            std::ofstream(this->settingsPath(i)) << renderSettings(nodeName(i), this->vms.back(), this->storePort);
+            this->daemons.push_back(this->startDaemon(i));
         }
         for (const auto& vm : this->vms) {
             for (int i = 0; i < 100 && !isReady(vm); i++)
@@ -87,6 +85,9 @@
         return true;
     }
 
+    /// Starts a daemon again whose process has ended.
+    void restartVm(size_t vm) { this->daemons[vm] = this->startDaemon(vm); }
+
     Record record;
     Processes processes;
     std::vector<VmPorts> vms;
@@ -94,6 +95,10 @@
     uint16_t storePort = 0;
 
 private:
+    static std::string nodeName(size_t vm) { return "edge-delta-tanta-" + std::to_string(vm + 1); }
+    std::string settingsPath(size_t vm) const { return this->files.scratch + "/" + nodeName(vm) + ".ini"; }
+    pid_t startDaemon(size_t vm) { return this->start(nodeName(vm), { this->files.daemon, "edge", "--config", this->settingsPath(vm) }); }
+
     const CaseFiles files;
     std::vector<uint16_t> freePorts;
 };
