--- a/review/standins-3/cluster.hpp
+++ b/review/standins-3/cluster.hpp
@@ -28,14 +28,16 @@
     explicit Cluster(const CaseFiles& files)
         : record(files.record)
         , files(files)
+        , freePorts(findFreePorts(portsOfCase))
     {
         this->storePort = this->takePort();
     }
 
+    /// @return 0 if none is left; starting the program then fails.
     uint16_t takePort()
     {
         if (this->freePorts.empty())
-            this->freePorts = findFreePorts(64);
+            return 0;
         auto port = this->freePorts.back();
         this->freePorts.pop_back();
         return port;
@@ -97,6 +99,8 @@
     std::string settingsPath(size_t vm) const { return this->files.scratch + "/" + nodeName(vm) + ".ini"; }
     pid_t startDaemon(size_t vm) { return this->start(nodeName(vm), { this->files.daemon, "edge", "--config", this->settingsPath(vm) }); }
 
+    static constexpr size_t portsOfCase = 64;
+
     const CaseFiles files;
     std::vector<uint16_t> freePorts;
 };
--- a/review/standins-3/standin.hpp
+++ b/review/standins-3/standin.hpp
@@ -115,22 +115,26 @@
     return true;
 }
 
-/// Returns ports of loopback that were free a moment ago.
+/// Returns ports of loopback that are free, below those that the kernel gives to outgoing connections: a daemon that starts again finds its own.
+/// Empty if there are not enough.
 inline std::vector<uint16_t> findFreePorts(size_t count)
 {
-    std::vector<int> sockets;
+    constexpr int lowestPort = 15000;
+    int firstOutgoing = 32768;
+    std::ifstream("/proc/sys/net/ipv4/ip_local_port_range") >> firstOutgoing;
     std::vector<uint16_t> ports;
-    while (ports.size() < count) {
-        int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        auto address = makeAddress(0);
-        socklen_t size = sizeof address;
-        if (::bind(socket, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0 && getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size) == 0)
-            ports.push_back(ntohs(address.sin_port));
-        sockets.push_back(socket);
+    // Cases that run at the same time begin at different ports.
+    int range = std::max(1, firstOutgoing - lowestPort);
+    int begin = static_cast<int>(::getpid()) * 97 % range;
+    for (int i = 0; i < range && ports.size() < count; i++) {
+        auto port = static_cast<uint16_t>(lowestPort + (begin + i) % range);
+        int listener = listenOn(port);
+        if (listener < 0)
+            continue;
+        ::close(listener);
+        ports.push_back(port);
     }
-    for (int socket : sockets)
-        ::close(socket);
-    return ports;
+    return ports.size() < count ? std::vector<uint16_t> {} : ports;
 }
 
 // HTTP
