--- a/review/standins-3/cluster.hpp
+++ b/review/standins-3/cluster.hpp
@@ -25,9 +25,9 @@
 
 class Cluster {
 public:
-    explicit Cluster(const CaseFiles& files)
-        : record(files.record)
-        , files(files)
+    explicit Cluster(const CaseArguments& arguments)
+        : record(arguments.record)
+        , arguments(arguments)
         , freePorts(findFreePorts(portsOfCase))
     {
         this->storePort = this->takePort();
@@ -43,12 +43,12 @@
         return port;
     }
 
-    pid_t start(const std::string& name, const std::vector<std::string>& command) { return this->processes.start(command, this->files.scratch + "/" + name + ".log"); }
+    pid_t start(const std::string& name, const std::vector<std::string>& command) { return this->processes.start(command, this->arguments.scratch + "/" + name + ".log"); }
 
     /// Starts the store and writes the first configuration.
     bool startStore(const std::string& configuration)
     {
-        this->start("store", { this->files.platform, "store", std::to_string(this->storePort) });
+        this->start("store", { this->arguments.platform, "store", std::to_string(this->storePort) });
         for (int i = 0; i < 50; i++) {
             if (writeRecord(this->storePort, "keyed.op", "config", configuration))
                 return true;
@@ -60,9 +60,10 @@
     /// @param model that an engine holds; empty for a plain service.
     pid_t startWorker(const std::string& id, const std::string& service, uint16_t port, const std::string& model)
     {
-        std::vector<std::string> command { this->files.platform, "worker", id, service, std::to_string(port), std::to_string(this->storePort) };
+        std::vector<std::string> command { this->arguments.platform, "worker", id, service, std::to_string(port), std::to_string(this->storePort) };
         if (!model.empty())
             command.push_back(model);
+        this->workers.push_back(id);
         return this->start(id, command);
     }
 
@@ -71,22 +72,33 @@
     {
         for (size_t i = 0; i < count; i++) {
             this->vms.push_back({ this->takePort(), this->takePort(), this->takePort(), this->takePort(), this->takePort() });
-            std::ofstream(this->settingsPath(i)) << renderSettings(nodeName(i), this->vms.back(), this->storePort);
-            this->daemons.push_back(this->startDaemon(i));
+            this->daemons.push_back(this->startDaemon(i, true));
         }
-        for (const auto& vm : this->vms) {
-            for (int i = 0; i < 100 && !isReady(vm); i++)
+        auto deadline = Clock::now() + std::chrono::seconds { 15 };
+        for (size_t i = 0; i < count; i++) {
+            while (!isReady(this->vms[i])) {
+                if (Clock::now() > deadline) {
+                    std::cerr << nodeName(i) << " did not become ready\n";
+                    return false;
+                }
                 sleepFor(milliseconds { 100 });
-            if (!isReady(vm)) {
-                std::cerr << "a daemon did not become ready\n";
-                return false;
             }
         }
         return true;
     }
 
     /// Starts a daemon again whose process has ended.
-    void restartVm(size_t vm) { this->daemons[vm] = this->startDaemon(vm); }
+    void restartVm(size_t vm) { this->daemons[vm] = this->startDaemon(vm, false); }
+
+    /// Writes into the record what the workers have run, as they tell in their logs.
+    void recordRuns()
+    {
+        for (const auto& worker : this->workers) {
+            std::ifstream log(this->arguments.scratch + "/" + worker + ".log");
+            for (std::string line; std::getline(log, line);)
+                this->record.write(worker + " " + line);
+        }
+    }
 
     Record record;
     Processes processes;
@@ -96,20 +108,20 @@
 
 private:
     static std::string nodeName(size_t vm) { return "edge-delta-tanta-" + std::to_string(vm + 1); }
-    std::string settingsPath(size_t vm) const { return this->files.scratch + "/" + nodeName(vm) + ".ini"; }
-    pid_t startDaemon(size_t vm) { return this->start(nodeName(vm), { this->files.daemon, "edge", "--config", this->settingsPath(vm) }); }
+    std::string settingsPath(size_t vm) const { return this->arguments.scratch + "/" + nodeName(vm) + ".ini"; }
+    pid_t startDaemon(size_t vm, bool bootstrap)
+    {
+        std::ofstream(this->settingsPath(vm)) << renderSettings(nodeName(vm), this->vms[vm], this->storePort, bootstrap);
+        auto command = this->arguments.daemon;
+        command.push_back(this->settingsPath(vm));
+        return this->start(nodeName(vm), command);
+    }
 
     static constexpr size_t portsOfCase = 64;
 
-    const CaseFiles files;
+    const CaseArguments arguments;
     std::vector<uint16_t> freePorts;
+    std::vector<std::string> workers; ///< Their ids.
 };
 
-/// Returns whether the disruption is to take place: TROUBLE=0 leaves it out.
-inline bool hasTrouble()
-{
-    const auto* text = std::getenv("TROUBLE");
-    return text == nullptr || std::string(text) != "0";
-}
-
 } // namespace review
--- a/review/standins-3/platform.cc
+++ b/review/standins-3/platform.cc
@@ -150,6 +150,13 @@
     return json.substr(at, json.find_first_of(",}", at) - at);
 }
 
+/// Tells on standard output that a worker begins to run a request.
+void reportRun(const std::string& attempt)
+{
+    auto line = "runs " + attempt + " at " + std::to_string(wallMilliseconds()) + "\n";
+    [[maybe_unused]] auto written = ::write(STDOUT_FILENO, line.data(), line.size());
+}
+
 class Worker {
 public:
     Worker(std::string id, std::string service, uint16_t port, const std::string& model)
@@ -236,6 +243,7 @@
     bool run(int socket, const Message& request)
     {
         constexpr milliseconds workTime { 30 };
+        reportRun(request.header("Attempt-Id"));
         sleepFor(workTime);
         return writeAll(socket, formatAnswer(200, { { "Attempt-Id", request.header("Attempt-Id") }, { "Server-Seal", "seal." + this->id } }, "done by " + this->id + "\n"));
     }
@@ -280,6 +288,7 @@
         }
         if (left)
             return false;
+        reportRun(attempt);
         bool open = writeAll(socket, "HTTP/1.1 200 OK\r\nAttempt-Id: " + attempt + "\r\nServer-Seal: seal." + this->id + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
         for (int i = 1; open && i <= events; i++) {
             auto event = "id: " + std::to_string(i) + "\ndata: piece " + std::to_string(i) + " of " + attempt + "\n\n";
--- a/review/standins-3/standin.hpp
+++ b/review/standins-3/standin.hpp
@@ -20,6 +20,7 @@
 #include <string>
 #include <string_view>
 #include <strings.h>
+#include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -371,12 +372,14 @@
         for (auto pid : this->pids)
             ::waitpid(pid, nullptr, 0);
     }
+    /// The program ends with the thread that starts it, also if that is killed.
     /// @param log file that receives what the program prints.
     /// @return process id, or -1.
     pid_t start(const std::vector<std::string>& command, const std::string& log)
     {
         auto pid = ::fork();
         if (pid == 0) {
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL);
             int file = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             ::dup2(file, 1);
             ::dup2(file, 2);
@@ -421,7 +424,7 @@
     void write(const std::string& line)
     {
         std::lock_guard lock(this->mutex);
-        this->file << elapsedMilliseconds() << " " << line << std::endl;
+        this->file << elapsedMilliseconds() << " " << line << "\n";
     }
 
 private:
@@ -439,12 +442,14 @@
 };
 
 /// Renders `deploy/node.ini` for one daemon, with the figures of the site file `attar-vault.toml`.
-inline std::string renderSettings(const std::string& node, const VmPorts& ports, uint16_t store)
+/// @param bootstrap whether the whole system starts for the first time.
+inline std::string renderSettings(const std::string& node, const VmPorts& ports, uint16_t store, bool bootstrap)
 {
     auto at = [](uint16_t port) { return std::string(loopback) + ":" + std::to_string(port); };
     return "[node]\nname = " + node + "\nregion = delta\ndata_centre = delta-tanta\n[listen]\nfront = " + at(ports.front) + "\ndirectory = " + at(ports.directory) + "\nreadiness = " + at(ports.readiness)
         + "\ninner = " + at(ports.inner) + "\nmetrics = " + at(ports.metrics) + "\n[store]\naddress = " + at(store)
-        + "\nconfiguration_bound = 2000ms\n[repeats]\nratio = 0.2\nslack = 52\nwindow = 10s\nfirst_start = yes\n[orders]\nlease_time = 3000ms\nworkers_check_tokens = yes\n[drain]\ngrace = 8s\n"
+        + "\nconfiguration_bound = 2000ms\n[repeats]\nratio = 0.2\nslack = 52\nwindow = 10s\nfirst_start = " + (bootstrap ? "yes" : "no")
+        + "\n[orders]\nlease_time = 3000ms\nworkers_check_tokens = yes\n[drain]\ngrace = 8s\n"
           "[limits]\nprocessor_share = 0.25\nprocessor_speed = 1\nlink_megabits = 1000\nmemory_megabytes = 260\ndescriptors = 4100\n[log]\nlevel = info\n";
 }
 
@@ -453,14 +458,28 @@
     return call(ports.readiness, formatRequest("GET", "/v1/ready", { { "Host", "ready" } }), milliseconds { 1000 }).answer.status == 200;
 }
 
-/// Tells the caller of a case what it needs: the programs and the folder for its files.
-struct CaseFiles {
-    std::string daemon; ///< Path of comfreypierd.
+/// What `review/run-case-3` passes to the program of a case.
+struct CaseArguments {
+    std::vector<std::string> daemon; ///< Command of the deploy file, up to the path of the settings.
     std::string platform; ///< Path of the stand-ins' program.
     std::string scratch; ///< Empty folder for settings and logs.
     std::string record; ///< Path of record.txt.
+    bool trouble = true; ///< Whether the disruption takes place.
 };
 
+/// @return nothing if the number of arguments is wrong.
+inline std::optional<CaseArguments> readArguments(int argc, char** argv)
+{
+    constexpr int count = 6;
+    if (argc != count)
+        return std::nullopt;
+    CaseArguments arguments { {}, argv[2], argv[3], argv[4], std::string(argv[5]) != "0" };
+    std::istringstream words(argv[1]);
+    for (std::string word; words >> word;)
+        arguments.daemon.push_back(word);
+    return arguments;
+}
+
 enum ExitCode {
     ExitHeld = 0,
     ExitBroken = 1,
